--- /dev/null
+++ b/src/shell/PeerTransport.h
@@ -0,0 +1,76 @@
+// PeerTransport.h - Links between daemons.
+
+#ifndef FIGSAIL_PEERTRANSPORT_H
+#define FIGSAIL_PEERTRANSPORT_H
+
+#include "figsail/Events.h"
+
+#include <boost/asio/io_context.hpp>
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace figsail {
+
+/// Receives what peers send.
+class PeerHandler {
+public:
+  virtual ~PeerHandler() = default;
+  virtual void peerReceived(PeerReceived Message) = 0;
+  virtual void peerConnected(PeerConnected Peer) = 0;
+  virtual void peerLost(PeerLost Lost) = 0;
+};
+
+/// Logical clock carried by every frame; orders the time line over all daemons.
+class LamportClock {
+public:
+  /// Counts a local event and returns its number.
+  std::uint64_t tick() { return ++Value; }
+  /// Takes over the number of a received frame, if it is higher.
+  void observe(std::uint64_t Other) { Value = Other > Value ? Other : Value; }
+
+private:
+  std::uint64_t Value = 0;
+};
+
+/// Settings of the links.
+struct PeerSettings {
+  std::size_t MaxFrame =
+      16 * 1024 * 1024; ///< Bytes; larger frames break the link.
+  std::size_t MaxQueuedBytes =
+      32 * 1024 *
+      1024; ///< Calls waiting on one link; beyond it the link breaks.
+  Duration ConnectTimeout{std::chrono::seconds(1)};
+  Duration IdleTimeout{std::chrono::seconds(30)}; ///< An unused link is closed.
+};
+
+/// All peer links of one daemon: at most one outgoing link for each host, plus
+/// accepted ones. A reply uses the link on which the peer was heard last.
+/// Control messages are sent ahead of queued calls.
+class PeerTransport {
+public:
+  PeerTransport(boost::asio::io_context &Context, PeerHandler &Handler,
+                PeerRef Self, LamportClock &Clock, PeerSettings Settings);
+  ~PeerTransport();
+
+  /// Starts to listen on "ip:port". Returns an error text, or nothing.
+  std::optional<std::string> listen(const std::string &Address);
+  /// Sends a message, over a new link when there is none. A message to the own
+  /// host is delivered through the event loop.
+  void send(const HostId &Host, PeerMessage Message);
+  /// Closes all links to a host. The next send() opens a new one.
+  void reset(const HostId &Host);
+  /// Returns the bytes sent and received on links, without TCP/IP headers.
+  std::uint64_t bytesSent() const;
+  std::uint64_t bytesReceived() const;
+  std::size_t linkCount() const;
+
+private:
+  struct State;
+  std::shared_ptr<State> Impl;
+};
+
+} // namespace figsail
+
+#endif // FIGSAIL_PEERTRANSPORT_H
