--- a/include/figsail/TokenBucket.h
+++ b/include/figsail/TokenBucket.h
@@ -24,6 +24,18 @@
     return true;
   }
 
+  /// Takes Amount tokens even if there are fewer; the debt is paid off by later gains.
+  void spend(TimePoint Now, double Amount) {
+    refill(Now);
+    Tokens -= Amount;
+  }
+
+  /// Returns the tokens held; negative while there is a debt.
+  double available(TimePoint Now) {
+    refill(Now);
+    return Tokens;
+  }
+
   /// Adds tokens, up to the burst.
   void put(double Amount) { Tokens = std::min(Burst, Tokens + Amount); }
 
--- /dev/null
+++ b/src/core/Ingress.h
@@ -0,0 +1,131 @@
+// Ingress.h - Calls of callers, from arrival to the one answer.
+
+#ifndef FIGSAIL_INGRESS_H
+#define FIGSAIL_INGRESS_H
+
+#include "figsail/Balancer.h"
+#include "figsail/Events.h"
+#include "figsail/Node.h"
+#include "figsail/ReplicatedState.h"
+
+#include "RegionLink.h"
+#include "RetryBudget.h"
+
+#include <optional>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace figsail {
+
+/// What one step of the ingress works with.
+struct IngressStep {
+  TimePoint Now;
+  std::uint64_t Seed = 0;
+  const ReplicatedState &State;
+  EffectList &Out;
+};
+
+/// The ingress role: finds the route, obtains a grant where one is needed,
+/// chooses an executor, retries what certainly did not run, and answers every
+/// caller exactly once.
+class Ingress {
+public:
+  Ingress(const NodeSettings &Settings);
+
+  /// Decides on a request head: route and home regions.
+  HeadVerdict checkHead(const ReplicatedState &State, std::string_view Method,
+                        std::string_view Target) const;
+
+  void request(IngressStep &Step, CallerRequest Arrived);
+  void callerGone(IngressStep &Step, CallerId Caller);
+
+  void received(IngressStep &Step, const Received &Message);
+  void answered(IngressStep &Step, const PeerRef &From, Answer Message);
+  void refused(IngressStep &Step, const PeerRef &From, const Refused &Message);
+  void failed(IngressStep &Step, const PeerRef &From, const Failed &Message);
+  void granted(IngressStep &Step, const Granted &Message);
+  void claimHeld(IngressStep &Step, const ClaimHeld &Message);
+  void claimDone(IngressStep &Step, ClaimDone Message);
+  void claimRefused(IngressStep &Step, const ClaimRefused &Message);
+  void peerLost(IngressStep &Step, const PeerLost &Lost);
+  /// Sets the number of hosts that share the link between regions.
+  void regionHosts(std::size_t Hosts) { Link.share(Hosts); }
+  /// A host was listed under a new incarnation.
+  void memberJoined(const HostId &Host) { Choice.forget(Host); }
+
+  void timer(IngressStep &Step);
+  TimePoint nextWake() const;
+  std::size_t underWay() const { return Calls.size(); }
+
+private:
+  /// What a call waits for.
+  enum class Phase : std::uint8_t {
+    Backoff,   ///< The next try, after a short delay.
+    Claiming,  ///< The coordinator's reply.
+    Executing, ///< The executor's reply to Execute.
+    Awaiting,  ///< The executor's reply to Await.
+  };
+
+  struct Call {
+    CallId Id;
+    CallerId Caller = 0;
+    HttpRequest Request;
+    std::shared_ptr<const RouteSettings> Route;
+    TimePoint Deadline;
+    Phase At = Phase::Backoff;
+    TimePoint WakeAt; ///< When timer() looks at the call next.
+    std::uint64_t Fingerprint = 0;
+    std::optional<RequestKey> Key; ///< Set for keyed calls.
+    bool KeyChecked =
+        false;          ///< A coordinator found the key free for this call.
+    HostId Coordinator; ///< Asked last.
+    PeerRef Executor;   ///< Asked or chosen last.
+    std::optional<GrantToken> Grant;
+    std::uint32_t ReleasedAttempt = 0;
+    std::vector<HostId> Tried;      ///< Executors that refused or failed.
+    std::uint32_t Attempts = 0;     ///< Executors tried.
+    std::uint32_t ClaimTries = 0;   ///< Claims without a useful reply.
+    std::uint32_t SilentChecks = 0; ///< Awaits without a reply.
+    bool Confirmed = false;   ///< The executor has said that it has the call.
+    bool Outstanding = false; ///< Counted in the balancer at Executor.
+    ErrorKind LastRefusal = ErrorKind::NoBackendServer;
+  };
+
+  Call *find(const CallId &Id);
+  void wakeAt(Call &Which, TimePoint At);
+  void advance(IngressStep &Step, Call &Which);
+  void claim(IngressStep &Step, Call &Which);
+  void execute(IngressStep &Step, Call &Which);
+  void sendExecute(IngressStep &Step, Call &Which, const Member &To);
+  void sendAwait(IngressStep &Step, Call &Which);
+  void executorRestarted(IngressStep &Step, Call &Which);
+  void checkSilence(IngressStep &Step, Call &Which);
+  void executorLost(IngressStep &Step, Call &Which, bool Unsent);
+  void coordinatorLost(IngressStep &Step, Call &Which);
+  void retry(IngressStep &Step, Call &Which, ErrorKind Why);
+  void retryLater(IngressStep &Step, Call &Which, ErrorKind Why);
+  void deadlinePassed(IngressStep &Step, Call &Which);
+  const Member *chooseExecutor(IngressStep &Step, const Call &Which,
+                               const EpochEntry &Epoch,
+                               const HostId *Coordinator);
+  void settleOutstanding(IngressStep &Step, Call &Which, bool Success,
+                         const LoadReport *Load);
+  void finish(IngressStep &Step, Call &Which, HttpResponse Response);
+  void fail(IngressStep &Step, Call &Which, ErrorKind Kind);
+
+  PeerRef Self;
+  Locality Here;
+  Balancer Choice;
+  RetryBudget Budget;
+  RegionLink Link;
+  std::uint64_t NextSequence = 1;
+  std::unordered_map<std::uint64_t, Call> Calls;           ///< By sequence.
+  std::unordered_map<CallerId, std::uint64_t> ByCaller;    ///< To sequence.
+  std::set<std::pair<TimePoint, std::uint64_t>> WakeOrder; ///< To sequence.
+};
+
+} // namespace figsail
+
+#endif // FIGSAIL_INGRESS_H
--- /dev/null
+++ b/src/core/RegionLink.h
@@ -0,0 +1,46 @@
+// RegionLink.h - This daemon's share of the link between regions, which is paid
+// by volume.
+
+#ifndef FIGSAIL_REGIONLINK_H
+#define FIGSAIL_REGIONLINK_H
+
+#include "figsail/TokenBucket.h"
+
+namespace figsail {
+
+/// Counts bytes that cross regions in each direction. May go into debt, because
+/// the size of a response is known only after it has crossed.
+class RegionLink {
+public:
+  /// TotalRate: bytes a second each way, shared by all hosts of the region.
+  explicit RegionLink(double TotalRate)
+      : TotalRate(TotalRate), Outbound(TotalRate, TotalRate),
+        Inbound(TotalRate, TotalRate) {}
+
+  /// Sets the number of hosts that share the link.
+  void share(std::size_t Hosts) {
+    double Rate = TotalRate / static_cast<double>(Hosts > 0 ? Hosts : 1);
+    Outbound.configure(Rate, Rate);
+    Inbound.configure(Rate, Rate);
+  }
+
+  /// Returns whether both directions have tokens left.
+  bool available(TimePoint Now) {
+    return Outbound.available(Now) > 0 && Inbound.available(Now) > 0;
+  }
+  void sent(TimePoint Now, std::size_t Bytes) {
+    Outbound.spend(Now, static_cast<double>(Bytes));
+  }
+  void received(TimePoint Now, std::size_t Bytes) {
+    Inbound.spend(Now, static_cast<double>(Bytes));
+  }
+
+private:
+  double TotalRate;
+  TokenBucket Outbound;
+  TokenBucket Inbound;
+};
+
+} // namespace figsail
+
+#endif // FIGSAIL_REGIONLINK_H
--- /dev/null
+++ b/src/core/Replication.cpp
@@ -0,0 +1,345 @@
+// Replication.cpp - Brings the log's records to this daemon and passes them on.
+
+#include "Replication.h"
+
+#include <algorithm>
+
+namespace figsail {
+
+using namespace std::chrono_literals;
+
+/// Children of one daemon. With 400 hosts in a failure domain the tree is 5
+/// levels deep.
+static constexpr std::size_t FanOut = 4;
+/// Daemons of a failure domain that read the log, so that one loss does not cut
+/// it off.
+static constexpr std::size_t ReadersPerDomain = 2;
+/// How long the log may hold a read when there is nothing new.
+static constexpr Duration ReadWait = 5s;
+static constexpr Duration FirstBackoff = 200ms;
+static constexpr Duration MaxBackoff = 2s;
+/// Children subscribe again at this interval; parents prove life at it.
+static constexpr Duration RenewInterval = 1s;
+/// A source that is silent for so long is replaced by the next one. Together
+/// with the renewal this keeps the delay of a change under 5 s when a parent
+/// dies.
+static constexpr Duration SourceTimeout = 2500ms;
+/// After so long on a fallback the best source is tried again.
+static constexpr Duration FallbackTime = 30s;
+static constexpr Duration ChildTimeout = 10s;
+/// Bounds of the tail kept for children; an older child gets a snapshot.
+static constexpr std::size_t MaxTailRecords = 4096;
+static constexpr std::size_t MaxTailBytes = 4 * 1024 * 1024;
+static constexpr std::size_t MaxBatchRecords = 512;
+/// Text of one part of a snapshot record; keeps a record well under the log's
+/// record size.
+static constexpr std::size_t SnapshotPartBytes = 256 * 1024;
+/// Readers wait this much longer for each reader ranked before them.
+static constexpr Duration SnapshotStagger = 10s;
+
+Replication::Replication(const NodeSettings &Settings, ReplicatedState &State)
+    : Self(Settings.Self.Host), FailureDomain(Settings.Self.FailureDomain),
+      Seeds(Settings.Seeds), Retention(Settings.LogRetention), State(State) {}
+
+void Replication::start(TimePoint Now, EffectList &Out) {
+  SnapshotSeen = Now;
+  NextFeed = Now + RenewInterval;
+  follow(Now, Out);
+}
+
+/// Orders the daemons of this failure domain and finds the own parents in the
+/// tree.
+void Replication::findPlace() {
+  PlaceStale = false;
+  std::vector<std::pair<std::uint64_t, HostId>> Order;
+  std::map<std::string, std::pair<std::uint64_t, HostId>> FirstReaders;
+  for (const auto &[Host, Who] : State.members()) {
+    std::pair<std::uint64_t, HostId> Rank{hashText(Host), Host};
+    if (Who.FailureDomain == FailureDomain)
+      Order.push_back(Rank);
+    auto [First, New] = FirstReaders.try_emplace(Who.FailureDomain, Rank);
+    if (!New && Rank < First->second)
+      First->second = Rank;
+  }
+  std::ranges::sort(Order);
+  ReaderRank = 0;
+  for (const auto &[Domain, Rank] : FirstReaders) {
+    if (Domain >= FailureDomain)
+      break;
+    ++ReaderRank;
+  }
+  auto Own =
+      std::ranges::find(Order, Self, &std::pair<std::uint64_t, HostId>::second);
+  std::vector<HostId> Found;
+  Reader = false;
+  if (Own == Order.end()) {
+    for (const HostId &Seed : Seeds)
+      if (Seed != Self)
+        Found.push_back(Seed);
+  } else {
+    auto Index = static_cast<std::size_t>(Own - Order.begin());
+    Reader = Index < ReadersPerDomain;
+    while (Index >= ReadersPerDomain) {
+      Index = (Index - ReadersPerDomain) / FanOut;
+      Found.push_back(Order[Index].second);
+    }
+  }
+  if (Found == Sources)
+    return;
+  Sources = std::move(Found);
+  SourceIndex = 0;
+  NextRenewal = TimePoint{};
+}
+
+/// Asks the present source for what comes next.
+void Replication::follow(TimePoint Now, EffectList &Out) {
+  if (PlaceStale)
+    findPlace();
+  if (SourceIndex > 0 && Now - SourceSince > FallbackTime && !Sources.empty()) {
+    SourceIndex = 0;
+    SourceSince = SourceHeard = Now;
+  }
+  if (SourceIndex >= Sources.size()) {
+    if (Reading)
+      return;
+    Reading = true;
+    Out.push_back(ReadLog{State.applied() + 1, ReadWait});
+    return;
+  }
+  if (SourceSince == TimePoint{})
+    SourceSince = SourceHeard = Now;
+  Out.push_back(SendPeer{Sources[SourceIndex], Subscribe{State.applied() + 1}});
+  NextRenewal = Now + RenewInterval;
+}
+
+void Replication::nextSource(TimePoint Now, EffectList &Out) {
+  if (SourceIndex < Sources.size())
+    ++SourceIndex;
+  SourceSince = SourceHeard = Now;
+  follow(Now, Out);
+}
+
+void Replication::remember(const LogRecord &Record) {
+  // A gap would make the tail useless for children.
+  if (!Tail.empty() && Tail.back().At + 1 != Record.At) {
+    Tail.clear();
+    TailBytes = 0;
+  }
+  Tail.push_back(Record);
+  TailBytes += Record.Data.size();
+  while (Tail.size() > MaxTailRecords || TailBytes > MaxTailBytes) {
+    TailBytes -= Tail.front().Data.size();
+    Tail.pop_front();
+  }
+}
+
+void Replication::apply(TimePoint Now, const std::vector<LogRecord> &Batch,
+                        const OnApplied &Applied, EffectList &Out) {
+  bool Any = false;
+  for (const LogRecord &Record : Batch) {
+    if (Record.At <= State.applied())
+      continue;
+    ApplyResult Result = State.applyRecord(Now, Record);
+    remember(Record);
+    Any = true;
+    auto Decoded = decodeRecord(Record.Data);
+    if (const auto *Body = std::get_if<RecordBody>(&Decoded)) {
+      if (const auto *Part = std::get_if<SnapshotRecord>(Body)) {
+        SnapshotSeen = Now;
+        SnapshotAt = std::max(SnapshotAt, Part->At);
+      }
+    }
+    Applied(Record, Result);
+  }
+  if (!Any)
+    return;
+  for (auto &[Host, To] : Children)
+    feed(Now, To, false, Out);
+}
+
+/// The log no longer keeps the record after applied(). Rebuilds the state from
+/// the latest complete snapshot in the batch. Returns whether the state moved.
+bool Replication::fillGap(TimePoint Now, const std::vector<LogRecord> &Batch) {
+  for (const LogRecord &Record : Batch) {
+    auto Decoded = decodeRecord(Record.Data);
+    auto *Body = std::get_if<RecordBody>(&Decoded);
+    auto *Part = Body ? std::get_if<SnapshotRecord>(Body) : nullptr;
+    if (!Part)
+      continue;
+    std::vector<SnapshotRecord> &Found = Parts[Part->Id];
+    bool InOrder = Part->Part == Found.size();
+    if (!InOrder)
+      continue;
+    Found.push_back(*Part);
+    if (Found.size() < Part->Parts)
+      continue;
+    std::string Text;
+    for (const SnapshotRecord &Piece : Found)
+      Text += Piece.Data;
+    Offset At = Part->At;
+    Parts.clear();
+    return !State.restore(Now, At, Text) && State.applied() == At;
+  }
+  return false;
+}
+
+void Replication::logRead(TimePoint Now, const LogRead &Read,
+                          const OnApplied &Applied, EffectList &Out) {
+  Reading = false;
+  Failures = 0;
+  if (!LogReachable)
+    Out.push_back(Trace{TraceKind::LogBack, std::to_string(Read.Next), {}});
+  LogReachable = true;
+  SourceHeard = Now;
+  Offset Wanted = State.applied() + 1;
+  Offset First = Read.Batch.empty() ? Read.Earliest : Read.Batch.front().At;
+  if (First > Wanted && Read.Next > Wanted) {
+    if (fillGap(Now, Read.Batch)) {
+      PlaceStale = true;
+      return follow(Now, Out);
+    }
+    if (Read.Batch.empty() || Read.Batch.back().At + 1 >= Read.Next) {
+      // No snapshot in the whole log: retry later, and from peers before that.
+      NextRenewal = Now + MaxBackoff;
+      return;
+    }
+    Reading = true;
+    Out.push_back(ReadLog{Read.Batch.back().At + 1, 0us});
+    return;
+  }
+  apply(Now, Read.Batch, Applied, Out);
+  CaughtUp |= State.applied() + 1 >= Read.Next;
+  follow(Now, Out);
+}
+
+void Replication::logReadFailed(TimePoint Now, EffectList &Out) {
+  Reading = false;
+  if (LogReachable)
+    Out.push_back(Trace{TraceKind::LogLost, {}, {}});
+  LogReachable = false;
+  Duration Backoff = FirstBackoff * (1 << std::min(Failures, 4U));
+  ++Failures;
+  NextRenewal = Now + std::min(Backoff, MaxBackoff);
+  // Peers may be able to reach what this daemon can't, or have newer records.
+  if (!Sources.empty() && SourceIndex >= Sources.size()) {
+    SourceIndex = 0;
+    SourceSince = SourceHeard = Now;
+  }
+}
+
+void Replication::feed(TimePoint, Child &To, bool Always, EffectList &Out) {
+  bool TailCovers = !Tail.empty() && Tail.front().At <= To.Next;
+  bool Behind = To.Next <= State.applied();
+  if (Behind && !TailCovers) {
+    Out.push_back(
+        SendPeer{To.Who.Host, Snapshot{State.applied(), State.snapshot()}});
+    To.Next = State.applied() + 1;
+    return;
+  }
+  Records Message;
+  for (auto It = Tail.rbegin(); It != Tail.rend() && It->At >= To.Next; ++It)
+    Message.Batch.push_back(*It);
+  std::ranges::reverse(Message.Batch);
+  if (Message.Batch.size() > MaxBatchRecords)
+    Message.Batch.resize(MaxBatchRecords);
+  if (Message.Batch.empty() && !Always)
+    return;
+  if (!Message.Batch.empty())
+    To.Next = Message.Batch.back().At + 1;
+  Out.push_back(Count{Counter::RecordsForwarded, Message.Batch.size()});
+  Out.push_back(SendPeer{To.Who.Host, std::move(Message)});
+}
+
+void Replication::subscribe(TimePoint Now, const PeerRef &From,
+                            const Subscribe &Message, EffectList &Out) {
+  // A daemon that has nothing yet would only keep the child from a better
+  // source.
+  if (!CaughtUp)
+    return;
+  auto [Found, New] = Children.try_emplace(From.Host);
+  Child &To = Found->second;
+  bool Restarted = To.Who != From;
+  To.Who = From;
+  To.LastHeard = Now;
+  // The child's own word decides: what was sent to it may have been lost with a
+  // link.
+  if (New || Restarted || Message.From < To.Next)
+    To.Next = Message.From;
+  feed(Now, To, true, Out);
+}
+
+void Replication::records(TimePoint Now, const PeerRef &From,
+                          const Records &Message, const OnApplied &Applied,
+                          EffectList &Out) {
+  if (SourceIndex < Sources.size() && Sources[SourceIndex] == From.Host)
+    SourceHeard = Now;
+  bool Gap =
+      !Message.Batch.empty() && Message.Batch.front().At > State.applied() + 1;
+  if (Gap)
+    return follow(Now, Out);
+  apply(Now, Message.Batch, Applied, Out);
+  CaughtUp = true;
+  if (PlaceStale)
+    follow(Now, Out);
+}
+
+bool Replication::snapshot(TimePoint Now, const PeerRef &From,
+                           const Snapshot &Message, EffectList &Out) {
+  if (SourceIndex < Sources.size() && Sources[SourceIndex] == From.Host)
+    SourceHeard = Now;
+  if (Message.At <= State.applied())
+    return false;
+  if (State.restore(Now, Message.At, Message.State))
+    return false;
+  Tail.clear();
+  TailBytes = 0;
+  CaughtUp = true;
+  PlaceStale = true;
+  follow(Now, Out);
+  return true;
+}
+
+void Replication::peerLost(TimePoint Now, const HostId &Host, EffectList &Out) {
+  Children.erase(Host);
+  if (SourceIndex < Sources.size() && Sources[SourceIndex] == Host)
+    nextSource(Now, Out);
+}
+
+void Replication::timer(TimePoint Now, EffectList &Out) {
+  bool OnPeer = SourceIndex < Sources.size();
+  if (OnPeer && Now - SourceHeard > SourceTimeout)
+    nextSource(Now, Out);
+  else if (Now >= NextRenewal)
+    follow(Now, Out);
+  if (Now < NextFeed)
+    return;
+  NextFeed = Now + RenewInterval;
+  std::erase_if(Children, [Now](const auto &Entry) {
+    return Now - Entry.second.LastHeard > ChildTimeout;
+  });
+}
+
+TimePoint Replication::nextWake() const {
+  bool Waiting = SourceIndex >= Sources.size() && Reading;
+  return Waiting ? NextFeed : std::min(NextFeed, NextRenewal);
+}
+
+std::vector<SnapshotRecord> Replication::dueSnapshot(TimePoint Now,
+                                                     std::uint64_t Seed) {
+  std::vector<SnapshotRecord> Due;
+  Duration Wait = Retention / 4 + SnapshotStagger * ReaderRank;
+  if (!Reader || !LogReachable || Now - SnapshotSeen < Wait ||
+      State.applied() == NoOffset)
+    return Due;
+  SnapshotSeen = Now;
+  std::string Text = State.snapshot();
+  std::string Id = Self + "-" + std::to_string(Seed);
+  auto Parts = static_cast<std::uint32_t>(
+      (Text.size() + SnapshotPartBytes - 1) / SnapshotPartBytes);
+  for (std::uint32_t Part = 0; Part < Parts; ++Part)
+    Due.push_back({Id, State.applied(), Part, Parts,
+                   Text.substr(Part * SnapshotPartBytes, SnapshotPartBytes)});
+  return Due;
+}
+
+} // namespace figsail
--- /dev/null
+++ b/tests/ClusterFixture.h
@@ -0,0 +1,109 @@
+// ClusterFixture.h - A deployment of two regions with two failure domains each,
+// for node tests.
+
+#ifndef FIGSAIL_CLUSTERFIXTURE_H
+#define FIGSAIL_CLUSTERFIXTURE_H
+
+#include "FakeCluster.h"
+
+#include <gtest/gtest.h>
+
+namespace figsail::test {
+
+using namespace std::chrono_literals;
+
+inline constexpr const char *Service = "/shop/deposits";
+
+/// Returns the change that declares a workspace with one service and three
+/// routes.
+inline Change baseConfiguration() {
+  Change Base;
+  Base.ChangeId = "base";
+  Base.Edits = {
+      {"/shop", NodeKind::Workspace, false, {}, NoOffset},
+      {Service, NodeKind::Service, false, {{"deadline", "10s"}}, NoOffset},
+      {"/shop/deposits/look",
+       NodeKind::Route,
+       false,
+       {{"match_method", "GET"}, {"match_path", "/look"}},
+       NoOffset},
+      {"/shop/deposits/book",
+       NodeKind::Route,
+       false,
+       {{"match_method", "POST"},
+        {"match_path", "/book"},
+        {"idempotent", "false"},
+        {"identity", "header:Booking-Id"}},
+       NoOffset},
+      {"/shop/deposits/home",
+       NodeKind::Route,
+       false,
+       {{"match_method", "POST"},
+        {"match_path", "/home"},
+        {"idempotent", "false"},
+        {"identity", "header:Booking-Id"},
+        {"home_regions", "south"}},
+       NoOffset},
+  };
+  return Base;
+}
+
+/// Returns the change that takes a failure domain out of service or brings it
+/// back.
+inline Change inServiceChange(const std::string &Domain, bool In,
+                              Offset Expected) {
+  return {"service-" + Domain + std::to_string(Expected),
+          {{"/failure_domains/" + Domain,
+            NodeKind::FailureDomain,
+            false,
+            {{"in_service", In ? "true" : "false"}},
+            Expected}}};
+}
+
+/// Eight members of one service: two in each of the failure domains s1 and s2
+/// of region south, and n1 and n2 of region north.
+class ClusterTest : public ::testing::Test {
+protected:
+  void build(std::uint64_t Seed) {
+    Net = std::make_unique<FakeCluster>(Seed);
+    Net->append(baseConfiguration());
+    for (const char *Domain : {"s1", "s2", "n1", "n2"})
+      for (int I = 0; I < 2; ++I)
+        Hosts.push_back(
+            Net->add(Domain[0] == 's' ? "south" : "north", Domain, Service));
+    Net->run(5s);
+  }
+
+  std::size_t book(const HostId &Ingress, const std::string &Identity) {
+    return Net->call(Ingress, "POST", "/book", Identity);
+  }
+
+  /// Checks at-most-once, and that "run: no" is true for identities that were
+  /// sent once.
+  void checkHistory() {
+    std::map<std::string, int> Sent;
+    for (const CallResult &Result : Net->results())
+      ++Sent[Result.Identity];
+    for (const auto &[Identity, Where] : Net->RunsByIdentity)
+      EXPECT_LE(Where.size(), 1U) << Identity << " ran more than once";
+    for (const CallResult &Result : Net->results()) {
+      bool Ran = Net->RunsByIdentity.contains(Result.Identity);
+      if (Sent[Result.Identity] == 1 && Result.Answered && Result.run() == "no")
+        EXPECT_FALSE(Ran) << Result.Identity << " was said not to have run";
+      if (Result.ok())
+        EXPECT_EQ(Result.Response.Body.rfind(Result.Identity + " at ", 0), 0U)
+            << "answer of another call";
+    }
+  }
+
+  std::size_t answeredOk() const {
+    return std::ranges::count_if(Net->results(), &CallResult::ok);
+  }
+
+  std::unique_ptr<FakeCluster> Net;
+  std::vector<HostId> Hosts;
+};
+
+} // namespace figsail::test
+
+#endif // FIGSAIL_CLUSTERFIXTURE_H
--- /dev/null
+++ b/tests/NodeTest.cpp
@@ -0,0 +1,299 @@
+// NodeTest.cpp - The whole reducer on several hosts: what must hold when parts
+// fail.
+
+#include "ClusterFixture.h"
+
+#include <algorithm>
+
+using namespace figsail;
+using namespace figsail::test;
+
+namespace {
+
+class NodeTest : public ClusterTest {
+protected:
+  void SetUp() override { build(20261204); }
+};
+
+} // namespace
+
+TEST_F(NodeTest, IdempotentCallIsAnswered) {
+  std::size_t Index = Net->call(Hosts[0], "GET", "/look", "a");
+  Net->run(1s);
+  EXPECT_TRUE(Net->result(Index).ok()) << Net->result(Index).Response.Body;
+}
+
+// Guards against a second deposit when callers send the same booking again,
+// also at two entrances at the same moment.
+TEST_F(NodeTest, RepeatedBookingRunsOnceAndGetsTheFirstAnswer) {
+  std::vector<std::size_t> Indexes;
+  for (const HostId &Host : Hosts)
+    Indexes.push_back(book(Host, "b1"));
+  Net->run(3s);
+  Indexes.push_back(book(Hosts[3], "b1"));
+  Net->run(1s);
+  EXPECT_EQ(Net->RunsByIdentity["b1"].size(), 1U);
+  for (std::size_t Index : Indexes) {
+    EXPECT_TRUE(Net->result(Index).ok()) << Net->result(Index).Response.Body;
+    EXPECT_EQ(Net->result(Index).Response.Body,
+              Net->result(Indexes[0]).Response.Body);
+  }
+}
+
+// Guards against bookings that stay refused after a host was lost.
+TEST_F(NodeTest, BookingsGoOnAfterAHostIsLost) {
+  for (int I = 0; I < 40; ++I)
+    book(Hosts[0], "before" + std::to_string(I));
+  Net->run(2s);
+  Net->kill(Hosts[5]);
+  Net->run(12s);
+  for (int I = 0; I < 40; ++I) {
+    book(Hosts[1], "after" + std::to_string(I));
+    book(Hosts[1], "before" + std::to_string(I));
+  }
+  Net->run(3s);
+  EXPECT_EQ(answeredOk(), 120U);
+  checkHistory();
+}
+
+// Guards against losing records, or granting anew, when a whole failure domain
+// goes at once.
+TEST_F(NodeTest, RecordsSurviveTheLossOfAFailureDomain) {
+  for (int I = 0; I < 60; ++I)
+    book(Hosts[0], "before" + std::to_string(I));
+  Net->run(2s);
+  ASSERT_EQ(answeredOk(), 60U);
+  Net->kill(Hosts[2]);
+  Net->kill(Hosts[3]);
+  Net->run(20s);
+  for (int I = 0; I < 60; ++I) {
+    book(Hosts[1], "after" + std::to_string(I));
+    book(Hosts[6], "before" + std::to_string(I));
+  }
+  Net->run(3s);
+  EXPECT_EQ(answeredOk(), 180U);
+  checkHistory();
+}
+
+// Guards against removals, lost bookings and double runs while two regions
+// cannot reach each other.
+TEST_F(NodeTest, RegionPartitionRemovesNobody) {
+  auto South = [this](const HostId &Host) {
+    return std::ranges::find(Hosts.begin(), Hosts.begin() + 4, Host) !=
+           Hosts.begin() + 4;
+  };
+  Net->Cut = [South](const HostId &A, const HostId &B) {
+    return South(A) != South(B);
+  };
+  for (int I = 0; I < 30; ++I) {
+    book(Hosts[0], "cut" + std::to_string(I));
+    book(Hosts[6], "cut" + std::to_string(I));
+  }
+  Net->run(60s);
+  EXPECT_EQ(Net->node(Hosts[0]).replicated().members().size(), 8U);
+  Net->Cut = [](const HostId &, const HostId &) { return false; };
+  Net->run(5s);
+  std::vector<std::size_t> Again;
+  for (int I = 0; I < 30; ++I)
+    Again.push_back(book(Hosts[0], "new" + std::to_string(I)));
+  Net->run(3s);
+  for (std::size_t Index : Again)
+    EXPECT_TRUE(Net->result(Index).ok()) << Net->result(Index).Response.Body;
+  checkHistory();
+}
+
+// Guards against a booking that stops because the log is down.
+TEST_F(NodeTest, CallsGoOnWhileTheLogIsDown) {
+  Net->LogDown = true;
+  Net->run(60s);
+  for (int I = 0; I < 30; ++I)
+    book(Hosts[I % 8], "x" + std::to_string(I));
+  Net->run(3s);
+  EXPECT_EQ(answeredOk(), 30U);
+  checkHistory();
+}
+
+// Guards against a planned stop that cuts off calls or loses records.
+TEST_F(NodeTest, PlannedStopHandsOverAndCutsOffNothing) {
+  for (int I = 0; I < 40; ++I)
+    book(Hosts[I % 8], "before" + std::to_string(I));
+  Net->stop(Hosts[4]);
+  Net->run(20s);
+  EXPECT_TRUE(Net->exited(Hosts[4]));
+  EXPECT_EQ(answeredOk(), 40U);
+  for (int I = 0; I < 40; ++I) {
+    book(Hosts[1], "before" + std::to_string(I));
+    book(Hosts[1], "after" + std::to_string(I));
+  }
+  Net->run(3s);
+  EXPECT_EQ(answeredOk(), 120U);
+  checkHistory();
+}
+
+// Guards against new work in a failure domain that was taken out, and against
+// work that does not come back.
+TEST_F(NodeTest, FailureDomainOutAndBack) {
+  Net->append(inServiceChange("n1", false, NoOffset));
+  Net->run(5s);
+  Net->RunTimes.clear();
+  for (int I = 0; I < 100; ++I)
+    Net->call(Hosts[4], "GET", "/look", "out" + std::to_string(I));
+  Net->run(3s);
+  for (const auto &[At, Host] : Net->RunTimes)
+    EXPECT_TRUE(Host != Hosts[4] && Host != Hosts[5]) << Host;
+  Offset Version = Net->node(Hosts[0])
+                       .replicated()
+                       .configuration()
+                       .nodes()
+                       .at("/failure_domains/n1")
+                       .Version;
+  Net->append(inServiceChange("n1", true, Version));
+  Net->run(5s);
+  Net->RunTimes.clear();
+  for (int I = 0; I < 20; ++I) {
+    Net->call(Hosts[4], "GET", "/look", "in" + std::to_string(I));
+    Net->run(50ms);
+  }
+  Net->run(3s);
+  auto Inside = std::ranges::count_if(Net->RunTimes, [this](const auto &Run) {
+    return Run.second == Hosts[4] || Run.second == Hosts[5];
+  });
+  EXPECT_GT(Inside, 0);
+  EXPECT_EQ(answeredOk(), 120U);
+}
+
+// Guards against a request that is served, forwarded or recorded outside its
+// home regions.
+TEST_F(NodeTest, HomeRegionsAreKept) {
+  std::set<std::string> Outside(Hosts.begin() + 4, Hosts.end());
+  bool Leaked = false;
+  Net->Tap = [&](const HostId &, const HostId &To, PeerMessage &Message) {
+    auto *Run = std::get_if<Execute>(&Message);
+    auto *Asked = std::get_if<Claim>(&Message);
+    const std::string *Route = Run     ? &Run->Policy.Route
+                               : Asked ? &Asked->Policy.Route
+                                       : nullptr;
+    if (Route && *Route == "/shop/deposits/home" && Outside.contains(To))
+      Leaked = true;
+    return true;
+  };
+  for (int I = 0; I < 40; ++I)
+    Net->call(Hosts[I % 8], "POST", "/home", "h" + std::to_string(I));
+  Net->run(3s);
+  EXPECT_FALSE(Leaked);
+  for (std::size_t I = 0; I < 40; ++I) {
+    const CallResult &Result = Net->result(I);
+    EXPECT_EQ(Result.Response.Status, I % 8 < 4 ? 200U : 421U)
+        << Result.Response.Body;
+  }
+}
+
+// Guards against guessing the fate of a call whose link went silent.
+TEST_F(NodeTest, SilentLinkIsReplacedAndTheFateAsked) {
+  std::size_t Swallowed = 0;
+  Net->Tap = [&](const HostId &, const HostId &, PeerMessage &Message) {
+    if (!std::holds_alternative<Answer>(Message) || Swallowed >= 10)
+      return true;
+    ++Swallowed;
+    return false;
+  };
+  for (int I = 0; I < 10; ++I)
+    book(Hosts[0], "s" + std::to_string(I));
+  Net->run(9s);
+  EXPECT_EQ(Swallowed, 10U);
+  EXPECT_EQ(answeredOk(), 10U);
+  checkHistory();
+}
+
+// Guards against one request that takes down backend server after backend
+// server.
+TEST_F(NodeTest, CrashingRequestIsStoppedAfterTwoBackendServers) {
+  Net->Crashes = [](const HttpRequest &Request) {
+    return findHeader(Request.Headers, "Booking-Id") == "bad";
+  };
+  for (int I = 0; I < 6; ++I) {
+    Net->call(Hosts[I], "GET", "/look?bad", "bad");
+    Net->run(3s);
+  }
+  EXPECT_LE(Net->RunsByIdentity["bad"].size(), 2U);
+  std::size_t Good = Net->call(Hosts[0], "GET", "/look?good", "good");
+  Net->run(1s);
+  EXPECT_TRUE(Net->result(Good).ok());
+}
+
+// Guards against a change that takes more than 5 s, or reverts, when the daemon
+// that passes it on dies.
+TEST_F(NodeTest, ChangeIsInForceEverywhereWithinFiveSecondsOfALoss) {
+  std::vector<HostId> Many;
+  for (int I = 0; I < 40; ++I)
+    Many.push_back(Net->add("south", "s1", "/shop/other"));
+  Net->run(10s);
+  Net->kill(Many[0]);
+  Net->kill(Many[7]);
+  Net->append(inServiceChange("n2", false, NoOffset));
+  auto Expected = static_cast<Offset>(Net->Log.size()) - 1;
+  Net->run(5s);
+  for (const HostId &Host : Many)
+    if (Net->up(Host))
+      EXPECT_GE(Net->node(Host).replicated().applied(), Expected) << Host;
+}
+
+// Guards against double runs, false refusals and crossed answers under kills,
+// pauses, cuts, log outages and repeats at once. Each seed is one history.
+TEST(NodeHistoryTest, FaultsAtRandom) {
+  for (std::uint64_t Seed = 1; Seed <= 12; ++Seed) {
+    SCOPED_TRACE("seed " + std::to_string(Seed));
+    struct Fixture : ClusterTest {
+      void TestBody() override {}
+      void play(std::uint64_t Seed) {
+        build(Seed);
+        for (int Round = 0; Round < 60; ++Round) {
+          faults();
+          for (int I = 0; I < 4; ++I) {
+            const HostId &Ingress = Hosts[Net->random(8)];
+            std::string Identity = "i" + std::to_string(Net->random(120));
+            if (Net->up(Ingress))
+              book(Ingress, Identity);
+          }
+          Net->run(Duration(Net->random(1500000)));
+        }
+        checkHistory();
+        EXPECT_GT(answeredOk(), Net->results().size() / 3);
+      }
+      void faults() {
+        const HostId &Host = Hosts[Net->random(8)];
+        switch (Net->random(9)) {
+        case 0:
+          if (Net->up(Host))
+            Net->kill(Host);
+          return;
+        case 1:
+        case 2:
+          Net->restart(Host);
+          return;
+        case 3:
+          Net->pause(Host);
+          return;
+        case 4:
+        case 5:
+          for (const HostId &Each : Hosts)
+            Net->resume(Each);
+          return;
+        case 6:
+          Net->LogDown = !Net->LogDown;
+          return;
+        case 7: {
+          HostId Other = Hosts[Net->random(8)];
+          Net->Cut = [Host, Other](const HostId &A, const HostId &B) {
+            return (A == Host && B == Other) || (A == Other && B == Host);
+          };
+          return;
+        }
+        default:
+          Net->Cut = [](const HostId &, const HostId &) { return false; };
+        }
+      }
+    };
+    Fixture().play(Seed);
+  }
+}
