--- a/include/figsail/Configuration.h
+++ b/include/figsail/Configuration.h
@@ -7,11 +7,13 @@
 #include "figsail/PeerMessages.h"
 #include "figsail/Types.h"
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
 #include <string>
 #include <string_view>
+#include <unordered_map>
 #include <variant>
 #include <vector>
 
@@ -106,6 +108,59 @@
 /// Returns the table of node settings.
 const std::vector<NodeSettingEntry> &nodeSettingTable();
 
+/// Returns what is wrong with a setting on a node of this kind, or nothing.
+std::optional<std::string>
+checkNodeSetting(NodeKind Kind, std::string_view Name, std::string_view Value);
+
+/// Returns the name of a kind: "group", "workspace", "failure_domain".
+std::string_view nodeKindName(NodeKind Kind);
+/// Returns the kind with that name, or nothing.
+std::optional<NodeKind> nodeKindOf(std::string_view Name);
+
+/// Returns the path of the node that takes a failure domain out of service.
+std::string failureDomainPath(std::string_view Name);
+/// Returns the path of the node that takes a backend server out of service.
+std::string backendServerPath(std::string_view Host);
+
+/// The effective value of one setting and the node that declares it.
+struct EffectiveSetting {
+  std::string Value;
+  std::string Origin; ///< Path of the declaring node; empty: the default.
+};
+
+/// Finds routes by method and path. The cost of a search grows with the
+/// logarithm of the number of routes.
+class RouteIndex {
+public:
+  using RoutePtr = std::shared_ptr<const RouteSettings>;
+
+  /// Adds a route. Its match must not be present.
+  void add(const RoutePtr &Route);
+  /// Removes the route with this match, if any.
+  void remove(std::string_view Method, std::string_view MatchPath);
+  /// Returns the route declared with exactly this match, or null.
+  RoutePtr declared(std::string_view Method, std::string_view MatchPath) const;
+  /// Returns the route for a request path without a query, or null. An exact
+  /// path precedes a prefix, a longer prefix a shorter one, and on the same
+  /// path a route with a method precedes one for any method.
+  RoutePtr find(std::string_view Method, std::string_view Path) const;
+
+private:
+  struct TextHash {
+    using is_transparent = void; // NOLINT(readability-identifier-naming)
+    std::size_t operator()(std::string_view Text) const {
+      return std::hash<std::string_view>()(Text);
+    }
+  };
+  /// Routes of one path, by method.
+  using MethodMap = std::map<std::string, RoutePtr, std::less<>>;
+  static RoutePtr select(const MethodMap &Methods, std::string_view Method);
+
+  std::unordered_map<std::string, MethodMap, TextHash, std::equal_to<>>
+      Exact;                                              ///< By whole path.
+  std::map<std::string, MethodMap, std::less<>> Prefixes; ///< Without the '*'.
+};
+
 /// The replicated tree. check() and apply() give the same result on every
 /// daemon.
 class Configuration {
@@ -114,6 +169,10 @@
   /// versions, and that home regions only narrow. Changes nothing.
   Verdict check(const Change &Proposal) const;
 
+  /// Returns every fault of a change, conflicts first. check() reports the
+  /// first of them.
+  std::vector<Rejection> findFaults(const Change &Proposal) const;
+
   /// Applies a change that check() accepted.
   void apply(const Change &Proposal, Offset At);
 
@@ -126,7 +185,17 @@
   std::map<std::string, std::vector<std::string>>
   routeRegions(const std::string &Service) const;
 
-  /// Returns the names of all services.
+  /// Returns the effective value of each setting that nodes of this kind may
+  /// declare, or an empty map when there is no such node.
+  std::map<std::string, EffectiveSetting>
+  effectiveSettings(const std::string &Path) const;
+
+  /// Returns the services whose routes may have changed with an edit of this
+  /// path: the service above it, or the services at and below it. The path of a
+  /// removed node is returned as if it had been a service.
+  std::vector<std::string> servicesTouchedBy(const std::string &Path) const;
+
+  /// Returns the paths of all services.
   std::vector<std::string> services() const;
 
   /// Returns whether neither the failure domain nor the backend server is taken
@@ -140,11 +209,13 @@
   void restore(std::map<std::string, TreeNode> Tree);
 
 private:
-  void rebuildRoutes();
+  using RoutePtr = RouteIndex::RoutePtr;
+  void dropRoute(const std::string &Path);
+  RoutePtr makeRoute(const std::string &Path) const;
 
-  std::map<std::string, TreeNode> Nodes; ///< By path.
-  std::vector<std::shared_ptr<const RouteSettings>>
-      Routes; ///< Longest MatchPath first; derived from Nodes.
+  std::map<std::string, TreeNode> Nodes;  ///< By path.
+  std::map<std::string, RoutePtr> Routes; ///< By path; derived from Nodes.
+  RouteIndex Index;                       ///< Derived from Routes.
 };
 
 } // namespace figsail
--- a/include/figsail/ReplicatedState.h
+++ b/include/figsail/ReplicatedState.h
@@ -8,6 +8,7 @@
 #include "figsail/Epoch.h"
 #include "figsail/LogRecords.h"
 
+#include <deque>
 #include <map>
 #include <optional>
 #include <set>
@@ -22,17 +23,33 @@
   std::vector<std::string> ServicesChanged; ///< Services with a new epoch.
   bool Duplicate = false; ///< The change id was seen before; nothing was done.
   bool Ignored = false;   ///< Offset already applied, or not readable.
+  bool Gap = false; ///< Records before this one are missing; see nextOffset().
+  bool Restored = false; ///< The last part of a snapshot replaced the state.
 };
 
+/// Change ids whose verdicts are remembered. At 29,000 changes a day this is
+/// more than three hours, far beyond the time in which an append with a lost
+/// acknowledgement is settled.
+inline constexpr std::size_t MaxRememberedVerdicts = 4096;
+
 /// The state that is the same on every daemon that applied the same offset.
 class ReplicatedState {
 public:
   /// Checks and applies one record. Records at or below applied() are ignored.
-  /// Now only stamps epochs; it does not affect the outcome.
+  /// Offsets are consecutive and start at 0: a record that leaves a gap is not
+  /// applied, because the state would differ from that of other daemons; only
+  /// snapshot parts are collected until one closes the gap. A record that is
+  /// not readable is skipped. Now only stamps epochs; it does not affect the
+  /// outcome.
   ApplyResult applyRecord(TimePoint Now, const LogRecord &Record);
 
   /// Returns the highest applied offset, or NoOffset.
   Offset applied() const { return Applied; }
+  /// Returns the offset to read next: after applied(), or, while a gap is open,
+  /// after the last record seen in search of a snapshot.
+  Offset nextOffset() const {
+    return Search > Applied ? Search + 1 : Applied + 1;
+  }
   const Configuration &configuration() const { return Tree; }
 
   /// Returns the listed member at a host, or null.
@@ -50,9 +67,9 @@
   /// Returns the whole state as JSON text. Equal on every daemon with the same
   /// applied offset.
   std::string snapshot() const;
-  /// Replaces the state by a snapshot, unless it is older than applied().
-  /// Returns an error text, or nothing. Epochs restored from it are marked
-  /// Truncated.
+  /// Replaces the state by a snapshot, unless it is not newer than applied();
+  /// then nothing is done. Returns an error text, or nothing. Epochs that began
+  /// after applied() are marked Truncated.
   std::optional<std::string> restore(TimePoint Now, Offset At,
                                      const std::string &State);
 
@@ -60,15 +77,39 @@
   void expireEpochs(TimePoint Now, Duration Keep);
 
 private:
+  /// The parts of one snapshot that were read while a gap is open.
+  struct PartialSnapshot {
+    std::string Id;
+    std::map<std::uint32_t, std::string> Parts;
+  };
+
+  void applyChange(TimePoint Now, Offset At, const Change &Proposal,
+                   ApplyResult &Result);
+  void applyMember(TimePoint Now, Offset At, const RecordBody &Body,
+                   ApplyResult &Result);
+  void collectPart(TimePoint Now, const SnapshotRecord &Part,
+                   ApplyResult &Result);
+  void list(Member Who);
+  void unlist(const HostId &Host);
+  void remember(const std::string &ChangeId, const Verdict &Outcome);
+  EpochEntry makeEpoch(TimePoint Now, Offset At,
+                       const std::string &Service) const;
   void refreshEpoch(TimePoint Now, Offset At, const std::string &Service,
                     ApplyResult &Result);
+  std::optional<std::string> restoreText(TimePoint Now, Offset At,
+                                         const std::string &State,
+                                         std::vector<std::string> &Changed);
 
   Configuration Tree;
   std::map<HostId, Member> Members;
+  std::map<std::string, std::set<HostId>>
+      ServiceHosts;                           ///< By service; from Members.
   std::map<std::string, EpochHistory> Epochs; ///< By service path.
   std::map<std::string, Verdict> Verdicts;    ///< By change id, bounded.
-  std::vector<std::string> VerdictOrder;      ///< Change ids, oldest first.
+  std::deque<std::string> VerdictOrder;       ///< Change ids, oldest first.
+  std::deque<PartialSnapshot> Partial;        ///< Oldest first, bounded.
   Offset Applied = NoOffset;
+  Offset Search = NoOffset; ///< Last record seen while a gap is open.
 };
 
 } // namespace figsail
--- /dev/null
+++ b/src/core/ReplicatedState.cpp
@@ -0,0 +1,221 @@
+// ReplicatedState.cpp - Reduces log records in offset order.
+
+#include "figsail/ReplicatedState.h"
+
+#include <algorithm>
+
+namespace figsail {
+
+/// Snapshots whose parts may be collected at once while a gap is open. Several
+/// readers may write one at the same time.
+static constexpr std::size_t MaxPartialSnapshots = 4;
+/// Parts of one snapshot. At 64 KiB a part this is 16 MiB.
+static constexpr std::uint32_t MaxSnapshotParts = 256;
+
+ApplyResult ReplicatedState::applyRecord(TimePoint Now,
+                                         const LogRecord &Record) {
+  ApplyResult Result;
+  if (Record.At <= Applied) {
+    Result.Ignored = true;
+    return Result;
+  }
+  auto Decoded = decodeRecord(Record.Data);
+  const RecordBody *Body = std::get_if<RecordBody>(&Decoded);
+  if (Record.At != Applied + 1) {
+    Result.Ignored = true;
+    Result.Gap = true;
+    Search = std::max(Search, Record.At);
+    if (Body && std::holds_alternative<SnapshotRecord>(*Body))
+      collectPart(Now, std::get<SnapshotRecord>(*Body), Result);
+    return Result;
+  }
+  Applied = Record.At;
+  Search = NoOffset;
+  Partial.clear();
+  if (!Body) {
+    Result.Ignored = true;
+    Result.Outcome = Rejection{"", "", std::get<std::string>(Decoded)};
+    return Result;
+  }
+  // A snapshot in sequence holds nothing that is not applied already.
+  if (const Change *Proposal = std::get_if<Change>(Body))
+    applyChange(Now, Record.At, *Proposal, Result);
+  else if (!std::holds_alternative<SnapshotRecord>(*Body))
+    applyMember(Now, Record.At, *Body, Result);
+  return Result;
+}
+
+void ReplicatedState::applyChange(TimePoint Now, Offset At,
+                                  const Change &Proposal, ApplyResult &Result) {
+  if (std::optional<Verdict> Known = verdictOf(Proposal.ChangeId)) {
+    Result.Duplicate = true;
+    Result.Outcome = *Known;
+    return;
+  }
+  Result.Outcome = Tree.check(Proposal);
+  if (!Proposal.ChangeId.empty())
+    remember(Proposal.ChangeId, Result.Outcome);
+  if (!std::holds_alternative<Accepted>(Result.Outcome))
+    return;
+  Tree.apply(Proposal, At);
+  std::set<std::string> Services;
+  for (const NodeEdit &Edit : Proposal.Edits) {
+    if (Edit.Kind == NodeKind::FailureDomain) {
+      for (const auto &[Host, Who] : Members)
+        if (failureDomainPath(Who.FailureDomain) == Edit.Path)
+          Services.insert(Who.Service);
+    } else if (Edit.Kind == NodeKind::BackendServer) {
+      for (const auto &[Host, Who] : Members)
+        if (backendServerPath(Host) == Edit.Path)
+          Services.insert(Who.Service);
+    } else {
+      Services.merge([&] {
+        std::vector<std::string> Touched = Tree.servicesTouchedBy(Edit.Path);
+        return std::set<std::string>(Touched.begin(), Touched.end());
+      }());
+    }
+  }
+  for (const std::string &Service : Services)
+    refreshEpoch(Now, At, Service, Result);
+}
+
+void ReplicatedState::applyMember(TimePoint Now, Offset At,
+                                  const RecordBody &Body, ApplyResult &Result) {
+  if (const JoinRecord *Join = std::get_if<JoinRecord>(&Body)) {
+    if (Join->Who.Host.empty() || Join->Who.Inc == 0) {
+      Result.Outcome =
+          Rejection{"", "", "a join needs a host and an incarnation"};
+      return;
+    }
+    const Member *Old = member(Join->Who.Host);
+    std::string OldService = Old ? Old->Service : Join->Who.Service;
+    list(Join->Who);
+    refreshEpoch(Now, At, OldService, Result);
+    if (OldService != Join->Who.Service)
+      refreshEpoch(Now, At, Join->Who.Service, Result);
+    return;
+  }
+  const LeaveRecord *Leave = std::get_if<LeaveRecord>(&Body);
+  const PeerRef &Who = Leave ? Leave->Who : std::get<RemoveRecord>(Body).Who;
+  const Member *Listed = member(Who.Host);
+  if (!Listed || Listed->Inc != Who.Inc) {
+    Result.Outcome =
+        Rejection{"", "", "the incarnation at " + Who.Host + " is not listed"};
+    return;
+  }
+  std::string Service = Listed->Service;
+  unlist(Who.Host);
+  refreshEpoch(Now, At, Service, Result);
+}
+
+void ReplicatedState::list(Member Who) {
+  unlist(Who.Host);
+  ServiceHosts[Who.Service].insert(Who.Host);
+  HostId Host = Who.Host;
+  Members.emplace(std::move(Host), std::move(Who));
+}
+
+void ReplicatedState::unlist(const HostId &Host) {
+  auto Found = Members.find(Host);
+  if (Found == Members.end())
+    return;
+  auto Hosts = ServiceHosts.find(Found->second.Service);
+  Hosts->second.erase(Host);
+  if (Hosts->second.empty())
+    ServiceHosts.erase(Hosts);
+  Members.erase(Found);
+}
+
+void ReplicatedState::collectPart(TimePoint Now, const SnapshotRecord &Part,
+                                  ApplyResult &Result) {
+  if (Part.At <= Applied || Part.Parts > MaxSnapshotParts ||
+      Part.Part >= Part.Parts)
+    return;
+  auto Found = std::ranges::find(Partial, Part.Id, &PartialSnapshot::Id);
+  if (Found == Partial.end()) {
+    if (Partial.size() == MaxPartialSnapshots)
+      Partial.pop_front();
+    Partial.push_back({Part.Id, {}});
+    Found = std::prev(Partial.end());
+  }
+  Found->Parts[Part.Part] = Part.Data;
+  if (Found->Parts.size() < Part.Parts)
+    return;
+  std::string Text;
+  for (const auto &[Number, Data] : Found->Parts)
+    Text += Data;
+  Partial.erase(Found);
+  if (restoreText(Now, Part.At, Text, Result.ServicesChanged))
+    return;
+  Result.Restored = true;
+}
+
+const Member *ReplicatedState::member(const HostId &Host) const {
+  auto Found = Members.find(Host);
+  return Found == Members.end() ? nullptr : &Found->second;
+}
+
+const EpochHistory *ReplicatedState::epochs(const std::string &Service) const {
+  auto Found = Epochs.find(Service);
+  return Found == Epochs.end() ? nullptr : &Found->second;
+}
+
+std::optional<Verdict>
+ReplicatedState::verdictOf(const std::string &ChangeId) const {
+  auto Found = Verdicts.find(ChangeId);
+  if (Found == Verdicts.end())
+    return std::nullopt;
+  return Found->second;
+}
+
+void ReplicatedState::remember(const std::string &ChangeId,
+                               const Verdict &Outcome) {
+  Verdicts.emplace(ChangeId, Outcome);
+  VerdictOrder.push_back(ChangeId);
+  if (VerdictOrder.size() <= MaxRememberedVerdicts)
+    return;
+  Verdicts.erase(VerdictOrder.front());
+  VerdictOrder.pop_front();
+}
+
+EpochEntry ReplicatedState::makeEpoch(TimePoint Now, Offset At,
+                                      const std::string &Service) const {
+  EpochEntry Entry;
+  Entry.At = At;
+  Entry.AppliedAt = Now;
+  Entry.RouteRegions = Tree.routeRegions(Service);
+  auto Hosts = ServiceHosts.find(Service);
+  if (Hosts == ServiceHosts.end())
+    return Entry;
+  for (const HostId &Host : Hosts->second) {
+    const Member &Who = Members.at(Host);
+    if (Tree.inService(Who.FailureDomain, Host))
+      Entry.Members.push_back(Who);
+  }
+  return Entry;
+}
+
+void ReplicatedState::refreshEpoch(TimePoint Now, Offset At,
+                                   const std::string &Service,
+                                   ApplyResult &Result) {
+  if (Service.empty())
+    return;
+  EpochEntry Entry = makeEpoch(Now, At, Service);
+  auto Found = Epochs.find(Service);
+  bool Same =
+      Found == Epochs.end()
+          ? Entry.Members.empty() && Entry.RouteRegions.empty()
+          : Found->second.current().Members == Entry.Members &&
+                Found->second.current().RouteRegions == Entry.RouteRegions;
+  if (Same)
+    return;
+  Epochs[Service].append(std::move(Entry));
+  Result.ServicesChanged.push_back(Service);
+}
+
+void ReplicatedState::expireEpochs(TimePoint Now, Duration Keep) {
+  for (auto &[Service, History] : Epochs)
+    History.expire(Now, Keep);
+}
+
+} // namespace figsail
