--- /dev/null
+++ b/src/core/Admission.cpp
@@ -0,0 +1,585 @@
+// Admission.cpp - Admits, queues, runs and refuses calls.
+
+#include "figsail/Admission.h"
+
+#include "ConcurrencyLimit.h"
+#include "Quarantine.h"
+#include "WorkspaceQueue.h"
+
+#include "figsail/TokenBucket.h"
+
+#include <algorithm>
+#include <deque>
+#include <unordered_map>
+#include <unordered_set>
+
+namespace figsail {
+
+/// Weight of one run in the moving average of the service time.
+static constexpr double ServiceTimeWeight = 0.1;
+
+/// Ids of ended idempotent calls are kept this long, so that Await can tell
+/// "ran" from "never arrived". 65536 ids last 165 s at 395 calls/s.
+static constexpr Duration EndedCallLifetime = std::chrono::seconds(60);
+static constexpr std::size_t MaxEndedCalls = 65536;
+
+/// A probe without a result is given up after this time.
+static constexpr Duration ProbeTimeout = std::chrono::seconds(10);
+
+/// One call that waits or runs.
+struct AdmittedCall {
+  HostId From;
+  Execute Message;
+  TimePoint Deadline;
+  TimePoint Started;
+  RunId Run = 0;                    ///< 0 while it waits.
+  bool Suspect = false;             ///< Suspected when it started.
+  bool Cancelled = false;           ///< CancelRun was sent.
+  std::uint32_t SuspectsBeside = 0; ///< Other suspects running at its start.
+};
+
+/// How an idempotent call ended, for a late Await or Execute.
+enum class EndedAs : std::uint8_t {
+  NotRun,
+  Ran,
+  NeverArrived, ///< Reported as never started; must not start any more.
+};
+
+struct Admission::State {
+  State(PeerRef Self, AdmissionSettings Given, ExecutionLog &Log)
+      : Self(std::move(Self)), Settings(std::move(Given)), Log(Log),
+        Limit(Settings.Slots, Settings.InitialLimit),
+        Queue(Settings.MaxQueue ? Settings.MaxQueue
+                                : std::size_t{2} * Limit.slots()),
+        ProbeTokens(Settings.ProbesPerSecond, 1), TracedLimit(Limit.value()) {}
+
+  LoadReport load() const;
+  std::optional<ErrorKind> checkGate(const AdmissionGate &Gate,
+                                     const Execute &Message) const;
+  std::optional<ErrorKind> checkRoom(TimePoint Now, const Execute &Message,
+                                     EffectList &Out);
+  bool inHomeRegions(const CallPolicy &Policy) const;
+  bool replyToDuplicate(const PeerRef &From, const CallId &Call,
+                        EffectList &Out);
+  bool endedHere(const CallId &Call) const;
+  Duration estimatedWait(const Execute &Message) const;
+  bool mayStart(TimePoint Now, const CallId &Call) const;
+  void admit(TimePoint Now, const PeerRef &From, Execute Message,
+             EffectList &Out);
+  void start(TimePoint Now, const CallId &Call, EffectList &Out);
+  void pump(TimePoint Now, EffectList &Out);
+  void refuseNew(TimePoint Now, const HostId &To, const Execute &Message,
+                 ErrorKind Kind, EffectList &Out);
+  void refuseQueued(TimePoint Now, const CallId &Call, ErrorKind Kind,
+                    EffectList &Out);
+  void refuseRun(TimePoint Now, AdmittedCall &Ended, ErrorKind Kind,
+                 EffectList &Out);
+  void finish(TimePoint Now, AdmittedCall &Ended,
+              std::variant<HttpResponse, ErrorKind> Result, EffectList &Out);
+  void learn(TimePoint Now, const AdmittedCall &Ended, const BackendDone &Done);
+  void endedWith(TimePoint Now, AdmittedCall &Ended, HttpResponse Response,
+                 EffectList &Out);
+  void endedWith(TimePoint Now, AdmittedCall &Ended, BackendError Error,
+                 EffectList &Out);
+  void remember(TimePoint Now, const CallId &Call, EndedAs How);
+  void report(const AdmittedCall &Ended, std::optional<SuspectReport> Report);
+  void traceLimit(EffectList &Out);
+  TimePoint nextProbe() const;
+
+  PeerRef Self;
+  AdmissionSettings Settings;
+  ExecutionLog &Log;
+  ConcurrencyLimit Limit;
+  WorkspaceQueue Queue;
+  Quarantine Suspects;
+  TokenBucket ProbeTokens;
+  std::unordered_map<CallId, AdmittedCall> Calls;
+  std::unordered_map<RunId, CallId> Runs;
+  std::unordered_map<CallId, EndedAs> EndedCalls; ///< Idempotent ones only.
+  std::deque<std::pair<TimePoint, CallId>> EndedOrder; ///< Oldest first.
+  std::vector<std::pair<SuspectReport, std::vector<std::string>>> Reports;
+  RunId LastRun = 0;
+  std::uint32_t SuspectsRunning = 0;
+  Duration ServiceTime{0};
+  TimePoint LastTraffic{};
+  TimePoint ProbeTried{};
+  bool ProbePending = false;
+  bool Draining = false;
+  bool OutOfService = false;
+  std::uint32_t TracedLimit; ///< Limit in the last LimitChanged entry.
+};
+
+static std::string callText(const CallId &Call) {
+  return std::to_string(Call.Ingress) + '-' + std::to_string(Call.Sequence);
+}
+
+LoadReport Admission::State::load() const {
+  LoadReport Load;
+  Load.Limit = Limit.value();
+  Load.Running = static_cast<std::uint32_t>(Runs.size());
+  Load.Queued = static_cast<std::uint32_t>(Queue.size());
+  Load.ServiceTime = ServiceTime;
+  Load.Draining = Draining || OutOfService;
+  // A server that fails fast has few running requests; it must not look idle.
+  if (Limit.held())
+    Load.Running = std::max(Load.Running, Load.Limit);
+  return Load;
+}
+
+bool Admission::State::inHomeRegions(const CallPolicy &Policy) const {
+  if (Policy.HomeRegions.empty())
+    return true;
+  return std::ranges::find(Policy.HomeRegions, Settings.Region) !=
+         Policy.HomeRegions.end();
+}
+
+std::optional<ErrorKind>
+Admission::State::checkGate(const AdmissionGate &Gate,
+                            const Execute &Message) const {
+  if (Draining)
+    return ErrorKind::Draining;
+  if (!Gate.InService)
+    return ErrorKind::NoBackendServer;
+  if (Message.Target != 0 && Message.Target != Self.Inc)
+    return ErrorKind::WrongIncarnation;
+  // Rule 7 of the design page: no non-idempotent request before the log lists
+  // this incarnation.
+  if (!Message.Policy.Idempotent && !Gate.Listed)
+    return ErrorKind::StaleEpoch;
+  return std::nullopt;
+}
+
+Duration Admission::State::estimatedWait(const Execute &Message) const {
+  if (Queue.size() == 0 && Runs.size() < Limit.value())
+    return Duration(0);
+  auto Ahead = Queue.ahead(Message.Policy.Workspace, Message.Policy.Share) + 1;
+  return Duration(ServiceTime.count() * static_cast<std::int64_t>(Ahead) /
+                  Limit.value());
+}
+
+std::optional<ErrorKind> Admission::State::checkRoom(TimePoint Now,
+                                                     const Execute &Message,
+                                                     EffectList &Out) {
+  if (Suspects.check(Now, Message.Fingerprint) == Suspicion::Blocked) {
+    Out.emplace_back(Count{Counter::Quarantined});
+    return ErrorKind::Quarantined;
+  }
+  if (Message.BudgetMicros <= 0)
+    return ErrorKind::DeadlineNotRun;
+  const CallPolicy &Policy = Message.Policy;
+  if (estimatedWait(Message).count() > Message.BudgetMicros)
+    return ErrorKind::Overloaded;
+  switch (Queue.room(Policy.Workspace, Policy.Share)) {
+  case WorkspaceQueue::Room::Free:
+    return std::nullopt;
+  case WorkspaceQueue::Room::OverShare:
+    return ErrorKind::WorkspaceOverloaded;
+  case WorkspaceQueue::Room::Full:
+    return ErrorKind::Overloaded;
+  case WorkspaceQueue::Room::Displace:
+    if (auto Displaced = Queue.displace())
+      refuseQueued(Now, *Displaced, ErrorKind::WorkspaceOverloaded, Out);
+    return std::nullopt;
+  }
+  return ErrorKind::Internal;
+}
+
+/// Replies to a repeated Execute or an Await of an idempotent call. Returns
+/// whether the call is known.
+bool Admission::State::replyToDuplicate(const PeerRef &From, const CallId &Call,
+                                        EffectList &Out) {
+  auto Known = Calls.find(Call);
+  if (Known != Calls.end()) {
+    // The asker may use a new connection; the answer follows on it.
+    Out.emplace_back(SendPeer{From.Host, Received{Call}});
+    return true;
+  }
+  auto Ended = EndedCalls.find(Call);
+  if (Ended == EndedCalls.end())
+    return false;
+  if (Ended->second == EndedAs::Ran)
+    Out.emplace_back(
+        SendPeer{From.Host, Failed{Call, ErrorKind::BackendFailed, load()}});
+  else
+    Out.emplace_back(
+        SendPeer{From.Host, Refused{Call, ErrorKind::NeverStarted, load()}});
+  return true;
+}
+
+/// Returns whether the call is an idempotent one that was admitted and ended.
+bool Admission::State::endedHere(const CallId &Call) const {
+  auto Ended = EndedCalls.find(Call);
+  return Ended != EndedCalls.end() && Ended->second != EndedAs::NeverArrived;
+}
+
+void Admission::State::refuseNew(TimePoint Now, const HostId &To,
+                                 const Execute &Message, ErrorKind Kind,
+                                 EffectList &Out) {
+  Out.emplace_back(Count{Counter::RunsRefused});
+  if (!Message.Policy.Idempotent)
+    Log.refuse(Now, Message.Call, Kind, load(), Out);
+  else
+    Out.emplace_back(SendPeer{To, Refused{Message.Call, Kind, load()}});
+}
+
+void Admission::State::refuseQueued(TimePoint Now, const CallId &Call,
+                                    ErrorKind Kind, EffectList &Out) {
+  auto Ended = Calls.extract(Call);
+  if (Ended.empty())
+    return;
+  refuseNew(Now, Ended.mapped().From, Ended.mapped().Message, Kind, Out);
+  if (Ended.mapped().Message.Policy.Idempotent)
+    remember(Now, Call, EndedAs::NotRun);
+}
+
+void Admission::State::admit(TimePoint Now, const PeerRef &From,
+                             Execute Message, EffectList &Out) {
+  CallId Call = Message.Call;
+  TimePoint Deadline = Now + Duration(Message.BudgetMicros);
+  Out.emplace_back(SendPeer{From.Host, Received{Call}});
+  Queue.push(Message.Policy.Workspace, Message.Policy.Share, Call, Deadline);
+  AdmittedCall Fresh;
+  Fresh.From = From.Host;
+  Fresh.Message = std::move(Message);
+  Fresh.Deadline = Deadline;
+  Calls.emplace(Call, std::move(Fresh));
+  pump(Now, Out);
+}
+
+bool Admission::State::mayStart(TimePoint Now, const CallId &Call) const {
+  if (SuspectsRunning == 0)
+    return true;
+  std::uint64_t Fingerprint = Calls.at(Call).Message.Fingerprint;
+  return Suspects.check(Now, Fingerprint) == Suspicion::None;
+}
+
+void Admission::State::pump(TimePoint Now, EffectList &Out) {
+  for (const CallId &Call : Queue.takeExpired(Now))
+    refuseQueued(Now, Call, ErrorKind::DeadlineNotRun, Out);
+  while (Runs.size() < Limit.value()) {
+    auto Next =
+        Queue.pop([&](const CallId &Call) { return mayStart(Now, Call); });
+    if (!Next)
+      return;
+    start(Now, *Next, Out);
+  }
+}
+
+void Admission::State::start(TimePoint Now, const CallId &Call,
+                             EffectList &Out) {
+  AdmittedCall &Starting = Calls.at(Call);
+  std::uint64_t Fingerprint = Starting.Message.Fingerprint;
+  Suspicion Doubt = Suspects.check(Now, Fingerprint);
+  if (Doubt == Suspicion::Blocked) {
+    Out.emplace_back(Count{Counter::Quarantined});
+    refuseQueued(Now, Call, ErrorKind::Quarantined, Out);
+    return;
+  }
+  if (!Starting.Message.Policy.Idempotent && !Log.start(Now, Call)) {
+    refuseQueued(Now, Call, ErrorKind::StaleEpoch, Out);
+    return;
+  }
+  Starting.Run = ++LastRun;
+  Starting.Started = Now;
+  Starting.SuspectsBeside = SuspectsRunning;
+  Starting.Suspect = Doubt == Suspicion::Suspect;
+  if (Starting.Suspect)
+    ++SuspectsRunning;
+  Runs.emplace(Starting.Run, Call);
+  LastTraffic = Now;
+  Out.emplace_back(RunBackend{Starting.Run, std::move(Starting.Message.Request),
+                              Starting.Deadline - Now});
+  Out.emplace_back(Count{Counter::RunsStarted});
+  Out.emplace_back(Trace{TraceKind::RunStarted, callText(Call), {}});
+}
+
+void Admission::State::refuseRun(TimePoint Now, AdmittedCall &Ended,
+                                 ErrorKind Kind, EffectList &Out) {
+  refuseNew(Now, Ended.From, Ended.Message, Kind, Out);
+  if (Ended.Message.Policy.Idempotent)
+    remember(Now, Ended.Message.Call, EndedAs::NotRun);
+}
+
+void Admission::State::finish(TimePoint Now, AdmittedCall &Ended,
+                              std::variant<HttpResponse, ErrorKind> Result,
+                              EffectList &Out) {
+  const CallId &Call = Ended.Message.Call;
+  if (!Ended.Message.Policy.Idempotent) {
+    Log.finish(Now, Call, Result, load(), Out);
+    return;
+  }
+  remember(Now, Call, EndedAs::Ran);
+  if (auto *Response = std::get_if<HttpResponse>(&Result))
+    Out.emplace_back(
+        SendPeer{Ended.From, Answer{Call, std::move(*Response), load()}});
+  else
+    Out.emplace_back(SendPeer{
+        Ended.From, Failed{Call, std::get<ErrorKind>(Result), load()}});
+}
+
+void Admission::State::remember(TimePoint Now, const CallId &Call,
+                                EndedAs How) {
+  if (!EndedCalls.emplace(Call, How).second)
+    return;
+  EndedOrder.emplace_back(Now, Call);
+  while (EndedOrder.size() > MaxEndedCalls ||
+         EndedOrder.front().first + EndedCallLifetime < Now) {
+    EndedCalls.erase(EndedOrder.front().second);
+    EndedOrder.pop_front();
+  }
+}
+
+void Admission::State::report(const AdmittedCall &Ended,
+                              std::optional<SuspectReport> Report) {
+  if (Report)
+    Reports.emplace_back(*Report, Ended.Message.Policy.HomeRegions);
+}
+
+/// Updates the limit, the service time and the suspicion from the end of a run.
+void Admission::State::learn(TimePoint Now, const AdmittedCall &Ended,
+                             const BackendDone &Done) {
+  Duration Took = Now - Ended.Started;
+  const CallPolicy &Policy = Ended.Message.Policy;
+  auto Running = static_cast<std::uint32_t>(Runs.size()) + 1;
+  if (const auto *Response = std::get_if<HttpResponse>(&Done.Result)) {
+    bool Shed =
+        Policy.RefusalStatus && Response->Status == Policy.RefusalStatus;
+    if (Shed)
+      return Limit.shed();
+    report(Ended, Suspects.succeeded(Now, Ended.Message.Fingerprint));
+    // Fast failures would make the server look fast.
+    if (Response->Status >= 500)
+      return Limit.failed();
+    Limit.completed(Policy.Route, Took, Running);
+    double Error = static_cast<double>((Took - ServiceTime).count());
+    ServiceTime = ServiceTime.count() == 0
+                      ? Took
+                      : ServiceTime + Duration(static_cast<std::int64_t>(
+                                          Error * ServiceTimeWeight));
+    return;
+  }
+  // The end of a run that was cancelled says nothing about the server.
+  if (Ended.Cancelled)
+    return;
+  switch (std::get<BackendError>(Done.Result)) {
+  case BackendError::Broken:
+    report(Ended, Suspects.crashed(Now, Ended.Message.Fingerprint,
+                                   Ended.Started, Ended.SuspectsBeside == 0));
+    return Limit.disconnected();
+  case BackendError::NotSent:
+    return Limit.disconnected();
+  case BackendError::Malformed:
+    return Limit.failed();
+  case BackendError::TimedOut:
+    return Limit.timedOut(Policy.Route, Took);
+  case BackendError::Cancelled:
+    return;
+  }
+}
+
+void Admission::State::endedWith(TimePoint Now, AdmittedCall &Ended,
+                                 HttpResponse Response, EffectList &Out) {
+  const CallPolicy &Policy = Ended.Message.Policy;
+  if (Policy.RefusalStatus && Response.Status == Policy.RefusalStatus)
+    refuseRun(Now, Ended, ErrorKind::Overloaded, Out);
+  else
+    finish(Now, Ended, std::move(Response), Out);
+}
+
+void Admission::State::endedWith(TimePoint Now, AdmittedCall &Ended,
+                                 BackendError Error, EffectList &Out) {
+  if (Error == BackendError::NotSent)
+    return refuseRun(Now, Ended, ErrorKind::NoBackendServer, Out);
+  Out.emplace_back(Count{Counter::RunsFailed});
+  ErrorKind Kind = Error == BackendError::TimedOut ? ErrorKind::DeadlineUnknown
+                                                   : ErrorKind::BackendFailed;
+  if (!Ended.Message.Policy.Idempotent)
+    Kind = ErrorKind::OutcomeUnknown;
+  finish(Now, Ended, Kind, Out);
+}
+
+/// Adds a time line entry when the limit at least halved since the last entry,
+/// or reached its bound.
+void Admission::State::traceLimit(EffectList &Out) {
+  std::uint32_t Limited = Limit.value();
+  bool Halved = Limited * 2 <= TracedLimit;
+  bool AtBound = Limited == Limit.slots() && TracedLimit != Limited;
+  if (!Halved && !AtBound)
+    return;
+  TracedLimit = Limited;
+  Out.emplace_back(
+      Trace{TraceKind::LimitChanged, Self.Host, std::to_string(Limited)});
+}
+
+Admission::Admission(PeerRef Self, AdmissionSettings Settings,
+                     ExecutionLog &Log)
+    : Impl(std::make_unique<State>(std::move(Self), std::move(Settings), Log)) {
+}
+
+Admission::~Admission() = default;
+
+void Admission::execute(TimePoint Now, const PeerRef &From, Execute Message,
+                        const AdmissionGate &Gate, EffectList &Out) {
+  State &S = *Impl;
+  S.OutOfService = !Gate.InService;
+  // Outside the home regions nothing of the request is stored, so the
+  // execution log does not see it.
+  if (!S.inHomeRegions(Message.Policy)) {
+    Out.emplace_back(Count{Counter::WrongRegion});
+    Out.emplace_back(SendPeer{
+        From.Host, Refused{Message.Call, ErrorKind::WrongRegion, S.load()}});
+    return;
+  }
+  if (Message.Policy.Idempotent) {
+    if (S.replyToDuplicate(From, Message.Call, Out))
+      return;
+  } else {
+    // The log decides first: a refusal of a request that it knows to have run
+    // would be a false "not run".
+    StartVerdict Verdict = S.Log.accept(Now, From, Message, Gate.History);
+    if (auto *Known = std::get_if<KnownReply>(&Verdict)) {
+      Out.emplace_back(SendPeer{From.Host, std::move(Known->Reply)});
+      return;
+    }
+    if (std::holds_alternative<AlreadyUnderWay>(Verdict)) {
+      Out.emplace_back(SendPeer{From.Host, Received{Message.Call}});
+      return;
+    }
+  }
+  S.LastTraffic = Now;
+  std::optional<ErrorKind> Reason = S.checkGate(Gate, Message);
+  if (!Reason)
+    Reason = S.checkRoom(Now, Message, Out);
+  if (Reason)
+    S.refuseNew(Now, From.Host, Message, *Reason, Out);
+  else
+    S.admit(Now, From, std::move(Message), Out);
+}
+
+void Admission::backendDone(TimePoint Now, const BackendDone &Done,
+                            EffectList &Out) {
+  State &S = *Impl;
+  auto Found = S.Runs.find(Done.Run);
+  if (Found == S.Runs.end())
+    return;
+  CallId Call = Found->second;
+  S.Runs.erase(Found);
+  AdmittedCall Ended = std::move(S.Calls.extract(Call).mapped());
+  if (Ended.Suspect)
+    --S.SuspectsRunning;
+  S.LastTraffic = Now;
+  S.learn(Now, Ended, Done);
+  Out.emplace_back(Trace{TraceKind::RunEnded, callText(Call), {}});
+  if (Ended.Cancelled)
+    S.remember(Now, Call, EndedAs::Ran);
+  else
+    std::visit([&](auto Result) { S.endedWith(Now, Ended, Result, Out); },
+               Done.Result);
+  S.pump(Now, Out);
+  S.traceLimit(Out);
+}
+
+void Admission::cancel(TimePoint Now, const CallId &Call, EffectList &Out) {
+  State &S = *Impl;
+  auto Found = S.Calls.find(Call);
+  if (Found == S.Calls.end())
+    return;
+  AdmittedCall &Known = Found->second;
+  if (Known.Run == 0) {
+    S.Queue.erase(Call);
+    S.refuseQueued(Now, Call, ErrorKind::Cancelled, Out);
+    return;
+  }
+  if (!Known.Message.Policy.Idempotent || Known.Cancelled)
+    return;
+  Known.Cancelled = true;
+  Out.emplace_back(CancelRun{Known.Run});
+}
+
+void Admission::await(TimePoint Now, const PeerRef &From, const Await &Message,
+                      EffectList &Out) {
+  State &S = *Impl;
+  auto Known = S.Calls.find(Message.Call);
+  bool Idempotent = Known != S.Calls.end()
+                        ? Known->second.Message.Policy.Idempotent
+                        : S.endedHere(Message.Call);
+  if (Idempotent && !Message.Grant) {
+    S.replyToDuplicate(From, Message.Call, Out);
+    return;
+  }
+  S.Log.await(Now, From, Message, S.load(), Out);
+  // The log does not see idempotent calls; a late Execute of one that was
+  // reported as never started is refused by this mark.
+  if (!Message.Grant && Known == S.Calls.end())
+    S.remember(Now, Message.Call, EndedAs::NeverArrived);
+}
+
+void Admission::probeDone(TimePoint Now, const ProbeDone &Done,
+                          EffectList &Out) {
+  State &S = *Impl;
+  S.ProbePending = false;
+  // Health endpoints mislead: a bad result lowers the limit, a good one does
+  // not raise it.
+  if (!Done.Healthy)
+    S.Limit.lower();
+  S.pump(Now, Out);
+  S.traceLimit(Out);
+}
+
+void Admission::suspectReport(TimePoint Now, const SuspectReport &Report) {
+  Impl->Suspects.merge(Now, Report);
+}
+
+std::vector<std::pair<SuspectReport, std::vector<std::string>>>
+Admission::takeReports() {
+  return std::exchange(Impl->Reports, {});
+}
+
+void Admission::drain(TimePoint, EffectList &) { Impl->Draining = true; }
+
+void Admission::returnToService(TimePoint Now, EffectList &Out) {
+  Impl->OutOfService = false;
+  Impl->Limit.restart();
+  Impl->pump(Now, Out);
+  Impl->traceLimit(Out);
+}
+
+bool Admission::idle() const { return Impl->Calls.empty(); }
+
+LoadReport Admission::load() const { return Impl->load(); }
+
+void Admission::timer(TimePoint Now, EffectList &Out) {
+  State &S = *Impl;
+  S.Suspects.expire(Now);
+  S.pump(Now, Out);
+  S.traceLimit(Out);
+  if (Now < S.nextProbe())
+    return;
+  // Measured from the attempt, so that a missing token is not asked for again
+  // at once.
+  S.ProbeTried = Now;
+  if (!S.ProbeTokens.take(Now))
+    return;
+  S.ProbePending = true;
+  Out.emplace_back(ProbeBackend{});
+  Out.emplace_back(Count{Counter::Probes});
+}
+
+/// Returns when the backend server may be probed; TimePoint::max() while there
+/// is traffic.
+TimePoint Admission::State::nextProbe() const {
+  if (!Calls.empty() || Settings.ProbesPerSecond <= 0)
+    return TimePoint::max();
+  TimePoint Idle = LastTraffic + Settings.ProbeIdle;
+  if (ProbeTried == TimePoint{})
+    return Idle;
+  double Interval = 1e6 / Settings.ProbesPerSecond;
+  auto Wait = Duration(static_cast<std::int64_t>(Interval) + 1);
+  return std::max(Idle, ProbeTried + (ProbePending ? ProbeTimeout : Wait));
+}
+
+TimePoint Admission::nextWake() const {
+  return std::min(Impl->Queue.nextDeadline(), Impl->nextProbe());
+}
+
+} // namespace figsail
--- /dev/null
+++ b/src/core/Balancer.cpp
@@ -0,0 +1,286 @@
+// Balancer.cpp - Load views, locality tiers and the subset of each ingress.
+
+#include "figsail/Balancer.h"
+
+#include "figsail/Epoch.h"
+
+#include <algorithm>
+#include <array>
+#include <cmath>
+
+namespace figsail {
+
+/// Members of a service that one ingress uses.
+static constexpr std::size_t MaxSubset = 16;
+/// Places of the subset kept for another failure domain, so that losing the
+/// own one leaves members to go to.
+static constexpr std::size_t OtherDomainPlaces = 4;
+/// A report counts less as it ages, and nothing after this time.
+static constexpr Duration ReportLifetime = std::chrono::seconds(5);
+/// What is assumed of a host without a report: a cold backend server with one
+/// call of another ingress.
+static constexpr double UnknownLimit = 2;
+static constexpr double UnknownOthers = 1;
+/// Weight of one call in the moving average of failures.
+static constexpr double FailureStep = 1.0 / 16;
+/// The failure rate halves in this time without calls, so that a server that
+/// recovered is tried again.
+static constexpr Duration FailureHalfLife = std::chrono::seconds(2);
+/// Bounds of how long a host is avoided after a refusal.
+static constexpr Duration MinAvoid = std::chrono::milliseconds(20);
+static constexpr Duration MaxAvoid = std::chrono::seconds(1);
+/// How long a host is avoided after its link broke.
+static constexpr Duration LostAvoid = std::chrono::seconds(1);
+/// Views kept; beyond it views without calls and with old reports are dropped.
+static constexpr std::size_t MaxViews = 16384;
+
+/// Locality tiers, nearest first.
+static constexpr std::size_t TierCount = 3;
+
+struct Balancer::HostView {
+  std::uint32_t Outstanding = 0;
+  LoadReport Report;
+  TimePoint ReportedAt;
+  bool Reported = false;
+  double Others = 0; ///< Calls of other ingresses in the report.
+  double FailureRate = 0;
+  TimePoint FailureAt; ///< When FailureRate was last updated.
+  TimePoint AvoidUntil;
+
+  double age(TimePoint Now) const;
+  double utilization(TimePoint Now) const;
+  double failureRate(TimePoint Now) const;
+  void take(TimePoint Now, const LoadReport &Load);
+  void avoid(TimePoint Until) { AvoidUntil = std::max(AvoidUntil, Until); }
+};
+
+struct Balancer::State {
+  HostId Self;
+  Locality Here;
+  std::unique_ptr<SelectionPolicy> Policy;
+  std::unordered_map<HostId, HostView> Views;
+  std::array<std::vector<Candidate>, TierCount> Fresh;   ///< Scratch space.
+  std::array<std::vector<Candidate>, TierCount> Avoided; ///< Scratch space.
+  std::vector<const Member *> Subset;                    ///< Scratch space.
+  /// Scratch space: tier and hash of each eligible member.
+  std::vector<std::pair<std::pair<std::size_t, std::uint64_t>, const Member *>>
+      Ranked;
+
+  std::size_t tierOf(const Member &Who) const;
+  void buildSubset(std::span<const Member *const> Eligible);
+  void keepSecondDomain();
+  void sortIntoTiers(TimePoint Now, std::span<const HostId> Tried,
+                     bool RemoteAllowed);
+  HostView &viewOf(TimePoint Now, const HostId &Host);
+};
+
+/// Returns the age of the report from 0 (fresh) to 1 (counts nothing).
+double Balancer::HostView::age(TimePoint Now) const {
+  if (!Reported)
+    return 1;
+  double Age = static_cast<double>((Now - ReportedAt).count()) /
+               static_cast<double>(ReportLifetime.count());
+  return std::clamp(Age, 0.0, 1.0);
+}
+
+/// Returns the expected load over the limit. A report with headroom loses its
+/// headroom as it ages, and never counts for more than it said.
+double Balancer::HostView::utilization(TimePoint Now) const {
+  double Age = age(Now);
+  double Limit = UnknownLimit;
+  double Known = 0;
+  if (Reported) {
+    double Said = std::max(1U, Report.Limit);
+    Limit = Said + (std::min(Said, UnknownLimit) - Said) * Age;
+    Known = Others;
+  }
+  double Beside = Known + (UnknownOthers - Known) * Age;
+  return (Beside + Outstanding) / Limit;
+}
+
+double Balancer::HostView::failureRate(TimePoint Now) const {
+  double Halves = static_cast<double>((Now - FailureAt).count()) /
+                  static_cast<double>(FailureHalfLife.count());
+  return FailureRate * std::exp2(-std::max(Halves, 0.0));
+}
+
+void Balancer::HostView::take(TimePoint Now, const LoadReport &Load) {
+  // A report that was under way while the host refused may not undo what the
+  // refusal said.
+  bool Late = Reported && Now < AvoidUntil;
+  double Present = static_cast<double>(Load.Running) + Load.Queued;
+  double Seen = std::max(0.0, Present - Outstanding);
+  if (Late) {
+    Report.Limit = std::min(Report.Limit, Load.Limit);
+    Others = std::max(Others, Seen);
+    Report.Draining = Report.Draining || Load.Draining;
+  } else {
+    Report = Load;
+    Others = Seen;
+  }
+  ReportedAt = Now;
+  Reported = true;
+}
+
+std::size_t Balancer::State::tierOf(const Member &Who) const {
+  if (Who.Region != Here.Region)
+    return 2;
+  return Who.FailureDomain == Here.FailureDomain ? 0 : 1;
+}
+
+/// Fills Subset with at most MaxSubset members: nearest tier first, within a
+/// tier by rendezvous hash of this ingress.
+void Balancer::State::buildSubset(std::span<const Member *const> Eligible) {
+  Subset.assign(Eligible.begin(), Eligible.end());
+  if (Eligible.size() <= MaxSubset)
+    return;
+  std::uint64_t Seed = hashText(Self);
+  Ranked.clear();
+  for (const Member *Who : Eligible)
+    Ranked.push_back({{tierOf(*Who), hashText(Who->Host, Seed)}, Who});
+  auto Middle = Ranked.begin() + MaxSubset;
+  std::nth_element(Ranked.begin(), Middle, Ranked.end());
+  std::sort(Ranked.begin(), Middle);
+  for (std::size_t I = 0; I < MaxSubset; ++I)
+    Subset[I] = Ranked[I].second;
+  Subset.resize(MaxSubset);
+  keepSecondDomain();
+}
+
+/// Replaces the last members of a subset within one failure domain by the best
+/// of others, if there are any.
+void Balancer::State::keepSecondDomain() {
+  const std::string &Domain = Subset.front()->FailureDomain;
+  auto Elsewhere = [&](const Member *Who) {
+    return Who->FailureDomain != Domain;
+  };
+  if (std::ranges::any_of(Subset, Elsewhere))
+    return;
+  std::erase_if(Ranked,
+                [&](const auto &Entry) { return !Elsewhere(Entry.second); });
+  std::size_t Count = std::min(OtherDomainPlaces, Ranked.size());
+  std::partial_sort(Ranked.begin(),
+                    Ranked.begin() + static_cast<std::ptrdiff_t>(Count),
+                    Ranked.end());
+  for (std::size_t I = 0; I < Count; ++I)
+    Subset[MaxSubset - Count + I] = Ranked[I].second;
+}
+
+void Balancer::State::sortIntoTiers(TimePoint Now,
+                                    std::span<const HostId> Tried,
+                                    bool RemoteAllowed) {
+  for (std::size_t Tier = 0; Tier < TierCount; ++Tier) {
+    Fresh[Tier].clear();
+    Avoided[Tier].clear();
+  }
+  for (const Member *Who : Subset) {
+    if (std::ranges::find(Tried, Who->Host) != Tried.end())
+      continue;
+    std::size_t Tier = tierOf(*Who);
+    if (Tier == 2 && !RemoteAllowed)
+      continue;
+    const HostView &View = viewOf(Now, Who->Host);
+    Candidate Entry;
+    Entry.Who = Who;
+    Entry.Outstanding = View.Outstanding;
+    Entry.Utilization = View.utilization(Now);
+    Entry.FailureRate = View.failureRate(Now);
+    Entry.Avoid = Now < View.AvoidUntil;
+    (Entry.Avoid ? Avoided : Fresh)[Tier].push_back(Entry);
+  }
+}
+
+Balancer::HostView &Balancer::State::viewOf(TimePoint Now, const HostId &Host) {
+  auto Found = Views.find(Host);
+  if (Found != Views.end())
+    return Found->second;
+  if (Views.size() >= MaxViews)
+    std::erase_if(Views, [&](const auto &Entry) {
+      return Entry.second.Outstanding == 0 && Entry.second.age(Now) >= 1;
+    });
+  return Views[Host];
+}
+
+Balancer::Balancer(HostId Self, Locality Here,
+                   std::unique_ptr<SelectionPolicy> Policy)
+    : Impl(std::make_shared<State>()) {
+  Impl->Self = std::move(Self);
+  Impl->Here = std::move(Here);
+  Impl->Policy = std::move(Policy);
+}
+
+const Member *Balancer::choose(TimePoint Now,
+                               std::span<const Member *const> Eligible,
+                               std::span<const HostId> Tried,
+                               bool RemoteAllowed, std::uint64_t Seed) {
+  State &S = *Impl;
+  S.buildSubset(Eligible);
+  S.sortIntoTiers(Now, Tried, RemoteAllowed);
+  const Candidate *Best = nullptr;
+  for (const std::vector<Candidate> &Tier : S.Fresh) {
+    if (Tier.empty())
+      continue;
+    const Candidate &Picked = Tier[S.Policy->pick(Tier, Seed)];
+    if (Picked.Utilization < 1)
+      return Picked.Who;
+    // All choices so far are saturated; the least loaded one is kept.
+    if (!Best || Picked.Utilization < Best->Utilization)
+      Best = &Picked;
+  }
+  if (Best)
+    return Best->Who;
+  for (const std::vector<Candidate> &Tier : S.Avoided)
+    if (!Tier.empty())
+      return Tier[S.Policy->pick(Tier, Seed)].Who;
+  return nullptr;
+}
+
+void Balancer::sent(TimePoint Now, const HostId &Host) {
+  ++Impl->viewOf(Now, Host).Outstanding;
+}
+
+void Balancer::ended(TimePoint Now, const HostId &Host, bool Success,
+                     const LoadReport *Load) {
+  HostView &View = Impl->viewOf(Now, Host);
+  if (View.Outstanding > 0)
+    --View.Outstanding;
+  double Rate = View.failureRate(Now);
+  View.FailureRate = Rate + ((Success ? 0 : 1) - Rate) * FailureStep;
+  View.FailureAt = Now;
+  if (Load)
+    View.take(Now, *Load);
+  if (Load && Load->Draining)
+    View.avoid(Now + ReportLifetime);
+}
+
+void Balancer::refused(TimePoint Now, const HostId &Host,
+                       const LoadReport &Load) {
+  HostView &View = Impl->viewOf(Now, Host);
+  if (View.Outstanding > 0)
+    --View.Outstanding;
+  View.take(Now, Load);
+  // The time in which half of the queue is served.
+  Duration Busy =
+      Load.ServiceTime * (Load.Queued + 1) / (2 * std::max(1U, Load.Limit));
+  View.avoid(Now + std::clamp(Busy, MinAvoid, MaxAvoid));
+  if (Load.Draining)
+    View.avoid(Now + ReportLifetime);
+}
+
+void Balancer::lost(TimePoint Now, const HostId &Host) {
+  HostView &View = Impl->viewOf(Now, Host);
+  View.Reported = false;
+  View.avoid(Now + LostAvoid);
+}
+
+void Balancer::forget(const HostId &Host) {
+  auto Found = Impl->Views.find(Host);
+  if (Found == Impl->Views.end())
+    return;
+  // Calls to the previous incarnation still end one by one.
+  std::uint32_t Outstanding = Found->second.Outstanding;
+  Found->second = HostView();
+  Found->second.Outstanding = Outstanding;
+}
+
+} // namespace figsail
--- /dev/null
+++ b/src/core/Quarantine.cpp
@@ -0,0 +1,91 @@
+// Quarantine.cpp - Counts crashes by fingerprint.
+
+#include "Quarantine.h"
+
+namespace figsail {
+
+Suspicion Quarantine::check(TimePoint Now, std::uint64_t Fingerprint) const {
+  auto Found = Entries.find(Fingerprint);
+  if (Found == Entries.end())
+    return Suspicion::None;
+  const Entry &Known = Found->second;
+  if (Known.LastCrash + Lifetime <= Now)
+    return Suspicion::None;
+  if (Known.Crashes >= BlockingCrashes && Known.Alone)
+    return Suspicion::Blocked;
+  return Suspicion::Suspect;
+}
+
+std::optional<SuspectReport> Quarantine::crashed(TimePoint Now,
+                                                 std::uint64_t Fingerprint,
+                                                 TimePoint Started,
+                                                 bool Alone) {
+  if (Fingerprint == 0)
+    return std::nullopt;
+  expire(Now);
+  auto Found = Entries.find(Fingerprint);
+  if (Found != Entries.end() && Started <= Found->second.LastCrash)
+    return std::nullopt;
+  Entry &Known = touch(Now, Fingerprint);
+  ++Known.Crashes;
+  Known.Alone = Alone;
+  return SuspectReport{Fingerprint, Known.Crashes, Alone};
+}
+
+std::optional<SuspectReport> Quarantine::succeeded(TimePoint Now,
+                                                   std::uint64_t Fingerprint) {
+  // A blocked request that was already running does not clear itself.
+  if (check(Now, Fingerprint) != Suspicion::Suspect)
+    return std::nullopt;
+  erase(Fingerprint);
+  return SuspectReport{Fingerprint, 0, false};
+}
+
+void Quarantine::merge(TimePoint Now, const SuspectReport &Report) {
+  if (Report.Fingerprint == 0)
+    return;
+  if (Report.Crashes == 0) {
+    if (check(Now, Report.Fingerprint) == Suspicion::Suspect)
+      erase(Report.Fingerprint);
+    return;
+  }
+  expire(Now);
+  auto Found = Entries.find(Report.Fingerprint);
+  if (Found != Entries.end() && Found->second.Crashes > Report.Crashes)
+    return;
+  Entry &Known = touch(Now, Report.Fingerprint);
+  // Of two reports with equal counts, the one that identifies the request wins.
+  Known.Alone =
+      Report.Alone || (Known.Crashes == Report.Crashes && Known.Alone);
+  Known.Crashes = Report.Crashes;
+}
+
+void Quarantine::expire(TimePoint Now) {
+  while (!ByAge.empty()) {
+    std::uint64_t Oldest = ByAge.begin()->second;
+    if (Entries.at(Oldest).LastCrash + Lifetime > Now)
+      return;
+    erase(Oldest);
+  }
+}
+
+Quarantine::Entry &Quarantine::touch(TimePoint Now, std::uint64_t Fingerprint) {
+  Entry &Known = Entries[Fingerprint];
+  ByAge.erase(Known.Order);
+  Known.Order = ++NextOrder;
+  Known.LastCrash = Now;
+  ByAge[Known.Order] = Fingerprint;
+  if (Entries.size() > MaxEntries)
+    erase(ByAge.begin()->second);
+  return Known;
+}
+
+void Quarantine::erase(std::uint64_t Fingerprint) {
+  auto Found = Entries.find(Fingerprint);
+  if (Found == Entries.end())
+    return;
+  ByAge.erase(Found->second.Order);
+  Entries.erase(Found);
+}
+
+} // namespace figsail
--- /dev/null
+++ b/src/core/RetryBudget.cpp
@@ -0,0 +1,29 @@
+// RetryBudget.cpp - One token bucket for each service.
+
+#include "RetryBudget.h"
+
+namespace figsail {
+
+void RetryBudget::called(TimePoint Now, const std::string &Service) {
+  bucketOf(Now, Service).put(CallShare);
+}
+
+bool RetryBudget::take(TimePoint Now, const std::string &Service) {
+  return bucketOf(Now, Service).take(Now);
+}
+
+TokenBucket &RetryBudget::bucketOf(TimePoint Now, const std::string &Service) {
+  auto Found = Buckets.find(Service);
+  if (Found != Buckets.end())
+    return Found->second;
+  // Services that no longer exist leave their budgets behind.
+  if (Buckets.size() >= MaxServices)
+    Buckets.erase(Buckets.begin());
+  TokenBucket &Fresh =
+      Buckets.emplace(Service, TokenBucket(RatePerSecond, Burst)).first->second;
+  // Sets the reference time, so that time before the first use earns nothing.
+  Fresh.take(Now, 0);
+  return Fresh;
+}
+
+} // namespace figsail
--- /dev/null
+++ b/src/core/SelectionPolicy.cpp
@@ -0,0 +1,88 @@
+// SelectionPolicy.cpp - Policies that choose among candidates of one tier.
+
+#include "figsail/Balancer.h"
+
+#include <algorithm>
+
+namespace figsail {
+
+/// Weight of the failure rate against utilization. A server that fails every
+/// second call scores like one whose queue is as long as its limit.
+static constexpr double FailureWeight = 2;
+
+static double score(const Candidate &Who) {
+  return Who.Utilization + FailureWeight * Who.FailureRate;
+}
+
+namespace {
+
+class RoundRobin final : public SelectionPolicy {
+public:
+  std::size_t pick(std::span<const Candidate> Candidates,
+                   std::uint64_t) override {
+    return Next++ % Candidates.size();
+  }
+
+private:
+  std::size_t Next = 0;
+};
+
+class LeastOutstanding final : public SelectionPolicy {
+public:
+  std::size_t pick(std::span<const Candidate> Candidates,
+                   std::uint64_t Seed) override {
+    std::size_t Size = Candidates.size();
+    // Starts at a random place, so that equal candidates share the calls.
+    std::size_t Best = Seed % Size;
+    for (std::size_t Step = 1; Step < Size; ++Step) {
+      std::size_t Other = (Seed + Step) % Size;
+      if (Candidates[Other].Outstanding < Candidates[Best].Outstanding)
+        Best = Other;
+    }
+    return Best;
+  }
+};
+
+class PowerOfTwoChoices final : public SelectionPolicy {
+public:
+  std::size_t pick(std::span<const Candidate> Candidates,
+                   std::uint64_t Seed) override {
+    std::size_t Size = Candidates.size();
+    if (Size == 1)
+      return 0;
+    // The two halves of the seed give two distinct places.
+    std::size_t First = (Seed & 0xffffffffU) % Size;
+    std::size_t Second = (First + 1 + (Seed >> 32) % (Size - 1)) % Size;
+    double Difference = score(Candidates[Second]) - score(Candidates[First]);
+    if (Difference != 0)
+      return Difference < 0 ? Second : First;
+    bool Fewer = Candidates[Second].Outstanding < Candidates[First].Outstanding;
+    return Fewer ? Second : First;
+  }
+};
+
+} // namespace
+
+std::unique_ptr<SelectionPolicy> makeRoundRobin() {
+  return std::make_unique<RoundRobin>();
+}
+
+std::unique_ptr<SelectionPolicy> makeLeastOutstanding() {
+  return std::make_unique<LeastOutstanding>();
+}
+
+std::unique_ptr<SelectionPolicy> makePowerOfTwoChoices() {
+  return std::make_unique<PowerOfTwoChoices>();
+}
+
+std::unique_ptr<SelectionPolicy> makePolicy(const std::string &Name) {
+  if (Name == "round-robin")
+    return makeRoundRobin();
+  if (Name == "least-outstanding")
+    return makeLeastOutstanding();
+  if (Name == "power-of-two")
+    return makePowerOfTwoChoices();
+  return nullptr;
+}
+
+} // namespace figsail
--- /dev/null
+++ b/src/core/WorkspaceQueue.h
@@ -0,0 +1,86 @@
+// WorkspaceQueue.h - Waiting calls, served by the shares of their workspaces.
+
+#ifndef FIGSAIL_CORE_WORKSPACEQUEUE_H
+#define FIGSAIL_CORE_WORKSPACEQUEUE_H
+
+#include "figsail/Types.h"
+
+#include <deque>
+#include <functional>
+#include <list>
+#include <map>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace figsail {
+
+/// A bounded queue for each workspace, served in deficit round robin.
+class WorkspaceQueue {
+public:
+  /// Whether a call may wait.
+  enum class Room : std::uint8_t {
+    Free,      ///< There is room.
+    Displace,  ///< Full, but another workspace is over its share: displace().
+    OverShare, ///< The workspace is over its share while others wait.
+    Full,      ///< Full of calls of this workspace.
+  };
+
+  explicit WorkspaceQueue(std::size_t Capacity) : Capacity(Capacity) {}
+
+  Room room(const std::string &Workspace, std::uint32_t Share) const;
+
+  void push(const std::string &Workspace, std::uint32_t Share,
+            const CallId &Call, TimePoint Deadline);
+
+  /// Takes the next call by share for which MayStart returns true.
+  std::optional<CallId>
+  pop(const std::function<bool(const CallId &)> &MayStart);
+
+  /// Takes the call that came last of the workspace that is most over its
+  /// share.
+  std::optional<CallId> displace();
+
+  /// Takes a call out. Returns whether it was waiting.
+  bool erase(const CallId &Call);
+
+  /// Takes out all calls whose deadline has come.
+  std::vector<CallId> takeExpired(TimePoint Now);
+
+  /// Returns how many calls are served before a new one of this workspace.
+  std::size_t ahead(const std::string &Workspace, std::uint32_t Share) const;
+
+  /// Returns the earliest deadline, or TimePoint::max().
+  TimePoint nextDeadline() const;
+  std::size_t size() const { return Deadlines.size(); }
+  std::size_t size(const std::string &Workspace) const;
+
+private:
+  /// A deadline and the number of the push, which makes it unique.
+  using DeadlineKey = std::pair<TimePoint, std::uint64_t>;
+  struct Entry {
+    CallId Call;
+    DeadlineKey Key;
+  };
+  struct Line {
+    std::string Workspace;
+    std::uint32_t Share = 1;
+    double Deficit = 0; ///< In calls.
+    std::deque<Entry> Calls;
+  };
+  const Line *find(const std::string &Workspace) const;
+  double shares(const std::string &Workspace, std::uint32_t Share) const;
+  std::optional<CallId>
+  takeFrom(Line &From, const std::function<bool(const CallId &)> &MayStart);
+  void dropEmptyLines();
+
+  std::size_t Capacity;
+  std::list<Line> Lines; ///< Workspaces that wait; the front is served next.
+  std::map<DeadlineKey, CallId> Deadlines;
+  std::uint64_t Pushes = 0;
+};
+
+} // namespace figsail
+
+#endif // FIGSAIL_CORE_WORKSPACEQUEUE_H
