--- /dev/null
+++ b/src/shell/BackendExchange.cpp
@@ -0,0 +1,157 @@
+// BackendExchange.cpp - One request and its response on one connection to the
+// backend server.
+
+#include "BackendExchange.h"
+#include "HttpFieldFunctions.h"
+
+#include <algorithm>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/write.hpp>
+
+namespace figsail {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+
+// Bytes of a response head. Larger ones are malformed.
+static constexpr std::uint32_t MaxResponseHead = 64 * 1024;
+
+static constexpr std::string_view DeadlineField = "Figsail-Deadline-Ms";
+
+BackendExchange::Message backendMessage(HttpRequest Request, Duration Budget,
+                                        const std::string &Host) {
+  BackendExchange::Message Message;
+  Message.version(11);
+  Message.method_string(Request.Method);
+  Message.target(Request.Target);
+  removeHopByHop(Request.Headers);
+  for (const auto &[Name, Value] : Request.Headers)
+    Message.insert(Name, Value);
+  if (Message.count(http::field::host) == 0)
+    Message.set(http::field::host, Host);
+  auto Millis = std::chrono::duration_cast<std::chrono::milliseconds>(Budget);
+  auto Rounded = std::max<std::chrono::milliseconds::rep>(1, Millis.count());
+  Message.set(DeadlineField, std::to_string(Rounded));
+  bool MayHaveBody = Message.method() != http::verb::get &&
+                     Message.method() != http::verb::head;
+  if (MayHaveBody || !Request.Body.empty())
+    Message.content_length(Request.Body.size());
+  Message.body() = std::move(Request.Body);
+  return Message;
+}
+
+BackendExchange::BackendExchange(asio::ip::tcp::socket &Socket,
+                                 Message Request, std::size_t MaxResponse,
+                                 EndHandler OnEnd)
+    : Socket(Socket), Request(std::move(Request)), MaxResponse(MaxResponse),
+      OnEnd(std::move(OnEnd)) {}
+
+void BackendExchange::start() {
+  http::async_write(Socket, Request,
+                    [Self = shared_from_this()](beast::error_code Error,
+                                                std::size_t Bytes) {
+                      Self->writeDone(Error, Bytes);
+                    });
+  readHead();
+}
+
+void BackendExchange::writeDone(beast::error_code Error, std::size_t Bytes) {
+  if (!OnEnd)
+    return;
+  if (!Error) {
+    Written = true;
+    return;
+  }
+  // Once bytes were written, the read decides: the backend server may have
+  // answered early and closed.
+  if (Bytes == 0)
+    end(BackendError::NotSent, false);
+}
+
+void BackendExchange::readHead() {
+  Response.emplace();
+  Response->header_limit(MaxResponseHead);
+  Response->body_limit(MaxResponse);
+  Response->skip(Request.method() == http::verb::head);
+  http::async_read_header(
+      Socket, Buffer, *Response,
+      [Self = shared_from_this()](beast::error_code Error, std::size_t) {
+        Self->headRead(Error);
+      });
+}
+
+void BackendExchange::headRead(beast::error_code Error) {
+  if (!OnEnd)
+    return;
+  if (Error) {
+    readFailed(Error);
+    return;
+  }
+  const auto &Head = Response->get();
+  bool Interim = Head.result_int() < 200;
+  if (Interim && Head.result() != http::status::switching_protocols) {
+    readHead();
+    return;
+  }
+  bool BadCoding = !onlyChunkedCoding(Head) ||
+                   (Head.version() < 11 &&
+                    Head.count(http::field::transfer_encoding) > 0);
+  if (Interim || BadCoding) {
+    end(BackendError::Malformed, false);
+    return;
+  }
+  Headers = copyFields(Head);
+  readBody();
+}
+
+void BackendExchange::readBody() {
+  http::async_read(
+      Socket, Buffer, *Response,
+      [Self = shared_from_this()](beast::error_code Error, std::size_t) {
+        Self->bodyRead(Error);
+      });
+}
+
+/// Removes hop-by-hop fields. Content-Length stays in a response without a
+/// body, where it tells the length that the body would have.
+static void keepEndToEnd(HeaderList &Headers, bool Bodiless) {
+  std::string Length(findHeader(Headers, "Content-Length"));
+  removeHopByHop(Headers);
+  if (Bodiless && !Length.empty())
+    Headers.emplace_back("Content-Length", std::move(Length));
+}
+
+void BackendExchange::bodyRead(beast::error_code Error) {
+  if (!OnEnd)
+    return;
+  if (Error) {
+    readFailed(Error);
+    return;
+  }
+  HttpResponse Whole;
+  Whole.Status = Response->get().result_int();
+  Whole.Body = std::move(Response->get().body());
+  bool Bodiless =
+      Request.method() == http::verb::head || Whole.Status == 304;
+  keepEndToEnd(Headers, Bodiless);
+  Whole.Headers = std::move(Headers);
+  // Bytes after the response belong to no request; they must not be taken for
+  // the response to the next one.
+  bool Reusable = Written && Response->keep_alive() && Buffer.size() == 0;
+  end(std::move(Whole), Reusable);
+}
+
+void BackendExchange::readFailed(beast::error_code Error) {
+  bool NoResponse = !Response->got_some() && Buffer.size() == 0;
+  end(NoResponse ? BackendError::Broken : BackendError::Malformed, false);
+  (void)Error;
+}
+
+void BackendExchange::end(Result Outcome, bool Reusable) {
+  EndHandler Handler = std::move(OnEnd);
+  OnEnd = nullptr;
+  Handler(std::move(Outcome), Reusable);
+}
+
+} // namespace figsail
--- /dev/null
+++ b/src/shell/BackendExchange.h
@@ -0,0 +1,67 @@
+// BackendExchange.h - One request and its response on one connection to the
+// backend server.
+
+#ifndef FIGSAIL_BACKENDEXCHANGE_H
+#define FIGSAIL_BACKENDEXCHANGE_H
+
+#include "figsail/Events.h"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <variant>
+
+namespace figsail {
+
+/// Writes a request and reads its response. Ends once, unless it is abandoned.
+class BackendExchange : public std::enable_shared_from_this<BackendExchange> {
+public:
+  using Result = std::variant<HttpResponse, BackendError>;
+  /// Reusable: the connection may carry another request.
+  using EndHandler = std::function<void(Result Outcome, bool Reusable)>;
+  using Message =
+      boost::beast::http::request<boost::beast::http::string_body>;
+
+  BackendExchange(boost::asio::ip::tcp::socket &Socket, Message Request,
+                  std::size_t MaxResponse, EndHandler OnEnd);
+
+  /// Starts to write and to read. The socket must stay open and in place until
+  /// the end or abandon().
+  void start();
+  /// Reports nothing from now on. The caller closes the socket.
+  void abandon() { OnEnd = nullptr; }
+
+private:
+  using Parser =
+      boost::beast::http::response_parser<boost::beast::http::string_body>;
+
+  void readHead();
+  void headRead(boost::beast::error_code Error);
+  void readBody();
+  void bodyRead(boost::beast::error_code Error);
+  void writeDone(boost::beast::error_code Error, std::size_t Bytes);
+  void readFailed(boost::beast::error_code Error);
+  void end(Result Outcome, bool Reusable);
+
+  boost::asio::ip::tcp::socket &Socket;
+  Message Request;
+  std::size_t MaxResponse; ///< Bytes of the response body.
+  EndHandler OnEnd;        ///< Null after the end.
+  boost::beast::flat_buffer Buffer;
+  std::optional<Parser> Response;
+  HeaderList Headers;   ///< Fields of the response head, without trailers.
+  bool Written = false; ///< The whole request was written.
+};
+
+/// Builds the message for the backend server. Host is used when the request has
+/// no Host field.
+BackendExchange::Message backendMessage(HttpRequest Request, Duration Budget,
+                                        const std::string &Host);
+
+} // namespace figsail
+
+#endif // FIGSAIL_BACKENDEXCHANGE_H
--- /dev/null
+++ b/src/shell/HttpFrontend.cpp
@@ -0,0 +1,187 @@
+// HttpFrontend.cpp - The listener for callers.
+
+#include "HttpFrontend.h"
+#include "AddressFunctions.h"
+#include "FrontendConnection.h"
+
+#include <algorithm>
+#include <boost/asio/steady_timer.hpp>
+#include <unordered_map>
+#include <unordered_set>
+
+namespace figsail {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+using asio::ip::tcp;
+
+// Pause after a failed accept. The usual cause is a lack of descriptors, and
+// an immediate retry would spin.
+static constexpr std::chrono::milliseconds AcceptPause{100};
+
+struct HttpFrontend::State : ConnectionOwner,
+                             std::enable_shared_from_this<State> {
+  State(asio::io_context &Context, FrontendHandler &Handler,
+        FrontendSettings Settings)
+      : Handler(&Handler), Settings(Settings), Acceptor(Context),
+        Pause(Context) {}
+
+  const FrontendSettings &settings() const override { return Settings; }
+  bool draining() const override { return Draining; }
+
+  HeadVerdict checkHead(std::string_view Method,
+                        std::string_view Target) override {
+    return Handler->checkHead(Method, Target);
+  }
+
+  void dispatch(const std::shared_ptr<FrontendConnection> &From,
+                HttpRequest Request) override {
+    From->Caller = ++LastCaller;
+    Callers[LastCaller] = From;
+    Handler->callerRequest(LastCaller, std::move(Request));
+  }
+
+  void closed(const std::shared_ptr<FrontendConnection> &Which) override {
+    Connections.erase(Which);
+    bool Waiting = Callers.erase(Which->Caller) > 0;
+    if (Handler == nullptr)
+      return;
+    if (Waiting)
+      Handler->callerGone(Which->Caller);
+    accept();
+  }
+
+  void accept() {
+    if (Accepting || !Acceptor.is_open() ||
+        Connections.size() >= Settings.MaxConnections)
+      return;
+    Accepting = true;
+    Acceptor.async_accept([Self = shared_from_this()](beast::error_code Error,
+                                                      tcp::socket Socket) {
+      Self->Accepting = false;
+      Self->accepted(Error, std::move(Socket));
+    });
+  }
+
+  void accepted(beast::error_code Error, tcp::socket Socket) {
+    if (Error == asio::error::operation_aborted || Handler == nullptr)
+      return;
+    if (Error) {
+      Pause.expires_after(AcceptPause);
+      Pause.async_wait([Self = shared_from_this()](beast::error_code Ended) {
+        if (!Ended)
+          Self->accept();
+      });
+      return;
+    }
+    open(std::move(Socket));
+    accept();
+  }
+
+  std::shared_ptr<FrontendConnection> open(tcp::socket Socket) {
+    auto Connection = std::make_shared<FrontendConnection>(std::move(Socket),
+                                                           shared_from_this());
+    Connections.insert(Connection);
+    Connection->start();
+    return Connection;
+  }
+
+  /// Takes connections that the kernel has established already, since closing
+  /// the listener would reset them.
+  void acceptBacklog() {
+    beast::error_code Error;
+    Acceptor.non_blocking(true, Error);
+    while (!Error) {
+      tcp::socket Socket = Acceptor.accept(Error);
+      if (!Error)
+        open(std::move(Socket));
+    }
+  }
+
+  void drain() {
+    Draining = true;
+    if (Acceptor.is_open())
+      acceptBacklog();
+    stopAccepting();
+    auto Copy = Connections;
+    for (const auto &Connection : Copy)
+      Connection->drain();
+  }
+
+  void stopAccepting() {
+    beast::error_code Ignored;
+    Acceptor.close(Ignored);
+    Pause.cancel();
+  }
+
+  void shutDown() {
+    Handler = nullptr;
+    stopAccepting();
+    auto Copy = std::move(Connections);
+    Connections.clear();
+    for (const auto &Connection : Copy)
+      Connection->close();
+  }
+
+  FrontendHandler *Handler; ///< Null once the public object is gone.
+  FrontendSettings Settings;
+  tcp::acceptor Acceptor;
+  asio::steady_timer Pause;
+  std::unordered_set<std::shared_ptr<FrontendConnection>> Connections;
+  std::unordered_map<CallerId, std::shared_ptr<FrontendConnection>>
+      Callers; ///< Requests with the handler.
+  CallerId LastCaller = 0;
+  bool Accepting = false;
+  bool Draining = false;
+};
+
+HttpFrontend::HttpFrontend(asio::io_context &Context, FrontendHandler &Handler,
+                           FrontendSettings Settings)
+    : Impl(std::make_shared<State>(Context, Handler, Settings)) {}
+
+HttpFrontend::~HttpFrontend() { Impl->shutDown(); }
+
+std::optional<std::string> HttpFrontend::listen(const std::string &Address) {
+  std::optional<tcp::endpoint> Endpoint = parseEndpoint(Address);
+  if (!Endpoint)
+    return "\"" + Address + "\" is not an address of the form ip:port";
+  beast::error_code Error;
+  Impl->Acceptor.open(Endpoint->protocol(), Error);
+  if (!Error)
+    Impl->Acceptor.set_option(asio::socket_base::reuse_address(true), Error);
+  if (!Error)
+    Impl->Acceptor.bind(*Endpoint, Error);
+  if (!Error)
+    Impl->Acceptor.listen(asio::socket_base::max_listen_connections, Error);
+  if (Error) {
+    Impl->stopAccepting();
+    return "cannot listen on " + Address + ": " + Error.message();
+  }
+  Impl->accept();
+  return std::nullopt;
+}
+
+std::uint16_t HttpFrontend::port() const {
+  beast::error_code Error;
+  tcp::endpoint Bound = Impl->Acceptor.local_endpoint(Error);
+  return Error ? 0 : Bound.port();
+}
+
+void HttpFrontend::reply(CallerId Caller, HttpResponse Response) {
+  auto Found = Impl->Callers.find(Caller);
+  if (Found == Impl->Callers.end())
+    return;
+  std::shared_ptr<FrontendConnection> Connection = std::move(Found->second);
+  Impl->Callers.erase(Found);
+  Connection->answer(std::move(Response));
+}
+
+void HttpFrontend::drain() { Impl->drain(); }
+
+std::size_t HttpFrontend::busyConnections() const {
+  return static_cast<std::size_t>(
+      std::count_if(Impl->Connections.begin(), Impl->Connections.end(),
+                    [](const auto &Connection) { return Connection->busy(); }));
+}
+
+} // namespace figsail
--- a/src/shell/HttpFrontend.h
+++ b/src/shell/HttpFrontend.h
@@ -48,6 +48,9 @@
 
   /// Starts to listen on "ip:port". Returns an error text, or nothing.
   std::optional<std::string> listen(const std::string &Address);
+  /// Returns the port that listen() bound, or 0. Differs from the address given
+  /// to listen() when that has port 0.
+  std::uint16_t port() const;
   /// Answers a request. Unknown or gone callers are ignored.
   void reply(CallerId Caller, HttpResponse Response);
   /// Stops to accept; each connection closes after its present request.
