--- /dev/null
+++ b/src/shell/Endpoint.h
@@ -0,0 +1,23 @@
+// Endpoint.h - Text form of TCP endpoints.
+
+#ifndef FIGSAIL_ENDPOINT_H
+#define FIGSAIL_ENDPOINT_H
+
+#include <boost/asio/ip/tcp.hpp>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace figsail {
+
+/// Parses "ip:port" or "[ip]:port". Host names are not resolved. Returns
+/// nothing when the text is not an endpoint.
+std::optional<boost::asio::ip::tcp::endpoint>
+parseEndpoint(std::string_view Text);
+
+/// Returns the text that parseEndpoint() reads.
+std::string endpointText(const boost::asio::ip::tcp::endpoint &Where);
+
+} // namespace figsail
+
+#endif // FIGSAIL_ENDPOINT_H
--- a/src/shell/Logging.cpp
+++ b/src/shell/Logging.cpp
@@ -1,1 +1,46 @@
-// Logging.cpp - Placeholder until the shell is merged.
+// Logging.cpp - Log lines through log4cxx.
+
+#include "Logging.h"
+
+#include <log4cxx/basicconfigurator.h>
+#include <log4cxx/consoleappender.h>
+#include <log4cxx/logger.h>
+#include <log4cxx/logmanager.h>
+#include <log4cxx/patternlayout.h>
+
+namespace figsail {
+
+void startLogging() {
+  using namespace log4cxx;
+  LayoutPtr Layout =
+      std::make_shared<PatternLayout>(LOG4CXX_STR("%d{ISO8601} %p %c: %m%n"));
+  AppenderPtr Appender = std::make_shared<ConsoleAppender>(
+      Layout, ConsoleAppender::getSystemErr());
+  BasicConfigurator::resetConfiguration();
+  BasicConfigurator::configure(Appender);
+  Logger::getRootLogger()->setLevel(Level::getInfo());
+}
+
+/// Writes a line unless no appender is configured; log4cxx would complain on
+/// standard error about each program that uses the library without one.
+static void writeLine(const char *Component, const std::string &Line,
+                      const log4cxx::LevelPtr &Level) {
+  if (log4cxx::Logger::getRootLogger()->getAllAppenders().empty())
+    return;
+  log4cxx::Logger::getLogger(Component)->log(Level, Line,
+                                             log4cxx::spi::LocationInfo());
+}
+
+void logInfo(const char *Component, const std::string &Line) {
+  writeLine(Component, Line, log4cxx::Level::getInfo());
+}
+
+void logWarning(const char *Component, const std::string &Line) {
+  writeLine(Component, Line, log4cxx::Level::getWarn());
+}
+
+void logError(const char *Component, const std::string &Line) {
+  writeLine(Component, Line, log4cxx::Level::getError());
+}
+
+} // namespace figsail
--- /dev/null
+++ b/src/shell/PeerCodec.cpp
@@ -0,0 +1,177 @@
+// PeerCodec.cpp - Frames of the peer protocol.
+
+#include "PeerCodec.h"
+
+#include "PeerArchive.h"
+
+#include <boost/endian/conversion.hpp>
+#include <ostream>
+
+#define XXH_INLINE_ALL
+#include <xxhash.h>
+
+namespace figsail {
+
+namespace endian = boost::endian;
+
+static unsigned char *bytesAt(std::string &Text, std::size_t Position) {
+  return reinterpret_cast<unsigned char *>(Text.data() + Position);
+}
+
+static std::uint64_t frameChecksum(std::uint64_t Lamport,
+                                   std::string_view Payload) {
+  return XXH3_64bits_withSeed(Payload.data(), Payload.size(), Lamport);
+}
+
+/// Fills in the header of the frame that starts at Start and ends with Out.
+static void finishFrame(std::string &Out, std::size_t Start,
+                        std::uint64_t Lamport) {
+  std::string_view Payload =
+      std::string_view(Out).substr(Start + FrameHeaderBytes);
+  std::uint64_t Checksum = frameChecksum(Lamport, Payload);
+  endian::store_little_u32(bytesAt(Out, Start),
+                           static_cast<std::uint32_t>(Payload.size()));
+  endian::store_little_u64(bytesAt(Out, Start + 4), Checksum);
+  endian::store_little_u64(bytesAt(Out, Start + 12), Lamport);
+}
+
+template <class... Fields>
+static void appendPayload(std::string &Out, std::uint64_t Lamport,
+                          const Fields &...Values) {
+  std::size_t Start = Out.size();
+  Out.resize(Start + FrameHeaderBytes);
+  AppendBuffer Buffer(Out);
+  std::ostream Stream(&Buffer);
+  cereal::PortableBinaryOutputArchive Archive(
+      Stream, cereal::PortableBinaryOutputArchive::Options::LittleEndian());
+  Archive(Values...);
+  finishFrame(Out, Start, Lamport);
+}
+
+void appendFrame(std::string &Out, std::uint64_t Lamport,
+                 const PeerMessage &Message) {
+  appendPayload(Out, Lamport, Message);
+}
+
+void appendHello(std::string &Out, std::uint64_t Lamport,
+                 const Hello &Greeting) {
+  appendPayload(Out, Lamport, Greeting.Version, Greeting.Who);
+}
+
+void appendClose(std::string &Out, std::uint64_t Lamport) {
+  std::size_t Start = Out.size();
+  Out.resize(Start + FrameHeaderBytes);
+  finishFrame(Out, Start, Lamport);
+}
+
+FrameHeader readFrameHeader(std::string_view Bytes) {
+  const auto *Data = reinterpret_cast<const unsigned char *>(Bytes.data());
+  FrameHeader Header;
+  Header.Length = endian::load_little_u32(Data);
+  Header.Checksum = endian::load_little_u64(Data + 4);
+  Header.Lamport = endian::load_little_u64(Data + 12);
+  return Header;
+}
+
+bool checksumMatches(const FrameHeader &Header, std::string_view Payload) {
+  return frameChecksum(Header.Lamport, Payload) == Header.Checksum;
+}
+
+static bool validKind(ErrorKind Kind) {
+  return static_cast<std::size_t>(Kind) < ErrorKindCount;
+}
+
+static bool validState(RecordState State) {
+  return State <= RecordState::Released;
+}
+
+/// Returns whether each enumerator is one of its type; cereal loads any number.
+template <class T> static bool validEnums(const T &Message) {
+  if constexpr (requires { validKind(Message.Kind); })
+    return validKind(Message.Kind);
+  if constexpr (requires { validState(Message.State); })
+    return validState(Message.State);
+  return true;
+}
+
+static bool validEnums(const FenceAck &Message) {
+  for (const RecordCopy &Copy : Message.Records)
+    if (!validEnums(Copy))
+      return false;
+  return true;
+}
+
+std::optional<PeerMessage> decodeMessage(std::string_view Payload) {
+  try {
+    PeerMessage Message;
+    ViewInputArchive Archive(Payload);
+    Archive(Message);
+    if (Archive.remaining() != 0)
+      return std::nullopt;
+    bool Valid =
+        std::visit([](const auto &Body) { return validEnums(Body); }, Message);
+    if (!Valid)
+      return std::nullopt;
+    return Message;
+  } catch (const cereal::Exception &) {
+    return std::nullopt;
+  }
+}
+
+std::optional<Hello> decodeHello(std::string_view Payload) {
+  try {
+    Hello Greeting;
+    ViewInputArchive Archive(Payload);
+    Archive(Greeting.Version);
+    if (Greeting.Version != PeerProtocolVersion)
+      return Greeting;
+    Archive(Greeting.Who);
+    if (Archive.remaining() != 0)
+      return std::nullopt;
+    return Greeting;
+  } catch (const cereal::Exception &) {
+    return std::nullopt;
+  }
+}
+
+static std::size_t partSize(const HttpRequest &Request) {
+  return Request.Target.size() + Request.Body.size() +
+         Request.Headers.size() * 64;
+}
+
+static std::size_t partSize(const HttpResponse &Response) {
+  return Response.Body.size() + Response.Headers.size() * 64;
+}
+
+template <class T> static std::size_t bodySize(const T &Message) {
+  if constexpr (requires { partSize(Message.Request); })
+    return partSize(Message.Request);
+  if constexpr (requires { partSize(Message.Response); })
+    return partSize(Message.Response);
+  return 0;
+}
+
+static std::size_t bodySize(const Records &Message) {
+  std::size_t Size = 0;
+  for (const LogRecord &Record : Message.Batch)
+    Size += Record.Data.size() + sizeof(Record);
+  return Size;
+}
+
+static std::size_t bodySize(const FenceAck &Message) {
+  std::size_t Size = 0;
+  for (const RecordCopy &Copy : Message.Records)
+    Size += partSize(Copy.Response) + sizeof(Copy);
+  return Size;
+}
+
+static std::size_t bodySize(const Snapshot &Message) {
+  return Message.State.size();
+}
+
+std::size_t estimateSize(const PeerMessage &Message) {
+  return 256 +
+         std::visit([](const auto &Body) { return bodySize(Body); }, Message);
+}
+
+} // namespace figsail
--- /dev/null
+++ b/src/shell/PeerLink.h
@@ -0,0 +1,139 @@
+// PeerLink.h - One TCP connection between two daemons.
+
+#ifndef FIGSAIL_PEERLINK_H
+#define FIGSAIL_PEERLINK_H
+
+#include "PeerTransport.h"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <deque>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace figsail {
+
+class PeerLink;
+struct Hello;
+
+/// Why a link ended.
+enum class LinkEnd : std::uint8_t {
+  Broken,  ///< Failed, or could not be opened.
+  Orderly, ///< One side announced the close; nothing sent is lost.
+  Reset,   ///< Closed by PeerTransport::reset().
+};
+
+/// Owner of links. No function is called from within a function of the link.
+class LinkOwner {
+public:
+  virtual ~LinkOwner() = default;
+  /// Both sides have said who they are.
+  virtual void linkOpened(const std::shared_ptr<PeerLink> &Link) = 0;
+  /// A message has arrived.
+  virtual void linkReceived(const std::shared_ptr<PeerLink> &Link,
+                            PeerMessage Message) = 0;
+  /// The link is closed. Unsent: messages of which no byte was written.
+  virtual void linkEnded(const std::shared_ptr<PeerLink> &Link, LinkEnd Why,
+                         std::vector<PeerMessage> Unsent) = 0;
+};
+
+/// What all links of a daemon share.
+struct LinkContext {
+  boost::asio::io_context &Loop;
+  PeerRef Self;
+  LamportClock &Clock;
+  PeerSettings Settings;
+  LinkOwner *Owner = nullptr; ///< Null once the transport is gone.
+  std::vector<char> Scratch =
+      std::vector<char>(256 * 1024); ///< Read buffer; used by one link at once.
+  std::uint64_t BytesSent = 0;
+  std::uint64_t BytesReceived = 0;
+};
+
+/// One link. Opens with a Hello in each direction, then carries messages.
+class PeerLink : public std::enable_shared_from_this<PeerLink> {
+public:
+  enum class Phase : std::uint8_t {
+    Connecting, ///< TCP connection not open yet.
+    Greeting,   ///< Waits for the peer's Hello.
+    Open,
+    Closing,     ///< Announced an orderly close; still reads.
+    PeerClosing, ///< The peer announced one; a write under way still ends.
+    Ended,
+  };
+
+  PeerLink(std::shared_ptr<LinkContext> Common,
+           boost::asio::ip::tcp::socket Socket);
+
+  /// Opens the connection to a host.
+  void connect(const HostId &Host,
+               const boost::asio::ip::tcp::endpoint &Address);
+  /// Starts on a connection that was accepted.
+  void accepted();
+  /// Queues a message. Control messages go ahead of queued calls. Overflow of
+  /// the queue breaks the link.
+  void send(PeerMessage Message);
+  /// Announces an orderly close, if the link is open and has nothing to send.
+  void close();
+  /// Closes at once.
+  void end(LinkEnd Why);
+
+  Phase phase() const { return State; }
+  /// Returns the peer; the incarnation is 0 until its Hello has arrived.
+  const PeerRef &peer() const { return Peer; }
+  /// Returns when a message was last sent or received.
+  std::chrono::steady_clock::time_point lastUsed() const { return LastUsed; }
+  /// Returns whether a message is queued or under way.
+  bool busy() const;
+
+private:
+  void connected(const boost::system::error_code &Error);
+  void greet();
+  void startDeadline();
+  void fail(const std::string &Reason);
+  void scheduleFlush();
+  void flush();
+  void takeMessages();
+  void takeMessage(std::deque<PeerMessage> &Queue);
+  void written(const boost::system::error_code &Error, std::size_t Bytes);
+  void report();
+  std::vector<PeerMessage> collectUnsent();
+  void waitReadable();
+  void readAvailable();
+  void consume(std::string_view Data);
+  std::size_t consumeFrames(std::string_view Data);
+  void frame(std::uint64_t Lamport, std::string_view Payload);
+  void helloReceived(std::string_view Payload);
+  bool acceptable(const Hello &Greeting);
+  void peerCloses();
+
+  /// A message in the write buffer.
+  struct InFlight {
+    std::size_t Start; ///< Position of its first byte.
+    PeerMessage Message;
+  };
+
+  std::shared_ptr<LinkContext> Common;
+  boost::asio::ip::tcp::socket Socket;
+  boost::asio::steady_timer Deadline; ///< Of connecting and greeting.
+  Phase State = Phase::Connecting;
+  LinkEnd EndedBy = LinkEnd::Broken;
+  PeerRef Peer;
+  bool Writing = false;            ///< A write is under way.
+  bool FlushScheduled = false;     ///< flush() is posted.
+  bool CloseWritten = false;       ///< The close frame is in the write buffer.
+  std::string Pending;             ///< Hello or close frame to write next.
+  std::string WriteBuffer;         ///< Bytes under way.
+  std::vector<InFlight> Batch;     ///< Messages in WriteBuffer.
+  std::deque<PeerMessage> Control; ///< Queued, sent first.
+  std::deque<PeerMessage> Calls;   ///< Queued.
+  std::size_t QueuedBytes = 0;     ///< Estimate over both queues.
+  std::string Partial;             ///< Start of a frame not yet complete.
+  std::chrono::steady_clock::time_point LastUsed;
+};
+
+} // namespace figsail
+
+#endif // FIGSAIL_PEERLINK_H
