--- /dev/null
+++ b/src/shell/HttpExchange.cpp
@@ -0,0 +1,97 @@
+// HttpExchange.cpp - One HTTP request at a time on a connection of its own.
+
+#include "HttpExchange.h"
+
+#include "Endpoint.h"
+
+#include <boost/asio/post.hpp>
+
+namespace figsail {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = beast::http;
+using boost::system::error_code;
+
+/// Largest response body. A read of the log returns up to 500 records.
+static constexpr std::size_t MaxResponseBytes = 64 * 1024 * 1024;
+
+HttpExchange::HttpExchange(asio::io_context &Context, std::string Address)
+    : Address(std::move(Address)), Stream(Context) {}
+
+void HttpExchange::start(Request Next, Duration Timeout, Callback WhenDone) {
+  Message = std::move(Next);
+  Message.version(11);
+  Message.set(http::field::host, Address);
+  Message.prepare_payload();
+  Done = std::move(WhenDone);
+  Parser.emplace();
+  Parser->body_limit(MaxResponseBytes);
+  Stream.expires_after(Timeout);
+  if (Stream.socket().is_open())
+    return write();
+  auto Where = parseEndpoint(Address);
+  if (!Where) {
+    asio::post(Stream.get_executor(),
+               [Self = shared_from_this()] { Self->finish(std::nullopt); });
+    return;
+  }
+  Stream.async_connect(*Where,
+                       [Self = shared_from_this()](const error_code &Error) {
+                         Self->connected(Error);
+                       });
+}
+
+void HttpExchange::close() {
+  Done = nullptr;
+  Stream.close();
+  Buffer.clear();
+}
+
+void HttpExchange::connected(const error_code &Error) {
+  if (Error)
+    return finish(std::nullopt);
+  error_code Ignored;
+  Stream.socket().set_option(asio::ip::tcp::no_delay(true), Ignored);
+  write();
+}
+
+void HttpExchange::write() {
+  http::async_write(
+      Stream, Message,
+      [Self = shared_from_this()](const error_code &Error, std::size_t) {
+        Self->written(Error);
+      });
+}
+
+void HttpExchange::written(const error_code &Error) {
+  if (Error)
+    return finish(std::nullopt);
+  http::async_read(
+      Stream, Buffer, *Parser,
+      [Self = shared_from_this()](const error_code &Error, std::size_t) {
+        Self->finished(Error);
+      });
+}
+
+void HttpExchange::finished(const error_code &Error) {
+  if (Error)
+    return finish(std::nullopt);
+  bool KeepAlive = Parser->keep_alive();
+  ExchangeResult Result = Parser->release();
+  Stream.expires_never();
+  if (!KeepAlive)
+    Stream.close();
+  finish(std::move(Result));
+}
+
+void HttpExchange::finish(ExchangeResult Result) {
+  if (!Result) {
+    Stream.close();
+    Buffer.clear();
+  }
+  if (Callback Call = std::exchange(Done, nullptr))
+    Call(std::move(Result));
+}
+
+} // namespace figsail
--- /dev/null
+++ b/src/shell/HttpService.h
@@ -0,0 +1,52 @@
+// HttpService.h - Small HTTP server for interfaces that are not on the request
+// path.
+
+#ifndef FIGSAIL_HTTPSERVICE_H
+#define FIGSAIL_HTTPSERVICE_H
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/http.hpp>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace figsail {
+
+/// Listens on one address and passes each request to a handler. Requests of one
+/// connection are handled one after the other.
+class HttpService {
+public:
+  using Request = boost::beast::http::request<boost::beast::http::string_body>;
+  using Response =
+      boost::beast::http::response<boost::beast::http::string_body>;
+  /// Takes the response, from the event loop, once; nothing closes the
+  /// connection without a response.
+  using Reply = std::function<void(std::optional<Response>)>;
+  using Handler = std::function<void(const Request &, const Reply &)>;
+
+  HttpService(boost::asio::io_context &Context, Handler Handle);
+  ~HttpService();
+
+  /// Starts to listen; port 0 chooses a free port. Returns the endpoint. Throws
+  /// boost::system::system_error.
+  boost::asio::ip::tcp::endpoint
+  listen(const boost::asio::ip::tcp::endpoint &Where);
+
+  /// Closes the listener and all connections.
+  void stop();
+
+private:
+  struct State;
+  std::shared_ptr<State> Impl;
+};
+
+/// Returns a response with a body of that type.
+HttpService::Response makeResponse(boost::beast::http::status Status,
+                                   std::string Body,
+                                   const std::string &ContentType);
+
+} // namespace figsail
+
+#endif // FIGSAIL_HTTPSERVICE_H
