--- a/include/figsail/Configuration.h
+++ b/include/figsail/Configuration.h
@@ -195,6 +195,9 @@
   /// removed node is returned as if it had been a service.
   std::vector<std::string> servicesTouchedBy(const std::string &Path) const;
 
+  /// Returns the longest record lifetime of all routes; zero without routes.
+  Duration longestRecordLifetime() const;
+
   /// Returns the paths of all services.
   std::vector<std::string> services() const;
 
--- a/include/figsail/TokenBucket.h
+++ b/include/figsail/TokenBucket.h
@@ -24,7 +24,8 @@
     return true;
   }
 
-  /// Takes Amount tokens even if there are fewer; the debt is paid off by later gains.
+  /// Takes Amount tokens even if there are fewer; the debt is paid off by later
+  /// gains.
   void spend(TimePoint Now, double Amount) {
     refill(Now);
     Tokens -= Amount;
--- a/src/core/Configuration.cpp
+++ b/src/core/Configuration.cpp
@@ -109,6 +109,13 @@
   return Regions;
 }
 
+Duration Configuration::longestRecordLifetime() const {
+  Duration Longest{0};
+  for (const auto &[Path, Route] : Routes)
+    Longest = std::max(Longest, Route->Policy.RecordLifetime);
+  return Longest;
+}
+
 std::vector<std::string> Configuration::services() const {
   std::vector<std::string> Paths;
   for (const auto &[Path, Node] : Nodes)
--- a/src/core/Node.cpp
+++ b/src/core/Node.cpp
@@ -10,6 +10,7 @@
 #include "Replication.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace figsail {
 
@@ -101,6 +102,7 @@
   EffectList Out;         ///< Of the present event.
 
   bool Started = false;
+  bool MembersStale = false; ///< Records were applied by the present event.
   bool WasInService = true;
   bool Draining = false;
   TimePoint DrainEnds = TimePoint::max(); ///< The limit of the drain.
@@ -139,13 +141,17 @@
 
 void Node::State::recordApplied(const LogRecord &Record,
                                 const ApplyResult &Result) {
+  if (Result.Restored)
+    return stateReplaced();
   if (Result.Ignored || Result.Duplicate)
     return;
   Out.push_back(
       Trace{TraceKind::ConfigurationApplied, std::to_string(Record.At),
             std::holds_alternative<Accepted>(Result.Outcome) ? "accepted"
                                                              : "rejected"});
-  membersChanged();
+  MembersStale = true;
+  if (!Result.Joined.empty())
+    Calls.memberJoined(Result.Joined);
   for (const std::string &Service : Result.ServicesChanged) {
     Out.push_back(
         Trace{TraceKind::EpochChanged, Service, std::to_string(Record.At)});
@@ -157,7 +163,7 @@
 void Node::State::stateReplaced() {
   Out.push_back(Trace{TraceKind::ConfigurationApplied,
                       std::to_string(Replicated.applied()), "snapshot"});
-  membersChanged();
+  MembersStale = true;
   ownEpochChanged();
 }
 
@@ -209,12 +215,7 @@
 void Node::State::handle(ProbeDone &Body) { Admit.probeDone(Now, Body, Out); }
 
 void Node::State::handle(LogRead &Body) {
-  Offset Before = Replicated.applied();
   Log.logRead(Now, Body, onApplied(), Out);
-  bool Jumped = Replicated.applied() > Before && !Body.Batch.empty() &&
-                Replicated.applied() < Body.Batch.back().At;
-  if (Jumped)
-    stateReplaced();
 }
 
 void Node::State::handle(LogReadFailed &) { Log.logReadFailed(Now, Out); }
@@ -378,6 +379,8 @@
     Started = true;
     Log.start(Now, Out);
   }
+  if (std::exchange(MembersStale, false))
+    membersChanged();
   IngressStep Step = step();
   Calls.timer(Step);
   Admit.timer(Now, Out);
--- a/src/core/ReplicatedState.cpp
+++ b/src/core/ReplicatedState.cpp
@@ -90,6 +90,7 @@
     const Member *Old = member(Join->Who.Host);
     std::string OldService = Old ? Old->Service : Join->Who.Service;
     list(Join->Who);
+    Result.Joined = Join->Who.Host;
     refreshEpoch(Now, At, OldService, Result);
     if (OldService != Join->Who.Service)
       refreshEpoch(Now, At, Join->Who.Service, Result);
--- a/src/core/Replication.cpp
+++ b/src/core/Replication.cpp
@@ -103,7 +103,7 @@
     if (Reading)
       return;
     Reading = true;
-    Out.push_back(ReadLog{State.applied() + 1, ReadWait});
+    Out.push_back(ReadLog{State.nextOffset(), ReadWait});
     return;
   }
   if (SourceSince == TimePoint{})
@@ -140,8 +140,9 @@
     if (Record.At <= State.applied())
       continue;
     ApplyResult Result = State.applyRecord(Now, Record);
-    remember(Record);
     Any = true;
+    if (State.applied() == Record.At)
+      remember(Record);
     auto Decoded = decodeRecord(Record.Data);
     if (const auto *Body = std::get_if<RecordBody>(&Decoded)) {
       if (const auto *Part = std::get_if<SnapshotRecord>(Body)) {
@@ -157,32 +158,6 @@
     feed(Now, To, false, Out);
 }
 
-/// The log no longer keeps the record after applied(). Rebuilds the state from
-/// the latest complete snapshot in the batch. Returns whether the state moved.
-bool Replication::fillGap(TimePoint Now, const std::vector<LogRecord> &Batch) {
-  for (const LogRecord &Record : Batch) {
-    auto Decoded = decodeRecord(Record.Data);
-    auto *Body = std::get_if<RecordBody>(&Decoded);
-    auto *Part = Body ? std::get_if<SnapshotRecord>(Body) : nullptr;
-    if (!Part)
-      continue;
-    std::vector<SnapshotRecord> &Found = Parts[Part->Id];
-    bool InOrder = Part->Part == Found.size();
-    if (!InOrder)
-      continue;
-    Found.push_back(*Part);
-    if (Found.size() < Part->Parts)
-      continue;
-    std::string Text;
-    for (const SnapshotRecord &Piece : Found)
-      Text += Piece.Data;
-    Offset At = Part->At;
-    Parts.clear();
-    return !State.restore(Now, At, Text) && State.applied() == At;
-  }
-  return false;
-}
-
 void Replication::logRead(TimePoint Now, const LogRead &Read,
                           const OnApplied &Applied, EffectList &Out) {
   Reading = false;
@@ -191,22 +166,6 @@
     Out.push_back(Trace{TraceKind::LogBack, std::to_string(Read.Next), {}});
   LogReachable = true;
   SourceHeard = Now;
-  Offset Wanted = State.applied() + 1;
-  Offset First = Read.Batch.empty() ? Read.Earliest : Read.Batch.front().At;
-  if (First > Wanted && Read.Next > Wanted) {
-    if (fillGap(Now, Read.Batch)) {
-      PlaceStale = true;
-      return follow(Now, Out);
-    }
-    if (Read.Batch.empty() || Read.Batch.back().At + 1 >= Read.Next) {
-      // No snapshot in the whole log: retry later, and from peers before that.
-      NextRenewal = Now + MaxBackoff;
-      return;
-    }
-    Reading = true;
-    Out.push_back(ReadLog{Read.Batch.back().At + 1, 0us});
-    return;
-  }
   apply(Now, Read.Batch, Applied, Out);
   CaughtUp |= State.applied() + 1 >= Read.Next;
   follow(Now, Out);
--- a/src/core/Replication.h
+++ b/src/core/Replication.h
@@ -65,7 +65,6 @@
   void apply(TimePoint Now, const std::vector<LogRecord> &Batch,
              const OnApplied &Applied, EffectList &Out);
   void feed(TimePoint Now, Child &To, bool Always, EffectList &Out);
-  bool fillGap(TimePoint Now, const std::vector<LogRecord> &Batch);
   void remember(const LogRecord &Record);
 
   HostId Self;
