--- a/include/figsail/Epoch.h
+++ b/include/figsail/Epoch.h
@@ -23,6 +23,9 @@
   std::map<std::string, std::vector<std::string>>
       RouteRegions;       ///< Home regions by route; empty list: any.
   bool Truncated = false; ///< From a snapshot: earlier epochs are not known.
+
+  /// Returns whether this incarnation is listed.
+  bool lists(const PeerRef &Who) const;
 };
 
 /// Epochs of one service, oldest first. Never empty once the service is known.
@@ -38,6 +41,8 @@
   const EpochEntry &current() const { return Entries.back(); }
   const std::deque<EpochEntry> &entries() const { return Entries; }
   bool empty() const { return Entries.empty(); }
+  /// Returns the epoch that began at an offset, or null.
+  const EpochEntry *find(Offset At) const;
 
 private:
   std::deque<EpochEntry> Entries;
--- a/include/figsail/ExecutionLog.h
+++ b/include/figsail/ExecutionLog.h
@@ -7,10 +7,8 @@
 #include "figsail/Epoch.h"
 #include "figsail/Events.h"
 
-#include <map>
-#include <optional>
+#include <memory>
 #include <string>
-#include <unordered_map>
 #include <variant>
 #include <vector>
 
@@ -18,12 +16,18 @@
 
 /// Bounds of the memory for records.
 struct RecordLimits {
-  std::size_t MaxRecords = 200000;        ///< Unexpired records.
-  std::size_t MaxAnswerBytes = 64 * 1024; ///< Larger answers are not kept.
+  std::size_t MaxRecords = 200000;    ///< Unexpired records.
+  std::size_t MaxAnswerBytes = 65536; ///< Larger answers are not kept.
   std::size_t MaxTotalBytes =
-      48 * 1024 * 1024; ///< All kept answers; beyond it none is kept.
+      48UL * 1024 * 1024; ///< All kept answers; beyond it none is kept.
+  Duration LongestLifetime{
+      std::chrono::hours(24)}; ///< Upper bound of any route's record lifetime.
 };
 
+/// Life of a final mark whose route is not known. It outlives every message
+/// that a peer link can still deliver.
+inline constexpr Duration FinalMarkLifetime = std::chrono::minutes(10);
+
 /// May this request start here?
 struct MayRun {};
 /// It runs or waits here already; the asker was added to those who get its
@@ -37,14 +41,21 @@
 
 /// Executor-side record of non-idempotent requests, with or without a grant.
 /// Idempotent requests are not recorded.
+///
+/// A record lives for the route's record lifetime from its last change, and at
+/// least as long as the request waits or runs. Final marks of attempts that
+/// never arrived live for FinalMarkLifetime. After that the same identity is a
+/// new request, and a late copy of the message is no longer recognized.
 class ExecutionLog {
 public:
   ExecutionLog(PeerRef Self, RecordLimits Limits);
+  ~ExecutionLog();
 
   /// Decides whether a non-idempotent Execute may be queued, and records it as
   /// accepted. Refuses stale epochs, other incarnations, attempts already
-  /// marked final, and when memory is full. History is that of the token's
-  /// service, or null.
+  /// marked final, and when memory is full. The ingress sends an Execute only
+  /// once, so a refusal is true for every copy of the message. History is that
+  /// of the token's service, or null.
   StartVerdict accept(TimePoint Now, const PeerRef &From,
                       const Execute &Message, const EpochHistory *History);
 
@@ -66,7 +77,8 @@
               const LoadReport &Load, EffectList &Out);
 
   /// Answers a question about a call or a grant. An unknown one is made final
-  /// and refused with NeverStarted.
+  /// and refused with NeverStarted; one for another incarnation gets
+  /// OutcomeUnknown, and so does one for which there is no memory for a mark.
   void await(TimePoint Now, const PeerRef &From, const Await &Message,
              const LoadReport &Load, EffectList &Out);
 
@@ -75,10 +87,11 @@
   void fence(const std::string &Service, Offset Epoch);
 
   /// Returns copies of the keyed records whose coordinator in the epoch is
-  /// Receiver.
+  /// Receiver. Records that Receiver granted itself are left out while this
+  /// host is listed: the coordinator has them.
   std::vector<RecordCopy> recordsFor(TimePoint Now, const EpochEntry &Epoch,
                                      const std::string &Service,
-                                     const HostId &Receiver) const;
+                                     const PeerRef &Receiver) const;
 
   /// Drops expired records.
   void expire(TimePoint Now);
@@ -86,7 +99,8 @@
   std::size_t size() const;
 
 private:
-  struct Record; ///< Defined in ExecutionLogBase.h.
+  struct State; ///< Defined in ExecutionLogBase.h.
+  std::unique_ptr<State> Impl;
 };
 
 } // namespace figsail
--- a/include/figsail/PeerMessages.h
+++ b/include/figsail/PeerMessages.h
@@ -119,7 +119,11 @@
   CallId Call; ///< Id of the asker's call.
   std::optional<GrantToken>
       Grant; ///< Set: asks for the grant, possibly of another ingress.
-  template <class Archive> void serialize(Archive &Ar) { Ar(Call, Grant); }
+  Incarnation Target = 0; ///< Incarnation the call was sent to; 0: any. Another
+                          ///< incarnation does not know whether it ran.
+  template <class Archive> void serialize(Archive &Ar) {
+    Ar(Call, Grant, Target);
+  }
 };
 
 /// Ingress to coordinator: may this keyed request run on this executor?
@@ -130,11 +134,12 @@
   CallPolicy Policy;
   Offset Epoch = NoOffset; ///< Epoch of the service in the ingress's view.
   PeerRef Executor;        ///< Preferred executor.
-  std::uint32_t ReleasedAttempt =
-      0; ///< Attempt that its executor refused with finality; 0: none.
+  std::optional<GrantToken>
+      Released; ///< Grant that its executor refused with finality. The whole
+                ///< token: attempt numbers may repeat after a takeover.
 
   template <class Archive> void serialize(Archive &Ar) {
-    Ar(Call, Key, Fingerprint, Policy, Epoch, Executor, ReleasedAttempt);
+    Ar(Call, Key, Fingerprint, Policy, Epoch, Executor, Released);
   }
 };
 
@@ -214,12 +219,17 @@
   std::string Service;
   Offset Epoch = NoOffset;
   std::vector<RecordCopy>
-      Records;      ///< Records whose key the receiver coordinates in Epoch.
-  bool Last = true; ///< The acknowledgement counts only with the last part.
-  bool Complete =
-      false; ///< The sender's records cover all earlier epochs of the lifetime.
+      Records; ///< Records whose key the receiver coordinates in Epoch.
+  std::uint64_t Answer = 0; ///< Number of this acknowledgement, unique in the
+                            ///< sender's incarnation.
+  std::uint32_t Part = 0;   ///< Counts up from 0 within the acknowledgement.
+  bool Last = true; ///< The acknowledgement counts when all parts up to the
+                    ///< last have arrived.
+  bool Complete = false; ///< For keys that the sender coordinates in the newest
+                         ///< earlier epoch that lists it, its records cover
+                         ///< all epochs before.
   template <class Archive> void serialize(Archive &Ar) {
-    Ar(Service, Epoch, Records, Last, Complete);
+    Ar(Service, Epoch, Records, Answer, Part, Last, Complete);
   }
 };
 
--- a/include/figsail/Types.h
+++ b/include/figsail/Types.h
@@ -8,6 +8,7 @@
 #include <cstdint>
 #include <functional>
 #include <string>
+#include <tuple>
 #include <vector>
 
 namespace figsail {
@@ -57,7 +58,11 @@
   HostId Host;
   Incarnation Inc = 0;
 
-  auto operator<=>(const PeerRef &) const = default;
+  bool operator==(const PeerRef &) const = default;
+  // clang-tidy 14 reports false errors in a defaulted <=> with a string member.
+  bool operator<(const PeerRef &Other) const {
+    return std::tie(Host, Inc) < std::tie(Other.Host, Other.Inc);
+  }
   template <class Archive> void serialize(Archive &Ar) { Ar(Host, Inc); }
 };
 
--- a/src/core/Epoch.cpp
+++ b/src/core/Epoch.cpp
@@ -10,6 +10,17 @@
 
 namespace figsail {
 
+bool EpochEntry::lists(const PeerRef &Who) const {
+  return std::ranges::any_of(Members, [&](const Member &Listed) {
+    return Listed.Host == Who.Host && Listed.Inc == Who.Inc;
+  });
+}
+
+const EpochEntry *EpochHistory::find(Offset At) const {
+  auto Found = std::ranges::lower_bound(Entries, At, {}, &EpochEntry::At);
+  return Found == Entries.end() || Found->At != At ? nullptr : &*Found;
+}
+
 void EpochHistory::append(EpochEntry Entry) {
   Entries.push_back(std::move(Entry));
 }
--- /dev/null
+++ b/src/core/RecordExpiry.h
@@ -0,0 +1,49 @@
+// RecordExpiry.h - Order in which records expire.
+
+#ifndef FIGSAIL_RECORDEXPIRY_H
+#define FIGSAIL_RECORDEXPIRY_H
+
+#include "figsail/Types.h"
+
+#include <functional>
+#include <optional>
+#include <queue>
+#include <utility>
+#include <vector>
+
+namespace figsail {
+
+/// A heap with one entry for each record. An entry may be too early; it is
+/// corrected when it is due, so extending a record's life costs nothing.
+template <class Id> class RecordExpiry {
+public:
+  void add(TimePoint At, Id Which) { Heap.push({At, Which}); }
+
+  /// Passes each due record to Check, which returns its true expiry, or nothing
+  /// when the record is gone or was dropped.
+  template <class Function> void run(TimePoint Now, Function Check) {
+    while (!Heap.empty() && Heap.top().At <= Now) {
+      Entry Due = Heap.top();
+      Heap.pop();
+      std::optional<TimePoint> Later = Check(Due.Which);
+      if (Later)
+        Heap.push({*Later, Due.Which});
+    }
+  }
+
+  TimePoint next() const {
+    return Heap.empty() ? TimePoint::max() : Heap.top().At;
+  }
+
+private:
+  struct Entry {
+    TimePoint At;
+    Id Which;
+    bool operator>(const Entry &Other) const { return At > Other.At; }
+  };
+  std::priority_queue<Entry, std::vector<Entry>, std::greater<>> Heap;
+};
+
+} // namespace figsail
+
+#endif // FIGSAIL_RECORDEXPIRY_H
