--- a/src/shell/BackendClient.h
+++ b/src/shell/BackendClient.h
@@ -21,10 +21,11 @@
 
 /// Settings of the connection to the backend server.
 struct BackendSettings {
-  std::string Address;                       ///< "ip:port".
-  std::string HealthTarget = "/health";      ///< Target of the health probe.
-  std::size_t MaxConnections = 250;          ///< Connections open at once.
-  std::size_t MaxResponse = 8 * 1024 * 1024; ///< Bytes of a response body.
+  std::string Address;                  ///< "ip:port".
+  std::string HealthTarget = "/health"; ///< Target of the health probe.
+  std::size_t MaxConnections = 250;     ///< Connections open at once.
+  std::size_t MaxResponse =
+      std::size_t{8} * 1024 * 1024; ///< Bytes of a response body.
   Duration ProbeTimeout{std::chrono::seconds(1)};
 };
 
--- a/src/shell/BackendExchange.cpp
+++ b/src/shell/BackendExchange.cpp
@@ -19,7 +19,7 @@
 
 static constexpr std::string_view DeadlineField = "Figsail-Deadline-Ms";
 
-BackendExchange::Message backendMessage(HttpRequest Request, Duration Budget,
+BackendExchange::Message backendMessage(HttpRequest Request,
                                         const std::string &Host) {
   BackendExchange::Message Message;
   Message.version(11);
@@ -30,9 +30,6 @@
     Message.insert(Name, Value);
   if (Message.count(http::field::host) == 0)
     Message.set(http::field::host, Host);
-  auto Millis = std::chrono::duration_cast<std::chrono::milliseconds>(Budget);
-  auto Rounded = std::max<std::chrono::milliseconds::rep>(1, Millis.count());
-  Message.set(DeadlineField, std::to_string(Rounded));
   bool MayHaveBody = Message.method() != http::verb::get &&
                      Message.method() != http::verb::head;
   if (MayHaveBody || !Request.Body.empty())
@@ -41,18 +38,24 @@
   return Message;
 }
 
-BackendExchange::BackendExchange(asio::ip::tcp::socket &Socket,
-                                 Message Request, std::size_t MaxResponse,
-                                 EndHandler OnEnd)
-    : Socket(Socket), Request(std::move(Request)), MaxResponse(MaxResponse),
-      OnEnd(std::move(OnEnd)) {}
+void setDeadline(BackendExchange::Message &Message, Duration Budget) {
+  auto Millis = std::chrono::duration_cast<std::chrono::milliseconds>(Budget);
+  auto Rounded = std::max<std::chrono::milliseconds::rep>(1, Millis.count());
+  Message.set(DeadlineField, std::to_string(Rounded));
+}
+
+BackendExchange::BackendExchange(std::shared_ptr<asio::ip::tcp::socket> Socket,
+                                 std::shared_ptr<const Message> Request,
+                                 std::size_t MaxResponse, EndHandler OnEnd)
+    : Socket(std::move(Socket)), Request(std::move(Request)),
+      MaxResponse(MaxResponse), OnEnd(std::move(OnEnd)) {}
 
 void BackendExchange::start() {
-  http::async_write(Socket, Request,
-                    [Self = shared_from_this()](beast::error_code Error,
-                                                std::size_t Bytes) {
-                      Self->writeDone(Error, Bytes);
-                    });
+  http::async_write(
+      *Socket, *Request,
+      [Self = shared_from_this()](beast::error_code Error, std::size_t Bytes) {
+        Self->writeDone(Error, Bytes);
+      });
   readHead();
 }
 
@@ -73,9 +76,9 @@
   Response.emplace();
   Response->header_limit(MaxResponseHead);
   Response->body_limit(MaxResponse);
-  Response->skip(Request.method() == http::verb::head);
+  Response->skip(Request->method() == http::verb::head);
   http::async_read_header(
-      Socket, Buffer, *Response,
+      *Socket, Buffer, *Response,
       [Self = shared_from_this()](beast::error_code Error, std::size_t) {
         Self->headRead(Error);
       });
@@ -85,7 +88,7 @@
   if (!OnEnd)
     return;
   if (Error) {
-    readFailed(Error);
+    readFailed();
     return;
   }
   const auto &Head = Response->get();
@@ -94,9 +97,9 @@
     readHead();
     return;
   }
-  bool BadCoding = !onlyChunkedCoding(Head) ||
-                   (Head.version() < 11 &&
-                    Head.count(http::field::transfer_encoding) > 0);
+  bool BadCoding =
+      !onlyChunkedCoding(Head) ||
+      (Head.version() < 11 && Head.count(http::field::transfer_encoding) > 0);
   if (Interim || BadCoding) {
     end(BackendError::Malformed, false);
     return;
@@ -107,7 +110,7 @@
 
 void BackendExchange::readBody() {
   http::async_read(
-      Socket, Buffer, *Response,
+      *Socket, Buffer, *Response,
       [Self = shared_from_this()](beast::error_code Error, std::size_t) {
         Self->bodyRead(Error);
       });
@@ -126,14 +129,13 @@
   if (!OnEnd)
     return;
   if (Error) {
-    readFailed(Error);
+    readFailed();
     return;
   }
   HttpResponse Whole;
   Whole.Status = Response->get().result_int();
   Whole.Body = std::move(Response->get().body());
-  bool Bodiless =
-      Request.method() == http::verb::head || Whole.Status == 304;
+  bool Bodiless = Request->method() == http::verb::head || Whole.Status == 304;
   keepEndToEnd(Headers, Bodiless);
   Whole.Headers = std::move(Headers);
   // Bytes after the response belong to no request; they must not be taken for
@@ -142,10 +144,9 @@
   end(std::move(Whole), Reusable);
 }
 
-void BackendExchange::readFailed(beast::error_code Error) {
+void BackendExchange::readFailed() {
   bool NoResponse = !Response->got_some() && Buffer.size() == 0;
   end(NoResponse ? BackendError::Broken : BackendError::Malformed, false);
-  (void)Error;
 }
 
 void BackendExchange::end(Result Outcome, bool Reusable) {
--- a/src/shell/BackendExchange.h
+++ b/src/shell/BackendExchange.h
@@ -23,14 +23,14 @@
   using Result = std::variant<HttpResponse, BackendError>;
   /// Reusable: the connection may carry another request.
   using EndHandler = std::function<void(Result Outcome, bool Reusable)>;
-  using Message =
-      boost::beast::http::request<boost::beast::http::string_body>;
+  using Message = boost::beast::http::request<boost::beast::http::string_body>;
 
-  BackendExchange(boost::asio::ip::tcp::socket &Socket, Message Request,
+  /// The request must not change until the end or abandon().
+  BackendExchange(std::shared_ptr<boost::asio::ip::tcp::socket> Socket,
+                  std::shared_ptr<const Message> Request,
                   std::size_t MaxResponse, EndHandler OnEnd);
 
-  /// Starts to write and to read. The socket must stay open and in place until
-  /// the end or abandon().
+  /// Starts to write and to read.
   void start();
   /// Reports nothing from now on. The caller closes the socket.
   void abandon() { OnEnd = nullptr; }
@@ -44,11 +44,11 @@
   void readBody();
   void bodyRead(boost::beast::error_code Error);
   void writeDone(boost::beast::error_code Error, std::size_t Bytes);
-  void readFailed(boost::beast::error_code Error);
+  void readFailed();
   void end(Result Outcome, bool Reusable);
 
-  boost::asio::ip::tcp::socket &Socket;
-  Message Request;
+  std::shared_ptr<boost::asio::ip::tcp::socket> Socket;
+  std::shared_ptr<const Message> Request;
   std::size_t MaxResponse; ///< Bytes of the response body.
   EndHandler OnEnd;        ///< Null after the end.
   boost::beast::flat_buffer Buffer;
@@ -59,9 +59,13 @@
 
 /// Builds the message for the backend server. Host is used when the request has
 /// no Host field.
-BackendExchange::Message backendMessage(HttpRequest Request, Duration Budget,
+BackendExchange::Message backendMessage(HttpRequest Request,
                                         const std::string &Host);
 
+/// Sets the field that tells the backend server the remaining budget, in whole
+/// milliseconds, at least 1.
+void setDeadline(BackendExchange::Message &Message, Duration Budget);
+
 } // namespace figsail
 
 #endif // FIGSAIL_BACKENDEXCHANGE_H
--- a/src/shell/HttpFrontend.h
+++ b/src/shell/HttpFrontend.h
@@ -29,7 +29,7 @@
 
 /// Bounds on what a caller may send.
 struct FrontendSettings {
-  std::size_t MaxHead = 16 * 1024; ///< Bytes of the request head.
+  std::size_t MaxHead = std::size_t{16} * 1024; ///< Bytes of the request head.
   std::size_t MaxConnections =
       250; ///< Further connections wait in the backlog.
   Duration HeadTimeout{std::chrono::seconds(
