--- a/src/shell/BackendClient.cpp
+++ b/src/shell/BackendClient.cpp
@@ -1,8 +1,8 @@
 // BackendClient.cpp - Pooled connections to one backend server.
 
 #include "BackendClient.h"
-#include "AddressFunctions.h"
 #include "BackendExchange.h"
+#include "Endpoint.h"
 
 #include <algorithm>
 #include <boost/asio/post.hpp>
--- a/src/shell/HttpFrontend.cpp
+++ b/src/shell/HttpFrontend.cpp
@@ -1,7 +1,7 @@
 // HttpFrontend.cpp - The listener for callers.
 
 #include "HttpFrontend.h"
-#include "AddressFunctions.h"
+#include "Endpoint.h"
 #include "FrontendConnection.h"
 
 #include <algorithm>
