--- /dev/null
+++ b/src/shell/Daemon.cpp
@@ -0,0 +1,317 @@
+// Daemon.cpp - Connects the reducer to sockets, clocks and signals.
+
+#include "Daemon.h"
+
+#include "Logging.h"
+
+#include <algorithm>
+#include <boost/beast/core/string.hpp>
+#include <charconv>
+#include <csignal>
+
+namespace figsail {
+
+using boost::system::error_code;
+
+/// Response field in which the executor tells the ingress how long the run
+/// took, in microseconds. It is removed before the response leaves figsail.
+static constexpr std::string_view RunTimeField = "Figsail-Run-Time";
+
+/// Time for each request to the log service beyond the time it may hold a read.
+static constexpr std::chrono::seconds LogTimeout{3};
+
+/// Time at the end of the process for clients and peers to take what was
+/// written.
+static constexpr std::chrono::seconds OutputLimit{2};
+static constexpr std::chrono::milliseconds OutputPoll{5};
+
+static TimePoint now() {
+  return std::chrono::time_point_cast<Duration>(
+      std::chrono::steady_clock::now());
+}
+
+/// Seeds the whole state of the generator; a single 32-bit seed would make
+/// incarnations of different daemons collide.
+static std::mt19937_64 makeRandom() {
+  std::random_device Source;
+  std::array<std::random_device::result_type, 16> Words{};
+  std::ranges::generate(Words, std::ref(Source));
+  std::seed_seq Seed(Words.begin(), Words.end());
+  return std::mt19937_64(Seed);
+}
+
+static ProcessSettings withIncarnation(ProcessSettings Settings,
+                                       std::mt19937_64 &Random) {
+  do
+    Settings.Node.Self.Inc = Random();
+  while (Settings.Node.Self.Inc == 0);
+  return Settings;
+}
+
+static BackendSettings backendSettings(const ProcessSettings &Settings) {
+  BackendSettings Result;
+  Result.Address = Settings.Backend;
+  Result.HealthTarget = Settings.HealthTarget;
+  Result.MaxConnections = Settings.BackendConnections;
+  return Result;
+}
+
+Daemon::Daemon(boost::asio::io_context &Context, ProcessSettings Given)
+    : Context(Context), Random(makeRandom()),
+      Settings(withIncarnation(std::move(Given), Random)),
+      Events(Settings.TimelineSize), Decisions(Settings.Node),
+      Peers(Context, *this,
+            PeerRef{Settings.Node.Self.Host, Settings.Node.Self.Inc}, Clock,
+            PeerSettings()),
+      Frontend(Context, *this, FrontendSettings()),
+      Log(Context, *this, Settings.Log, LogTimeout),
+      Operators(Context,
+                {Settings.Node.Self, Decisions, Peers, Measured, Events}),
+      Signals(Context, SIGTERM, SIGINT), WakeTimer(Context),
+      ExitTimer(Context) {
+  if (!Settings.Backend.empty())
+    Backend = std::make_unique<BackendClient>(
+        Context, static_cast<BackendHandler &>(*this),
+        backendSettings(Settings));
+}
+
+Daemon::~Daemon() = default;
+
+std::optional<std::string> Daemon::start() {
+  const Member &Self = Settings.Node.Self;
+  if (auto Error = Peers.listen(Self.Host))
+    return Error;
+  if (auto Error = Operators.listen(Self.OperatorAddress))
+    return Error;
+  if (auto Error = Frontend.listen(Self.HttpAddress))
+    return Error;
+  awaitSignal();
+  logInfo("daemon", "started: host " + Self.Host + ", incarnation " +
+                        std::to_string(Self.Inc) + ", clients at " +
+                        Self.HttpAddress);
+  submit(TimerFired{});
+  return std::nullopt;
+}
+
+// Input.
+
+static void removeRunTime(HttpResponse &Response) {
+  std::erase_if(Response.Headers, [](const auto &Field) {
+    return boost::beast::iequals(Field.first, RunTimeField);
+  });
+}
+
+void Daemon::backendDone(BackendDone Done) {
+  auto Start = RunStarts.find(Done.Run);
+  if (Start != RunStarts.end()) {
+    Duration Took = now() - Start->second;
+    RunStarts.erase(Start);
+    if (auto *Response = std::get_if<HttpResponse>(&Done.Result)) {
+      Measured.add(Latency::Runs, Took);
+      removeRunTime(*Response);
+      Response->Headers.emplace_back(RunTimeField,
+                                     std::to_string(Took.count()));
+    }
+  }
+  submit(std::move(Done));
+}
+
+void Daemon::probeDone(ProbeDone Done) { submit(Done); }
+
+HeadVerdict Daemon::checkHead(std::string_view Method,
+                              std::string_view Target) {
+  return Decisions.checkHead(Method, Target);
+}
+
+void Daemon::callerRequest(CallerId Caller, HttpRequest Request) {
+  CallStarts[Caller] = now();
+  submit(CallerRequest{Caller, std::move(Request)});
+}
+
+void Daemon::callerGone(CallerId Caller) {
+  CallStarts.erase(Caller);
+  submit(CallerGone{Caller});
+}
+
+void Daemon::logRead(LogRead Read) { submit(std::move(Read)); }
+void Daemon::logReadFailed() { submit(LogReadFailed{}); }
+void Daemon::appendDone(AppendDone Done) { submit(Done); }
+void Daemon::peerReceived(PeerReceived Message) { submit(std::move(Message)); }
+void Daemon::peerConnected(PeerConnected Peer) { submit(std::move(Peer)); }
+void Daemon::peerLost(PeerLost Lost) { submit(std::move(Lost)); }
+
+void Daemon::awaitSignal() {
+  Signals.async_wait([this](const error_code &Error, int) {
+    if (Error)
+      return;
+    stopRequested();
+    awaitSignal();
+  });
+}
+
+/// Further signals change nothing: the stop is bounded by the drain limit.
+void Daemon::stopRequested() {
+  if (Stopping)
+    return;
+  Stopping = true;
+  logInfo("daemon", "stop requested");
+  Frontend.drain();
+  submit(StopRequested{});
+}
+
+// Events.
+
+/// Applies an event after those that are waiting. An effect may end at once and
+/// submit an event from within perform().
+void Daemon::submit(EventBody Body) {
+  Waiting.push_back(std::move(Body));
+  if (Applying)
+    return;
+  Applying = true;
+  while (!Waiting.empty()) {
+    EventBody Next = std::move(Waiting.front());
+    Waiting.pop_front();
+    apply(std::move(Next));
+  }
+  Applying = false;
+  armTimer();
+}
+
+void Daemon::apply(EventBody Body) {
+  if (Exiting)
+    return;
+  Event Input{now(), Random(), std::move(Body)};
+  for (Effect &Action : Decisions.apply(std::move(Input)))
+    std::visit([this](auto &Body) { perform(Body); }, Action);
+}
+
+void Daemon::armTimer() {
+  TimePoint Due = Exiting ? TimePoint::max() : Decisions.nextWake();
+  if (Due == ArmedFor)
+    return;
+  ArmedFor = Due;
+  if (Due == TimePoint::max()) {
+    WakeTimer.cancel();
+    return;
+  }
+  WakeTimer.expires_at(Due);
+  WakeTimer.async_wait([this](const error_code &Error) {
+    if (Error)
+      return;
+    ArmedFor = TimePoint::max();
+    submit(TimerFired{});
+  });
+}
+
+// Effects.
+
+void Daemon::perform(ReplyCaller &Action) {
+  measureReply(Action.Caller, Action.Response);
+  Frontend.reply(Action.Caller, std::move(Action.Response));
+}
+
+/// Records the latency of a call, and what was added to the run if there was
+/// one. A replayed response holds the time of its first run; where that exceeds
+/// the call it says nothing about this call.
+void Daemon::measureReply(CallerId Caller, HttpResponse &Response) {
+  Duration RunTime{-1};
+  std::string_view Text = findHeader(Response.Headers, RunTimeField);
+  if (!Text.empty()) {
+    Duration::rep Micros = -1;
+    std::from_chars(Text.data(), Text.data() + Text.size(), Micros);
+    RunTime = Duration(Micros);
+    removeRunTime(Response);
+  }
+  auto Start = CallStarts.find(Caller);
+  if (Start == CallStarts.end())
+    return;
+  Duration Took = now() - Start->second;
+  CallStarts.erase(Start);
+  Measured.add(Latency::Calls, Took);
+  if (RunTime.count() >= 0 && Took >= RunTime)
+    Measured.add(Latency::Added, Took - RunTime);
+}
+
+void Daemon::perform(SendPeer &Action) {
+  Peers.send(Action.Host, std::move(Action.Message));
+}
+
+void Daemon::perform(ResetPeer &Action) { Peers.reset(Action.Host); }
+
+void Daemon::perform(RunBackend &Action) {
+  if (!Backend)
+    return submit(BackendDone{Action.Run, BackendError::NotSent});
+  RunStarts[Action.Run] = now();
+  Backend->run(Action.Run, std::move(Action.Request), Action.Budget);
+}
+
+void Daemon::perform(CancelRun &Action) {
+  if (Backend)
+    Backend->cancel(Action.Run);
+}
+
+void Daemon::perform(ProbeBackend &) {
+  if (Backend)
+    Backend->probe();
+  else
+    submit(ProbeDone{});
+}
+
+void Daemon::perform(ReadLog &Action) { Log.read(Action.From, Action.Wait); }
+
+void Daemon::perform(AppendLog &Action) {
+  Log.append(Action.Append, std::move(Action.Data));
+}
+
+/// Returns whether entries of that kind are also worth a log line: changes of
+/// state that operators act on.
+static bool isLogged(TraceKind Kind) {
+  switch (Kind) {
+  case TraceKind::MemberJoined:
+  case TraceKind::MemberLeft:
+  case TraceKind::MemberSuspected:
+  case TraceKind::DrainStarted:
+  case TraceKind::DrainEnded:
+  case TraceKind::LogLost:
+  case TraceKind::LogBack:
+    return true;
+  default:
+    return false;
+  }
+}
+
+void Daemon::perform(Trace &Action) {
+  if (isLogged(Action.Kind))
+    logInfo("daemon", std::string(traceKindName(Action.Kind)) + " " +
+                          Action.Subject + " " + Action.Detail);
+  Events.add(Clock.tick(), std::move(Action));
+}
+
+void Daemon::perform(Count &Action) { Measured.count(Action.Which, Action.By); }
+
+void Daemon::perform(ExitProcess &) {
+  if (Exiting)
+    return;
+  Exiting = true;
+  Frontend.drain();
+  finishOutput(now() + OutputLimit);
+}
+
+/// Stops the event loop when clients and peers have taken everything, at the
+/// latest at Limit.
+void Daemon::finishOutput(TimePoint Limit) {
+  Peers.close();
+  bool Finished = Frontend.busyConnections() == 0 && Peers.linkCount() == 0;
+  if (Finished || now() >= Limit) {
+    logInfo("daemon", "stopped");
+    Context.stop();
+    return;
+  }
+  ExitTimer.expires_after(OutputPoll);
+  ExitTimer.async_wait([this, Limit](const error_code &Error) {
+    if (!Error)
+      finishOutput(Limit);
+  });
+}
+
+} // namespace figsail
--- /dev/null
+++ b/src/shell/Daemon.h
@@ -0,0 +1,104 @@
+// Daemon.h - Connects the reducer to sockets, clocks and signals.
+
+#ifndef FIGSAIL_DAEMON_H
+#define FIGSAIL_DAEMON_H
+
+#include "BackendClient.h"
+#include "HttpFrontend.h"
+#include "LogClient.h"
+#include "Metrics.h"
+#include "OperatorServer.h"
+#include "PeerTransport.h"
+#include "ProcessSettings.h"
+#include "Timeline.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <deque>
+#include <memory>
+#include <optional>
+#include <random>
+#include <string>
+#include <unordered_map>
+
+namespace figsail {
+
+/// One daemon: turns input into events, carries out the effects.
+class Daemon : private BackendHandler,
+               private FrontendHandler,
+               private LogHandler,
+               private PeerHandler {
+public:
+  /// Draws the incarnation and the seeds from the system's random source.
+  Daemon(boost::asio::io_context &Context, ProcessSettings Settings);
+  ~Daemon() override;
+
+  /// Starts to listen and to work. Returns an error text, or nothing. The event
+  /// loop is stopped when the reducer asks for the end of the process.
+  std::optional<std::string> start();
+
+private:
+  // Input.
+  void backendDone(BackendDone Done) override;
+  void probeDone(ProbeDone Done) override;
+  HeadVerdict checkHead(std::string_view Method,
+                        std::string_view Target) override;
+  void callerRequest(CallerId Caller, HttpRequest Request) override;
+  void callerGone(CallerId Caller) override;
+  void logRead(LogRead Read) override;
+  void logReadFailed() override;
+  void appendDone(AppendDone Done) override;
+  void peerReceived(PeerReceived Message) override;
+  void peerConnected(PeerConnected Peer) override;
+  void peerLost(PeerLost Lost) override;
+  void awaitSignal();
+  void stopRequested();
+
+  // Events.
+  void submit(EventBody Body);
+  void apply(EventBody Body);
+  void armTimer();
+
+  // Effects.
+  void perform(ReplyCaller &Action);
+  void perform(SendPeer &Action);
+  void perform(ResetPeer &Action);
+  void perform(RunBackend &Action);
+  void perform(CancelRun &Action);
+  void perform(ProbeBackend &Action);
+  void perform(ReadLog &Action);
+  void perform(AppendLog &Action);
+  void perform(Trace &Action);
+  void perform(Count &Action);
+  void perform(ExitProcess &Action);
+  void finishOutput(TimePoint Limit);
+  void measureReply(CallerId Caller, HttpResponse &Response);
+
+  boost::asio::io_context &Context;
+  std::mt19937_64 Random;
+  ProcessSettings Settings; ///< With the incarnation.
+  LamportClock Clock;
+  Metrics Measured;
+  Timeline Events;
+  Node Decisions;
+  PeerTransport Peers;
+  HttpFrontend Frontend;
+  std::unique_ptr<BackendClient> Backend; ///< Null on an ingress only.
+  LogClient Log;
+  OperatorServer Operators;
+  boost::asio::signal_set Signals;
+  boost::asio::steady_timer WakeTimer;
+  boost::asio::steady_timer ExitTimer;
+  TimePoint ArmedFor = TimePoint::max(); ///< When WakeTimer expires.
+  std::deque<EventBody> Waiting;         ///< Events not applied yet.
+  bool Applying = false;
+  bool Stopping = false; ///< A stop was requested.
+  bool Exiting = false;  ///< The reducer has ended the process.
+  std::unordered_map<CallerId, TimePoint> CallStarts;
+  std::unordered_map<RunId, TimePoint> RunStarts;
+};
+
+} // namespace figsail
+
+#endif // FIGSAIL_DAEMON_H
--- /dev/null
+++ b/src/shell/Metrics.cpp
@@ -0,0 +1,66 @@
+// Metrics.cpp - Counters and latency quantiles of one daemon.
+
+#include "Metrics.h"
+
+namespace figsail {
+
+namespace acc = boost::accumulators;
+
+/// Samples in a window: enough for four beyond the 99.9th percentile.
+static constexpr std::size_t WindowSamples = 4096;
+
+/// Markers of the estimator. Those that are not reported keep the distance
+/// between neighbours small, on which the error depends.
+static constexpr std::array<double, 9> Probabilities{
+    0.25, 0.5, 0.75, 0.9, 0.95, 0.99, 0.995, 0.999, 0.9995};
+static constexpr std::size_t MarkerP50 = 1;
+static constexpr std::size_t MarkerP99 = 5;
+static constexpr std::size_t MarkerP999 = 7;
+
+LatencySeries::Accumulator LatencySeries::makeAccumulator() {
+  return Accumulator(acc::extended_p_square_probabilities = Probabilities);
+}
+
+LatencySeries::LatencySeries()
+    : Total(makeAccumulator()), Window(makeAccumulator()) {}
+
+void LatencySeries::add(Duration Sample) {
+  auto Value = static_cast<double>(Sample.count());
+  Total(Value);
+  Window(Value);
+  if (acc::count(Window) < WindowSamples)
+    return;
+  LastWindow = summary(Window);
+  Window = makeAccumulator();
+}
+
+LatencySummary LatencySeries::summary(const Accumulator &Samples) {
+  LatencySummary Result;
+  Result.Count = acc::count(Samples);
+  if (Result.Count == 0)
+    return Result;
+  auto Micros = [](double Value) {
+    return Duration(static_cast<Duration::rep>(Value));
+  };
+  Result.Mean = Micros(acc::mean(Samples));
+  Result.Max = Micros(acc::max(Samples));
+  // Before each marker has a sample the estimates are not defined.
+  if (Result.Count < 2 * Probabilities.size() + 3) {
+    Result.P50 = Result.Mean;
+    Result.P99 = Result.P999 = Result.Max;
+    return Result;
+  }
+  auto Quantiles = acc::extended_p_square(Samples);
+  Result.P50 = Micros(Quantiles[MarkerP50]);
+  Result.P99 = Micros(Quantiles[MarkerP99]);
+  Result.P999 = Micros(Quantiles[MarkerP999]);
+  return Result;
+}
+
+std::string_view latencyName(Latency Which) {
+  static constexpr std::array<std::string_view, LatencyCount> Names{
+      "calls", "runs", "added"};
+  return Names[static_cast<std::size_t>(Which)];
+}
+
+} // namespace figsail
--- /dev/null
+++ b/src/shell/OperatorJson.cpp
@@ -0,0 +1,173 @@
+// OperatorJson.cpp - JSON form of what operators see.
+
+#include "OperatorJson.h"
+
+#include <array>
+#include <sys/resource.h>
+
+namespace figsail {
+
+using Json::Value;
+
+// Incarnations and Lamport counters are written as text where they may exceed
+// the integers that JSON readers keep exactly.
+
+static Value memberJson(const Member &Who) {
+  Value Result(Json::objectValue);
+  Result["host"] = Who.Host;
+  Result["incarnation"] = std::to_string(Who.Inc);
+  Result["http"] = Who.HttpAddress;
+  Result["operator"] = Who.OperatorAddress;
+  Result["region"] = Who.Region;
+  Result["failure_domain"] = Who.FailureDomain;
+  Result["service"] = Who.Service;
+  Result["slots"] = Who.Slots;
+  return Result;
+}
+
+static Value loadJson(const LoadReport &Load) {
+  Value Result(Json::objectValue);
+  Result["limit"] = Load.Limit;
+  Result["running"] = Load.Running;
+  Result["queued"] = Load.Queued;
+  Result["service_time_us"] = Value::Int64(Load.ServiceTime.count());
+  Result["draining"] = Load.Draining;
+  return Result;
+}
+
+/// Adds the processor time and the memory that this process has used.
+static void addUsage(Value &Result) {
+  rusage Usage{};
+  if (getrusage(RUSAGE_SELF, &Usage) != 0)
+    return;
+  auto Micros = [](const timeval &Time) {
+    return Value::Int64(Time.tv_sec) * 1'000'000 + Time.tv_usec;
+  };
+  Result["cpu_us"] = Micros(Usage.ru_utime) + Micros(Usage.ru_stime);
+  Result["peak_memory_kib"] = Value::Int64(Usage.ru_maxrss);
+}
+
+Value statusJson(const OperatorView &View) {
+  NodeStatus Status = View.Decisions.status();
+  Value Result = memberJson(View.Self);
+  Result["applied"] = Value::Int64(Status.Applied);
+  Result["listed"] = Status.Listed;
+  Result["in_service"] = Status.InService;
+  Result["draining"] = Status.Draining;
+  Result["log_reachable"] = Status.LogReachable;
+  Result["load"] = loadJson(Status.Load);
+  Result["calls_under_way"] = Value::UInt64(Status.CallsUnderWay);
+  Result["coordinator_records"] = Value::UInt64(Status.CoordinatorRecords);
+  Result["execution_records"] = Value::UInt64(Status.ExecutionRecords);
+  Result["peer_links"] = Value::UInt64(View.Peers.linkCount());
+  Result["peer_bytes_sent"] = Value::UInt64(View.Peers.bytesSent());
+  Result["peer_bytes_received"] = Value::UInt64(View.Peers.bytesReceived());
+  addUsage(Result);
+  return Result;
+}
+
+Value countersJson(const Metrics &Measured) {
+  Value Result(Json::objectValue);
+  for (std::size_t I = 0; I < CounterCount; ++I) {
+    auto Which = static_cast<Counter>(I);
+    Result[std::string(counterName(Which))] =
+        Value::UInt64(Measured.counter(Which));
+  }
+  return Result;
+}
+
+static Value summaryJson(const LatencySummary &Summary) {
+  Value Result(Json::objectValue);
+  Result["count"] = Value::UInt64(Summary.Count);
+  Result["mean_us"] = Value::Int64(Summary.Mean.count());
+  Result["p50_us"] = Value::Int64(Summary.P50.count());
+  Result["p99_us"] = Value::Int64(Summary.P99.count());
+  Result["p999_us"] = Value::Int64(Summary.P999.count());
+  Result["max_us"] = Value::Int64(Summary.Max.count());
+  return Result;
+}
+
+Value latenciesJson(const Metrics &Measured) {
+  Value Result(Json::objectValue);
+  for (std::size_t I = 0; I < LatencyCount; ++I) {
+    auto Which = static_cast<Latency>(I);
+    const LatencySeries &Series = Measured.series(Which);
+    Value Entry = summaryJson(Series.total());
+    Entry["last_window"] = summaryJson(Series.lastWindow());
+    Result[std::string(latencyName(Which))] = std::move(Entry);
+  }
+  return Result;
+}
+
+Value membersJson(const ReplicatedState &State) {
+  Value Result(Json::arrayValue);
+  for (const auto &[Host, Who] : State.members())
+    Result.append(memberJson(Who));
+  return Result;
+}
+
+static std::string nodeKindText(NodeKind Kind) {
+  static constexpr std::array<const char *, 6> Names{
+      "group", "workspace",      "service",
+      "route", "failure_domain", "backend_server"};
+  return Names.at(static_cast<std::size_t>(Kind));
+}
+
+Value configurationJson(const ReplicatedState &State) {
+  Value Nodes(Json::arrayValue);
+  for (const auto &[Path, Node] : State.configuration().nodes()) {
+    Value Entry(Json::objectValue);
+    Entry["path"] = Path;
+    Entry["kind"] = nodeKindText(Node.Kind);
+    Entry["version"] = Value::Int64(Node.Version);
+    Entry["settings"] = Value(Json::objectValue);
+    for (const auto &[Name, Text] : Node.Settings)
+      Entry["settings"][Name] = Text;
+    Nodes.append(std::move(Entry));
+  }
+  Value Result(Json::objectValue);
+  Result["offset"] = Value::Int64(State.applied());
+  Result["nodes"] = std::move(Nodes);
+  return Result;
+}
+
+Value verdictJson(const ReplicatedState &State, const std::string &ChangeId) {
+  Value Result(Json::objectValue);
+  std::optional<Verdict> Outcome = State.verdictOf(ChangeId);
+  Result["offset"] = Value::Int64(State.applied());
+  Result["known"] = Outcome.has_value();
+  if (!Outcome)
+    return Result;
+  const auto *Why = std::get_if<Rejection>(&*Outcome);
+  Result["accepted"] = Why == nullptr;
+  if (!Why)
+    return Result;
+  Result["path"] = Why->Path;
+  Result["setting"] = Why->Setting;
+  Result["reason"] = Why->Reason;
+  Result["conflict"] = Why->Conflict;
+  return Result;
+}
+
+Value timelineJson(const OperatorView &View, std::uint64_t Since) {
+  Value Entries(Json::arrayValue);
+  for (const TimelineEntry &Event : View.Events.since(Since)) {
+    auto Wall = std::chrono::duration_cast<std::chrono::microseconds>(
+        Event.Wall.time_since_epoch());
+    Value Entry(Json::objectValue);
+    Entry["lamport"] = Value::UInt64(Event.Lamport);
+    Entry["wall_us"] = Value::Int64(Wall.count());
+    Entry["kind"] = std::string(traceKindName(Event.What.Kind));
+    Entry["subject"] = Event.What.Subject;
+    Entry["detail"] = Event.What.Detail;
+    Entries.append(std::move(Entry));
+  }
+  Value Result(Json::objectValue);
+  Result["host"] = View.Self.Host;
+  Result["incarnation"] = std::to_string(View.Self.Inc);
+  Result["dropped"] = Value::UInt64(View.Events.dropped());
+  Result["entries"] = std::move(Entries);
+  return Result;
+}
+
+} // namespace figsail
--- /dev/null
+++ b/src/shell/OperatorJson.h
@@ -0,0 +1,24 @@
+// OperatorJson.h - JSON form of what operators see.
+
+#ifndef FIGSAIL_OPERATORJSON_H
+#define FIGSAIL_OPERATORJSON_H
+
+#include "OperatorServer.h"
+
+#include <jsonrpccpp/common/jsonparser.h>
+
+namespace figsail {
+
+Json::Value statusJson(const OperatorView &View);
+Json::Value countersJson(const Metrics &Measured);
+/// Times in microseconds.
+Json::Value latenciesJson(const Metrics &Measured);
+Json::Value membersJson(const ReplicatedState &State);
+Json::Value configurationJson(const ReplicatedState &State);
+Json::Value verdictJson(const ReplicatedState &State,
+                        const std::string &ChangeId);
+Json::Value timelineJson(const OperatorView &View, std::uint64_t Since);
+
+} // namespace figsail
+
+#endif // FIGSAIL_OPERATORJSON_H
--- a/src/shell/PeerTransport.cpp
+++ b/src/shell/PeerTransport.cpp
@@ -159,7 +159,7 @@
 void PeerTransport::State::acceptLater() {
   AcceptTimer.expires_after(AcceptPause);
   AcceptTimer.async_wait([Self = shared_from_this()](const error_code &Error) {
-    if (!Error && Self->Common->Owner)
+    if (!Error && Self->Acceptor.is_open())
       Self->acceptNext();
   });
 }
@@ -293,6 +293,8 @@
 void PeerTransport::reset(const HostId &Host) { Impl->reset(Host); }
 
 void PeerTransport::close() {
+  error_code Ignored;
+  Impl->Acceptor.close(Ignored);
   for (const LinkRef &Link : Impl->Links)
     Link->close();
 }
--- a/src/shell/PeerTransport.h
+++ b/src/shell/PeerTransport.h
@@ -62,7 +62,8 @@
   /// Closes all links to a host. The next send() opens a new one.
   /// Messages that were not sent yet are reported by peerLost().
   void reset(const HostId &Host);
-  /// Announces an orderly close on every link that has nothing left to send.
+  /// Stops to accept, and announces an orderly close on every link that has
+  /// nothing left to send.
   void close();
   /// Returns the bytes sent and received on links, without TCP/IP headers.
   std::uint64_t bytesSent() const;
--- /dev/null
+++ b/src/shell/ProcessSettings.cpp
@@ -0,0 +1,231 @@
+// ProcessSettings.cpp - The table of settings of figsaild.
+
+#include "ProcessSettings.h"
+
+#include "SettingTypes.h"
+
+#include <algorithm>
+#include <boost/algorithm/string.hpp>
+#include <boost/program_options.hpp>
+#include <map>
+#include <sstream>
+
+extern char **environ;
+
+namespace figsail {
+
+namespace po = boost::program_options;
+
+static constexpr std::string_view VariablePrefix = "FIGSAIL_";
+
+namespace {
+
+/// One row of the table, and where its value goes.
+struct ProcessSettingRow {
+  SettingRow Row;
+  void (*Store)(ProcessSettings &, const SettingValue &);
+};
+
+} // namespace
+
+static constexpr std::int64_t Second = 1'000'000; // microseconds
+
+using PS = ProcessSettings;
+using SV = SettingValue;
+using enum SettingKind;
+
+// clang-format off
+static const std::vector<ProcessSettingRow> SettingTable{
+    {{"peer-listen", "", ListenAddress, 0, 0, "", true,
+      "where other daemons connect; names this host"},
+     [](PS &S, const SV &V) { S.Node.Self.Host = V.Text; }},
+    {{"http-listen", "", ListenAddress, 0, 0, "", true,
+      "where clients connect"},
+     [](PS &S, const SV &V) { S.Node.Self.HttpAddress = V.Text; }},
+    {{"operator-listen", "", ListenAddress, 0, 0, "", true,
+      "operator interface (JSON-RPC over HTTP)"},
+     [](PS &S, const SV &V) { S.Node.Self.OperatorAddress = V.Text; }},
+    {{"region", "", Name, 0, 0, "", true, "region of this host"},
+     [](PS &S, const SV &V) { S.Node.Self.Region = V.Text; }},
+    {{"failure-domain", "", Name, 0, 0, "", true,
+      "failure domain of this host"},
+     [](PS &S, const SV &V) { S.Node.Self.FailureDomain = V.Text; }},
+    {{"service", "", Path, 0, 0, "", false,
+      "path of the service node of the backend server, such as /tsukushi/deposits; without it the daemon is an ingress only"},
+     [](PS &S, const SV &V) { S.Node.Self.Service = V.Text; }},
+    {{"backend", "", Address, 0, 0, "", false,
+      "address of the backend server; needed with --service"},
+     [](PS &S, const SV &V) { S.Backend = V.Text; }},
+    {{"backend-slots", "10", Number, 1, 100000, "", false,
+      "requests that the backend server runs at once when warm"},
+     [](PS &S, const SV &V) { S.Node.Self.Slots = static_cast<std::uint32_t>(V.Number); }},
+    {{"backend-connections", "250", Number, 1, 100000, "", false,
+      "connections to the backend server open at once"},
+     [](PS &S, const SV &V) { S.BackendConnections = V.count(); }},
+    {{"health-target", "/health", Path, 0, 0, "", false,
+      "HTTP target of the health probe"},
+     [](PS &S, const SV &V) { S.HealthTarget = V.Text; }},
+    {{"log", "", Address, 0, 0, "", true, "address of the log service"},
+     [](PS &S, const SV &V) { S.Log = V.Text; }},
+    {{"log-retention", "24h", Time, 60 * Second, 366 * 24 * 3600 * Second, "", false,
+      "how long the log service keeps records at least"},
+     [](PS &S, const SV &V) { S.Node.LogRetention = V.time(); }},
+    {{"seeds", "", AddressList, 0, 0, "", false,
+      "peers to ask for a snapshot while the log service is down"},
+     [](PS &S, const SV &V) { S.Node.Seeds = V.list(); }},
+    {{"policy", "power-of-two", Choice, 0, 0, "round-robin|least-outstanding|power-of-two", false,
+      "how an ingress chooses among backend servers"},
+     [](PS &S, const SV &V) { S.Node.Policy = V.Text; }},
+    {{"drain-limit", "30s", Time, Second, 3600 * Second, "", false,
+      "longest duration of a graceful shutdown"},
+     [](PS &S, const SV &V) { S.Node.DrainLimit = V.time(); }},
+    {{"region-link-bits", "30000000", Number, 1000, 1'000'000'000'000, "", false,
+      "bits a second of the link between regions, shared by the hosts of a region"},
+     [](PS &S, const SV &V) { S.Node.RegionLinkBytes = static_cast<double>(V.Number) / 8; }},
+    {{"max-records", "200000", Number, 1, 100'000'000, "", false,
+      "idempotency records held at once"},
+     [](PS &S, const SV &V) { S.Node.Records.MaxRecords = V.count(); }},
+    {{"max-answer-bytes", "65536", Number, 0, 16 * 1024 * 1024, "", false,
+      "largest response kept with a record, in bytes"},
+     [](PS &S, const SV &V) { S.Node.Records.MaxAnswerBytes = V.count(); }},
+    {{"max-record-bytes", "50331648", Number, 0, 1'000'000'000'000, "", false,
+      "all responses kept with records together, in bytes"},
+     [](PS &S, const SV &V) { S.Node.Records.MaxTotalBytes = V.count(); }},
+    {{"timeline-size", "4096", Number, 16, 1'000'000, "", false,
+      "entries of the time line kept"},
+     [](PS &S, const SV &V) { S.TimelineSize = V.count(); }},
+};
+// clang-format on
+
+static std::string variableName(std::string_view Name) {
+  std::string Variable(Name);
+  boost::to_upper(Variable);
+  std::ranges::replace(Variable, '-', '_');
+  return std::string(VariablePrefix) + Variable;
+}
+
+static std::string helpText(const SettingRow &Row) {
+  std::string Text(Row.Help);
+  Text += " (" + boundsText(Row);
+  if (Row.Required)
+    Text += "; required";
+  else if (!Row.Default.empty())
+    Text += "; default " + std::string(Row.Default);
+  return Text + ")";
+}
+
+static po::options_description describeOptions() {
+  po::options_description Options(
+      "figsaild: load balancer daemon beside one backend server.\n"
+      "Each setting --name can also be given as the variable FIGSAIL_NAME");
+  Options.add_options()("help", "print this text");
+  for (const ProcessSettingRow &Entry : SettingTable)
+    Options.add_options()(std::string(Entry.Row.Name).c_str(),
+                          po::value<std::string>()->value_name("VALUE"),
+                          helpText(Entry.Row).c_str());
+  return Options;
+}
+
+/// Converts variables to options. Throws po::error on an unknown one.
+static po::parsed_options parseVariables(const po::options_description &Options,
+                                         const Environment &Variables) {
+  po::parsed_options Parsed(&Options);
+  for (const auto &[Variable, Value] : Variables) {
+    if (!Variable.starts_with(VariablePrefix))
+      continue;
+    auto Row = std::ranges::find_if(SettingTable, [&](const auto &Entry) {
+      return variableName(Entry.Row.Name) == Variable;
+    });
+    if (Row == SettingTable.end())
+      throw po::error("the variable " + Variable + " is not a setting");
+    Parsed.options.emplace_back(std::string(Row->Row.Name),
+                                std::vector<std::string>{Value});
+  }
+  return Parsed;
+}
+
+/// Throws po::error when the value is missing or out of bounds.
+static void storeSetting(ProcessSettings &Settings,
+                         const ProcessSettingRow &Entry,
+                         const po::variables_map &Values) {
+  std::string Name(Entry.Row.Name);
+  if (Entry.Row.Required && !Values.contains(Name))
+    throw po::error("--" + Name + " is required");
+  std::string Text = Values.contains(Name) ? Values[Name].as<std::string>()
+                                           : std::string(Entry.Row.Default);
+  std::optional<SettingValue> Value = parseSetting(Entry.Row, Text);
+  if (!Value)
+    throw po::error("--" + Name + ": \"" + Text + "\" is not allowed; use " +
+                    boundsText(Entry.Row));
+  Entry.Store(Settings, *Value);
+}
+
+/// Returns what contradicts itself, or an empty text.
+static std::string contradiction(const ProcessSettings &Settings) {
+  const Member &Self = Settings.Node.Self;
+  if (Self.Service.empty() != Settings.Backend.empty())
+    return "--service and --backend must be given together";
+  if (Self.Host == Self.HttpAddress || Self.Host == Self.OperatorAddress ||
+      Self.HttpAddress == Self.OperatorAddress)
+    return "--peer-listen, --http-listen and --operator-listen must differ";
+  if (Settings.BackendConnections < Self.Slots)
+    return "--backend-connections must not be below --backend-slots";
+  if (Settings.Node.Records.MaxAnswerBytes >
+      Settings.Node.Records.MaxTotalBytes)
+    return "--max-answer-bytes must not exceed --max-record-bytes";
+  return {};
+}
+
+static SettingsResult parseAll(const std::vector<std::string> &Arguments,
+                               const Environment &Variables) {
+  po::options_description Options = describeOptions();
+  po::variables_map Values;
+  // Without this style a unique prefix of a name would be taken for it.
+  int Style = po::command_line_style::default_style &
+              ~po::command_line_style::allow_guessing;
+  po::store(po::command_line_parser(Arguments)
+                .options(Options)
+                .positional({})
+                .style(Style)
+                .run(),
+            Values);
+  if (Values.contains("help")) {
+    std::ostringstream Text;
+    Text << Options;
+    return HelpRequested{Text.str()};
+  }
+  po::store(parseVariables(Options, Variables), Values);
+  ProcessSettings Settings;
+  for (const ProcessSettingRow &Entry : SettingTable)
+    storeSetting(Settings, Entry, Values);
+  if (std::string Text = contradiction(Settings); !Text.empty())
+    throw po::error(Text);
+  NodeSettings &Node = Settings.Node;
+  Node.Admit.Region = Node.Self.Region;
+  Node.Admit.Slots = Node.Self.Slots;
+  // One list of seeds can be used on all hosts.
+  std::erase(Node.Seeds, Node.Self.Host);
+  return Settings;
+}
+
+SettingsResult readSettings(const std::vector<std::string> &Arguments,
+                            const Environment &Variables) {
+  try {
+    return parseAll(Arguments, Variables);
+  } catch (const std::exception &Error) {
+    return SettingsError{Error.what()};
+  }
+}
+
+Environment processEnvironment() {
+  Environment Variables;
+  for (char **Entry = environ; Entry && *Entry; ++Entry) {
+    std::string Text(*Entry);
+    std::size_t Equals = std::min(Text.find('='), Text.size());
+    Variables.emplace_back(Text.substr(0, Equals),
+                           Text.substr(std::min(Equals + 1, Text.size())));
+  }
+  return Variables;
+}
+
+} // namespace figsail
