--- a/tests/ClusterFixture.h
+++ b/tests/ClusterFixture.h
@@ -86,6 +86,13 @@
       ++Sent[Result.Identity];
     for (const auto &[Identity, Where] : Net->RunsByIdentity)
       EXPECT_LE(Where.size(), 1U) << Identity << " ran more than once";
+    std::map<std::string, std::string> First;
+    for (const CallResult &Result : Net->results()) {
+      if (!Result.ok() || Result.Identity.empty())
+        continue;
+      auto [Found, New] = First.emplace(Result.Identity, Result.Response.Body);
+      EXPECT_EQ(Found->second, Result.Response.Body) << "another answer";
+    }
     for (const CallResult &Result : Net->results()) {
       bool Ran = Net->RunsByIdentity.contains(Result.Identity);
       bool SentOnce = Sent[Result.Identity] == 1 && Result.Answered;
