--- a/src/shell/BackendClient.cpp
+++ b/src/shell/BackendClient.cpp
@@ -118,7 +118,8 @@
     Call->Socket = Socket;
     auto Left = std::chrono::duration_cast<Duration>(Call->Timer.expiry() -
                                                      Clock::now());
-    setDeadline(*Call->Message, Left);
+    if (Settings.SendDeadline)
+      setDeadline(*Call->Message, Left);
     Call->Exchange = std::make_shared<BackendExchange>(
         std::move(Socket), Call->Message, Settings.MaxResponse,
         [Self = shared_from_this(), Weak = std::weak_ptr<BackendCall>(Call)](
--- a/src/shell/BackendClient.h
+++ b/src/shell/BackendClient.h
@@ -27,6 +27,7 @@
   std::size_t MaxResponse =
       std::size_t{8} * 1024 * 1024; ///< Bytes of a response body.
   Duration ProbeTimeout{std::chrono::seconds(1)};
+  bool SendDeadline = true; ///< Send the field Figsail-Deadline-Ms.
 };
 
 /// Pooled connections to one backend server.
--- a/src/shell/FrontendConnection.cpp
+++ b/src/shell/FrontendConnection.cpp
@@ -370,7 +370,8 @@
     return;
   // The end of the input alone does not mean that the caller is gone.
   InputEnded = InputEnded || Error == asio::error::eof;
-  if (Error && (!InputEnded || Present == Phase::Linger)) {
+  bool Gone = Error && !(InputEnded && Owner->settings().ServeHalfClosed);
+  if (Gone || (Error && Present == Phase::Linger)) {
     close();
     return;
   }
--- a/src/shell/HttpFrontend.h
+++ b/src/shell/HttpFrontend.h
@@ -37,6 +37,8 @@
   Duration BodyTimeout{
       std::chrono::seconds(30)}; ///< From the head to the end of the body.
   Duration IdleTimeout{std::chrono::seconds(60)}; ///< Between requests.
+  bool ServeHalfClosed = true; ///< Answer callers that closed their sending
+                               ///< half. Otherwise they count as gone.
 };
 
 /// The listener for callers and its connections.
--- /dev/null
+++ b/standins/BackendStandin.h
@@ -0,0 +1,128 @@
+// BackendStandin.h - Simulates a backend server: slots, cold start, overload,
+// crashes and misleading health.
+
+#ifndef FIGSAIL_BACKENDSTANDIN_H
+#define FIGSAIL_BACKENDSTANDIN_H
+
+#include "../src/shell/HttpFrontend.h"
+#include "RunRecord.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <random>
+#include <string>
+#include <unordered_map>
+
+namespace figsail {
+
+/// What a backend server does when more requests arrive than it can handle.
+enum class OverloadMode : std::uint8_t {
+  Queue, ///< Requests wait for a slot.
+  Shed,  ///< 503 with Backend-Not-Run: 1.
+  Crash, ///< The process exits.
+};
+
+/// What the health endpoint tells.
+enum class HealthMode : std::uint8_t {
+  Ok,  ///< The present state.
+  Lag, ///< The state of some time ago.
+  Lie, ///< Always healthy.
+};
+
+/// Settings of the simulator.
+struct BackendStandinSettings {
+  std::uint32_t Slots = 10;         ///< Requests that run at once when warm.
+  std::size_t MaxConnections = 250; ///< Connections open at once.
+  Duration Service{5000};           ///< Time of one run when warm.
+  double Jitter = 0;      ///< Runs take up to this share more or less.
+  std::uint32_t Seed = 1; ///< Of the jitter.
+  Duration ColdStart{0};  ///< Time until warm; 0: warm at once.
+  OverloadMode Overload = OverloadMode::Queue;     ///< When warm.
+  OverloadMode ColdOverload = OverloadMode::Queue; ///< While cold.
+  HealthMode Health = HealthMode::Ok;
+  Duration HealthLag{std::chrono::seconds(3)}; ///< Used with HealthMode::Lag.
+  Duration HealthTime{5000};       ///< Time that a health response takes.
+  std::size_t ResponseBytes = 100; ///< Payload of a response.
+  std::size_t MaxBody = std::size_t{8} * 1024 * 1024; ///< Of a request.
+};
+
+/// The backend server. Targets beside the service itself:
+///   GET  /health     200 or 503, and the load as JSON
+///   GET  /_runs      one line for each run
+///   POST
+///   /_control?slow_factor=N&fail_fast=0|1&cold=1&drain=0|1&health=ok|lag|lie
+/// A request with X-Crash: 1 ends the process once it runs.
+class BackendStandin : public FrontendHandler {
+public:
+  BackendStandin(boost::asio::io_context &Context,
+                 BackendStandinSettings Settings, RunRecorder &Recorder);
+  ~BackendStandin() override;
+
+  /// Starts to listen on "ip:port". Returns an error text, or nothing.
+  std::optional<std::string> listen(const std::string &Address);
+  std::uint16_t port() const { return Frontend.port(); }
+
+  /// Takes no new connections, finishes what runs, then calls OnDrained.
+  void drain(std::function<void()> OnDrained);
+
+  HeadVerdict checkHead(std::string_view Method,
+                        std::string_view Target) override;
+  void callerRequest(CallerId Caller, HttpRequest Request) override;
+  void callerGone(CallerId Caller) override;
+
+private:
+  struct Work;
+  using WorkPtr = std::shared_ptr<Work>;
+  using Arguments = std::map<std::string, std::string>;
+
+  void serve(CallerId Caller, HttpRequest Request);
+  void enqueue(const WorkPtr &New);
+  void startQueued();
+  void run(const WorkPtr &Next);
+  void finish(const WorkPtr &Done);
+  void abandon(const WorkPtr &Dropped, bool Reply);
+  void notRun(CallerId Caller, const char *Reason);
+  void health(CallerId Caller);
+  HttpResponse control(const Arguments &Given);
+  HttpResponse state() const;
+  void makeCold();
+  void sampleHealth();
+  void checkDrained();
+
+  double coldness() const;
+  std::uint32_t capacity() const;
+  Duration serviceTime();
+  bool healthy() const;
+
+  boost::asio::io_context &Context;
+  BackendStandinSettings Settings;
+  RunRecorder &Recorder;
+  HttpFrontend Frontend;
+  std::mt19937 Random;
+  std::deque<WorkPtr> Queue;
+  std::unordered_map<CallerId, WorkPtr> Works; ///< Queued and running.
+  std::uint32_t Running = 0;
+  double SlowFactor = 1;
+  bool FailFast = false;
+  bool Draining = false;
+  TimePoint ColdSince;
+  std::deque<std::pair<TimePoint, bool>> HealthHistory; ///< Oldest first.
+  boost::asio::steady_timer HealthTimer;
+  boost::asio::steady_timer DrainTimer;
+  std::function<void()> OnDrained;
+};
+
+/// Returns the mode of a name ("ok", "lag", "lie"), or nothing.
+std::optional<HealthMode> healthMode(const std::string &Name);
+
+/// Splits "/path?a=1&b=2" into path and arguments. Nothing is decoded.
+std::pair<std::string, std::map<std::string, std::string>>
+splitTarget(std::string_view Target);
+
+} // namespace figsail
+
+#endif // FIGSAIL_BACKENDSTANDIN_H
--- /dev/null
+++ b/standins/EchoBody.cpp
@@ -0,0 +1,51 @@
+// EchoBody.cpp - Response bodies that show whose response they are and that
+// they are whole.
+
+#include "EchoBody.h"
+
+#include <charconv>
+#include <cinttypes>
+#include <cstdio>
+#include <xxhash.h>
+
+namespace figsail {
+
+std::uint64_t textHash(std::string_view Text) {
+  return XXH3_64bits(Text.data(), Text.size());
+}
+
+std::string makeEchoBody(std::string_view RequestId, std::size_t PayloadBytes) {
+  // The payload differs between ids, so that mixed-up parts of two bodies do
+  // not match either checksum.
+  std::string Payload(PayloadBytes, '.');
+  for (std::size_t I = 0; I < PayloadBytes && !RequestId.empty(); ++I)
+    Payload[I] = RequestId[I % RequestId.size()];
+  std::string Head = "id " + std::string(RequestId) + " length " +
+                     std::to_string(PayloadBytes) + " checksum ";
+  std::uint64_t Checksum = textHash(Head + Payload);
+  return Head + std::to_string(Checksum) + "\n" + Payload;
+}
+
+/// Returns the number after a label in the first line, or nothing readable: 0.
+static std::size_t lengthIn(std::string_view Line) {
+  constexpr std::string_view Label = " length ";
+  std::size_t At = Line.rfind(Label);
+  if (At == std::string_view::npos)
+    return 0;
+  std::size_t Length = 0;
+  std::from_chars(Line.data() + At + Label.size(), Line.data() + Line.size(),
+                  Length);
+  return Length;
+}
+
+bool isEchoBody(std::string_view Body, std::string_view RequestId) {
+  std::size_t LineEnd = Body.find('\n');
+  if (LineEnd == std::string_view::npos)
+    return false;
+  std::size_t Length = lengthIn(Body.substr(0, LineEnd));
+  if (Length != Body.size() - LineEnd - 1)
+    return false;
+  return Body == makeEchoBody(RequestId, Length);
+}
+
+} // namespace figsail
--- /dev/null
+++ b/standins/LoadStandin.h
@@ -0,0 +1,82 @@
+// LoadStandin.h - Simulates callers and writes down what they see.
+
+#ifndef FIGSAIL_LOADSTANDIN_H
+#define FIGSAIL_LOADSTANDIN_H
+
+#include "../src/shell/BackendClient.h"
+#include "HistoryCheck.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <functional>
+#include <memory>
+#include <ostream>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace figsail {
+
+/// Settings of the simulated callers.
+struct LoadSettings {
+  std::vector<std::string> Targets; ///< Addresses, used in turn.
+  double Rate = 0; ///< Logical requests a second; 0: as fast as Connections
+                   ///< allow.
+  std::uint64_t Count = 0;     ///< Logical requests; 0: until Length is over.
+  Duration Length{0};          ///< Time in which requests are started.
+  std::size_t Connections = 1; ///< Open at once over all targets.
+  std::string Method = "GET";
+  std::string Path = "/";
+  std::string IdPrefix;      ///< Makes ids unique over processes.
+  bool UniqueIds = false;    ///< Send X-Request-Id and Booking-Id.
+  std::size_t BodyBytes = 0; ///< Of requests other than GET and HEAD.
+  std::uint32_t Resends = 0; ///< Further attempts of one logical request.
+  Duration ResendDelay{std::chrono::milliseconds(100)};
+  Duration Timeout{std::chrono::seconds(10)}; ///< Of one attempt.
+};
+
+/// Sends logical requests. When the outcome is "not run" or unknown, sends the
+/// same request to the next target, up to Resends times.
+class LoadStandin : public BackendHandler {
+public:
+  /// Writes one line to History for each attempt. OnDone is called once all
+  /// logical requests have ended.
+  LoadStandin(boost::asio::io_context &Context, LoadSettings Settings,
+              std::ostream &History, std::function<void()> OnDone);
+
+  void start();
+  /// Starts no new logical requests; OnDone follows.
+  void stop();
+  std::uint64_t started() const { return Started; }
+
+  void backendDone(BackendDone Done) override;
+  void probeDone(ProbeDone /*Done*/) override {}
+
+private:
+  using Clock = std::chrono::steady_clock;
+
+  void schedule();
+  bool mayStart() const;
+  void startLogical(Clock::time_point Due);
+  void send(Attempt Next);
+  void resend(const Attempt &Last);
+  void ended(const Attempt &Last);
+
+  boost::asio::io_context &Context;
+  LoadSettings Settings;
+  std::ostream &History;
+  std::function<void()> OnDone;
+  bool Booking; ///< Requests are not idempotent.
+  std::vector<std::unique_ptr<BackendClient>> Clients; ///< One each target.
+  boost::asio::steady_timer Timer;
+  Clock::time_point Begin;
+  std::unordered_map<RunId, Attempt> Pending;
+  RunId LastRun = 0;
+  std::uint64_t Started = 0;  ///< Logical requests.
+  std::uint64_t UnderWay = 0; ///< Logical requests, including waits to resend.
+  bool Stopped = false;
+};
+
+} // namespace figsail
+
+#endif // FIGSAIL_LOADSTANDIN_H
--- /dev/null
+++ b/standins/RunRecord.h
@@ -0,0 +1,67 @@
+// RunRecord.h - What a backend server simulator notes about each run.
+
+#ifndef FIGSAIL_RUNRECORD_H
+#define FIGSAIL_RUNRECORD_H
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace figsail {
+
+/// One run of a request. Empty ids are written as "-".
+struct RunRecord {
+  std::string Run;       ///< Unique over restarts of a simulator.
+  std::string RequestId; ///< Header X-Request-Id.
+  std::string AttemptId; ///< Header X-Attempt-Id.
+  std::string BookingId; ///< Header Booking-Id; empty for idempotent requests.
+  std::uint64_t Start = 0; ///< Sequence number of the start.
+  std::uint64_t End = 0;   ///< Sequence number of the end; 0: not ended.
+};
+
+/// Notes runs in memory and, if opened, in a file.
+class RunRecorder {
+public:
+  RunRecorder() = default;
+  RunRecorder(const RunRecorder &) = delete;
+  RunRecorder &operator=(const RunRecorder &) = delete;
+  ~RunRecorder();
+
+  /// Appends to a file from now on. Returns an error text, or nothing.
+  std::optional<std::string> open(const std::string &Path);
+
+  /// Notes a start and returns an index for end(). The line is in the file when
+  /// this returns, so that it survives a kill of the process.
+  std::size_t start(RunRecord Record);
+  void end(std::size_t Index);
+
+  /// Returns one line for each run: request id, start, end, attempt id, booking
+  /// id.
+  std::string text() const;
+
+private:
+  void writeLine(const std::string &Line) const;
+
+  std::vector<RunRecord> Records;
+  std::uint64_t Sequence = 0;
+  int File = -1; ///< Descriptor, or -1.
+};
+
+/// Collects the lines of one record file.
+class RunRecordReader {
+public:
+  /// Takes one line. Returns an error text, or nothing.
+  std::optional<std::string> line(const std::string &Line);
+  /// Returns the records in the order of their starts.
+  const std::vector<RunRecord> &records() const { return Records; }
+
+private:
+  std::vector<RunRecord> Records;
+  std::map<std::string, std::size_t> Indexes; ///< By run.
+};
+
+} // namespace figsail
+
+#endif // FIGSAIL_RUNRECORD_H
--- /dev/null
+++ b/standins/history-check.cpp
@@ -0,0 +1,104 @@
+// history-check.cpp - Checks histories of load-standin against run records of
+// backend-standin.
+
+#include "HistoryCheck.h"
+
+#include <boost/program_options.hpp>
+#include <fstream>
+#include <iostream>
+
+using namespace figsail;
+namespace po = boost::program_options;
+
+// Findings printed for each rule; one fault often breaks a rule many times.
+static constexpr std::uint64_t MaxPrinted = 20;
+
+/// Calls Take with each line of a file. Take returns an error text, or nothing.
+template <class Taker>
+static void eachLine(const std::string &Path, const Taker &Take) {
+  std::ifstream In(Path);
+  if (!In)
+    throw po::error("cannot read " + Path);
+  std::string Line;
+  for (std::size_t Number = 1; std::getline(In, Line); ++Number)
+    if (std::optional<std::string> Error = Take(Line))
+      throw po::error(Path + ":" + std::to_string(Number) + ": " + *Error);
+}
+
+static std::vector<Attempt>
+readHistories(const std::vector<std::string> &Paths) {
+  std::vector<Attempt> History;
+  for (const std::string &Path : Paths)
+    eachLine(Path, [&](const std::string &Line) -> std::optional<std::string> {
+      auto Parsed = parseAttempt(Line);
+      if (auto *Error = std::get_if<std::string>(&Parsed))
+        return *Error;
+      History.push_back(std::get<Attempt>(std::move(Parsed)));
+      return std::nullopt;
+    });
+  return History;
+}
+
+/// Returns nothing when no file is given.
+static std::optional<std::vector<RunRecord>>
+readRuns(const std::vector<std::string> &Paths) {
+  if (Paths.empty())
+    return std::nullopt;
+  std::vector<RunRecord> Runs;
+  for (const std::string &Path : Paths) {
+    RunRecordReader Reader;
+    eachLine(Path, [&](const std::string &Line) { return Reader.line(Line); });
+    Runs.insert(Runs.end(), Reader.records().begin(), Reader.records().end());
+  }
+  return Runs;
+}
+
+static void print(const CheckResult &Result) {
+  std::cout << "logical requests: " << Result.Logical << "\n"
+            << "answered with 200: " << Result.Answered << "\n"
+            << "runs: " << Result.Runs << "\n";
+  for (const auto &[Kind, Count] : Result.Counts)
+    std::cout << "attempts, " << Kind << ": " << Count << "\n";
+  const std::pair<const char *, double> Shares[] = {
+      {"p50", 0.5}, {"p99", 0.99}, {"p99.9", 0.999}};
+  for (const auto &[Name, Share] : Shares)
+    std::cout << "latency of 200, " << Name << ": "
+              << quantile(Result.Latencies, Share) << " us\n";
+  std::map<Violation, std::uint64_t> Counts;
+  for (const Finding &Found : Result.Findings)
+    if (++Counts[Found.Rule] <= MaxPrinted)
+      std::cout << "VIOLATION " << violationName(Found.Rule) << ": " << Found.Id
+                << "\n";
+  for (const auto &[Rule, Count] : Counts)
+    std::cout << "violations, " << violationName(Rule) << ": " << Count << "\n";
+  std::cout << "violations: " << Result.Findings.size() << std::endl;
+}
+
+int main(int Argc, char **Argv) {
+  std::vector<std::string> Histories;
+  std::vector<std::string> Records;
+  po::options_description Options(
+      "history-check: exit status 0: no violation, 1: violations, 2: error");
+  // clang-format off
+  Options.add_options()
+    ("help", "print this text")
+    ("history", po::value(&Histories)->multitoken()->required(), "files written by load-standin")
+    ("runs", po::value(&Records)->multitoken(), "files written by backend-standin --record");
+  // clang-format on
+  try {
+    po::variables_map Values;
+    po::store(po::parse_command_line(Argc, Argv, Options), Values);
+    if (Values.contains("help")) {
+      std::cout << Options;
+      return 0;
+    }
+    po::notify(Values);
+    CheckResult Result =
+        checkHistory(readHistories(Histories), readRuns(Records));
+    print(Result);
+    return Result.Findings.empty() ? 0 : 1;
+  } catch (const std::exception &Error) {
+    std::cerr << "history-check: " << Error.what() << "\n";
+    return 2;
+  }
+}
--- /dev/null
+++ b/standins/load-standin.cpp
@@ -0,0 +1,92 @@
+// load-standin.cpp - Simulator of callers.
+
+#include "LoadStandin.h"
+
+#include <boost/algorithm/string/classification.hpp>
+#include <boost/algorithm/string/split.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <boost/program_options.hpp>
+#include <fstream>
+#include <iostream>
+#include <unistd.h>
+
+using namespace figsail;
+namespace po = boost::program_options;
+
+/// Runs until all requests have ended. SIGTERM and SIGINT stop new ones.
+static void run(const LoadSettings &Settings, const std::string &HistoryFile) {
+  std::ofstream History(HistoryFile);
+  if (!History)
+    throw po::error("cannot write " + HistoryFile);
+  boost::asio::io_context Context(1);
+  LoadStandin Load(Context, Settings, History, [&Context] { Context.stop(); });
+  boost::asio::signal_set Signals(Context, SIGTERM, SIGINT);
+  Signals.async_wait(
+      [&](const boost::system::error_code &, int) { Load.stop(); });
+  boost::asio::post(Context, [&Load] { Load.start(); });
+  Context.run();
+  History.close();
+  if (!History)
+    throw po::error("cannot write " + HistoryFile);
+  std::cout << "logical requests: " << Load.started() << std::endl;
+}
+
+/// Returns a prefix that no other process on this host has used.
+static std::string idPrefix() {
+  auto Now = std::chrono::system_clock::now().time_since_epoch();
+  auto Micros = std::chrono::duration_cast<Duration>(Now).count();
+  return std::to_string(::getpid()) + "-" + std::to_string(Micros) + "-";
+}
+
+static Duration seconds(double Value) {
+  return Duration(static_cast<Duration::rep>(Value * 1e6));
+}
+
+int main(int Argc, char **Argv) {
+  std::string Targets;
+  std::string HistoryFile;
+  double Length = 0;
+  double ResendDelayMs = 0;
+  double Timeout = 0;
+  LoadSettings Settings;
+  po::options_description Options("load-standin: simulator of callers");
+  // clang-format off
+  Options.add_options()
+    ("help", "print this text")
+    ("targets", po::value(&Targets)->required(), "addresses ip:port,ip:port,... used in turn")
+    ("history", po::value(&HistoryFile)->required(), "file that gets a line for each attempt")
+    ("rate", po::value(&Settings.Rate)->default_value(0), "requests a second; 0: as fast as the connections allow")
+    ("seconds", po::value(&Length)->default_value(0), "time in which requests are started")
+    ("count", po::value(&Settings.Count)->default_value(0), "number of requests, instead of --seconds")
+    ("connections", po::value(&Settings.Connections)->default_value(16), "connections open at once over all targets")
+    ("method", po::value(&Settings.Method)->default_value("GET"), "all but GET and HEAD are bookings")
+    ("target", po::value(&Settings.Path)->default_value("/"), "request target")
+    ("unique-ids", po::bool_switch(&Settings.UniqueIds), "send X-Request-Id, and Booking-Id with bookings")
+    ("id-prefix", po::value(&Settings.IdPrefix)->default_value(idPrefix()), "prefix of the ids")
+    ("body-bytes", po::value(&Settings.BodyBytes)->default_value(32), "body of a booking")
+    ("resends", po::value(&Settings.Resends)->default_value(0), "further attempts when not run, unknown or lost")
+    ("resend-delay-ms", po::value(&ResendDelayMs)->default_value(100), "time before a further attempt")
+    ("timeout-s", po::value(&Timeout)->default_value(10), "time after which an attempt is given up");
+  // clang-format on
+  try {
+    po::variables_map Values;
+    po::store(po::parse_command_line(Argc, Argv, Options), Values);
+    if (Values.contains("help")) {
+      std::cout << Options;
+      return 0;
+    }
+    po::notify(Values);
+    boost::split(Settings.Targets, Targets, boost::is_any_of(","));
+    if (Settings.Count == 0 && Length <= 0)
+      throw po::error("either --seconds or --count is needed");
+    Settings.Length = seconds(Length);
+    Settings.ResendDelay = seconds(ResendDelayMs / 1000);
+    Settings.Timeout = seconds(Timeout);
+    run(Settings, HistoryFile);
+    return 0;
+  } catch (const std::exception &Error) {
+    std::cerr << "load-standin: " << Error.what() << "\n";
+    return 2;
+  }
+}
