Test: properties of the tree and of the replicated state

Fix: a removal that names another kind than the node has, or a node that does not exist, is refused. With the wrong kind the route stayed in the index.

--- a/src/core/ConfigurationCommands.cpp
+++ b/src/core/ConfigurationCommands.cpp
@@ -98,17 +98,21 @@
   }
 
   void checkEdit(const NodeEdit &Edit) {
+    auto Found = Nodes.find(Edit.Path);
+    if (Found != Nodes.end() && Found->second.Kind != Edit.Kind) {
+      fault(Edit.Path, "",
+            "the node is a " + std::string(nodeKindName(Found->second.Kind)) +
+                "; its kind cannot change");
+      return;
+    }
     if (Edit.Remove) {
+      if (Found == Nodes.end())
+        fault(Edit.Path, "", "the node does not exist");
       checkRemoval(Edit);
       return;
     }
     if (!checkPath(Edit))
       return;
-    auto Found = Nodes.find(Edit.Path);
-    if (Found != Nodes.end() && Found->second.Kind != Edit.Kind)
-      fault(Edit.Path, "",
-            "the node is a " + std::string(nodeKindName(Found->second.Kind)) +
-                "; its kind cannot change");
     bool Valid = true;
     for (const auto &[Name, Value] : Edit.Settings) {
       std::optional<std::string> Error =
--- /dev/null
+++ b/tests/ConfigurationTest.cpp
@@ -0,0 +1,199 @@
+// ConfigurationTest.cpp - Guards against invalid trees, partial changes and
+// wrong route look-ups.
+
+#include "TreeTestFunctions.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+using namespace figsail;
+
+static Configuration makeTree(std::vector<NodeEdit> Edits) {
+  Configuration Tree;
+  Change Proposal{"setup", std::move(Edits)};
+  EXPECT_EQ(rejectionOf(Tree.check(Proposal)).Reason, "");
+  Tree.apply(Proposal, 0);
+  return Tree;
+}
+
+/// Returns the reason for which a single edit is rejected, or an empty text.
+static std::string reasonOf(const Configuration &Tree, const NodeEdit &Edit) {
+  return rejectionOf(Tree.check({"id", {Edit}})).Reason;
+}
+
+TEST(Configuration, ChildrenInheritAndOverride) {
+  Configuration Tree = makeTree(
+      {edit("/w", NodeKind::Workspace, {{"deadline", "250ms"}, {"share", "7"}}),
+       edit("/w/s", NodeKind::Service, {{"idempotent", "true"}}),
+       route("/w/s/r", "/r", "", {{"identity", "header:Booking-Id"}}),
+       route("/w/s/q", "/q", "", {{"deadline", "1s"}})});
+  auto Route = Tree.findRoute("POST", "/r?x=1");
+  ASSERT_TRUE(Route);
+  EXPECT_EQ(Route->Deadline, std::chrono::milliseconds(250));
+  EXPECT_EQ(Route->Policy.Share, 7U);
+  EXPECT_TRUE(Route->Policy.Idempotent);
+  EXPECT_EQ(Route->Policy.RecordLifetime, std::chrono::minutes(10));
+  EXPECT_EQ(Route->Identity.HeaderName, "Booking-Id");
+  EXPECT_EQ(Route->Policy.Workspace, "/w");
+  EXPECT_EQ(Tree.findRoute("GET", "/q")->Deadline, std::chrono::seconds(1));
+  auto Effective = Tree.effectiveSettings("/w/s/q");
+  EXPECT_EQ(Effective.at("idempotent").Origin, "/w/s");
+  EXPECT_EQ(Effective.at("max_body").Origin, "");
+}
+
+// A route that nobody declared idempotent must not be executed twice.
+TEST(Configuration, RoutesAreNotIdempotentUnlessDeclared) {
+  EXPECT_FALSE(makeTree(smallTree()).findRoute("GET", "/t")->Policy.Idempotent);
+}
+
+TEST(Configuration, RejectsInvalidEdits) {
+  Configuration Tree = makeTree(smallTree());
+  auto Expect = [&](const NodeEdit &Edit, const std::string &Part) {
+    EXPECT_NE(reasonOf(Tree, Edit).find(Part), std::string::npos)
+        << Edit.Path << ": " << reasonOf(Tree, Edit);
+  };
+  Expect(edit("/w/s/x/y", NodeKind::Route), "does not exist");
+  Expect(edit("/w/x", NodeKind::Route), "cannot stand below a workspace");
+  Expect(edit("/x", NodeKind::Service), "cannot stand below the top");
+  Expect(edit("/w/x", NodeKind::Workspace), "cannot stand below a workspace");
+  Expect(edit("/w/s/x", NodeKind::Route), "must declare match_path");
+  Expect(edit("/w/", NodeKind::Group), "path is not valid");
+  Expect(edit("", NodeKind::Group), "path is not valid");
+  Expect(edit("/failure_domains", NodeKind::Group), "reserved");
+  Expect(edit("/x", NodeKind::FailureDomain), "must be /failure_domains/NAME");
+  Expect(edit("/x", NodeKind::Group, {{"colour", "red"}}), "unknown setting");
+  Expect(edit("/x", NodeKind::Group, {{"deadline", "61s"}}), "1ms..60s");
+  Expect(edit("/x", NodeKind::Group, {{"deadline", "2"}}), "1ms..60s");
+  Expect(edit("/x", NodeKind::Group, {{"record_lifetime", "59s"}}),
+         "1min..24h");
+  Expect(edit("/x", NodeKind::Group, {{"home_regions", "a,,b"}}), "comma list");
+  Expect(edit("/x", NodeKind::Group, {{"match_path", "/"}}), "cannot declare");
+  Expect(edit("/x", NodeKind::Group, {{"in_service", "no"}}), "cannot declare");
+  Expect(edit("/failure_domains/d", NodeKind::FailureDomain,
+              {{"in_service", "no"}}),
+         "true|false");
+  Expect(route("/w/s/x", "no-slash"), "/PREFIX*");
+  Expect(route("/w/s/x", "/a*b"), "/PREFIX*");
+  Expect(route("/w/s/x", "/t"), "\"/w/t/r\" has the same method");
+  Expect(removal("/w", NodeKind::Workspace, 0), "has children");
+  Expect(edit("/w", NodeKind::Group, {}, 0), "kind cannot change");
+  Expect(removal("/w/t/r", NodeKind::FailureDomain, 0), "kind cannot change");
+  Expect(removal("/w/x", NodeKind::Service, NoOffset), "does not exist");
+  EXPECT_EQ(reasonOf(Tree, route("/w/s/x", "/t", "GET")), "");
+}
+
+TEST(Configuration, StaleVersionIsAConflict) {
+  Configuration Tree = makeTree(smallTree());
+  for (const NodeEdit &Edit :
+       {edit("/w", NodeKind::Workspace, {}, 5), edit("/w", NodeKind::Workspace),
+        edit("/new", NodeKind::Group, {}, 3),
+        removal("/gone", NodeKind::Group, 3)})
+    EXPECT_TRUE(rejectionOf(Tree.check({"id", {Edit}})).Conflict) << Edit.Path;
+}
+
+TEST(Configuration, AnAncestorMayNotBecomeNarrowerThanItsChildren) {
+  Configuration Tree =
+      makeTree({edit("/w", NodeKind::Workspace, {{"home_regions", "a,b"}}),
+                edit("/w/s", NodeKind::Service),
+                route("/w/s/r", "/r", "", {{"home_regions", "b"}})});
+  Rejection Why = rejectionOf(Tree.check(
+      {"id", {edit("/w", NodeKind::Workspace, {{"home_regions", "a"}}, 0)}}));
+  EXPECT_EQ(Why.Path, "/w/s/r");
+  EXPECT_EQ(Why.Setting, "home_regions");
+}
+
+TEST(Configuration, ChangeIsCheckedAsAWhole) {
+  Configuration Tree = makeTree(smallTree());
+  // Two routes exchange their matches.
+  NodeEdit First = route("/w/s/q", "/t");
+  NodeEdit Second = route("/w/t/r", "/s/q");
+  First.ExpectedVersion = Second.ExpectedVersion = 0;
+  Change Exchange{"id", {First, Second}};
+  ASSERT_TRUE(accepted(Tree.check(Exchange)));
+  Tree.apply(Exchange, 1);
+  EXPECT_EQ(Tree.findRoute("GET", "/t")->Policy.Route, "/w/s/q");
+  EXPECT_EQ(Tree.findRoute("GET", "/s/q")->Policy.Route, "/w/t/r");
+  // A subtree goes in one change, in any order of its edits.
+  Change Removal{"id2",
+                 {removal("/w/t", NodeKind::Service, 0),
+                  removal("/w/t/r", NodeKind::Route, 1)}};
+  ASSERT_TRUE(accepted(Tree.check(Removal)));
+  Tree.apply(Removal, 2);
+  EXPECT_EQ(Tree.findRoute("GET", "/s/q")->Policy.Route, "/w/s/r");
+  EXPECT_FALSE(Tree.nodes().contains("/w/t"));
+}
+
+TEST(Configuration, ChangeOfAnAncestorReachesItsRoutes) {
+  Configuration Tree = makeTree(smallTree());
+  Tree.apply({"id", {edit("/w", NodeKind::Workspace, {{"deadline", "5s"}}, 0)}},
+             1);
+  EXPECT_EQ(Tree.findRoute("GET", "/t")->Deadline, std::chrono::seconds(5));
+}
+
+TEST(Configuration, TakenOutFailureDomainCoversItsHosts) {
+  Configuration Tree =
+      makeTree({edit("/failure_domains/d", NodeKind::FailureDomain,
+                     {{"in_service", "false"}}),
+                edit("/backend_servers/10.0.0.1:9", NodeKind::BackendServer,
+                     {{"in_service", "false"}})});
+  EXPECT_FALSE(Tree.inService("d", "10.0.0.2:9"));
+  EXPECT_FALSE(Tree.inService("e", "10.0.0.1:9"));
+  EXPECT_TRUE(Tree.inService("e", "10.0.0.2:9"));
+}
+
+/// Chooses a route by a scan over all of them.
+static std::string scan(const Configuration &Tree, const std::string &Method,
+                        const std::string &Path) {
+  std::string Best;
+  std::tuple<std::size_t, bool, bool> BestRank;
+  for (const auto &[Name, Node] : Tree.nodes()) {
+    if (Node.Kind != NodeKind::Route)
+      continue;
+    std::string Match = Node.Settings.at("match_path");
+    const std::string &Wanted = Node.Settings.at("match_method");
+    bool Prefix = Match.ends_with('*');
+    if (Prefix)
+      Match.pop_back();
+    if (!(Prefix ? Path.starts_with(Match) : Path == Match) ||
+        (!Wanted.empty() && Wanted != Method))
+      continue;
+    std::tuple Rank(Match.size(), !Prefix, !Wanted.empty());
+    if (!Best.empty() && Rank <= BestRank)
+      continue;
+    Best = Name;
+    BestRank = Rank;
+  }
+  return Best;
+}
+
+// Guards the search against prefixes that share beginnings, and against routes
+// left behind in the index after an edit.
+RC_GTEST_PROP(Configuration, FindRouteEqualsAScan, ()) {
+  // Short paths over few characters often are prefixes of each other.
+  auto Path = rc::gen::map(rc::gen::resize(5, rc::gen::container<std::string>(
+                                                  rc::gen::element('a', '/'))),
+                           [](const std::string &Text) { return "/" + Text; });
+  auto Match = rc::gen::map(
+      rc::gen::pair(Path, rc::gen::arbitrary<bool>()),
+      [](const auto &Pair) { return Pair.first + (Pair.second ? "*" : ""); });
+  auto Method = rc::gen::element<std::string>("", "GET", "POST");
+  Configuration Tree = makeTree(
+      {edit("/w", NodeKind::Workspace), edit("/w/s", NodeKind::Service)});
+  int Count = *rc::gen::inRange(1, 30);
+  for (int I = 1; I <= Count; ++I) {
+    NodeEdit Edit = route("/w/s/r" + std::to_string(*rc::gen::inRange(0, 12)),
+                          *Match, *Method);
+    auto Present = Tree.nodes().find(Edit.Path);
+    if (Present != Tree.nodes().end())
+      Edit.ExpectedVersion = Present->second.Version;
+    Change Proposal{"id", {Edit}};
+    if (accepted(Tree.check(Proposal)))
+      Tree.apply(Proposal, I);
+  }
+  for (int I = 0; I < 20; ++I) {
+    std::string Asked = *Path;
+    std::string Verb = *rc::gen::element<std::string>("GET", "POST", "PUT");
+    auto Found = Tree.findRoute(Verb, Asked);
+    RC_ASSERT((Found ? Found->Policy.Route : "") == scan(Tree, Verb, Asked));
+  }
+}
--- /dev/null
+++ b/tests/ReplicatedStateTest.cpp
@@ -0,0 +1,346 @@
+// ReplicatedStateTest.cpp - Guards against daemons that reach different states
+// from the same log.
+
+#include "TreeTestFunctions.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+using namespace figsail;
+
+namespace {
+
+/// One random step; the meaning of the numbers depends on What.
+struct Step {
+  int What = 0;
+  int Node = 0;
+  int Value = 0;
+  int Lag = 0; ///< How many records ago the proposer read the state.
+};
+
+/// Shown by RapidCheck with a counterexample.
+void showValue(const Step &One, std::ostream &Out) {
+  Out << '{' << One.What << ' ' << One.Node << ' ' << One.Value << ' '
+      << One.Lag << '}';
+}
+
+struct NodeChoice {
+  const char *Path;
+  NodeKind Kind;
+};
+
+} // namespace
+
+static const std::vector<NodeChoice> Choices{
+    {"/w", NodeKind::Workspace},
+    {"/w/s", NodeKind::Service},
+    {"/w/t", NodeKind::Service},
+    {"/w/s/q", NodeKind::Route},
+    {"/w/s/r", NodeKind::Route},
+    {"/w/t/r", NodeKind::Route},
+    {"/g", NodeKind::Group},
+    {"/g/v", NodeKind::Workspace},
+    {"/failure_domains/d0", NodeKind::FailureDomain},
+    {"/backend_servers/h1", NodeKind::BackendServer},
+};
+
+static rc::Gen<std::vector<Step>> steps() {
+  auto One = rc::gen::build<Step>(
+      rc::gen::set(&Step::What, rc::gen::inRange(0, 12)),
+      rc::gen::set(&Step::Node, rc::gen::inRange(0, 10)),
+      rc::gen::set(&Step::Value, rc::gen::inRange(0, 8)),
+      rc::gen::set(&Step::Lag, rc::gen::element(0, 0, 0, 1, 3)));
+  return rc::gen::scale(2.0, rc::gen::container<std::vector<Step>>(One));
+}
+
+static NodeEdit makeEdit(const Step &One,
+                         const std::map<std::string, TreeNode> &Read) {
+  static const std::vector<SettingMap> Regions{
+      {},
+      {},
+      {{"home_regions", ""}},
+      {{"home_regions", "a"}},
+      {{"home_regions", "b"}},
+      {{"home_regions", "a,b"}},
+      {{"home_regions", "a"}, {"share", "2"}},
+      {{"deadline", "1s"}}};
+  static const std::vector<std::string> Paths{"/s/q", "/s/*", "/t", "/x"};
+  const NodeChoice &Choice = Choices[static_cast<std::size_t>(One.Node)];
+  NodeEdit Edit = edit(Choice.Path, Choice.Kind);
+  if (Choice.Kind == NodeKind::FailureDomain ||
+      Choice.Kind == NodeKind::BackendServer)
+    Edit.Settings = {{"in_service", One.Value % 2 ? "true" : "false"}};
+  else
+    Edit.Settings = Regions[static_cast<std::size_t>(One.Value)];
+  if (Choice.Kind == NodeKind::Route) {
+    Edit.Settings.erase("share");
+    Edit.Settings["match_path"] =
+        Paths[static_cast<std::size_t>(One.Value) / 2];
+  }
+  auto Found = Read.find(Edit.Path);
+  if (Found != Read.end())
+    Edit.ExpectedVersion = Found->second.Version;
+  return Edit;
+}
+
+static Member makeMember(int Host, int Variant) {
+  Member Who;
+  Who.Host = "h" + std::to_string(Host % 4);
+  Who.Inc = static_cast<Incarnation>(1 + Variant % 3);
+  Who.Region = Host % 2 ? "a" : "b";
+  Who.FailureDomain = "d" + std::to_string(Host % 2);
+  Who.Service = Variant % 2 ? "/w/s" : "/w/t";
+  return Who;
+}
+
+/// Writes the log that the proposers of the steps would write: each reads the
+/// state, possibly an older one, and appends a record.
+static std::vector<LogRecord> makeLog(const std::vector<Step> &Steps) {
+  std::vector<LogRecord> Log;
+  ReplicatedState State;
+  std::vector<std::map<std::string, TreeNode>> Reads;
+  auto Append = [&](const std::string &Data) {
+    Log.push_back({static_cast<Offset>(Log.size()), Data});
+    State.applyRecord({}, Log.back());
+    Reads.push_back(State.configuration().nodes());
+  };
+  Append(encodeRecord(Change{"c0", smallTree()}));
+  for (const Step &One : Steps) {
+    std::size_t Lag =
+        std::min(static_cast<std::size_t>(One.Lag), Reads.size() - 1);
+    NodeEdit Edit = makeEdit(One, Reads[Reads.size() - 1 - Lag]);
+    std::string Id = "c" + std::to_string(Log.size());
+    PeerRef Who{"h" + std::to_string(One.Node % 4),
+                static_cast<Incarnation>(1 + One.Value % 3)};
+    if (One.What < 5)
+      Append(encodeRecord(Change{Id, {Edit}}));
+    else if (One.What == 5)
+      Append(encodeRecord(
+          Change{Id, {removal(Edit.Path, Edit.Kind, Edit.ExpectedVersion)}}));
+    else if (One.What == 6 || One.What == 7)
+      Append(
+          Log[static_cast<std::size_t>(One.Node * 8 + One.Value) % Log.size()]
+              .Data);
+    else if (One.What == 8)
+      Append(encodeRecord(LeaveRecord{Who}));
+    else if (One.What == 9)
+      Append(One.Value ? encodeRecord(RemoveRecord{Who, "h9"}) : "{not json");
+    else
+      Append(encodeRecord(JoinRecord{makeMember(One.Node, One.Value)}));
+  }
+  return Log;
+}
+
+static std::string outcomeText(const ApplyResult &Result) {
+  Rejection Why = rejectionOf(Result.Outcome);
+  std::string Text = Result.Duplicate ? "duplicate " : "";
+  Text += Why.Conflict ? "conflict " : "";
+  Text += Why.Path + Why.Setting + Why.Reason;
+  for (const std::string &Service : Result.ServicesChanged)
+    Text += " " + Service;
+  return Text;
+}
+
+// Fails when a part of the state is missing from the snapshot, or when the
+// outcome depends on anything but state and record.
+RC_GTEST_PROP(ReplicatedState, RestartsFromSnapshotsChangeNothing, ()) {
+  std::vector<LogRecord> Log = makeLog(*steps());
+  ReplicatedState Straight;
+  ReplicatedState Restarted;
+  for (const LogRecord &Record : Log) {
+    std::string Expected = outcomeText(Straight.applyRecord({}, Record));
+    if (*rc::gen::inRange(0, 4) == 0) {
+      ReplicatedState Fresh;
+      auto Error = Fresh.restore(TimePoint(Duration(5)), Restarted.applied(),
+                                 Restarted.snapshot());
+      RC_ASSERT(!Error);
+      Restarted = Fresh;
+    }
+    ApplyResult Result = Restarted.applyRecord(TimePoint(Duration(9)), Record);
+    RC_ASSERT(outcomeText(Result) == Expected);
+    RC_ASSERT(Restarted.snapshot() == Straight.snapshot());
+    // A record that is delivered again has no effect.
+    RC_ASSERT(Restarted.applyRecord({}, Record).Ignored);
+  }
+}
+
+// Fails when a record that stands in the log twice takes effect twice.
+RC_GTEST_PROP(ReplicatedState, DuplicateChangesCountOnce, ()) {
+  std::vector<LogRecord> Log = makeLog(*steps());
+  ReplicatedState All;
+  ReplicatedState Once;
+  std::set<std::string> Seen;
+  for (LogRecord Record : Log) {
+    ApplyResult Result = All.applyRecord({}, Record);
+    auto Decoded = decodeRecord(Record.Data);
+    const RecordBody *Body = std::get_if<RecordBody>(&Decoded);
+    const Change *Proposal = Body ? std::get_if<Change>(Body) : nullptr;
+    bool Again = Proposal && !Seen.insert(Proposal->ChangeId).second;
+    RC_ASSERT(Result.Duplicate == Again);
+    if (Again)
+      Record.Data = "{}";
+    Once.applyRecord({}, Record);
+    RC_ASSERT(All.snapshot() == Once.snapshot());
+  }
+}
+
+// Fails when both or neither of two concurrent operators succeed, or when the
+// loser is not told.
+RC_GTEST_PROP(ReplicatedState, RacesHaveExactlyOneWinner, ()) {
+  std::vector<LogRecord> Log = makeLog(*steps());
+  ReplicatedState State;
+  for (const LogRecord &Record : Log)
+    State.applyRecord({}, Record);
+  int Racers = *rc::gen::inRange(2, 5);
+  Step Target;
+  Target.Node = *rc::gen::element(0, 1, 2, 3, 4, 5, 6, 8, 9);
+  Target.Value = *rc::gen::inRange(0, 8);
+  NodeEdit Edit = makeEdit(Target, State.configuration().nodes());
+  RC_PRE(accepted(State.configuration().check({"first", {Edit}})));
+  int Winners = 0;
+  int Conflicts = 0;
+  for (int I = 0; I < Racers; ++I) {
+    Change Proposal{"racer" + std::to_string(I), {Edit}};
+    ApplyResult Result =
+        State.applyRecord({}, {State.applied() + 1, encodeRecord(Proposal)});
+    Winners += accepted(Result.Outcome) ? 1 : 0;
+    Conflicts += rejectionOf(Result.Outcome).Conflict ? 1 : 0;
+  }
+  RC_ASSERT(Winners == 1);
+  RC_ASSERT(Conflicts == Racers - 1);
+}
+
+// Fails when an old snapshot, an old record or a gap in the log moves the state
+// back or makes it differ from the straight replay at the same offset.
+RC_GTEST_PROP(ReplicatedState, StateNeverGoesBack, ()) {
+  std::vector<LogRecord> Log = makeLog(*steps());
+  std::vector<std::string> Snapshots;
+  ReplicatedState Straight;
+  for (const LogRecord &Record : Log) {
+    Straight.applyRecord({}, Record);
+    Snapshots.push_back(Straight.snapshot());
+  }
+  ReplicatedState State;
+  int Count = *rc::gen::inRange(1, 60);
+  for (int I = 0; I < Count; ++I) {
+    Offset Before = State.applied();
+    auto At = *rc::gen::inRange<std::size_t>(0, Log.size());
+    if (*rc::gen::inRange(0, 4) == 0)
+      RC_ASSERT(!State.restore({}, static_cast<Offset>(At), Snapshots[At]));
+    else if (*rc::gen::inRange(0, 2) == 0)
+      State.applyRecord({}, Log[At]);
+    else if (State.nextOffset() < static_cast<Offset>(Log.size()))
+      State.applyRecord({}, Log[static_cast<std::size_t>(State.nextOffset())]);
+    RC_ASSERT(State.applied() >= Before);
+    if (State.applied() != NoOffset)
+      RC_ASSERT(State.snapshot() ==
+                Snapshots[static_cast<std::size_t>(State.applied())]);
+  }
+}
+
+// Fails when a change of an ancestor, or of several nodes at once, leaves a
+// child with regions that its parent does not have.
+RC_GTEST_PROP(ReplicatedState, HomeRegionsNeverWiden, ()) {
+  ReplicatedState State;
+  for (const LogRecord &Record : makeLog(*steps())) {
+    State.applyRecord({}, Record);
+    RC_ASSERT(widenedNode(State.configuration()) == "");
+  }
+}
+
+// Fails when an epoch begins without a change of members or regions, or when
+// such a change begins none.
+RC_GTEST_PROP(ReplicatedState, EpochsFollowMembersAndRegions, ()) {
+  ReplicatedState State;
+  for (const LogRecord &Record : makeLog(*steps()))
+    State.applyRecord({}, Record);
+  for (const std::string Service : {"/w/s", "/w/t"}) {
+    const EpochHistory *History = State.epochs(Service);
+    RC_ASSERT(History != nullptr);
+    const auto &Entries = History->entries();
+    for (std::size_t I = 1; I < Entries.size(); ++I) {
+      RC_ASSERT(Entries[I].At > Entries[I - 1].At);
+      RC_ASSERT(Entries[I].Members != Entries[I - 1].Members ||
+                Entries[I].RouteRegions != Entries[I - 1].RouteRegions);
+    }
+    std::vector<Member> Expected;
+    for (const auto &[Host, Who] : State.members())
+      if (Who.Service == Service &&
+          State.configuration().inService(Who.FailureDomain, Host))
+        Expected.push_back(Who);
+    RC_ASSERT(History->current().Members == Expected);
+    RC_ASSERT(History->current().RouteRegions ==
+              State.configuration().routeRegions(Service));
+  }
+}
+
+static LogRecord record(const ReplicatedState &State, const RecordBody &Body) {
+  return {State.applied() + 1, encodeRecord(Body)};
+}
+
+// A late removal must not remove the process that took the host over.
+TEST(ReplicatedState, RemovalCountsOnlyForTheListedIncarnation) {
+  ReplicatedState State;
+  Member Old = makeMember(0, 1);
+  Member New = Old;
+  New.Inc = 77;
+  State.applyRecord({}, record(State, JoinRecord{Old}));
+  State.applyRecord({}, record(State, JoinRecord{New}));
+  State.applyRecord({}, record(State, RemoveRecord{{Old.Host, Old.Inc}, "h1"}));
+  ASSERT_TRUE(State.member(Old.Host));
+  EXPECT_EQ(State.member(Old.Host)->Inc, 77U);
+  State.applyRecord({}, record(State, LeaveRecord{{New.Host, New.Inc}}));
+  EXPECT_FALSE(State.member(Old.Host));
+}
+
+// A daemon that applied the rest of a truncated log would reach another state.
+TEST(ReplicatedState, GapIsClosedOnlyByASnapshotOfTheLog) {
+  ReplicatedState Writer;
+  Writer.applyRecord({}, record(Writer, Change{"c0", smallTree()}));
+  Writer.applyRecord({}, record(Writer, JoinRecord{makeMember(1, 1)}));
+  std::string Text = Writer.snapshot();
+  std::size_t Half = Text.size() / 2;
+  std::vector<LogRecord> Kept;
+  auto Append = [&](const RecordBody &Body) {
+    Kept.push_back(record(Writer, Body));
+    Writer.applyRecord({}, Kept.back());
+  };
+  Append(JoinRecord{makeMember(2, 2)});
+  Append(SnapshotRecord{"x", 1, 1, 2, Text.substr(Half)});
+  Append(SnapshotRecord{"x", 1, 0, 2, Text.substr(0, Half)});
+  Append(JoinRecord{makeMember(3, 1)});
+
+  ReplicatedState Reader;
+  int Restores = 0;
+  for (int Reads = 0; Reads < 20; ++Reads) {
+    Offset Next = std::max<Offset>(Reader.nextOffset(), Kept.front().At);
+    if (Next > Kept.back().At)
+      break;
+    const LogRecord &Record =
+        Kept[static_cast<std::size_t>(Next - Kept.front().At)];
+    Restores += Reader.applyRecord({}, Record).Restored ? 1 : 0;
+  }
+  EXPECT_EQ(Restores, 1);
+  EXPECT_EQ(Reader.snapshot(), Writer.snapshot());
+  EXPECT_TRUE(Reader.epochs("/w/t")->entries().front().Truncated ||
+              Reader.epochs("/w/s")->entries().front().Truncated);
+}
+
+TEST(ReplicatedState, VerdictMemoryIsBounded) {
+  ReplicatedState State;
+  for (std::size_t I = 0; I <= MaxRememberedVerdicts; ++I)
+    State.applyRecord({}, record(State, Change{"c" + std::to_string(I), {}}));
+  EXPECT_FALSE(State.verdictOf("c0"));
+  EXPECT_TRUE(State.verdictOf("c1"));
+}
+
+TEST(ReplicatedState, UnreadableSnapshotLeavesTheStateAlone) {
+  ReplicatedState State;
+  State.applyRecord({}, record(State, Change{"c0", smallTree()}));
+  std::string Before = State.snapshot();
+  for (const std::string Text :
+       {"", "{}", "[]", "{\"format\":2,\"applied\":5}",
+        "{\"format\":1,\"applied\":5,\"nodes\":[{\"path\":1}]}"})
+    EXPECT_TRUE(State.restore({}, 5, Text)) << Text;
+  EXPECT_EQ(State.snapshot(), Before);
+}
