--- /dev/null
+++ b/src/shell/Declarations.cpp
@@ -0,0 +1,281 @@
+// Declarations.cpp - Reads the tree of settings from YAML files.
+
+#include "Declarations.h"
+
+#include <algorithm>
+#include <array>
+#include <optional>
+#include <tuple>
+#include <yaml-cpp/yaml.h>
+
+namespace figsail {
+
+/// Aliases can make a YAML document contain itself or grow without bound.
+static constexpr int MaxDepth = 32;
+static constexpr std::size_t MaxNodes = 200000;
+
+namespace {
+
+/// A key under which child nodes are declared.
+struct Section {
+  std::string_view Key;
+  NodeKind Kind;
+};
+
+/// Reads one file into a tree shared by all files.
+class FileReader {
+public:
+  FileReader(std::string File, DeclaredTree &Tree,
+             std::vector<DeclarationError> &Errors)
+      : File(std::move(File)), Tree(Tree), Errors(Errors) {}
+
+  void read() {
+    try {
+      YAML::Node Document = YAML::LoadFile(File);
+      if (!Document.IsNull())
+        readNode(Document, "", std::nullopt, 0);
+    } catch (const YAML::BadFile &) {
+      Errors.push_back({{File, 0}, "", "the file cannot be read"});
+    } catch (const YAML::Exception &Error) {
+      Errors.push_back({place(Error.mark), "", "YAML: " + Error.msg});
+    }
+  }
+
+private:
+  SourcePlace place(const YAML::Mark &Mark) const {
+    return {File, Mark.is_null() ? 0 : Mark.line + 1};
+  }
+
+  void fail(const YAML::Node &At, const std::string &Path, std::string Text) {
+    Errors.push_back({place(At.Mark()), Path, std::move(Text)});
+  }
+
+  static std::vector<Section> sections(std::optional<NodeKind> Kind) {
+    if (!Kind)
+      return {{"groups", NodeKind::Group},
+              {"workspaces", NodeKind::Workspace},
+              {"failure_domains", NodeKind::FailureDomain},
+              {"backend_servers", NodeKind::BackendServer}};
+    if (*Kind == NodeKind::Group)
+      return {{"groups", NodeKind::Group}, {"workspaces", NodeKind::Workspace}};
+    if (*Kind == NodeKind::Workspace)
+      return {{"services", NodeKind::Service}};
+    if (*Kind == NodeKind::Service)
+      return {{"routes", NodeKind::Route}};
+    return {};
+  }
+
+  static std::string childPath(const std::string &Path, NodeKind Kind,
+                               const std::string &Name) {
+    if (Kind == NodeKind::FailureDomain)
+      return failureDomainPath(Name);
+    if (Kind == NodeKind::BackendServer)
+      return backendServerPath(Name);
+    return Path + "/" + Name;
+  }
+
+  /// Reads the settings and sections of one node; no kind: the whole file.
+  void readNode(const YAML::Node &Node, const std::string &Path,
+                std::optional<NodeKind> Kind, int Depth) {
+    if (Node.IsNull())
+      return;
+    if (!Node.IsMap()) {
+      fail(Node, Path, "expected a mapping");
+      return;
+    }
+    if (Depth > MaxDepth) {
+      fail(Node, Path, "the nodes are nested too deeply");
+      return;
+    }
+    std::vector<Section> Allowed = sections(Kind);
+    std::vector<std::string> Seen;
+    for (const auto &Item : Node) {
+      if (!checkKey(Item.first, Path, Seen))
+        continue;
+      const std::string &Key = Item.first.Scalar();
+      auto Found = std::ranges::find(Allowed, Key, &Section::Key);
+      if (Found != Allowed.end())
+        readSection(Item.second, Path, Found->Kind, Depth + 1);
+      else if (Key == "settings" && Kind)
+        readSettings(Item.second, Path);
+      else
+        fail(Item.first, Path, unknownKey(Key, Kind, Allowed));
+    }
+  }
+
+  bool checkKey(const YAML::Node &Key, const std::string &Path,
+                std::vector<std::string> &Seen) {
+    if (!Key.IsScalar()) {
+      fail(Key, Path, "a key must be a plain name");
+      return false;
+    }
+    if (std::ranges::find(Seen, Key.Scalar()) != Seen.end()) {
+      fail(Key, Path, "\"" + Key.Scalar() + "\" stands here twice");
+      return false;
+    }
+    Seen.push_back(Key.Scalar());
+    return true;
+  }
+
+  static std::string unknownKey(const std::string &Key,
+                                std::optional<NodeKind> Kind,
+                                const std::vector<Section> &Allowed) {
+    std::string Text = "unknown key \"" + Key + "\"; allowed:";
+    if (Kind)
+      Text += " settings";
+    for (const Section &One : Allowed)
+      Text.append(" ").append(One.Key);
+    return Text;
+  }
+
+  void readSection(const YAML::Node &Node, const std::string &Path,
+                   NodeKind Kind, int Depth) {
+    if (Node.IsNull())
+      return;
+    if (!Node.IsMap()) {
+      fail(Node, Path, "expected a mapping from names to nodes");
+      return;
+    }
+    for (const auto &Item : Node) {
+      if (!Item.first.IsScalar()) {
+        fail(Item.first, Path, "a key must be a plain name");
+        continue;
+      }
+      std::string Child = childPath(Path, Kind, Item.first.Scalar());
+      if (Tree.size() >= MaxNodes) {
+        fail(Item.first, Child, "the files declare too many nodes");
+        return;
+      }
+      DeclaredNode Declared;
+      Declared.Kind = Kind;
+      Declared.Place = place(Item.first.Mark());
+      auto [Present, Inserted] = Tree.emplace(Child, Declared);
+      if (!Inserted) {
+        const SourcePlace &First = Present->second.Place;
+        fail(Item.first, Child,
+             "duplicate node; first declared at " + First.File + ":" +
+                 std::to_string(First.Line));
+        continue;
+      }
+      readNode(Item.second, Child, Kind, Depth);
+    }
+  }
+
+  void readSettings(const YAML::Node &Node, const std::string &Path) {
+    if (Node.IsNull())
+      return;
+    if (!Node.IsMap()) {
+      fail(Node, Path, "settings must be a mapping from names to values");
+      return;
+    }
+    DeclaredNode &Declared = Tree.at(Path);
+    std::vector<std::string> Seen;
+    for (const auto &Item : Node) {
+      if (!checkKey(Item.first, Path, Seen))
+        continue;
+      const std::string &Name = Item.first.Scalar();
+      std::optional<std::string> Value = readValue(Item.second);
+      if (!Value) {
+        fail(Item.first, Path, "setting \"" + Name + "\" needs a value");
+        continue;
+      }
+      Declared.Settings.emplace(Name, std::move(*Value));
+      Declared.SettingPlaces.emplace(Name, place(Item.first.Mark()));
+    }
+  }
+
+  /// Returns a scalar as text and a sequence of scalars as a comma list.
+  static std::optional<std::string> readValue(const YAML::Node &Node) {
+    if (Node.IsScalar())
+      return Node.Scalar();
+    if (!Node.IsSequence())
+      return std::nullopt;
+    std::string List;
+    for (const YAML::Node &Item : Node) {
+      if (!Item.IsScalar())
+        return std::nullopt;
+      List += List.empty() ? "" : ",";
+      List += Item.Scalar();
+    }
+    return List;
+  }
+
+  std::string File;
+  DeclaredTree &Tree;
+  std::vector<DeclarationError> &Errors;
+};
+
+} // namespace
+
+std::string describe(const DeclarationError &Error) {
+  std::string Text = Error.Place.File;
+  if (Error.Place.Line > 0)
+    Text += ":" + std::to_string(Error.Place.Line);
+  if (!Error.Path.empty())
+    Text += ": " + Error.Path;
+  return Text + ": " + Error.Text;
+}
+
+/// Checks the tree as if it were published to an empty state.
+static void checkTree(const DeclaredTree &Tree,
+                      std::vector<DeclarationError> &Errors) {
+  if (Tree.empty())
+    return;
+  Change Proposal{"declarations", editsTowards(Tree, Configuration(), false)};
+  for (const Rejection &Why : Configuration().findFaults(Proposal)) {
+    auto Found = Tree.find(Why.Path);
+    SourcePlace Place;
+    if (Found != Tree.end()) {
+      auto Setting = Found->second.SettingPlaces.find(Why.Setting);
+      Place = Setting == Found->second.SettingPlaces.end() ? Found->second.Place
+                                                           : Setting->second;
+    }
+    Errors.push_back({Place, Why.Path, Why.Reason});
+  }
+}
+
+std::variant<DeclaredTree, std::vector<DeclarationError>>
+readDeclarations(const std::vector<std::string> &Files) {
+  DeclaredTree Tree;
+  std::vector<DeclarationError> Errors;
+  for (const std::string &File : Files)
+    FileReader(File, Tree, Errors).read();
+  checkTree(Tree, Errors);
+  if (Errors.empty())
+    return Tree;
+  auto Rank = [&](const DeclarationError &Error) {
+    return std::pair(std::ranges::find(Files, Error.Place.File) - Files.begin(),
+                     Error.Place.Line);
+  };
+  std::ranges::stable_sort(Errors, {}, Rank);
+  return Errors;
+}
+
+std::vector<NodeEdit> editsTowards(const DeclaredTree &Declared,
+                                   const Configuration &Present, bool Prune) {
+  auto IsPlaced = [](NodeKind Kind) {
+    return Kind == NodeKind::FailureDomain || Kind == NodeKind::BackendServer;
+  };
+  std::vector<NodeEdit> Edits;
+  for (const auto &[Path, Node] : Declared) {
+    NodeEdit Edit{Path, Node.Kind, false, Node.Settings, NoOffset};
+    auto Found = Present.nodes().find(Path);
+    if (Found != Present.nodes().end()) {
+      if (Found->second.Kind == Node.Kind &&
+          Found->second.Settings == Node.Settings)
+        continue;
+      if (IsPlaced(Node.Kind) && Node.Settings.empty())
+        continue;
+      Edit.ExpectedVersion = Found->second.Version;
+    }
+    Edits.push_back(std::move(Edit));
+  }
+  if (!Prune)
+    return Edits;
+  for (const auto &[Path, Node] : Present.nodes())
+    if (!Declared.contains(Path) && !IsPlaced(Node.Kind))
+      Edits.push_back({Path, Node.Kind, true, {}, Node.Version});
+  return Edits;
+}
+
+} // namespace figsail
--- /dev/null
+++ b/tests/DeclarationsTest.cpp
@@ -0,0 +1,193 @@
+// DeclarationsTest.cpp - Guards against declarations that are accepted in spite
+// of an error, and against errors without file and line.
+
+#include "Declarations.h"
+
+#include <cstdio>
+#include <fstream>
+#include <gtest/gtest.h>
+
+using namespace figsail;
+
+namespace {
+
+/// Declaration files in a directory of their own.
+class DeclarationsTest : public testing::Test {
+protected:
+  std::string write(const std::string &Name, const std::string &Text) {
+    std::string Test =
+        testing::UnitTest::GetInstance()->current_test_info()->name();
+    std::string File = testing::TempDir() + Test + "-" + Name;
+    std::ofstream(File) << Text;
+    Files.push_back(File);
+    return File;
+  }
+
+  /// Returns the described errors of one file, without its directory.
+  std::vector<std::string> errorsOf(const std::string &Text) {
+    std::string File = write("a.yaml", Text);
+    std::vector<std::string> Lines;
+    auto Result = readDeclarations({File});
+    if (auto *Errors = std::get_if<std::vector<DeclarationError>>(&Result))
+      for (const DeclarationError &Error : *Errors)
+        Lines.push_back(describe(Error).substr(File.size() + 1));
+    return Lines;
+  }
+
+  void TearDown() override {
+    for (const std::string &File : Files)
+      std::remove(File.c_str());
+  }
+
+  std::vector<std::string> Files;
+};
+
+} // namespace
+
+using Lines = std::vector<std::string>;
+
+static const char *const Small = R"(workspaces:
+  w:
+    settings: {deadline: 1s, home_regions: [a, b]}
+    services:
+      s:
+        routes:
+          r:
+            settings: {match_path: /r, home_regions: b}
+failure_domains:
+  d:
+)";
+
+TEST_F(DeclarationsTest, ReadsNodesAndSettings) {
+  auto Result = readDeclarations({write("a.yaml", Small)});
+  ASSERT_TRUE(std::holds_alternative<DeclaredTree>(Result));
+  auto &Tree = std::get<DeclaredTree>(Result);
+  ASSERT_EQ(Tree.size(), 4U);
+  EXPECT_EQ(Tree.at("/w").Settings.at("home_regions"), "a,b");
+  EXPECT_EQ(Tree.at("/w/s/r").Kind, NodeKind::Route);
+  EXPECT_EQ(Tree.at("/w/s/r").Place.Line, 7);
+  EXPECT_EQ(Tree.at("/failure_domains/d").Kind, NodeKind::FailureDomain);
+}
+
+TEST_F(DeclarationsTest, NamesTheLineOfEachError) {
+  EXPECT_EQ(
+      errorsOf(R"(workspaces:
+  w:
+    settings:
+      colour: red
+      deadline: 61s
+      max_attempts: many
+      home_regions: [a]
+      share:
+    services:
+      s:
+        settings: {in_service: true}
+        routes:
+          q:
+            settings: {match_path: /same}
+          r:
+            settings:
+              home_regions: [a, b]
+              match_path: /r
+          t:
+            settings:
+              match_path: /same
+          u: {}
+)"),
+      Lines({
+          "4: /w: unknown setting \"colour\"",
+          R"(5: /w: value "61s" of "deadline" is not valid; allowed: )" +
+              std::string("1ms..60s"),
+          R"(6: /w: value "many" of "max_attempts" is not valid; allowed: )" +
+              std::string("1..8"),
+          "8: /w: setting \"share\" needs a value",
+          R"(11: /w/s: a service node cannot declare the setting "in_service")",
+          R"(17: /w/s/r: region "b" is not among the inherited "a")",
+          R"(21: /w/s/t: the route "/w/s/q" has the same method and path)",
+          "22: /w/s/u: a route must declare match_path",
+      }));
+}
+
+TEST_F(DeclarationsTest, NamesTheLineOfStructuralErrors) {
+  EXPECT_EQ(errorsOf("workspaces:\n  w:\n    routes: {}\n"),
+            Lines{"3: /w: unknown key \"routes\"; allowed: settings services"});
+  EXPECT_EQ(errorsOf("workspaces:\n  w: {}\n  w: {}\n").at(0).substr(0, 21),
+            "3: /w: duplicate node");
+  EXPECT_EQ(errorsOf("groups: {}\ngroups: {}\n"),
+            Lines{"2: \"groups\" stands here twice"});
+  EXPECT_EQ(errorsOf("workspaces:\n- w\n"),
+            Lines{"2: expected a mapping from names to nodes"});
+  EXPECT_EQ(errorsOf("groups:\n  bad name: {}\n"),
+            Lines{"2: /bad name: the path is not valid"});
+  EXPECT_EQ(errorsOf("workspaces:\n  w: [\n").at(0).substr(0, 8), "3: YAML:");
+}
+
+// An alias inside its own anchor would otherwise be read without end.
+TEST_F(DeclarationsTest, RejectsADocumentThatContainsItself) {
+  Lines Errors = errorsOf("groups:\n  g: &g\n    groups:\n      h: *g\n");
+  ASSERT_FALSE(Errors.empty());
+  EXPECT_NE(Errors.front().find("nested too deeply"), std::string::npos);
+}
+
+TEST_F(DeclarationsTest, NamesBothPlacesOfADuplicateNode) {
+  std::string First = write("a.yaml", "workspaces:\n  w: {}\n");
+  std::string Second = write("b.yaml", "\nworkspaces:\n\n  w: {}\n");
+  auto Result = readDeclarations({First, Second});
+  auto &Errors = std::get<std::vector<DeclarationError>>(Result);
+  ASSERT_EQ(Errors.size(), 1U);
+  EXPECT_EQ(describe(Errors[0]), Second +
+                                     ":4: /w: duplicate node; first "
+                                     "declared at " +
+                                     First + ":2");
+}
+
+TEST_F(DeclarationsTest, NamesAFileThatCannotBeRead) {
+  auto Result = readDeclarations({"/nonexistent/x.yaml"});
+  auto &Errors = std::get<std::vector<DeclarationError>>(Result);
+  ASSERT_EQ(Errors.size(), 1U);
+  EXPECT_EQ(describe(Errors[0]),
+            "/nonexistent/x.yaml: the file cannot be read");
+}
+
+// Publishing the same files again must not put a failure domain back in
+// service, nor remove what another operator added.
+TEST_F(DeclarationsTest, EditsLeaveTakenOutDomainsAndOtherNodesAlone) {
+  auto Result = readDeclarations({write("a.yaml", Small)});
+  auto &Tree = std::get<DeclaredTree>(Result);
+  Configuration Present;
+  Present.apply({"c0", editsTowards(Tree, Present, false)}, 0);
+  EXPECT_TRUE(editsTowards(Tree, Present, true).empty());
+  Present.apply({"c1",
+                 {{"/failure_domains/d",
+                   NodeKind::FailureDomain,
+                   false,
+                   {{"in_service", "false"}},
+                   0},
+                  {"/other", NodeKind::Group, false, {}, NoOffset}}},
+                1);
+  EXPECT_TRUE(editsTowards(Tree, Present, false).empty());
+  std::vector<NodeEdit> Pruned = editsTowards(Tree, Present, true);
+  ASSERT_EQ(Pruned.size(), 1U);
+  EXPECT_EQ(Pruned[0].Path, "/other");
+  EXPECT_TRUE(Pruned[0].Remove);
+  Tree.at("/w").Settings["deadline"] = "2s";
+  std::vector<NodeEdit> Edits = editsTowards(Tree, Present, false);
+  ASSERT_EQ(Edits.size(), 1U);
+  EXPECT_EQ(Edits[0].ExpectedVersion, 0);
+}
+
+TEST_F(DeclarationsTest, ExamplesAreValid) {
+  for (const char *Name : {"tsukushi.yaml", "fraserline.yaml"}) {
+    auto Result =
+        readDeclarations({std::string(FIGSAIL_EXAMPLES_DIR "/") + Name});
+    ASSERT_TRUE(std::holds_alternative<DeclaredTree>(Result)) << Name;
+    int Services = 0;
+    int Identified = 0;
+    for (const auto &[Path, Node] : std::get<DeclaredTree>(Result)) {
+      Services += Node.Kind == NodeKind::Service ? 1 : 0;
+      Identified += Node.Settings.contains("identity") ? 1 : 0;
+    }
+    EXPECT_EQ(Services, 4) << Name;
+    EXPECT_GE(Identified, 3) << Name;
+  }
+}
