--- a/tests/PeerCodecTest.cpp
+++ b/tests/PeerCodecTest.cpp
@@ -100,7 +100,7 @@
                  anyPolicy(),
                  any<std::int64_t>(),
                  anyPeer(),
-                 any<std::uint32_t>()};
+                 anyGrant()};
   case 8:
     return Granted{anyCall(), anyToken()};
   case 9:
