--- a/include/figsail/Admission.h
+++ b/include/figsail/Admission.h
@@ -22,6 +22,8 @@
   Duration ProbeIdle{
       std::chrono::seconds(1)}; ///< Probe only after this long without traffic.
   double ProbesPerSecond = 0.5; ///< Measuring budget.
+  bool FixedLimit =
+      false; ///< Keeps the limit at Slots; the baseline of measurements.
 };
 
 /// Whether new work may be taken, as the owner of replicated state sees it.
--- a/src/core/Admission.cpp
+++ b/src/core/Admission.cpp
@@ -48,7 +48,7 @@
 struct Admission::State {
   State(PeerRef Self, AdmissionSettings Given, ExecutionLog &Log)
       : Self(std::move(Self)), Settings(std::move(Given)), Log(Log),
-        Limit(Settings.Slots, Settings.InitialLimit),
+        Limit(Settings.Slots, Settings.InitialLimit, Settings.FixedLimit),
         Queue(Settings.MaxQueue ? Settings.MaxQueue
                                 : std::size_t{2} * Limit.slots()),
         ProbeTokens(Settings.ProbesPerSecond, 1), TracedLimit(Limit.value()) {}
@@ -59,8 +59,10 @@
   std::optional<ErrorKind> checkRoom(TimePoint Now, const Execute &Message,
                                      EffectList &Out);
   bool inHomeRegions(const CallPolicy &Policy) const;
-  bool replyToDuplicate(const PeerRef &From, const CallId &Call,
-                        EffectList &Out);
+  void replyToKnown(const HostId &To, const CallId &Call,
+                    EffectList &Out) const;
+  bool repeated(const HostId &From, const CallId &Call, EffectList &Out) const;
+  PeerMessage withLoad(PeerMessage Reply) const;
   bool endedHere(const CallId &Call) const;
   Duration estimatedWait(const Execute &Message) const;
   bool mayStart(TimePoint Now, const CallId &Call) const;
@@ -184,28 +186,45 @@
   return ErrorKind::Internal;
 }
 
-/// Replies to a repeated Execute or an Await of an idempotent call. Returns
-/// whether the call is known.
-bool Admission::State::replyToDuplicate(const PeerRef &From, const CallId &Call,
-                                        EffectList &Out) {
-  auto Known = Calls.find(Call);
-  if (Known != Calls.end()) {
-    // The asker may use a new connection; the answer follows on it.
-    Out.emplace_back(SendPeer{From.Host, Received{Call}});
-    return true;
-  }
-  auto Ended = EndedCalls.find(Call);
-  if (Ended == EndedCalls.end())
-    return false;
-  if (Ended->second == EndedAs::Ran)
+/// Replies to an Await of an idempotent call that is known here.
+void Admission::State::replyToKnown(const HostId &To, const CallId &Call,
+                                    EffectList &Out) const {
+  // The asker may use a new connection; the answer follows on it.
+  if (Calls.contains(Call))
+    Out.emplace_back(SendPeer{To, Received{Call}});
+  else if (EndedCalls.at(Call) == EndedAs::Ran)
     Out.emplace_back(
-        SendPeer{From.Host, Failed{Call, ErrorKind::BackendFailed, load()}});
+        SendPeer{To, Failed{Call, ErrorKind::BackendFailed, load()}});
   else
     Out.emplace_back(
-        SendPeer{From.Host, Refused{Call, ErrorKind::NeverStarted, load()}});
+        SendPeer{To, Refused{Call, ErrorKind::NeverStarted, load()}});
+}
+
+/// Replies to an idempotent Execute that waits or runs already, or that was
+/// reported as never started. Returns whether it is one. A call that ended is
+/// a retry and runs again.
+bool Admission::State::repeated(const HostId &From, const CallId &Call,
+                                EffectList &Out) const {
+  auto Ended = EndedCalls.find(Call);
+  bool Final =
+      Ended != EndedCalls.end() && Ended->second == EndedAs::NeverArrived;
+  if (!Final && !Calls.contains(Call))
+    return false;
+  replyToKnown(From, Call, Out);
   return true;
 }
 
+/// Adds the load to a reply of the execution log, which does not know it.
+PeerMessage Admission::State::withLoad(PeerMessage Reply) const {
+  if (auto *Known = std::get_if<Answer>(&Reply))
+    Known->Load = load();
+  if (auto *Known = std::get_if<Refused>(&Reply))
+    Known->Load = load();
+  if (auto *Known = std::get_if<Failed>(&Reply))
+    Known->Load = load();
+  return Reply;
+}
+
 /// Returns whether the call is an idempotent one that was admitted and ended.
 bool Admission::State::endedHere(const CallId &Call) const {
   auto Ended = EndedCalls.find(Call);
@@ -319,7 +338,11 @@
 
 void Admission::State::remember(TimePoint Now, const CallId &Call,
                                 EndedAs How) {
-  if (!EndedCalls.emplace(Call, How).second)
+  auto [Known, Fresh] = EndedCalls.emplace(Call, How);
+  // Once a call has run, no later refusal makes it "not run".
+  if (Known->second != EndedAs::Ran)
+    Known->second = How;
+  if (!Fresh)
     return;
   EndedOrder.emplace_back(Now, Call);
   while (EndedOrder.size() > MaxEndedCalls ||
@@ -431,14 +454,15 @@
     return;
   }
   if (Message.Policy.Idempotent) {
-    if (S.replyToDuplicate(From, Message.Call, Out))
+    if (S.repeated(From.Host, Message.Call, Out))
       return;
   } else {
     // The log decides first: a refusal of a request that it knows to have run
     // would be a false "not run".
     StartVerdict Verdict = S.Log.accept(Now, From, Message, Gate.History);
     if (auto *Known = std::get_if<KnownReply>(&Verdict)) {
-      Out.emplace_back(SendPeer{From.Host, std::move(Known->Reply)});
+      Out.emplace_back(
+          SendPeer{From.Host, S.withLoad(std::move(Known->Reply))});
       return;
     }
     if (std::holds_alternative<AlreadyUnderWay>(Verdict)) {
@@ -504,13 +528,14 @@
                         ? Known->second.Message.Policy.Idempotent
                         : S.endedHere(Message.Call);
   if (Idempotent && !Message.Grant) {
-    S.replyToDuplicate(From, Message.Call, Out);
+    S.replyToKnown(From.Host, Message.Call, Out);
     return;
   }
   S.Log.await(Now, From, Message, S.load(), Out);
   // The log does not see idempotent calls; a late Execute of one that was
   // reported as never started is refused by this mark.
-  if (!Message.Grant && Known == S.Calls.end())
+  bool Meant = Message.Target == 0 || Message.Target == S.Self.Inc;
+  if (Meant && !Message.Grant && Known == S.Calls.end())
     S.remember(Now, Message.Call, EndedAs::NeverArrived);
 }
 
--- a/src/core/ConcurrencyLimit.cpp
+++ b/src/core/ConcurrencyLimit.cpp
@@ -6,9 +6,10 @@
 
 namespace figsail {
 
-ConcurrencyLimit::ConcurrencyLimit(std::uint32_t Slots, std::uint32_t Initial)
+ConcurrencyLimit::ConcurrencyLimit(std::uint32_t Slots, std::uint32_t Initial,
+                                   bool Fixed)
     : Slots(std::max(Slots, 1U)), Initial(std::clamp(Initial, 1U, this->Slots)),
-      Limit(this->Initial) {}
+      Limit(this->Initial), Fixed(Fixed) {}
 
 void ConcurrencyLimit::completed(const std::string &Route, Duration Latency,
                                  std::uint32_t Running) {
--- a/src/core/ConcurrencyLimit.h
+++ b/src/core/ConcurrencyLimit.h
@@ -38,8 +38,10 @@
       10; ///< Failures in the window that hold the limit at one.
   static constexpr std::size_t MaxRoutes = 256;
 
-  /// Both at least one; Initial is bounded by Slots.
-  ConcurrencyLimit(std::uint32_t Slots, std::uint32_t Initial);
+  /// Both at least one; Initial is bounded by Slots. Fixed: the limit stays at
+  /// Slots whatever is observed.
+  ConcurrencyLimit(std::uint32_t Slots, std::uint32_t Initial,
+                   bool Fixed = false);
 
   /// A whole response other than a 5xx has arrived. Running is the number of
   /// requests that ran beside it, itself included.
@@ -60,9 +62,13 @@
   void restart();
 
   /// Returns the present limit, at least one and at most Slots.
-  std::uint32_t value() const { return held() ? 1 : Limit; }
+  std::uint32_t value() const {
+    if (Fixed)
+      return Slots;
+    return held() ? 1 : Limit;
+  }
   /// Returns whether failures hold the limit at one.
-  bool held() const { return Outcomes.count() >= FailureHold; }
+  bool held() const { return !Fixed && Outcomes.count() >= FailureHold; }
   std::uint32_t slots() const { return Slots; }
 
 private:
@@ -76,6 +82,7 @@
   std::uint32_t Slots;
   std::uint32_t Initial;
   std::uint32_t Limit;
+  bool Fixed;
   std::uint32_t Seen = 0;     ///< Completions in this window.
   std::uint32_t Peak = 0;     ///< Most running in this window.
   std::uint32_t SlowSeen = 0; ///< Completions in a row above CutAbove.
--- /dev/null
+++ b/tests/BalancerTest.cpp
@@ -0,0 +1,183 @@
+// BalancerTest.cpp - Guards against selection that floods, starves or ignores
+// locality.
+
+#include "figsail/Balancer.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include <map>
+#include <set>
+
+using namespace figsail;
+using namespace std::chrono_literals;
+
+namespace {
+
+struct Fleet {
+  std::vector<Member> Members;
+  std::vector<const Member *> Eligible;
+  TimePoint Now{1000s};
+  Balancer Under{"10.9.9.9:7000", {"north", "n1"}, makePowerOfTwoChoices()};
+  std::uint64_t Seed = 1;
+
+  void add(const std::string &Region, const std::string &Domain, int Count) {
+    for (int I = 0; I < Count; ++I) {
+      Member Who;
+      Who.Host = Domain + "-" + std::to_string(I);
+      Who.Region = Region;
+      Who.FailureDomain = Domain;
+      Members.push_back(Who);
+    }
+    Eligible.clear();
+    for (const Member &Who : Members)
+      Eligible.push_back(&Who);
+  }
+
+  const Member *choose(bool RemoteAllowed = true,
+                       std::span<const HostId> Tried = {}) {
+    Seed = Seed * 6364136223846793005ULL + 1442695040888963407ULL;
+    return Under.choose(Now, Eligible, Tried, RemoteAllowed, Seed ^ Seed >> 29);
+  }
+
+  std::map<std::string, int> sample(int Count, bool RemoteAllowed = true) {
+    std::map<std::string, int> Chosen;
+    for (int I = 0; I < Count; ++I)
+      ++Chosen[choose(RemoteAllowed)->Host];
+    return Chosen;
+  }
+
+  /// One call that ends with this report.
+  void report(const HostId &Host, LoadReport Load, bool Success = true) {
+    Under.sent(Now, Host);
+    Under.ended(Now, Host, Success, &Load);
+  }
+  void reportAll(const LoadReport &Load) {
+    for (const Member &Who : Members)
+      report(Who.Host, Load);
+  }
+};
+
+constexpr LoadReport Idle{.Limit = 10};
+constexpr LoadReport Full{.Limit = 10, .Running = 10, .Queued = 2};
+
+} // namespace
+
+TEST(Balancer, PoliciesAreFoundByName) {
+  EXPECT_TRUE(makePolicy("round-robin"));
+  EXPECT_TRUE(makePolicy("least-outstanding"));
+  EXPECT_TRUE(makePolicy("power-of-two"));
+  EXPECT_FALSE(makePolicy("random"));
+}
+
+// Calls must stay near until the near servers are full, and must not cross to
+// another region without leave.
+TEST(Balancer, OverflowsTierByTier) {
+  Fleet F;
+  F.add("north", "n1", 2);
+  F.add("north", "n2", 2);
+  F.add("south", "s1", 2);
+  F.reportAll(Idle);
+  EXPECT_EQ(F.choose()->FailureDomain, "n1");
+  F.report("n1-0", Full);
+  F.report("n1-1", Full);
+  EXPECT_EQ(F.choose()->FailureDomain, "n2");
+  F.report("n2-0", Full);
+  F.report("n2-1", Full);
+  EXPECT_EQ(F.choose()->FailureDomain, "s1");
+  EXPECT_EQ(F.choose(false)->Region, "north");
+}
+
+// A host that refused is tried last; a report that was under way when it
+// refused must not make it look good again.
+TEST(Balancer, AvoidsHostsThatRefusedOrWereLost) {
+  Fleet F;
+  F.add("north", "n1", 2);
+  F.reportAll(Idle);
+  F.Under.sent(F.Now, "n1-0");
+  F.Under.sent(F.Now, "n1-0");
+  F.Under.refused(F.Now, "n1-0", Full);
+  F.Under.ended(F.Now, "n1-0", true, &Idle);
+  EXPECT_FALSE(F.sample(50).contains("n1-0"));
+  std::vector<HostId> Tried{"n1-1"};
+  EXPECT_EQ(F.choose(true, Tried)->Host, "n1-0");
+  F.Now += 6s;
+  EXPECT_TRUE(F.sample(50).contains("n1-0"));
+  F.Under.lost(F.Now, "n1-1");
+  EXPECT_FALSE(F.sample(50).contains("n1-1"));
+  Tried = {"n1-0", "n1-1"};
+  EXPECT_EQ(F.choose(true, Tried), nullptr);
+}
+
+// An old report must not keep attracting calls.
+TEST(Balancer, AnOldReportMakesAServerLessPreferred) {
+  Fleet F;
+  F.add("north", "n1", 2);
+  F.report("n1-0", Idle);
+  F.Now += 4s;
+  F.report("n1-1", {.Limit = 10, .Running = 2});
+  EXPECT_FALSE(F.sample(50).contains("n1-0"));
+}
+
+// A server that answers fast with errors must lose to a loaded one.
+TEST(Balancer, FailureRateOutweighsAnIdleReport) {
+  Fleet F;
+  F.add("north", "n1", 2);
+  F.report("n1-1", {.Limit = 10, .Running = 7});
+  for (int I = 0; I < 20; ++I)
+    F.report("n1-0", Idle, false);
+  EXPECT_FALSE(F.sample(50).contains("n1-0"));
+}
+
+// A host that just came back must not get more than a cold server bears.
+TEST(Balancer, AReturnedHostIsRampedUp) {
+  Fleet F;
+  F.add("north", "n1", 3);
+  F.reportAll({.Limit = 10, .Running = 5});
+  F.Under.forget("n1-0");
+  for (int I = 0; I < 12; ++I)
+    F.Under.sent(F.Now, F.choose()->Host);
+  int There = 0;
+  while (F.choose()->Host == "n1-0" && There < 10) {
+    F.Under.sent(F.Now, "n1-0");
+    ++There;
+  }
+  EXPECT_LE(There, 1);
+}
+
+// Losing the own failure domain must leave members to go to, and an ingress
+// must not open connections to the whole service.
+RC_GTEST_PROP(BalancerProperty, SubsetIsBoundedAndSpansDomains, ()) {
+  Fleet F;
+  F.add("north", "n1", *rc::gen::inRange(0, 40));
+  F.add("north", "n2", *rc::gen::inRange(1, 40));
+  F.add("south", "s1", *rc::gen::inRange(0, 40));
+  std::set<std::string> Hosts;
+  std::set<std::string> Domains;
+  std::vector<HostId> Tried;
+  while (const Member *Who = F.choose(true, Tried)) {
+    RC_ASSERT(Hosts.insert(Who->Host).second);
+    Domains.insert(Who->FailureDomain);
+    Tried.push_back(Who->Host);
+  }
+  std::set<std::string> All;
+  for (const Member &Who : F.Members)
+    All.insert(Who.FailureDomain);
+  RC_ASSERT(Hosts.size() == std::min<std::size_t>(F.Members.size(), 16));
+  RC_ASSERT(Domains.size() >= std::min<std::size_t>(All.size(), 2));
+}
+
+// Each policy must spread calls over equal servers.
+TEST(Balancer, PoliciesSpreadCallsOverEqualServers) {
+  for (const char *Name :
+       {"round-robin", "least-outstanding", "power-of-two"}) {
+    Fleet F;
+    F.Under = Balancer("10.9.9.9:7000", {"north", "n1"}, makePolicy(Name));
+    F.add("north", "n1", 4);
+    F.reportAll(Idle);
+    for (const auto &[Host, Count] : F.sample(400)) {
+      EXPECT_GT(Count, 60) << Name;
+      EXPECT_LT(Count, 140) << Name;
+    }
+  }
+}
--- /dev/null
+++ b/tests/QuarantineTest.cpp
@@ -0,0 +1,109 @@
+// QuarantineTest.cpp - Guards against a request that crashes one backend
+// server after the other, and against blocking innocent ones.
+
+#include "Quarantine.h"
+#include "AdmissionHarness.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+using namespace figsail;
+using namespace std::chrono_literals;
+
+static constexpr TimePoint Start{1000s};
+
+// A fingerprint must be blocked by the second crash and free again later.
+TEST(Quarantine, BlocksAfterTwoCrashesForItsLifetime) {
+  Quarantine Q;
+  EXPECT_EQ(Q.check(Start, 7), Suspicion::None);
+  auto First = Q.crashed(Start, 7, Start - 1s, true);
+  ASSERT_TRUE(First);
+  EXPECT_EQ(First->Crashes, 1U);
+  EXPECT_EQ(Q.check(Start, 7), Suspicion::Suspect);
+  auto Second = Q.crashed(Start + 2s, 7, Start + 1s, true);
+  ASSERT_TRUE(Second);
+  EXPECT_EQ(Second->Crashes, 2U);
+  EXPECT_EQ(Q.check(Start + 2s, 7), Suspicion::Blocked);
+  EXPECT_EQ(Q.check(Start + 2s + Quarantine::Lifetime, 7), Suspicion::None);
+}
+
+// Several runs of one popular request that break in one crash must not count
+// as several crashes.
+TEST(Quarantine, OneCrashCountsOnceForEqualRequests) {
+  Quarantine Q;
+  for (int I = 0; I < 5; ++I)
+    Q.crashed(Start + I * 1ms, 7, Start - 1s, true);
+  EXPECT_EQ(Q.check(Start + 1s, 7), Suspicion::Suspect);
+}
+
+// Only a crash without another suspect beside it identifies the request.
+TEST(Quarantine, ACrashBesideAnotherSuspectDoesNotBlock) {
+  Quarantine Q;
+  Q.crashed(Start, 7, Start - 1s, true);
+  Q.crashed(Start + 2s, 7, Start + 1s, false);
+  EXPECT_EQ(Q.check(Start + 2s, 7), Suspicion::Suspect);
+}
+
+// Success clears a suspect here and at other members, but not a blocked one.
+TEST(Quarantine, SuccessClearsSuspectsOnly) {
+  Quarantine Here;
+  Quarantine There;
+  There.merge(Start, *Here.crashed(Start, 7, Start - 1s, true));
+  EXPECT_EQ(There.check(Start, 7), Suspicion::Suspect);
+  auto Cleared = Here.succeeded(Start + 1s, 7);
+  ASSERT_TRUE(Cleared);
+  There.merge(Start + 1s, *Cleared);
+  EXPECT_EQ(There.check(Start + 1s, 7), Suspicion::None);
+  There.merge(Start, SuspectReport{9, 2, true});
+  There.merge(Start, SuspectReport{9, 0, false});
+  EXPECT_EQ(There.check(Start, 9), Suspicion::Blocked);
+}
+
+// The crash count must follow the request to the server that it is retried on.
+TEST(Quarantine, CountsCrashesOverSeveralHosts) {
+  Quarantine Second;
+  Second.merge(Start, SuspectReport{7, 1, true});
+  auto Report = Second.crashed(Start + 2s, 7, Start + 1s, true);
+  ASSERT_TRUE(Report);
+  EXPECT_EQ(Report->Crashes, 2U);
+}
+
+// A stream of crashing requests must not exhaust memory.
+RC_GTEST_PROP(QuarantineProperty, MemoryIsBounded, ()) {
+  Quarantine Q;
+  auto Step = *rc::gen::inRange<std::uint64_t>(1, 1000);
+  for (std::uint64_t I = 1; I <= Quarantine::MaxEntries + 500; ++I)
+    Q.crashed(Start + Duration(I), I * Step, Start, true);
+  RC_ASSERT(Q.size() == Quarantine::MaxEntries);
+  Q.expire(Start + 2 * Quarantine::Lifetime);
+  RC_ASSERT(Q.size() == 0U);
+}
+
+// The request that crashes its server must be refused from the third attempt
+// on, and what ran beside it must run again.
+TEST(Quarantine, AdmissionStopsACrashingRequest) {
+  AdmissionHarness H(10);
+  CallSpec Killer{.Fingerprint = 7};
+  CallSpec Innocent{.Fingerprint = 8};
+  H.execute(Innocent);
+  H.execute(Killer);
+  H.Now += 1ms;
+  for (int I = 0; I < 2; ++I)
+    H.end(H.Running.begin()->first, BackendError::Broken);
+  auto Reports = H.Under.takeReports();
+  EXPECT_EQ(Reports.size(), 2U);
+  H.Now += 1ms;
+  H.execute(Killer);
+  H.execute(Innocent);
+  // Both are suspects, so the second waits.
+  EXPECT_EQ(H.Running.size(), 1U);
+  H.Now += 1ms;
+  H.end(H.Running.begin()->first, BackendError::Broken);
+  EXPECT_EQ(H.endOf(H.execute(Killer)), "quarantined");
+  H.answerOldest(1ms);
+  EXPECT_EQ(H.Running.size(), 0U);
+  Reports = H.Under.takeReports();
+  ASSERT_EQ(Reports.size(), 2U);
+  EXPECT_EQ(Reports[0].first.Crashes, 2U);
+  EXPECT_EQ(Reports[1].first.Crashes, 0U);
+}
