--- a/src/shell/FrontendConnection.cpp
+++ b/src/shell/FrontendConnection.cpp
@@ -77,6 +77,7 @@
   RequestWhole = false;
   Scanner.reset();
   Message.reset();
+  Fields.clear();
   arm(Owner->settings().IdleTimeout);
   if (Owner->draining())
     drain();
@@ -162,6 +163,8 @@
     write(std::move(*Response));
     return;
   }
+  Fields = copyFields(Head);
+  removeHopByHop(Fields);
   startBody(std::get<ReadBody>(Verdict).MaxBody);
 }
 
@@ -224,8 +227,7 @@
   HttpRequest Request;
   Request.Method = std::string(Whole.method_string());
   Request.Target = std::string(originForm(Whole.target()));
-  Request.Headers = copyFields(Whole);
-  removeHopByHop(Request.Headers);
+  Request.Headers = std::move(Fields);
   Request.Body = std::move(Whole.body());
   Message.reset();
   RequestWhole = true;
--- a/src/shell/FrontendConnection.h
+++ b/src/shell/FrontendConnection.h
@@ -99,6 +99,8 @@
   std::string Received;         ///< Bytes not yet parsed.
   HeadScanner Scanner;
   std::optional<Parser> Message; ///< The request being read.
+  HeaderList
+      Fields; ///< Of its head; the parser adds trailer fields to its own.
   std::optional<boost::beast::http::message_generator>
       Outgoing;             ///< The answer being written.
   unsigned Version = 11;    ///< 10 or 11, of the present request.
--- /dev/null
+++ b/tests/BackendClientTest.cpp
@@ -0,0 +1,438 @@
+// BackendClientTest.cpp - Responses and failures of a backend server, over raw
+// connections.
+
+#include "BackendClient.h"
+#include "HttpTestSupport.h"
+
+#include <functional>
+#include <gtest/gtest.h>
+#include <map>
+
+using namespace figsail;
+using namespace figsail::test;
+using std::chrono::seconds;
+
+namespace {
+
+/// A backend server that follows a script. The script runs on a thread of its
+/// own, once for each connection, with the number of the connection.
+class ScriptedServer {
+public:
+  using Script = std::function<void(RawConnection &, std::size_t)>;
+
+  ScriptedServer(std::optional<BackendClient> &Client, Script Play)
+      : Client(Client),
+        Acceptor(Context, {boost::asio::ip::address_v4::loopback(), 0}),
+        Play(std::move(Play)), Thread([this] { serve(); }) {}
+  ~ScriptedServer() {
+    // Scripts that wait for another request end with the client.
+    Client.reset();
+    Stopping = true;
+    try {
+      RawConnection Wake(port());
+    } catch (const boost::system::system_error &) {
+      // The acceptor is gone already.
+    }
+    Thread.join();
+    for (std::thread &Each : Threads)
+      Each.join();
+  }
+  ScriptedServer(const ScriptedServer &) = delete;
+  ScriptedServer &operator=(const ScriptedServer &) = delete;
+
+  std::uint16_t port() const { return Acceptor.local_endpoint().port(); }
+  std::size_t accepted() const { return Accepted; }
+
+private:
+  void serve() {
+    for (std::size_t Number = 0;; ++Number) {
+      tcp::socket Socket = Acceptor.accept();
+      if (Stopping)
+        return;
+      ++Accepted;
+      Threads.emplace_back([this, Number, Moved = std::move(Socket)]() mutable {
+        RawConnection Connection(std::move(Moved));
+        try {
+          Play(Connection, Number);
+        } catch (const boost::system::system_error &) {
+          // The client has closed the connection; most scripts end like this.
+        }
+      });
+    }
+  }
+
+  std::optional<BackendClient> &Client;
+  boost::asio::io_context Context;
+  tcp::acceptor Acceptor;
+  Script Play;
+  std::atomic<bool> Stopping = false;
+  std::atomic<std::size_t> Accepted = 0;
+  std::vector<std::thread> Threads;
+  std::thread Thread;
+};
+
+/// Runs the client's loop on the test's own thread, so that a test decides when
+/// the client sees something.
+class BackendClientTest : public testing::Test, public BackendHandler {
+protected:
+  using Result = std::variant<HttpResponse, BackendError>;
+
+  ~BackendClientTest() override {
+    Client.reset();
+    poll();
+  }
+
+  /// Runs what is ready.
+  void poll() {
+    Context.restart();
+    Context.poll();
+  }
+
+  void connectTo(std::uint16_t Port, BackendSettings Settings = {}) {
+    Settings.Address = "127.0.0.1:" + std::to_string(Port);
+    Client.emplace(Context, *this, Settings);
+  }
+
+  void start(RunId Run, Duration Budget = seconds(30),
+             HttpRequest Request = {"GET", "/x", {}, {}}) {
+    Client->run(Run, std::move(Request), Budget);
+  }
+
+  /// Runs the loop until a run has ended, and returns its end.
+  Result await(RunId Run) {
+    while (!Ends.contains(Run)) {
+      Context.restart();
+      Context.run_one();
+    }
+    // A second end would be counted here.
+    poll();
+    EXPECT_EQ(Ends.count(Run), 1U);
+    return Ends.find(Run)->second;
+  }
+
+  Result run(RunId Run, Duration Budget = seconds(30)) {
+    start(Run, Budget);
+    return await(Run);
+  }
+
+  ProbeDone probe() {
+    Probe.reset();
+    Client->probe();
+    while (!Probe) {
+      Context.restart();
+      Context.run_one();
+    }
+    return *Probe;
+  }
+
+  void backendDone(BackendDone Done) override {
+    Ends.emplace(Done.Run, std::move(Done.Result));
+  }
+  void probeDone(ProbeDone Done) override { Probe = Done; }
+
+  boost::asio::io_context Context{1};
+  std::optional<BackendClient> Client;
+  std::multimap<RunId, Result> Ends;
+  std::optional<ProbeDone> Probe;
+};
+
+std::string bodyOf(const std::variant<HttpResponse, BackendError> &End) {
+  const auto *Response = std::get_if<HttpResponse>(&End);
+  return Response != nullptr ? Response->Body : "no response";
+}
+
+std::optional<BackendError>
+errorOf(const std::variant<HttpResponse, BackendError> &End) {
+  const auto *Error = std::get_if<BackendError>(&End);
+  return Error != nullptr ? std::optional(*Error) : std::nullopt;
+}
+
+const std::string Ok = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+
+/// Answers each request of a connection with the same bytes.
+ScriptedServer::Script always(std::string Bytes) {
+  return [Bytes = std::move(Bytes)](RawConnection &Peer, std::size_t) {
+    for (;;) {
+      Peer.request();
+      Peer.send(Bytes);
+    }
+  };
+}
+
+/// Answers one request with bytes and closes.
+ScriptedServer::Script once(std::string Bytes) {
+  return [Bytes = std::move(Bytes)](RawConnection &Peer, std::size_t) {
+    Peer.request();
+    Peer.send(Bytes);
+    Peer.finishSending();
+    Peer.ended();
+  };
+}
+
+} // namespace
+
+TEST_F(BackendClientTest, RequestCarriesDeadlineHostAndBody) {
+  std::promise<http::request<http::string_body>> Seen;
+  ScriptedServer Server(Client, [&](RawConnection &Peer, std::size_t) {
+    Seen.set_value(Peer.request());
+    Peer.send("HTTP/1.1 200 OK\r\nContent-Length: 2\r\nX-A: 1\r\n"
+              "Connection: X-Hop\r\nX-Hop: 1\r\n\r\nok");
+  });
+  connectTo(Server.port());
+  start(1, seconds(30),
+        {"POST", "/t?q", {{"X-B", "2"}, {"figsail-deadline-ms", "9"}}, "body"});
+  Result End = await(1);
+  EXPECT_EQ(std::get<HttpResponse>(End),
+            (HttpResponse{200, {{"X-A", "1"}}, "ok"}));
+  auto Request = Seen.get_future().get();
+  EXPECT_EQ(Request.target(), "/t?q");
+  EXPECT_EQ(Request.body(), "body");
+  EXPECT_EQ(Request["X-B"], "2");
+  EXPECT_EQ(Request[http::field::host],
+            "127.0.0.1:" + std::to_string(Server.port()));
+  EXPECT_EQ(Request.count("Figsail-Deadline-Ms"), 1U);
+  unsigned long Millis = std::stoul(Request["Figsail-Deadline-Ms"]);
+  EXPECT_GT(Millis, 9U);
+  EXPECT_LE(Millis, 30000U);
+}
+
+TEST_F(BackendClientTest, WholeResponsesOfEachFramingArePassedOn) {
+  const std::pair<std::string, std::string> Cases[] = {
+      {Ok, "ok"},
+      {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+       "1\r\no\r\n1\r\nk\r\n0\r\nX-Trailer: 1\r\n\r\n",
+       "ok"},
+      {"HTTP/1.0 200 OK\r\n\r\nto the end", "to the end"},
+      {"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\n\r\n" + Ok,
+       "ok"},
+      {"HTTP/1.1 204 No Content\r\n\r\n", ""},
+  };
+  for (const auto &[Bytes, Body] : Cases) {
+    Ends.clear();
+    ScriptedServer Server(Client, once(Bytes));
+    connectTo(Server.port());
+    Result End = run(1);
+    EXPECT_EQ(bodyOf(End), Body);
+    ASSERT_EQ(errorOf(End), std::nullopt);
+    EXPECT_TRUE(std::get<HttpResponse>(End).Headers.empty());
+  }
+}
+
+// A partial, oversized or ambiguous response must never reach a caller.
+TEST_F(BackendClientTest, DamagedResponsesAreMalformed) {
+  const std::string Head = "HTTP/1.1 200 OK\r\n";
+  const std::string Chunked = Head + "Transfer-Encoding: chunked\r\n\r\n";
+  const std::string Large(101, 'x');
+  const std::string Cases[] = {
+      Head + "Content-Length: 5\r\n\r\nabcd",
+      Chunked + "5\r\nabcd",
+      Chunked + "4\r\nabcd\r\n",
+      Chunked + "4\r\nabcd\r\n0\r\n",
+      Head + "Content-Le",
+      Head + "Content-Length: 101\r\n\r\n" + Large,
+      Chunked + "65\r\n" + Large + "\r\n0\r\n\r\n",
+      "HTTP/1.0 200 OK\r\n\r\n" + Large,
+      Head + "X-A: " + std::string(70000, 'x') + "\r\n\r\n",
+      Head + "Content-Length: 2\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+      Head + "Content-Length: 2\r\nContent-Length: 3\r\n\r\nabc",
+      Head + "Transfer-Encoding: gzip\r\n\r\nabc",
+      Head + "Transfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n",
+      "HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+      "HTTP/1.1 101 Switching Protocols\r\n\r\n",
+      "no HTTP at all\r\n\r\n",
+  };
+  for (const std::string &Bytes : Cases) {
+    Ends.clear();
+    ScriptedServer Server(Client, once(Bytes));
+    BackendSettings Settings;
+    Settings.MaxResponse = 100;
+    connectTo(Server.port(), Settings);
+    EXPECT_EQ(errorOf(run(1)), BackendError::Malformed) << Bytes.substr(0, 80);
+  }
+}
+
+// A reset does not mark the end of a response that is read to the end.
+TEST_F(BackendClientTest, ReadToEndThatIsResetIsNoResponse) {
+  std::promise<void> Sent;
+  std::promise<void> MayReset;
+  ScriptedServer Server(Client, [&](RawConnection &Peer, std::size_t) {
+    Peer.request();
+    Peer.send("HTTP/1.0 200 OK\r\n\r\npart");
+    Sent.set_value();
+    MayReset.get_future().wait();
+    Peer.reset();
+  });
+  connectTo(Server.port());
+  start(1);
+  auto HasSent = Sent.get_future();
+  while (HasSent.wait_for(seconds(0)) != std::future_status::ready)
+    poll();
+  // The first part is read before the reset, which would discard it.
+  for (int I = 0; I < 100; ++I)
+    poll();
+  MayReset.set_value();
+  EXPECT_EQ(errorOf(await(1)), BackendError::Malformed);
+}
+
+TEST_F(BackendClientTest, RefusedConnectionIsNotSent) {
+  std::uint16_t Unused = 0;
+  {
+    boost::asio::io_context Other;
+    tcp::acceptor Closed(Other, {boost::asio::ip::address_v4::loopback(), 0});
+    Unused = Closed.local_endpoint().port();
+  }
+  connectTo(Unused);
+  EXPECT_EQ(errorOf(run(1)), BackendError::NotSent);
+  EXPECT_FALSE(probe().Healthy);
+}
+
+TEST_F(BackendClientTest, SpentBudgetIsNotSent) {
+  ScriptedServer Server(Client, always(Ok));
+  connectTo(Server.port());
+  EXPECT_EQ(errorOf(run(1, Duration(0))), BackendError::NotSent);
+  EXPECT_EQ(Server.accepted(), 0U);
+}
+
+// Once the request may have arrived, "not sent" would allow a second execution.
+TEST_F(BackendClientTest, CloseAfterTheRequestIsBroken) {
+  ScriptedServer Server(Client, [](RawConnection &Peer, std::size_t Number) {
+    Peer.request();
+    if (Number == 1)
+      Peer.reset();
+  });
+  connectTo(Server.port());
+  EXPECT_EQ(errorOf(run(1)), BackendError::Broken);
+  EXPECT_EQ(errorOf(run(2)), BackendError::Broken);
+}
+
+TEST_F(BackendClientTest, ConnectionIsKeptForTheNextRequest) {
+  ScriptedServer Server(Client, always(Ok));
+  connectTo(Server.port());
+  for (RunId Run = 1; Run <= 5; ++Run)
+    EXPECT_EQ(bodyOf(run(Run)), "ok");
+  EXPECT_EQ(Server.accepted(), 1U);
+}
+
+// The backend server closes an unused connection just before the next request.
+// The client's loop does not run in between, so only the check before the write
+// can see it.
+TEST_F(BackendClientTest, StaleConnectionIsReplaced) {
+  std::promise<void> Closed;
+  ScriptedServer Server(Client, [&](RawConnection &Peer, std::size_t Number) {
+    Peer.request();
+    Peer.send(Ok);
+    if (Number > 0)
+      Peer.request();
+    Peer.close();
+    Closed.set_value();
+  });
+  connectTo(Server.port());
+  EXPECT_EQ(bodyOf(run(1)), "ok");
+  Closed.get_future().wait();
+  Closed = std::promise<void>();
+  EXPECT_EQ(bodyOf(run(2)), "ok");
+  EXPECT_EQ(Server.accepted(), 2U);
+}
+
+// Bytes that follow a response must not become the response to another request.
+TEST_F(BackendClientTest, SurplusBytesAreNotTakenForTheNextResponse) {
+  std::promise<void> SendStray;
+  std::promise<void> StraySent;
+  ScriptedServer Server(Client, [&](RawConnection &Peer, std::size_t Number) {
+    Peer.request();
+    if (Number == 0) {
+      Peer.send(Ok + Ok);
+      Peer.request();
+    }
+    Peer.send("HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nown");
+    if (Number == 1) {
+      SendStray.get_future().wait();
+      Peer.send(Ok);
+      StraySent.set_value();
+    }
+    Peer.request();
+  });
+  connectTo(Server.port());
+  EXPECT_EQ(bodyOf(run(1)), "ok");
+  EXPECT_EQ(bodyOf(run(2)), "own");
+  SendStray.set_value();
+  StraySent.get_future().wait();
+  EXPECT_EQ(bodyOf(run(3)), "own");
+  EXPECT_EQ(Server.accepted(), 3U);
+}
+
+TEST_F(BackendClientTest, TimeoutAndCancelCloseTheConnection) {
+  std::promise<void> Arrived;
+  std::promise<void> Ended[2];
+  ScriptedServer Server(Client, [&](RawConnection &Peer, std::size_t Number) {
+    Peer.request();
+    if (Number == 1)
+      Arrived.set_value();
+    if (Peer.ended())
+      Ended[Number].set_value();
+  });
+  connectTo(Server.port());
+  EXPECT_EQ(errorOf(run(1, std::chrono::milliseconds(20))),
+            BackendError::TimedOut);
+  Ended[0].get_future().wait();
+  start(2);
+  auto HasArrived = Arrived.get_future();
+  while (HasArrived.wait_for(seconds(0)) != std::future_status::ready)
+    poll();
+  Client->cancel(2);
+  Client->cancel(2);
+  EXPECT_EQ(errorOf(await(2)), BackendError::Cancelled);
+  Ended[1].get_future().wait();
+}
+
+TEST_F(BackendClientTest, ConnectionsStayUnderTheCap) {
+  ScriptedServer Server(Client, always(Ok));
+  BackendSettings Settings;
+  Settings.MaxConnections = 2;
+  connectTo(Server.port(), Settings);
+  for (RunId Run = 1; Run <= 20; ++Run)
+    start(Run);
+  for (RunId Run = 1; Run <= 20; ++Run)
+    EXPECT_EQ(bodyOf(await(Run)), "ok");
+  EXPECT_LE(Server.accepted(), 2U);
+}
+
+TEST_F(BackendClientTest, WaitForAFreeConnectionEndsAsNotSent) {
+  ScriptedServer Server(Client, [](RawConnection &Peer, std::size_t) {
+    Peer.request();
+    Peer.ended();
+  });
+  BackendSettings Settings;
+  Settings.MaxConnections = 1;
+  connectTo(Server.port(), Settings);
+  start(1);
+  EXPECT_EQ(errorOf(run(2, std::chrono::milliseconds(20))),
+            BackendError::NotSent);
+  Client->cancel(1);
+  EXPECT_EQ(errorOf(await(1)), BackendError::Cancelled);
+}
+
+TEST_F(BackendClientTest, HeadResponseKeepsItsLength) {
+  ScriptedServer Server(
+      Client, always("HTTP/1.1 200 OK\r\nContent-Length: 12345\r\n\r\n"));
+  connectTo(Server.port());
+  for (RunId Run = 1; Run <= 2; ++Run) {
+    start(Run, seconds(30), {"HEAD", "/x", {}, {}});
+    Result End = await(Run);
+    EXPECT_EQ(std::get<HttpResponse>(End),
+              (HttpResponse{200, {{"Content-Length", "12345"}}, ""}));
+  }
+  EXPECT_EQ(Server.accepted(), 1U);
+}
+
+TEST_F(BackendClientTest, ProbeTellsHealthFromTheStatus) {
+  ScriptedServer Server(Client, [](RawConnection &Peer, std::size_t) {
+    EXPECT_EQ(Peer.request().target(), "/health");
+    Peer.send(Ok);
+    Peer.request();
+    Peer.send("HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n");
+  });
+  connectTo(Server.port());
+  EXPECT_TRUE(probe().Healthy);
+  EXPECT_FALSE(probe().Healthy);
+}
--- /dev/null
+++ b/tests/HttpFrontendTest.cpp
@@ -0,0 +1,480 @@
+// HttpFrontendTest.cpp - Legacy clients and bad input, over raw connections.
+
+#include "HttpFrontend.h"
+#include "HttpTestSupport.h"
+#include "figsail/ErrorKind.h"
+
+#include <gtest/gtest.h>
+
+using namespace figsail;
+using namespace figsail::test;
+
+static constexpr std::size_t MaxBody = 1000;
+
+namespace {
+
+/// Answers "METHOD TARGET BODY". Requests to /hold wait for release().
+class EchoHandler : public FrontendHandler {
+public:
+  HeadVerdict checkHead(std::string_view /*Method*/,
+                        std::string_view Target) override {
+    if (Target == "/missing")
+      return errorResponse(ErrorKind::NoRoute);
+    return ReadBody{MaxBody};
+  }
+
+  void callerRequest(CallerId Caller, HttpRequest Request) override {
+    Last = Request;
+    ++Requests;
+    if (Request.Target.starts_with("/hold")) {
+      Held.emplace_back(Caller, std::move(Request));
+      return;
+    }
+    answer(Caller, Request);
+  }
+
+  void callerGone(CallerId /*Caller*/) override { Gone.set_value(); }
+
+  void release() {
+    for (auto &[Caller, Request] : std::exchange(Held, {}))
+      answer(Caller, Request);
+  }
+
+  void answer(CallerId Caller, const HttpRequest &Request) {
+    HttpResponse Response{200, {{"X-Kept", "1"}, {"Keep-Alive", "5"}}, {}};
+    if (Request.Target.starts_with("/status/"))
+      Response.Status =
+          static_cast<std::uint32_t>(std::stoul(Request.Target.substr(8)));
+    if (Request.Target == "/length")
+      Response.Headers.emplace_back("Content-Length", "12345");
+    else
+      Response.Body =
+          Request.Method + " " + Request.Target + " " + Request.Body;
+    Frontend->reply(Caller, std::move(Response));
+  }
+
+  HttpFrontend *Frontend = nullptr;
+  HttpRequest Last;
+  std::size_t Requests = 0;
+  std::vector<std::pair<CallerId, HttpRequest>> Held;
+  std::promise<void> Gone; ///< A second callerGone() throws.
+};
+
+class HttpFrontendTest : public testing::Test {
+protected:
+  explicit HttpFrontendTest(FrontendSettings Settings = {}) {
+    Loop.on([&] {
+      Frontend.emplace(Loop.Context, Handler, Settings);
+      Handler.Frontend = &*Frontend;
+      EXPECT_EQ(Frontend->listen("127.0.0.1:0"), std::nullopt);
+      Port = Frontend->port();
+    });
+  }
+  ~HttpFrontendTest() override {
+    Loop.on([&] { Frontend.reset(); });
+  }
+
+  /// Waits until the handler holds that many requests.
+  void awaitHeld(std::size_t Count) {
+    while (Loop.on([&] { return Handler.Held.size(); }) < Count)
+      std::this_thread::yield();
+  }
+  void release() {
+    Loop.on([&] { Handler.release(); });
+  }
+  std::string lastField(const char *Name) {
+    return Loop.on(
+        [&] { return std::string(findHeader(Handler.Last.Headers, Name)); });
+  }
+
+  EchoHandler Handler;
+  std::optional<HttpFrontend> Frontend;
+  std::uint16_t Port = 0;
+  LoopThread Loop;
+};
+
+} // namespace
+
+// Guards against legacy clients that are refused for a missing Host, or that
+// wait for a connection that never ends.
+TEST_F(HttpFrontendTest, Http10WithoutHostIsAnsweredAndClosed) {
+  RawConnection Client(Port);
+  Client.send("GET /a HTTP/1.0\r\n\r\n");
+  Response Got = Client.response();
+  EXPECT_EQ(Got.version(), 10U);
+  EXPECT_EQ(Got.body(), "GET /a ");
+  EXPECT_EQ(Got[http::field::content_length], "7");
+  EXPECT_TRUE(Client.ended());
+}
+
+TEST_F(HttpFrontendTest, Http10KeepAliveIsConfirmed) {
+  RawConnection Client(Port);
+  for (int I = 0; I < 2; ++I) {
+    Client.send("GET /a HTTP/1.0\r\nConnection: Keep-Alive\r\n\r\n");
+    Response Got = Client.response();
+    EXPECT_EQ(Got.version(), 10U);
+    EXPECT_EQ(Got[http::field::connection], "keep-alive");
+  }
+}
+
+TEST_F(HttpFrontendTest, Http11KeepsAliveUntilClose) {
+  RawConnection Client(Port);
+  Client.send("GET /a HTTP/1.1\r\nHost: h\r\n\r\n");
+  EXPECT_EQ(Client.response().body(), "GET /a ");
+  // Some clients send an extra CRLF after a request.
+  Client.send("\r\nGET /b HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
+  Response Got = Client.response();
+  EXPECT_EQ(Got.body(), "GET /b ");
+  EXPECT_EQ(Got[http::field::connection], "close");
+  EXPECT_TRUE(Client.ended());
+}
+
+// Guards against answers that overtake each other, and against loss of
+// requests when the read-ahead buffer is full.
+TEST_F(HttpFrontendTest, PipelinedRequestsAreAnsweredInOrder) {
+  RawConnection Client(Port);
+  std::string Many = "GET /hold HTTP/1.1\r\nHost: h\r\n\r\n";
+  constexpr int Count = 1000;
+  for (int I = 0; I < Count; ++I)
+    Many += "POST /" + std::to_string(I) +
+            " HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\nbody";
+  std::thread Sender([&] { Client.send(Many); });
+  awaitHeld(1);
+  EXPECT_EQ(Loop.on([&] { return Handler.Requests; }), 1U);
+  release();
+  EXPECT_EQ(Client.response().body(), "GET /hold ");
+  for (int I = 0; I < Count; ++I)
+    ASSERT_EQ(Client.response().body(), "POST /" + std::to_string(I) + " body");
+  Sender.join();
+}
+
+// A trailer field must not pass for a field that was checked with the head.
+TEST_F(HttpFrontendTest, ChunkedBodyIsJoinedAndTrailersAreDropped) {
+  RawConnection Client(Port);
+  Client.send("POST /c HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n"
+              "\r\n3;x=y\r\nabc\r\n2\r\nde\r\n0\r\nBooking-Id: 7\r\n\r\n");
+  EXPECT_EQ(Client.response().body(), "POST /c abcde");
+  EXPECT_EQ(lastField("Booking-Id"), "");
+  EXPECT_EQ(lastField("Transfer-Encoding"), "");
+}
+
+TEST_F(HttpFrontendTest, RequestInSingleBytesIsRead) {
+  RawConnection Client(Port);
+  for (char Byte : std::string_view("POST /l HTTP/1.1\r\nHost: h\r\n"
+                                    "Content-Length: 5\r\n\r\nabcde"))
+    Client.send({&Byte, 1});
+  EXPECT_EQ(Client.response().body(), "POST /l abcde");
+}
+
+TEST_F(HttpFrontendTest, ContinueIsSentBeforeTheBody) {
+  RawConnection Client(Port);
+  Client.send("POST /e HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n"
+              "Expect: 100-continue\r\n\r\n");
+  EXPECT_EQ(Client.response().result_int(), 100U);
+  Client.send("ok");
+  EXPECT_EQ(Client.response().body(), "POST /e ok");
+  EXPECT_EQ(lastField("Expect"), "");
+}
+
+// A client that was told to continue would send a body that nobody reads.
+TEST_F(HttpFrontendTest, RefusedHeadGetsNoContinue) {
+  for (const char *Rest : {"/missing HTTP/1.1\r\nContent-Length: 2\r\n",
+                           "/ HTTP/1.1\r\nContent-Length: 1001\r\n"}) {
+    RawConnection Client(Port);
+    Client.send(std::string("POST ") + Rest +
+                "Host: h\r\nExpect: 100-continue\r\n\r\n");
+    EXPECT_GE(Client.response().result_int(), 404U);
+    EXPECT_TRUE(Client.ended());
+  }
+}
+
+TEST_F(HttpFrontendTest, HeadHasLengthButNoBody) {
+  RawConnection Client(Port);
+  Client.send("HEAD /h HTTP/1.1\r\nHost: h\r\n\r\n"
+              "HEAD /length HTTP/1.1\r\nHost: h\r\n\r\n"
+              "GET /g HTTP/1.1\r\nHost: h\r\n\r\n");
+  EXPECT_EQ(Client.response(true)[http::field::content_length], "8");
+  EXPECT_EQ(Client.response(true)[http::field::content_length], "12345");
+  EXPECT_EQ(Client.response().body(), "GET /g ");
+}
+
+TEST_F(HttpFrontendTest, BodilessStatusesHaveNoBody) {
+  RawConnection Client(Port);
+  Client.send("GET /status/204 HTTP/1.1\r\nHost: h\r\n\r\n"
+              "GET /status/304 HTTP/1.1\r\nHost: h\r\n\r\n"
+              "GET /status/150 HTTP/1.1\r\nHost: h\r\n\r\n");
+  Response NoContent = Client.response();
+  EXPECT_EQ(NoContent.result_int(), 204U);
+  EXPECT_EQ(NoContent.count(http::field::content_length), 0U);
+  EXPECT_EQ(Client.response().result_int(), 304U);
+  // An interim status is not a final answer.
+  EXPECT_EQ(Client.response().result_int(), 500U);
+}
+
+TEST_F(HttpFrontendTest, HalfClosedSenderIsAnswered) {
+  RawConnection Client(Port);
+  Client.send("GET /hold HTTP/1.1\r\nHost: h\r\n\r\n"
+              "GET /b HTTP/1.1\r\nHost: h\r\n\r\n");
+  Client.finishSending();
+  awaitHeld(1);
+  release();
+  EXPECT_EQ(Client.response().body(), "GET /hold ");
+  EXPECT_EQ(Client.response().body(), "GET /b ");
+  EXPECT_TRUE(Client.ended());
+}
+
+TEST_F(HttpFrontendTest, TruncatedRequestIsRefused) {
+  for (const char *Sent :
+       {"GET / HTTP/1.1\r\nHo", "POST / HTTP/1.1\r\nHost: h\r\n"
+                                "Content-Length: 5\r\n\r\nab"}) {
+    RawConnection Client(Port);
+    Client.send(Sent);
+    Client.finishSending();
+    EXPECT_EQ(Client.response().result_int(), 400U);
+  }
+  EXPECT_EQ(Loop.on([&] { return Handler.Requests; }), 0U);
+}
+
+TEST_F(HttpFrontendTest, HopByHopFieldsAreRemoved) {
+  RawConnection Client(Port);
+  Client.send("GET http://h/a?b HTTP/1.1\r\nHost: h\r\nConnection: X-Hop, "
+              "keep-alive\r\nX-Hop: 1\r\nTE: trailers\r\nX-End: 2\r\n"
+              "Proxy-Connection: keep-alive\r\n\r\n");
+  Response Got = Client.response();
+  EXPECT_EQ(Got.body(), "GET /a?b ");
+  EXPECT_EQ(Got["X-Kept"], "1");
+  EXPECT_EQ(Got.count(http::field::keep_alive), 0U);
+  for (const char *Name : {"X-Hop", "Connection", "TE", "Proxy-Connection"})
+    EXPECT_EQ(lastField(Name), "") << Name;
+  EXPECT_EQ(lastField("X-End"), "2");
+}
+
+// A reset while the body is unread would destroy the answer.
+TEST_F(HttpFrontendTest, AnswerToRefusedHeadSurvivesTheUnreadBody) {
+  RawConnection Client(Port);
+  constexpr std::size_t Length = std::size_t{4} << 20;
+  Client.send("POST /missing HTTP/1.1\r\nHost: h\r\nContent-Length: " +
+              std::to_string(Length) + "\r\n\r\n");
+  Client.trySend(std::string(Length, 'x'));
+  EXPECT_EQ(Client.response()["Figsail-Error"], "no-route");
+  EXPECT_EQ(Loop.on([&] { return Handler.Requests; }), 0U);
+}
+
+TEST_F(HttpFrontendTest, ResetIsReportedOnceAndLateReplyIsIgnored) {
+  for (bool FullReadAhead : {false, true}) {
+    Handler.Gone = std::promise<void>();
+    RawConnection Client(Port);
+    Client.send("GET /hold HTTP/1.1\r\nHost: h\r\n\r\n");
+    awaitHeld(1);
+    if (FullReadAhead)
+      Client.send(std::string(std::size_t{1} << 15, 'x'));
+    Client.reset();
+    Handler.Gone.get_future().wait();
+    release();
+    EXPECT_EQ(Loop.on([&] { return Frontend->busyConnections(); }), 0U);
+  }
+}
+
+TEST_F(HttpFrontendTest, DrainFinishesRequestsAndClosesTheRest) {
+  RawConnection Idle(Port);
+  RawConnection Busy(Port);
+  RawConnection Partial(Port);
+  Idle.send("GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+  Idle.response();
+  Busy.send("GET /hold HTTP/1.1\r\nHost: h\r\n\r\n");
+  Partial.send("GET /p HTTP/1.1\r\n");
+  awaitHeld(1);
+  Loop.on([&] { Frontend->drain(); });
+  EXPECT_TRUE(Idle.ended());
+  Partial.send("Host: h\r\n\r\n");
+  EXPECT_EQ(Partial.response()[http::field::connection], "close");
+  release();
+  EXPECT_EQ(Busy.response().body(), "GET /hold ");
+  EXPECT_TRUE(Busy.ended());
+  EXPECT_EQ(Loop.on([&] { return Frontend->busyConnections(); }), 0U);
+  EXPECT_ANY_THROW(RawConnection(Port).response());
+}
+
+namespace {
+
+/// Bytes that must be refused.
+struct BadInput {
+  const char *Name;
+  std::string Bytes;
+  unsigned Status;
+  const char *Error;
+};
+
+class BadInputTest : public HttpFrontendTest,
+                     public testing::WithParamInterface<BadInput> {};
+
+} // namespace
+
+// Every kind of bad input is refused, closes its own connection and does not
+// disturb a request that is half sent on another.
+TEST_P(BadInputTest, IsRefusedWithoutDisturbingOthers) {
+  RawConnection Other(Port);
+  Other.send("POST /other HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\nab");
+  RawConnection Client(Port);
+  // The trailing request would be taken for a request of its own by a server
+  // that reads the framing in another way.
+  Client.send(GetParam().Bytes);
+  Client.trySend("GET /smuggled HTTP/1.1\r\nHost: h\r\n\r\n");
+  Response Got = Client.response();
+  EXPECT_EQ(Got.result_int(), GetParam().Status);
+  EXPECT_EQ(Got["Figsail-Error"], GetParam().Error);
+  EXPECT_EQ(Got["Figsail-Run"], "no");
+  EXPECT_EQ(Got[http::field::connection], "close");
+  EXPECT_TRUE(Client.ended());
+  EXPECT_EQ(Loop.on([&] { return Handler.Requests; }), 0U);
+  Other.send("cd");
+  EXPECT_EQ(Other.response().body(), "POST /other abcd");
+}
+
+static std::string post(const std::string &Fields, const std::string &Body) {
+  return "POST / HTTP/1.1\r\nHost: h\r\n" + Fields + "\r\n" + Body;
+}
+
+static const char *const Ambiguous = "ambiguous-framing";
+static const char *const Bad = "bad-request";
+
+INSTANTIATE_TEST_SUITE_P(
+    Kinds, BadInputTest,
+    testing::Values(
+        BadInput{"LengthAndChunked",
+                 post("Content-Length: 3\r\nTransfer-Encoding: chunked\r\n",
+                      "0\r\n\r\n"),
+                 400, Ambiguous},
+        BadInput{"ChunkedAndLength",
+                 post("Transfer-Encoding: chunked\r\nContent-Length: 3\r\n",
+                      "0\r\n\r\n"),
+                 400, Ambiguous},
+        BadInput{"TwoLengths",
+                 post("Content-Length: 3\r\nContent-Length: 4\r\n", "abc"), 400,
+                 Ambiguous},
+        BadInput{"SameLengthTwice",
+                 post("Content-Length: 3\r\nContent-Length: 3\r\n", "abc"), 400,
+                 Ambiguous},
+        BadInput{"ListOfLengths", post("Content-Length: 3, 3\r\n", "abc"), 400,
+                 Ambiguous},
+        BadInput{"NegativeLength", post("Content-Length: -3\r\n", "abc"), 400,
+                 Ambiguous},
+        BadInput{"SignedLength", post("Content-Length: +3\r\n", "abc"), 400,
+                 Ambiguous},
+        BadInput{"HugeLength",
+                 post("Content-Length: 99999999999999999999\r\n", ""), 400,
+                 Ambiguous},
+        BadInput{"EmptyLength", post("Content-Length:\r\n", ""), 400,
+                 Ambiguous},
+        BadInput{"GzipCoding", post("Transfer-Encoding: gzip\r\n", ""), 400,
+                 Ambiguous},
+        BadInput{"GzipThenChunked",
+                 post("Transfer-Encoding: gzip, chunked\r\n", "0\r\n\r\n"), 400,
+                 Ambiguous},
+        BadInput{"ChunkedTwice",
+                 post("Transfer-Encoding: chunked\r\n"
+                      "Transfer-Encoding: chunked\r\n",
+                      "0\r\n\r\n"),
+                 400, Ambiguous},
+        BadInput{"EmptyCoding",
+                 post("Transfer-Encoding:\r\nTransfer-Encoding: chunked\r\n",
+                      "0\r\n\r\n"),
+                 400, Ambiguous},
+        BadInput{"ChunkedInHttp10",
+                 "POST / HTTP/1.0\r\nTransfer-Encoding: chunked\r\n\r\n"
+                 "0\r\n\r\n",
+                 400, Ambiguous},
+        BadInput{"FoldedField", post("X-A: 1\r\n 2\r\n", ""), 400, Bad},
+        BadInput{"BareCarriageReturn", post("X-A: 1\r2\r\n", ""), 400, Bad},
+        BadInput{"BareLineFeed", post("X-A: 1\nX-B: 2\r\n", ""), 400, Bad},
+        BadInput{"ControlCharacter", post("X-A: 1\x01\r\n", ""), 400, Bad},
+        BadInput{"NulCharacter", post(std::string("X-A: 1\0\r\n", 9), ""), 400,
+                 Bad},
+        BadInput{"SpaceBeforeColon", post("Content-Length : 3\r\n", "abc"), 400,
+                 Bad},
+        BadInput{"NoColon", post("X-A\r\n", ""), 400, Bad},
+        BadInput{"NoHostInHttp11", "GET / HTTP/1.1\r\n\r\n", 400, Bad},
+        BadInput{"TwoHosts", post("Host: i\r\n", ""), 400, Bad},
+        BadInput{"NoVersion", "GET /\r\n\r\n", 400, Bad},
+        BadInput{"OtherVersion", "GET / HTTP/2.0\r\nHost: h\r\n\r\n", 400, Bad},
+        BadInput{"Binary", "\x16\x03\x01\x02\x00\x01\x00\x01\xfc", 400, Bad},
+        BadInput{"BadChunkSize",
+                 post("Transfer-Encoding: chunked\r\n", "zz\r\nabc\r\n"), 400,
+                 Bad},
+        BadInput{"ChunkWithoutEnd",
+                 post("Transfer-Encoding: chunked\r\n", "3\r\nabcdef\r\n"), 400,
+                 Bad},
+        BadInput{"EndlessChunkExtension",
+                 post("Transfer-Encoding: chunked\r\n",
+                      "3;" + std::string(100000, 'x')),
+                 431, "head-too-large"},
+        BadInput{"HugeField", post("X-A: " + std::string(20000, 'x'), ""), 431,
+                 "head-too-large"},
+        BadInput{"HugeTarget", "GET /" + std::string(20000, 'x'), 431,
+                 "head-too-large"},
+        BadInput{"LengthBeyondMaxBody",
+                 post("Content-Length: 1001\r\n", std::string(1001, 'x')), 413,
+                 "body-too-large"},
+        BadInput{"ChunksBeyondMaxBody",
+                 post("Transfer-Encoding: chunked\r\n",
+                      "3e8\r\n" + std::string(1000, 'x') + "\r\n1\r\nx\r\n"),
+                 413, "body-too-large"},
+        BadInput{"Connect", "CONNECT h:1 HTTP/1.1\r\nHost: h\r\n\r\n", 501,
+                 "method-not-supported"},
+        BadInput{"Upgrade",
+                 post("Connection: upgrade\r\nUpgrade: websocket\r\n", ""), 501,
+                 "method-not-supported"},
+        BadInput{"OtherExpectation", post("Expect: magic\r\n", ""), 417,
+                 "expectation-failed"}),
+    [](const auto &Info) { return std::string(Info.param.Name); });
+
+namespace {
+
+class SlowSenderTest : public HttpFrontendTest {
+protected:
+  SlowSenderTest() : HttpFrontendTest(settings()) {}
+  static FrontendSettings settings() {
+    FrontendSettings Settings;
+    Settings.HeadTimeout = std::chrono::milliseconds(20);
+    Settings.BodyTimeout = std::chrono::milliseconds(20);
+    return Settings;
+  }
+};
+
+class OneConnectionTest : public HttpFrontendTest {
+protected:
+  OneConnectionTest() : HttpFrontendTest(settings()) {}
+  static FrontendSettings settings() {
+    FrontendSettings Settings;
+    Settings.MaxConnections = 1;
+    return Settings;
+  }
+};
+
+} // namespace
+
+// Senders that never finish would hold connections for ever.
+TEST_F(SlowSenderTest, UnfinishedRequestTimesOut) {
+  for (const char *Sent : {"GET / HT", "POST / HTTP/1.1\r\nHost: h\r\n"
+                                       "Content-Length: 5\r\n\r\nab"}) {
+    RawConnection Client(Port);
+    Client.send(Sent);
+    Response Got = Client.response();
+    EXPECT_EQ(Got.result_int(), 408U);
+    EXPECT_EQ(Got["Figsail-Run"], "no");
+    EXPECT_TRUE(Client.ended());
+  }
+}
+
+TEST_F(OneConnectionTest, FurtherConnectionsWaitForAFreePlace) {
+  RawConnection First(Port);
+  First.send("GET /hold HTTP/1.1\r\nHost: h\r\n\r\n");
+  awaitHeld(1);
+  RawConnection Second(Port);
+  Second.send("GET /b HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
+  EXPECT_EQ(Loop.on([&] { return Handler.Requests; }), 1U);
+  release();
+  EXPECT_EQ(First.response().body(), "GET /hold ");
+  First.close();
+  EXPECT_EQ(Second.response().body(), "GET /b ");
+}
