--- a/src/shell/HttpExchange.cpp
+++ b/src/shell/HttpExchange.cpp
@@ -14,7 +14,7 @@
 using boost::system::error_code;
 
 /// Largest response body. A read of the log returns up to 500 records.
-static constexpr std::size_t MaxResponseBytes = 64 * 1024 * 1024;
+static constexpr std::size_t MaxResponseBytes = std::size_t(64) * 1024 * 1024;
 
 HttpExchange::HttpExchange(asio::io_context &Context, std::string Address)
     : Address(std::move(Address)), Stream(Context) {}
--- a/src/shell/HttpService.cpp
+++ b/src/shell/HttpService.cpp
@@ -16,7 +16,7 @@
 using boost::system::error_code;
 using tcp = asio::ip::tcp;
 
-static constexpr std::size_t MaxRequestBytes = 16 * 1024 * 1024;
+static constexpr std::size_t MaxRequestBytes = std::size_t(16) * 1024 * 1024;
 static constexpr std::chrono::seconds IdleTimeout{60};
 /// Time until the next accept after one failed.
 static constexpr std::chrono::milliseconds AcceptPause{100};
--- a/src/shell/PeerLink.cpp
+++ b/src/shell/PeerLink.cpp
@@ -17,10 +17,10 @@
 
 /// Messages are encoded into one write up to this size. Larger writes would
 /// delay control messages that arrive meanwhile.
-static constexpr std::size_t WriteBatchBytes = 64 * 1024;
+static constexpr std::size_t WriteBatchBytes = std::size_t(64) * 1024;
 
 /// Buffers above this size are released after use; there are hundreds of links.
-static constexpr std::size_t KeptBufferBytes = 64 * 1024;
+static constexpr std::size_t KeptBufferBytes = std::size_t(64) * 1024;
 
 static void recycle(std::string &Buffer) {
   if (Buffer.capacity() > KeptBufferBytes)
--- a/src/shell/PeerLink.h
+++ b/src/shell/PeerLink.h
@@ -50,8 +50,8 @@
   LamportClock &Clock;
   PeerSettings Settings;
   LinkOwner *Owner = nullptr; ///< Null once the transport is gone.
-  std::vector<char> Scratch =
-      std::vector<char>(256 * 1024); ///< Read buffer; used by one link at once.
+  std::vector<char> Scratch = std::vector<char>(
+      std::size_t(256) * 1024); ///< Read buffer; used by one link at once.
   std::uint64_t BytesSent = 0;
   std::uint64_t BytesReceived = 0;
 };
--- a/src/shell/PeerTransport.h
+++ b/src/shell/PeerTransport.h
@@ -37,9 +37,9 @@
 /// Settings of the links.
 struct PeerSettings {
   std::size_t MaxFrame =
-      16 * 1024 * 1024; ///< Bytes; larger frames break the link.
+      std::size_t(16) * 1024 * 1024; ///< Bytes; larger frames break the link.
   std::size_t MaxQueuedBytes =
-      32 * 1024 *
+      std::size_t(32) * 1024 *
       1024; ///< Calls waiting on one link; beyond it the link breaks.
   Duration ConnectTimeout{std::chrono::seconds(1)};
   Duration IdleTimeout{std::chrono::seconds(30)}; ///< An unused link is closed.
--- a/src/shell/ProcessSettings.cpp
+++ b/src/shell/ProcessSettings.cpp
@@ -9,8 +9,7 @@
 #include <boost/program_options.hpp>
 #include <map>
 #include <sstream>
-
-extern char **environ;
+#include <unistd.h>
 
 namespace figsail {
 
@@ -28,7 +27,10 @@
 
 } // namespace
 
-static constexpr std::int64_t Second = 1'000'000; // microseconds
+// Microseconds.
+static constexpr std::int64_t Second = 1'000'000;
+static constexpr std::int64_t Hour = 3600 * Second;
+static constexpr std::int64_t Day = 24 * Hour;
 
 using PS = ProcessSettings;
 using SV = SettingValue;
@@ -67,7 +69,7 @@
      [](PS &S, const SV &V) { S.HealthTarget = V.Text; }},
     {{"log", "", Address, 0, 0, "", true, "address of the log service"},
      [](PS &S, const SV &V) { S.Log = V.Text; }},
-    {{"log-retention", "24h", Time, 60 * Second, 366 * 24 * 3600 * Second, "", false,
+    {{"log-retention", "24h", Time, 60 * Second, 366 * Day, "", false,
       "how long the log service keeps records at least"},
      [](PS &S, const SV &V) { S.Node.LogRetention = V.time(); }},
     {{"seeds", "", AddressList, 0, 0, "", false,
@@ -76,7 +78,7 @@
     {{"policy", "power-of-two", Choice, 0, 0, "round-robin|least-outstanding|power-of-two", false,
       "how an ingress chooses among backend servers"},
      [](PS &S, const SV &V) { S.Node.Policy = V.Text; }},
-    {{"drain-limit", "30s", Time, Second, 3600 * Second, "", false,
+    {{"drain-limit", "30s", Time, Second, Hour, "", false,
       "longest duration of a graceful shutdown"},
      [](PS &S, const SV &V) { S.Node.DrainLimit = V.time(); }},
     {{"region-link-bits", "30000000", Number, 1000, 1'000'000'000'000, "", false,
@@ -85,7 +87,7 @@
     {{"max-records", "200000", Number, 1, 100'000'000, "", false,
       "idempotency records held at once"},
      [](PS &S, const SV &V) { S.Node.Records.MaxRecords = V.count(); }},
-    {{"max-answer-bytes", "65536", Number, 0, 16 * 1024 * 1024, "", false,
+    {{"max-answer-bytes", "65536", Number, 0, 16'777'216, "", false,
       "largest response kept with a record, in bytes"},
      [](PS &S, const SV &V) { S.Node.Records.MaxAnswerBytes = V.count(); }},
     {{"max-record-bytes", "50331648", Number, 0, 1'000'000'000'000, "", false,
@@ -126,6 +128,14 @@
   return Options;
 }
 
+/// Returns the name of the setting. Throws po::error when there is none.
+static std::string settingOfVariable(const std::string &Variable) {
+  for (const ProcessSettingRow &Entry : SettingTable)
+    if (variableName(Entry.Row.Name) == Variable)
+      return std::string(Entry.Row.Name);
+  throw po::error("the variable " + Variable + " is not a setting");
+}
+
 /// Converts variables to options. Throws po::error on an unknown one.
 static po::parsed_options parseVariables(const po::options_description &Options,
                                          const Environment &Variables) {
@@ -133,12 +143,7 @@
   for (const auto &[Variable, Value] : Variables) {
     if (!Variable.starts_with(VariablePrefix))
       continue;
-    auto Row = std::ranges::find_if(SettingTable, [&](const auto &Entry) {
-      return variableName(Entry.Row.Name) == Variable;
-    });
-    if (Row == SettingTable.end())
-      throw po::error("the variable " + Variable + " is not a setting");
-    Parsed.options.emplace_back(std::string(Row->Row.Name),
+    Parsed.options.emplace_back(settingOfVariable(Variable),
                                 std::vector<std::string>{Value});
   }
   return Parsed;
--- a/tests/LogClientTest.cpp
+++ b/tests/LogClientTest.cpp
@@ -175,11 +175,13 @@
   Client = std::make_unique<LogClient>(Loop, *this, endpointText(Bound),
                                        RequestTimeout);
   int Expected = 0;
-  for (const char *Text :
-       {"", "nonsense", R"({"earliest":0,"next":1})",
-        R"({"earliest":0,"next":1,"records":[{"offset":"0","data":"x"}]})",
-        R"({"earliest":0,"next":2,"records":[{"offset":1,"data":"x"},)"
-        R"({"offset":0,"data":"y"}]})"}) {
+  const char *NoRecords = R"({"earliest":0,"next":1})";
+  const char *TextOffset =
+      R"({"earliest":0,"next":1,"records":[{"offset":"0","data":"x"}]})";
+  const char *OutOfOrder = R"({"earliest":0,"next":2,"records":[)"
+                           R"({"offset":1,"data":"x"},)"
+                           R"({"offset":0,"data":"y"}]})";
+  for (const char *Text : {"", "nonsense", NoRecords, TextOffset, OutOfOrder}) {
     Body = Text;
     Client->read(0, Duration(0));
     ++Expected;
