--- a/src/shell/HttpFrontend.h
+++ b/src/shell/HttpFrontend.h
@@ -29,7 +29,7 @@
 
 /// Bounds on what a caller may send.
 struct FrontendSettings {
-  std::size_t MaxHead = 16 * 1024; ///< Bytes of the request head.
+  std::size_t MaxHead = std::size_t{16} * 1024; ///< Bytes of the request head.
   std::size_t MaxConnections =
       250; ///< Further connections wait in the backlog.
   Duration HeadTimeout{std::chrono::seconds(
@@ -37,6 +37,8 @@
   Duration BodyTimeout{
       std::chrono::seconds(30)}; ///< From the head to the end of the body.
   Duration IdleTimeout{std::chrono::seconds(60)}; ///< Between requests.
+  bool ServeHalfClosed = true; ///< Answer callers that closed their sending
+                               ///< half. Otherwise they count as gone.
 };
 
 /// The listener for callers and its connections.
@@ -48,6 +50,9 @@
 
   /// Starts to listen on "ip:port". Returns an error text, or nothing.
   std::optional<std::string> listen(const std::string &Address);
+  /// Returns the port that listen() bound, or 0. Differs from the address given
+  /// to listen() when that has port 0.
+  std::uint16_t port() const;
   /// Answers a request. Unknown or gone callers are ignored.
   void reply(CallerId Caller, HttpResponse Response);
   /// Stops to accept; each connection closes after its present request.
