--- a/src/core/Balancer.cpp
+++ b/src/core/Balancer.cpp
@@ -36,6 +36,11 @@
 
 /// Locality tiers, nearest first.
 static constexpr std::size_t TierCount = 3;
+/// Utilization from which a tier counts as saturated: a full limit runs.
+static constexpr double SaturatedAt = 1;
+/// The same before a call goes to another region, where the round trip costs
+/// more than a short queue: another full limit waits.
+static constexpr double SaturatedBeforeRemote = 2;
 
 struct Balancer::HostView {
   std::uint32_t Outstanding = 0;
@@ -220,8 +225,11 @@
   for (const std::vector<Candidate> &Tier : S.Fresh) {
     if (Tier.empty())
       continue;
+    bool Remote = &Tier == &S.Fresh.back();
+    if (Remote && Best && Best->Utilization < SaturatedBeforeRemote)
+      break;
     const Candidate &Picked = Tier[S.Policy->pick(Tier, Seed)];
-    if (Picked.Utilization < 1)
+    if (Picked.Utilization < SaturatedAt)
       return Picked.Who;
     // All choices so far are saturated; the least loaded one is kept.
     if (!Best || Picked.Utilization < Best->Utilization)
