Change: count failures when comparing locality tiers

A server that failed fast was the nearest unsaturated one, or the least utilized of several saturated tiers, although the policy scored it last. Tiers are now compared by the policy's score.

--- a/include/figsail/Balancer.h
+++ b/include/figsail/Balancer.h
@@ -26,6 +26,9 @@
   double FailureRate = 0; ///< Moving average of failed calls, 0 to 1.
   bool Avoid =
       false; ///< Refused or lost lately; chosen only when nothing else is left.
+
+  /// Utilization with failures counted in; lower is better.
+  double score() const;
 };
 
 /// How to choose among candidates of one locality tier.
--- a/src/core/Balancer.cpp
+++ b/src/core/Balancer.cpp
@@ -36,7 +36,7 @@
 
 /// Locality tiers, nearest first.
 static constexpr std::size_t TierCount = 3;
-/// Utilization from which a tier counts as saturated: a full limit runs.
+/// Score from which a tier counts as saturated: a full limit runs.
 static constexpr double SaturatedAt = 1;
 /// The same before a call goes to another region, where the round trip costs
 /// more than a short queue: another full limit waits.
@@ -226,13 +226,13 @@
     if (Tier.empty())
       continue;
     bool Remote = &Tier == &S.Fresh.back();
-    if (Remote && Best && Best->Utilization < SaturatedBeforeRemote)
+    if (Remote && Best && Best->score() < SaturatedBeforeRemote)
       break;
     const Candidate &Picked = Tier[S.Policy->pick(Tier, Seed)];
-    if (Picked.Utilization < SaturatedAt)
+    if (Picked.score() < SaturatedAt)
       return Picked.Who;
     // All choices so far are saturated; the least loaded one is kept.
-    if (!Best || Picked.Utilization < Best->Utilization)
+    if (!Best || Picked.score() < Best->score())
       Best = &Picked;
   }
   if (Best)
--- a/src/core/SelectionPolicy.cpp
+++ b/src/core/SelectionPolicy.cpp
@@ -6,12 +6,11 @@
 
 namespace figsail {
 
-/// Weight of the failure rate against utilization. A server that fails every
-/// second call scores like one whose queue is as long as its limit.
-static constexpr double FailureWeight = 2;
-
-static double score(const Candidate &Who) {
-  return Who.Utilization + FailureWeight * Who.FailureRate;
+double Candidate::score() const {
+  // A server that fails every second call scores like one whose queue is as
+  // long as its limit.
+  constexpr double FailureWeight = 2;
+  return Utilization + FailureWeight * FailureRate;
 }
 
 namespace {
@@ -53,7 +52,7 @@
     // The two halves of the seed give two distinct places.
     std::size_t First = (Seed & 0xffffffffU) % Size;
     std::size_t Second = (First + 1 + (Seed >> 32) % (Size - 1)) % Size;
-    double Difference = score(Candidates[Second]) - score(Candidates[First]);
+    double Difference = Candidates[Second].score() - Candidates[First].score();
     if (Difference != 0)
       return Difference < 0 ? Second : First;
     bool Fewer = Candidates[Second].Outstanding < Candidates[First].Outstanding;
