--- a/src/core/Node.cpp
+++ b/src/core/Node.cpp
@@ -72,7 +72,7 @@
   void stateReplaced();
   void membersChanged();
   void ownEpochChanged();
-  void propose(RecordBody Body);
+  void propose(const RecordBody &Body);
   void sendReports();
   void checkDrain();
   bool listed() const;
@@ -134,7 +134,7 @@
   return Replicated.configuration().longestRecordLifetime();
 }
 
-void Node::State::propose(RecordBody Body) {
+void Node::State::propose(const RecordBody &Body) {
   OwnAppend = NextAppend++;
   Out.push_back(AppendLog{OwnAppend, encodeRecord(Body)});
 }
@@ -389,7 +389,7 @@
   auto Proposal =
       Alive.timer(Now, Replicated, Log.caughtUp(), Admit.load(), Out);
   if (Proposal && OwnAppend == 0)
-    propose(std::move(*Proposal));
+    propose(*Proposal);
   for (SnapshotRecord &Part : Log.dueSnapshot(Now, Seed))
     Out.push_back(AppendLog{NextAppend++, encodeRecord(Part)});
   if (Now >= NextExpiry) {
--- a/src/core/Replication.cpp
+++ b/src/core/Replication.cpp
@@ -29,11 +29,11 @@
 static constexpr Duration ChildTimeout = 10s;
 /// Bounds of the tail kept for children; an older child gets a snapshot.
 static constexpr std::size_t MaxTailRecords = 4096;
-static constexpr std::size_t MaxTailBytes = 4 * 1024 * 1024;
+static constexpr std::size_t MaxTailBytes = 4UL * 1024 * 1024;
 static constexpr std::size_t MaxBatchRecords = 512;
 /// Text of one part of a snapshot record; keeps a record well under the log's
 /// record size.
-static constexpr std::size_t SnapshotPartBytes = 256 * 1024;
+static constexpr std::size_t SnapshotPartBytes = 256UL * 1024;
 /// Readers wait this much longer for each reader ranked before them.
 static constexpr Duration SnapshotStagger = 10s;
 
