--- /dev/null
+++ b/tests/BackendStandinTest.cpp
@@ -0,0 +1,110 @@
+// BackendStandinTest.cpp - The backend server simulator tells the truth about
+// what ran; the verdicts of history-check rest on it.
+
+#include "BackendStandin.h"
+#include "HttpTestSupport.h"
+
+#include <cstdio>
+#include <fstream>
+#include <gtest/gtest.h>
+
+using namespace figsail;
+using namespace figsail::test;
+
+namespace {
+
+/// Calls the simulator without sockets, except where a response matters.
+class BackendStandinTest : public testing::Test {
+protected:
+  BackendStandinTest() {
+    Settings.Slots = 1;
+    Settings.Service = std::chrono::milliseconds(20);
+  }
+
+  static HttpRequest request(const std::string &Id, HeaderList More = {}) {
+    HttpRequest Request{"POST", "/", std::move(More), ""};
+    Request.Headers.emplace_back("X-Request-Id", Id);
+    return Request;
+  }
+
+  static std::string fileText(const std::string &Path) {
+    std::ifstream In(Path);
+    return {std::istreambuf_iterator<char>(In), {}};
+  }
+
+  boost::asio::io_context Context;
+  BackendStandinSettings Settings;
+  RunRecorder Recorder;
+};
+
+} // namespace
+
+TEST_F(BackendStandinTest, QueuedRequestPastItsDeadlineNeverRuns) {
+  BackendStandin Server(Context, Settings, Recorder);
+  Server.callerRequest(1, request("a"));
+  Server.callerRequest(2, request("b", {{"Figsail-Deadline-Ms", "1"}}));
+  Context.run();
+  EXPECT_EQ(Recorder.text(), "a 1 2 - -\n");
+}
+
+// A dropped run must free its slot, and a dropped request must not run later.
+TEST_F(BackendStandinTest, CancelledWorkIsDropped) {
+  Settings.Service = std::chrono::hours(1);
+  BackendStandin Server(Context, Settings, Recorder);
+  for (CallerId Caller = 1; Caller <= 3; ++Caller)
+    Server.callerRequest(Caller, request(std::to_string(Caller)));
+  Server.callerGone(2);
+  Server.callerGone(1);
+  EXPECT_EQ(Recorder.text(), "1 1 2 - -\n3 3 0 - -\n");
+}
+
+TEST_F(BackendStandinTest, RunIsEndedAtItsDeadline) {
+  Settings.Service = std::chrono::hours(1);
+  BackendStandin Server(Context, Settings, Recorder);
+  Server.callerRequest(1, request("a", {{"Figsail-Deadline-Ms", "1"}}));
+  Context.run();
+  EXPECT_EQ(Recorder.text(), "a 1 2 - -\n");
+}
+
+// The start must be on file when the process dies, or a second execution after
+// a crash would go unseen.
+TEST_F(BackendStandinTest, CrashLeavesTheStartOnFile) {
+  std::string Path =
+      testing::TempDir() + "BackendStandinTest." + std::to_string(::getpid());
+  auto Crash = [&] {
+    EXPECT_EQ(Recorder.open(Path), std::nullopt);
+    BackendStandin Server(Context, Settings, Recorder);
+    Server.callerRequest(1, request("a", {{"X-Crash", "1"},
+                                          {"X-Attempt-Id", "a.0"},
+                                          {"Booking-Id", "B"}}));
+  };
+  EXPECT_EXIT(Crash(), testing::ExitedWithCode(3), "");
+  std::string Text = fileText(Path);
+  EXPECT_TRUE(Text.starts_with("start ")) << Text;
+  EXPECT_TRUE(Text.ends_with(" 1 a a.0 B\n")) << Text;
+  std::remove(Path.c_str());
+}
+
+TEST_F(BackendStandinTest, SheddingSaysNotRun) {
+  Settings.Service = std::chrono::hours(1);
+  Settings.Overload = OverloadMode::Shed;
+  LoopThread Loop;
+  std::optional<BackendStandin> Server;
+  std::uint16_t Port = Loop.on([&] {
+    Server.emplace(Loop.Context, Settings, Recorder);
+    EXPECT_EQ(Server->listen("127.0.0.1:0"), std::nullopt);
+    return Server->port();
+  });
+  RawConnection First(Port);
+  First.send("GET / HTTP/1.1\r\nHost: h\r\nX-Request-Id: a\r\n\r\n");
+  auto Runs = [&] { return Loop.on([&] { return Recorder.text(); }); };
+  while (Runs().empty())
+    std::this_thread::yield();
+  RawConnection Second(Port);
+  Second.send("GET / HTTP/1.1\r\nHost: h\r\nX-Request-Id: b\r\n\r\n");
+  Response Got = Second.response();
+  EXPECT_EQ(Got.result_int(), 503U);
+  EXPECT_EQ(Got["Backend-Not-Run"], "1");
+  EXPECT_EQ(Runs(), "a 1 0 - -\n");
+  Loop.on([&] { Server.reset(); });
+}
