--- a/src/programs/figsaild.cpp
+++ b/src/programs/figsaild.cpp
@@ -4,14 +4,27 @@
 #include "../shell/Logging.h"
 
 #include <iostream>
+#include <sys/resource.h>
 
 using namespace figsail;
 
 /// Exit status for settings that are not usable.
 static constexpr int SettingsStatus = 2;
 
+/// Allows as many open files as the system grants: a daemon has hundreds of
+/// connections to peers, clients and its backend server, and the usual default
+/// is 1024.
+static void raiseFileLimit() {
+  rlimit Limit{};
+  if (getrlimit(RLIMIT_NOFILE, &Limit) != 0)
+    return;
+  Limit.rlim_cur = Limit.rlim_max;
+  setrlimit(RLIMIT_NOFILE, &Limit);
+}
+
 static int run(ProcessSettings Settings) {
   startLogging();
+  raiseFileLimit();
   boost::asio::io_context Context(1);
   Daemon Self(Context, std::move(Settings));
   if (auto Error = Self.start()) {
--- a/src/shell/OperatorServer.cpp
+++ b/src/shell/OperatorServer.cpp
@@ -57,7 +57,13 @@
       return Send(makeResponse(http::status::method_not_allowed,
                                "Only POST is supported.\n", "text/plain"));
     HttpService::Reply Answer = Send;
-    OnRequest(Message.body(), &Answer);
+    try {
+      OnRequest(Message.body(), &Answer);
+    } catch (const Json::Exception &) {
+      // Thrown by the parser for text that is nested too deeply.
+      Send(makeResponse(http::status::bad_request, "The JSON is malformed.\n",
+                        "text/plain"));
+    }
   }
 
   std::string Address;
--- a/src/shell/PeerLink.cpp
+++ b/src/shell/PeerLink.cpp
@@ -19,8 +19,10 @@
 /// delay control messages that arrive meanwhile.
 static constexpr std::size_t WriteBatchBytes = std::size_t(64) * 1024;
 
-/// Buffers above this size are released after use; there are hundreds of links.
-static constexpr std::size_t KeptBufferBytes = std::size_t(64) * 1024;
+/// Buffers above these sizes are released after use: a daemon has up to a few
+/// thousand links and 128 MB.
+static constexpr std::size_t KeptBufferBytes = 4096;
+static constexpr std::size_t KeptBatchSize = 16;
 
 static void recycle(std::string &Buffer) {
   if (Buffer.capacity() > KeptBufferBytes)
@@ -166,7 +168,6 @@
 void PeerLink::flush() {
   if (Writing || State == Phase::Ended)
     return;
-  recycle(WriteBuffer);
   WriteBuffer.append(Pending);
   Pending.clear();
   if (State == Phase::Open)
@@ -215,6 +216,9 @@
   Common->BytesSent += Bytes;
   std::erase_if(Batch,
                 [&](const InFlight &Entry) { return Entry.Start < Bytes; });
+  recycle(WriteBuffer);
+  if (Batch.empty() && Batch.capacity() > KeptBatchSize)
+    Batch.shrink_to_fit();
   if (State == Phase::Ended)
     return report();
   if (Error)
