Add: figsailctl, the operators' command-line tool

check, publish, show, take-out, bring-back, verdict, members, offsets and status. A change is reported as accepted only after it was read back from the log. An append without an acknowledgement is settled by its change id. The loser of a race is told which change was first; change ids begin with the operator's name. The tool uses LogClient with an event loop of its own.

A change of a failure domain finds its members without building a path for each of them.

--- a/include/figsail/ReplicatedState.h
+++ b/include/figsail/ReplicatedState.h
@@ -85,6 +85,7 @@
 
   void applyChange(TimePoint Now, Offset At, const Change &Proposal,
                    ApplyResult &Result);
+  std::vector<std::string> servicesTouchedBy(const NodeEdit &Edit) const;
   void applyMember(TimePoint Now, Offset At, const RecordBody &Body,
                    ApplyResult &Result);
   void collectPart(TimePoint Now, const SnapshotRecord &Part,
--- a/src/core/ReplicatedState.cpp
+++ b/src/core/ReplicatedState.cpp
@@ -2,6 +2,8 @@
 
 #include "figsail/ReplicatedState.h"
 
+#include "TreePaths.h"
+
 #include <algorithm>
 
 namespace figsail {
@@ -59,26 +61,32 @@
     return;
   Tree.apply(Proposal, At);
   std::set<std::string> Services;
-  for (const NodeEdit &Edit : Proposal.Edits) {
-    if (Edit.Kind == NodeKind::FailureDomain) {
-      for (const auto &[Host, Who] : Members)
-        if (failureDomainPath(Who.FailureDomain) == Edit.Path)
-          Services.insert(Who.Service);
-    } else if (Edit.Kind == NodeKind::BackendServer) {
-      for (const auto &[Host, Who] : Members)
-        if (backendServerPath(Host) == Edit.Path)
-          Services.insert(Who.Service);
-    } else {
-      Services.merge([&] {
-        std::vector<std::string> Touched = Tree.servicesTouchedBy(Edit.Path);
-        return std::set<std::string>(Touched.begin(), Touched.end());
-      }());
-    }
-  }
+  for (const NodeEdit &Edit : Proposal.Edits)
+    for (std::string &Service : servicesTouchedBy(Edit))
+      Services.insert(std::move(Service));
   for (const std::string &Service : Services)
     refreshEpoch(Now, At, Service, Result);
 }
 
+std::vector<std::string>
+ReplicatedState::servicesTouchedBy(const NodeEdit &Edit) const {
+  std::vector<std::string> Services;
+  if (Edit.Kind == NodeKind::FailureDomain) {
+    std::string Name = Edit.Path.substr(FailureDomainsPrefix.size());
+    for (const auto &[Host, Who] : Members)
+      if (Who.FailureDomain == Name)
+        Services.push_back(Who.Service);
+    return Services;
+  }
+  if (Edit.Kind == NodeKind::BackendServer) {
+    if (const Member *Who =
+            member(Edit.Path.substr(BackendServersPrefix.size())))
+      Services.push_back(Who->Service);
+    return Services;
+  }
+  return Tree.servicesTouchedBy(Edit.Path);
+}
+
 void ReplicatedState::applyMember(TimePoint Now, Offset At,
                                   const RecordBody &Body, ApplyResult &Result) {
   if (const JoinRecord *Join = std::get_if<JoinRecord>(&Body)) {
--- /dev/null
+++ b/src/shell/ControlOptions.cpp
@@ -0,0 +1,182 @@
+// ControlOptions.cpp - Arguments and environment of figsailctl.
+
+#include "ControlCommands.h"
+
+#include "Endpoint.h"
+
+#include <algorithm>
+#include <array>
+#include <boost/program_options.hpp>
+#include <cstdlib>
+#include <iostream>
+#include <limits>
+
+namespace figsail {
+
+namespace po = boost::program_options;
+
+namespace {
+
+/// One command: its arguments and what it does.
+struct CommandEntry {
+  std::string_view Name;
+  std::string_view Arguments;
+  std::size_t MinArguments;
+  std::size_t MaxArguments;
+  bool NeedsLog;
+  std::string_view Help;
+  ControlStatus (*Run)(ControlContext &, const ArgumentList &);
+};
+
+} // namespace
+
+static constexpr std::size_t AnyNumber =
+    std::numeric_limits<std::size_t>::max();
+
+static const auto &commandTable() {
+  using List = ArgumentList;
+  static const std::array<CommandEntry, 9> Table{{
+      // clang-format off
+      {"check",      "FILE...",                            1, AnyNumber, false, "check declaration files", checkCommand},
+      {"publish",    "FILE...",                            1, AnyNumber, true,  "publish declaration files", publishCommand},
+      {"show",       "[PATH]",                             0, 1,         true,  "show nodes, effective settings and their origin", [](ControlContext &C, const List &A) { return showCommand(C, A.empty() ? "" : A[0]); }},
+      {"take-out",   "failure-domain|backend-server NAME", 2, 2,         true,  "take out of service", [](ControlContext &C, const List &A) { return serviceCommand(C, A, false); }},
+      {"bring-back", "failure-domain|backend-server NAME", 2, 2,         true,  "bring back into service", [](ControlContext &C, const List &A) { return serviceCommand(C, A, true); }},
+      {"verdict",    "CHANGE-ID",                          1, 1,         true,  "say what became of a change", [](ControlContext &C, const List &A) { return verdictCommand(C, A[0]); }},
+      {"members",    "",                                   0, 0,         true,  "list the members", [](ControlContext &C, const List &) { return membersCommand(C); }},
+      {"offsets",    "",                                   0, 0,         true,  "list the applied offset of each daemon", [](ControlContext &C, const List &) { return offsetsCommand(C); }},
+      {"status",     "[HOST...]",                          0, AnyNumber, true,  "show the status of daemons", statusCommand},
+      // clang-format on
+  }};
+  return Table;
+}
+
+static void printHelp(std::ostream &Out, const po::options_description &Flags) {
+  Out << "Usage: figsailctl [FLAGS] COMMAND [ARGUMENTS]\n\nCommands:\n";
+  for (const CommandEntry &Entry : commandTable())
+    Out << "  " << Entry.Name << ' ' << Entry.Arguments << "\n      "
+        << Entry.Help << '\n';
+  Out << '\n'
+      << Flags
+      << "\nFIGSAIL_LOG, FIGSAIL_OPERATOR, FIGSAIL_TIMEOUT and "
+         "FIGSAIL_PATIENCE\nstand for the flags of these names.\n"
+         "Exit status: 0 done, 1 failed, 2 bad usage, 3 conflict with another "
+         "operator,\n4 outcome not known.\n";
+}
+
+/// Returns what is wrong with the values, or an empty text.
+static std::string checkValues(const CommandEntry &Entry,
+                               const ArgumentList &Arguments,
+                               const ControlContext &Context) {
+  if (Arguments.size() < Entry.MinArguments ||
+      Arguments.size() > Entry.MaxArguments)
+    return "usage: figsailctl " + std::string(Entry.Name) + " " +
+           std::string(Entry.Arguments);
+  if (Entry.Arguments.starts_with("failure-domain") &&
+      Arguments[0] != "failure-domain" && Arguments[0] != "backend-server")
+    return "\"" + Arguments[0] +
+           "\" is neither failure-domain nor backend-server";
+  if (Entry.NeedsLog && !parseEndpoint(Context.LogAddress))
+    return "--log must be \"ip:port\" of the log service, not \"" +
+           Context.LogAddress + "\"";
+  bool Plain = std::ranges::all_of(
+      Context.Operator, [](unsigned char C) { return C > ' ' && C < 0x7f; });
+  if (Context.Operator.empty() || !Plain)
+    return "--operator must be a name without blanks";
+  return {};
+}
+
+/// Reads a number of seconds within 1..600.
+static bool readSeconds(const po::variables_map &Values, const char *Name,
+                        Duration &Out) {
+  int Seconds = Values[Name].as<int>();
+  Out = std::chrono::seconds(Seconds);
+  return Seconds >= 1 && Seconds <= 600;
+}
+
+static std::string defaultOperator() {
+  const char *User = std::getenv("USER");
+  return User && *User ? User : "operator";
+}
+
+static ControlStatus runCommand(const po::variables_map &Values,
+                                ControlContext &Context) {
+  auto Arguments = Values["arguments"].as<ArgumentList>();
+  auto Usage = [&](const std::string &Text) {
+    Context.Error << "figsailctl: " << Text << '\n';
+    return ControlStatus::Usage;
+  };
+  const auto &Table = commandTable();
+  const auto *Entry =
+      std::ranges::find(Table, Arguments.front(), &CommandEntry::Name);
+  if (Entry == Table.end())
+    return Usage("unknown command \"" + Arguments.front() + "\"; see --help");
+  Arguments.erase(Arguments.begin());
+  if (!readSeconds(Values, "timeout", Context.Timeout) ||
+      !readSeconds(Values, "patience", Context.Patience))
+    return Usage("--timeout and --patience must be 1..600 seconds");
+  std::string Wrong = checkValues(*Entry, Arguments, Context);
+  if (!Wrong.empty())
+    return Usage(Wrong);
+  return Entry->Run(Context, Arguments);
+}
+
+ControlStatus runControl(const ArgumentList &Arguments, std::ostream &Out,
+                         std::ostream &Error) {
+  ControlContext Context{
+      .LogAddress = "", .Operator = "", .Out = Out, .Error = Error};
+  po::options_description Flags("Flags");
+  Flags.add_options()("help", "show this text")(
+      "log", po::value(&Context.LogAddress)->default_value(""),
+      "\"ip:port\" of the log service")(
+      "operator",
+      po::value(&Context.Operator)->default_value(defaultOperator()),
+      "name that begins the ids of changes")("timeout",
+                                             po::value<int>()->default_value(5),
+                                             "seconds for one request, 1..600")(
+      "patience", po::value<int>()->default_value(30),
+      "seconds to settle a change whose acknowledgement was lost, 1..600")(
+      "prune", po::bool_switch(&Context.Prune),
+      "publish removes nodes that no file declares");
+  po::options_description All;
+  All.add(Flags).add_options()("arguments", po::value<ArgumentList>());
+  po::positional_options_description Positions;
+  Positions.add("arguments", -1);
+  auto FromEnvironment = [](const std::string &Variable) -> std::string {
+    static constexpr std::array<std::string_view, 4> Names{
+        "log", "operator", "timeout", "patience"};
+    for (std::string_view Name : Names) {
+      std::string Upper(Name);
+      std::ranges::transform(Upper, Upper.begin(), [](char C) {
+        return static_cast<char>(C - 'a' + 'A');
+      });
+      if (Variable == "FIGSAIL_" + Upper)
+        return std::string(Name);
+    }
+    return {};
+  };
+  po::variables_map Values;
+  try {
+    po::store(po::command_line_parser(Arguments)
+                  .options(All)
+                  .positional(Positions)
+                  .run(),
+              Values);
+    po::store(po::parse_environment(Flags, FromEnvironment), Values);
+    po::notify(Values);
+  } catch (const po::error &Wrong) {
+    Error << "figsailctl: " << Wrong.what() << '\n';
+    return ControlStatus::Usage;
+  }
+  if (Values.contains("help")) {
+    printHelp(Out, Flags);
+    return ControlStatus::Done;
+  }
+  if (!Values.contains("arguments")) {
+    Error << "figsailctl: a command is missing; see --help\n";
+    return ControlStatus::Usage;
+  }
+  return runCommand(Values, Context);
+}
+
+} // namespace figsail
--- /dev/null
+++ b/src/shell/LogConnection.cpp
@@ -0,0 +1,45 @@
+// LogConnection.cpp - Blocking access to the log, for tools.
+
+#include "LogConnection.h"
+
+namespace figsail {
+
+LogConnection::LogConnection(std::string Address, Duration Timeout)
+    : Timeout(Timeout), Client(Context, *this, std::move(Address), Timeout) {}
+
+std::optional<LogRead> LogConnection::read(Offset From, Duration Wait) {
+  Read.reset();
+  Client.read(From, Wait);
+  run();
+  return std::move(Read);
+}
+
+std::optional<Offset> LogConnection::append(std::string Data) {
+  Appended.reset();
+  Client.append(++LastAppend, std::move(Data));
+  run();
+  return Appended;
+}
+
+void LogConnection::logRead(LogRead Result) {
+  Read = std::move(Result);
+  Ended = true;
+}
+
+void LogConnection::logReadFailed() { Ended = true; }
+
+void LogConnection::appendDone(AppendDone Done) {
+  if (Done.At != NoOffset)
+    Appended = Done.At;
+  Ended = true;
+}
+
+void LogConnection::run() {
+  // LogClient ends each call by itself, at the latest by its timeout.
+  Ended = false;
+  Context.restart();
+  while (!Ended && Context.run_one() > 0)
+    continue;
+}
+
+} // namespace figsail
