--- a/src/shell/OperatorClient.cpp
+++ b/src/shell/OperatorClient.cpp
@@ -6,6 +6,9 @@
 
 namespace http = boost::beast::http;
 
+/// Calls under way at the same time.
+static constexpr std::size_t MaxConcurrentCalls = 64;
+
 static std::string requestBody(const std::string &Method,
                                const Json::Value &Parameters) {
   Json::Value Call(Json::objectValue);
@@ -53,4 +56,49 @@
   });
 }
 
+namespace {
+
+/// Calls one after the other, up to MaxConcurrentCalls at a time.
+class CallBatch {
+public:
+  CallBatch(const std::vector<std::string> &Addresses,
+            const std::string &Method, Duration Timeout)
+      : Addresses(Addresses), Method(Method), Timeout(Timeout),
+        Results(Addresses.size()) {}
+
+  std::vector<OperatorResult> run() {
+    for (std::size_t I = 0; I < MaxConcurrentCalls; ++I)
+      startNext();
+    Context.run();
+    return std::move(Results);
+  }
+
+private:
+  void startNext() {
+    if (Next == Addresses.size())
+      return;
+    std::size_t Index = Next++;
+    callOperator(Context, Addresses[Index], Method, Json::objectValue, Timeout,
+                 [this, Index](OperatorResult Result) {
+                   Results[Index] = std::move(Result);
+                   startNext();
+                 });
+  }
+
+  const std::vector<std::string> &Addresses;
+  const std::string &Method;
+  Duration Timeout;
+  std::vector<OperatorResult> Results;
+  std::size_t Next = 0;
+  boost::asio::io_context Context;
+};
+
+} // namespace
+
+std::vector<OperatorResult>
+callOperators(const std::vector<std::string> &Addresses,
+              const std::string &Method, Duration Timeout) {
+  return CallBatch(Addresses, Method, Timeout).run();
+}
+
 } // namespace figsail
--- a/src/shell/OperatorClient.h
+++ b/src/shell/OperatorClient.h
@@ -9,6 +9,7 @@
 #include <jsonrpccpp/common/jsonparser.h>
 #include <string>
 #include <variant>
+#include <vector>
 
 namespace figsail {
 
@@ -27,6 +28,12 @@
                   Duration Timeout,
                   const std::function<void(OperatorResult)> &Done);
 
+/// Calls a method without parameters at each address, several at a time, and
+/// waits for all. Results are in the order of the addresses.
+std::vector<OperatorResult>
+callOperators(const std::vector<std::string> &Addresses,
+              const std::string &Method, Duration Timeout);
+
 } // namespace figsail
 
 #endif // FIGSAIL_OPERATORCLIENT_H
