--- a/include/figsail/Coordinator.h
+++ b/include/figsail/Coordinator.h
@@ -48,7 +48,8 @@
              const EpochHistory *History, ExecutionLog &Log, EffectList &Out);
 
   /// A member has acknowledged: takes over its records.
-  void fenceAck(TimePoint Now, const PeerRef &From, const FenceAck &Message);
+  void fenceAck(TimePoint Now, const PeerRef &From, const FenceAck &Message,
+                const EpochHistory *History);
 
   /// Sends unanswered fences again and drops expired records.
   void timer(TimePoint Now, EffectList &Out);
--- a/src/core/Coordinator.cpp
+++ b/src/core/Coordinator.cpp
@@ -308,7 +308,7 @@
   Part.Epoch = Epoch;
   Part.Answer = NextAnswer++;
   Part.Last = false;
-  Part.Complete = Walk.complete(Now, Service, History, Epoch);
+  Part.Complete = Walk.complete(Service, History, Epoch);
   std::size_t Bytes = 0;
   for (RecordCopy &Copy : Copies) {
     Bytes += answerBytes(Copy.Response);
@@ -327,9 +327,10 @@
 }
 
 void Coordinator::fenceAck(TimePoint Now, const PeerRef &From,
-                           const FenceAck &Message) {
+                           const FenceAck &Message,
+                           const EpochHistory *History) {
   bool Stored = Impl->merge(Now, Message.Records);
-  Impl->Walk.acknowledged(From, Message, Stored);
+  Impl->Walk.acknowledged(Now, From, Message, Stored, History);
 }
 
 void Coordinator::State::expire(TimePoint Now) {
--- a/src/core/Takeover.cpp
+++ b/src/core/Takeover.cpp
@@ -29,6 +29,7 @@
     Epochs.erase(Epochs.begin(), Epochs.lower_bound(First));
   std::erase_if(State.Acks,
                 [](const auto &Entry) { return Entry.second.empty(); });
+  State.Covered.erase(State.Covered.begin(), State.Covered.lower_bound(First));
 }
 
 void Takeover::epochChanged(TimePoint Now, const std::string &Service,
@@ -43,6 +44,7 @@
   State.Partial.clear();
   State.Targets.clear();
   prune(State, History);
+  updateCovered(Now, State, History);
   if (!Current.lists(Self))
     return;
 
@@ -63,8 +65,9 @@
   timer(Now, Out);
 }
 
-void Takeover::acknowledged(const PeerRef &From, const FenceAck &Part,
-                            bool Stored) {
+void Takeover::acknowledged(TimePoint Now, const PeerRef &From,
+                            const FenceAck &Part, bool Stored,
+                            const EpochHistory *History) {
   auto Found = Services.find(Part.Service);
   if (Found == Services.end())
     return;
@@ -86,6 +89,8 @@
 
   bool &Complete = State.Acks[From][Part.Epoch];
   Complete = Complete || Part.Complete;
+  if (History && !History->empty())
+    updateCovered(Now, State, *History);
   auto Asked = State.Targets.find(From);
   if (Part.Epoch != State.Epoch || Asked == State.Targets.end())
     return;
@@ -99,7 +104,7 @@
                                     const PeerRef &Who, Offset After,
                                     const EpochTest &Usable) const {
   if (Who == Self)
-    return false;
+    return State.Covered.contains(After);
   auto Found = State.Acks.find(Who);
   if (Found == State.Acks.end())
     return std::nullopt;
@@ -152,7 +157,7 @@
       return true;
     const EpochEntry &Entry = Entries[I];
     const Member *Owner = coordinatorOf(Entry, Route, Key);
-    if (!Owner || refOf(*Owner) == Self)
+    if (!Owner)
       continue;
     std::optional<bool> Complete =
         acked(State, History, refOf(*Owner), Entry.At, Usable);
@@ -245,15 +250,25 @@
   return !First.Truncated || First.AppliedAt + LongestLifetime < Now;
 }
 
-bool Takeover::complete(TimePoint Now, const std::string &Service,
-                        const EpochHistory &History, Offset Epoch) const {
+void Takeover::updateCovered(TimePoint Now, ServiceState &State,
+                             const EpochHistory &History) const {
+  // Oldest first: later epochs build on earlier ones.
+  for (const EpochEntry &Entry : History.entries()) {
+    if (!State.Covered.contains(Entry.At) && Entry.lists(Self) &&
+        coversAllKeys(Now, State, History, Entry))
+      State.Covered.insert(Entry.At);
+  }
+}
+
+bool Takeover::complete(const std::string &Service, const EpochHistory &History,
+                        Offset Epoch) const {
   auto Found = Services.find(Service);
   if (Found == Services.end())
     return false;
   const auto &Entries = History.entries();
   for (auto It = Entries.rbegin(); It != Entries.rend(); ++It)
     if (It->At < Epoch && It->lists(Self))
-      return coversAllKeys(Now, Found->second, History, *It);
+      return Found->second.Covered.contains(It->At);
   return false;
 }
 
--- a/src/core/Takeover.h
+++ b/src/core/Takeover.h
@@ -26,7 +26,8 @@
 
   /// Notes one part of an acknowledgement. Stored tells whether all of its
   /// records were stored; if not, the acknowledgement does not count.
-  void acknowledged(const PeerRef &From, const FenceAck &Part, bool Stored);
+  void acknowledged(TimePoint Now, const PeerRef &From, const FenceAck &Part,
+                    bool Stored, const EpochHistory *History);
 
   /// Returns whether all grants of a key in the epochs before the current one
   /// are known here or can no longer be used.
@@ -35,8 +36,8 @@
               const RequestKey &Key, Duration Lifetime) const;
 
   /// Returns the value of FenceAck::Complete in an acknowledgement of an epoch.
-  bool complete(TimePoint Now, const std::string &Service,
-                const EpochHistory &History, Offset Epoch) const;
+  bool complete(const std::string &Service, const EpochHistory &History,
+                Offset Epoch) const;
 
   /// Returns the epoch of the last call of epochChanged(), or NoOffset.
   Offset epoch(const std::string &Service) const;
@@ -71,12 +72,17 @@
     std::map<PeerRef, AckedEpochs> Acks;
     std::map<PeerRef, PartialAck> Partial;
     std::map<PeerRef, Target> Targets;
+    /// Epochs that list this incarnation, in which it knows all earlier grants
+    /// of the keys that it coordinates there.
+    std::set<Offset> Covered;
   };
 
   enum class Coverage { None, ThisEpoch, WithEarlier };
   /// Tells whether acknowledgements of an epoch hold the records in question.
   using EpochTest = std::function<bool(const EpochEntry &)>;
 
+  void updateCovered(TimePoint Now, ServiceState &State,
+                     const EpochHistory &History) const;
   void prune(ServiceState &State, const EpochHistory &History) const;
   std::optional<bool> acked(const ServiceState &State,
                             const EpochHistory &History, const PeerRef &Who,
