--- a/bench/PolicyBench.cpp
+++ b/bench/PolicyBench.cpp
@@ -103,8 +103,8 @@
 class Simulation {
 public:
   Simulation(const Deployment &Place, const char *Policy, bool Fixed,
-             Fault Kind)
-      : Place(Place), Kind(Kind) {
+             Fault Kind, std::uint64_t Seed)
+      : Place(Place), Kind(Kind), Random(Seed) {
     for (std::size_t I = 0; I < Place.Servers.size(); ++I)
       addServer(I, Fixed);
     for (std::size_t I = 0; I < Place.Ingresses.size(); ++I)
@@ -371,7 +371,7 @@
   const Deployment &Place;
   Fault Kind;
   TimePoint Now = Begin;
-  std::mt19937_64 Random{20261204};
+  std::mt19937_64 Random;
   std::priority_queue<Step> Events;
   std::uint64_t Order = 0;
   std::uint64_t LastCall = 0;
@@ -404,7 +404,9 @@
 
 } // namespace
 
-int main() {
+// The optional argument is the seed.
+int main(int Count, char **Arguments) {
+  std::uint64_t Seed = Count > 1 ? std::stoull(Arguments[1]) : 20261204;
   for (const Deployment &Place : Deployments) {
     std::printf("\n%s\n\n| scenario | policy | limit | p50 ms | p99 ms | p99.9 "
                 "ms | refused %% | failed %% "
@@ -416,7 +418,7 @@
       for (const char *Policy :
            {"round-robin", "least-outstanding", "power-of-two"})
         for (bool Fixed : {false, true}) {
-          Simulation Run(Place, Policy, Fixed, static_cast<Fault>(Kind));
+          Simulation Run(Place, Policy, Fixed, static_cast<Fault>(Kind), Seed);
           Run.run();
           std::printf(
               "| %s | %s | %s | %.1f | %.1f | %.1f | %.2f | %.2f | "
--- a/tests/BalancerTest.cpp
+++ b/tests/BalancerTest.cpp
@@ -60,6 +60,7 @@
 
 constexpr LoadReport Idle{.Limit = 10};
 constexpr LoadReport Full{.Limit = 10, .Running = 10, .Queued = 2};
+constexpr LoadReport Queueing{.Limit = 10, .Running = 10, .Queued = 10};
 
 } // namespace
 
@@ -84,10 +85,28 @@
   EXPECT_EQ(F.choose()->FailureDomain, "n2");
   F.report("n2-0", Full);
   F.report("n2-1", Full);
+  // A short queue costs less than the round trip to another region.
+  EXPECT_EQ(F.choose()->Region, "north");
+  for (const char *Host : {"n1-0", "n1-1", "n2-0", "n2-1"})
+    F.report(Host, Queueing);
   EXPECT_EQ(F.choose()->FailureDomain, "s1");
   EXPECT_EQ(F.choose(false)->Region, "north");
 }
 
+// A near server that fails fast must not keep the calls of its tier.
+TEST(Balancer, FailuresOverflowToTheNextTier) {
+  Fleet F;
+  F.add("north", "n1", 1);
+  F.add("north", "n2", 1);
+  F.reportAll(Idle);
+  for (int I = 0; I < 20; ++I)
+    F.report("n1-0", Idle, false);
+  EXPECT_EQ(F.choose()->Host, "n2-0");
+  // Nor when both tiers are saturated.
+  F.report("n2-0", Full);
+  EXPECT_EQ(F.choose()->Host, "n2-0");
+}
+
 // A host that refused is tried last; a report that was under way when it
 // refused must not make it look good again.
 TEST(Balancer, AvoidsHostsThatRefusedOrWereLost) {
