--- a/include/figsail/Balancer.h
+++ b/include/figsail/Balancer.h
@@ -24,10 +24,12 @@
   double Utilization =
       0; ///< Aged last report plus own outstanding, over the limit.
   double FailureRate = 0; ///< Moving average of failed calls, 0 to 1.
+  double Slowness = 0;    ///< Half the binary logarithm of the reported service
+                          ///< time over the shortest one of the subset, aged.
   bool Avoid =
       false; ///< Refused or lost lately; chosen only when nothing else is left.
 
-  /// Utilization with failures counted in; lower is better.
+  /// Utilization with failures and slowness counted in; lower is better.
   double score() const;
 };
 
--- a/src/core/Balancer.cpp
+++ b/src/core/Balancer.cpp
@@ -55,6 +55,7 @@
   double age(TimePoint Now) const;
   double utilization(TimePoint Now) const;
   double failureRate(TimePoint Now) const;
+  double slowness(TimePoint Now, Duration Shortest) const;
   void take(TimePoint Now, const LoadReport &Load);
   void avoid(TimePoint Until) { AvoidUntil = std::max(AvoidUntil, Until); }
 };
@@ -76,6 +77,7 @@
   void keepSecondDomain();
   void sortIntoTiers(TimePoint Now, std::span<const HostId> Tried,
                      bool RemoteAllowed);
+  Duration shortestServiceTime() const;
   HostView &viewOf(TimePoint Now, const HostId &Host);
 };
 
@@ -109,6 +111,16 @@
   return FailureRate * std::exp2(-std::max(Halves, 0.0));
 }
 
+/// A server that takes four times as long as the fastest one scores like one
+/// that is full, however short its queue is.
+double Balancer::HostView::slowness(TimePoint Now, Duration Shortest) const {
+  if (!Reported || Report.ServiceTime <= Shortest)
+    return 0;
+  double Ratio = static_cast<double>(Report.ServiceTime.count()) /
+                 static_cast<double>(Shortest.count());
+  return std::log2(Ratio) / 2 * (1 - age(Now));
+}
+
 void Balancer::HostView::take(TimePoint Now, const LoadReport &Load) {
   // A report that was under way while the host refused may not undo what the
   // refusal said.
@@ -171,6 +183,21 @@
     Subset[MaxSubset - Count + I] = Ranked[I].second;
 }
 
+/// Returns the shortest reported service time of the subset, or
+/// Duration::max().
+Duration Balancer::State::shortestServiceTime() const {
+  Duration Shortest = Duration::max();
+  for (const Member *Who : Subset) {
+    auto Found = Views.find(Who->Host);
+    if (Found == Views.end() || !Found->second.Reported)
+      continue;
+    Duration Took = Found->second.Report.ServiceTime;
+    if (Took > Duration(0))
+      Shortest = std::min(Shortest, Took);
+  }
+  return Shortest;
+}
+
 void Balancer::State::sortIntoTiers(TimePoint Now,
                                     std::span<const HostId> Tried,
                                     bool RemoteAllowed) {
@@ -178,6 +205,7 @@
     Fresh[Tier].clear();
     Avoided[Tier].clear();
   }
+  Duration Shortest = shortestServiceTime();
   for (const Member *Who : Subset) {
     if (std::ranges::find(Tried, Who->Host) != Tried.end())
       continue;
@@ -190,6 +218,7 @@
     Entry.Outstanding = View.Outstanding;
     Entry.Utilization = View.utilization(Now);
     Entry.FailureRate = View.failureRate(Now);
+    Entry.Slowness = View.slowness(Now, Shortest);
     Entry.Avoid = Now < View.AvoidUntil;
     (Entry.Avoid ? Avoided : Fresh)[Tier].push_back(Entry);
   }
--- a/src/core/SelectionPolicy.cpp
+++ b/src/core/SelectionPolicy.cpp
@@ -10,7 +10,7 @@
   // A server that fails every second call scores like one whose queue is as
   // long as its limit.
   constexpr double FailureWeight = 2;
-  return Utilization + FailureWeight * FailureRate;
+  return Utilization + FailureWeight * FailureRate + Slowness;
 }
 
 namespace {
--- a/tests/BalancerTest.cpp
+++ b/tests/BalancerTest.cpp
@@ -138,6 +138,20 @@
   EXPECT_FALSE(F.sample(50).contains("n1-0"));
 }
 
+// A slow server has few calls when its limit is low; a short queue must not
+// make it look better than a loaded fast one.
+TEST(Balancer, AShortQueueDoesNotHideASlowServer) {
+  Fleet F;
+  F.add("north", "n1", 2);
+  F.report("n1-0", {.Limit = 2, .ServiceTime = 200ms});
+  F.report("n1-1", {.Limit = 10, .Running = 9, .ServiceTime = 20ms});
+  EXPECT_FALSE(F.sample(50).contains("n1-0"));
+  // The report ages, so that the server is tried again.
+  F.Now += 4s;
+  F.report("n1-1", {.Limit = 10, .Running = 9, .ServiceTime = 20ms});
+  EXPECT_TRUE(F.sample(50).contains("n1-0"));
+}
+
 // A server that answers fast with errors must lose to a loaded one.
 TEST(Balancer, FailureRateOutweighsAnIdleReport) {
   Fleet F;
