--- a/src/core/Node.cpp
+++ b/src/core/Node.cpp
@@ -308,7 +308,7 @@
 }
 
 void Node::State::message(const PeerRef &From, FenceAck &Message) {
-  Records.fenceAck(Now, From, Message);
+  Records.fenceAck(Now, From, Message, Replicated.epochs(Message.Service));
 }
 
 void Node::State::message(const PeerRef &From, Probe &Message) {
