--- a/tests/PeerTransportTest.cpp
+++ b/tests/PeerTransportTest.cpp
@@ -296,7 +296,10 @@
     RawPeer B(Loop);
     B.connect(HostA);
     B.sendHello(HostB, 22);
-    B.send(Good + Bytes + Good);
+    std::string Sent = Good;
+    Sent += Bytes;
+    Sent += Good;
+    B.send(Sent);
     runUntil([&] { return A.Lost.size() == Losses + 1; });
     ++Losses;
     EXPECT_EQ(A.Received.size(), Losses) << "only the frame before it counts";
