--- a/include/figsail/Balancer.h
+++ b/include/figsail/Balancer.h
@@ -26,6 +26,9 @@
   double FailureRate = 0; ///< Moving average of failed calls, 0 to 1.
   bool Avoid =
       false; ///< Refused or lost lately; chosen only when nothing else is left.
+
+  /// Utilization with failures counted in; lower is better.
+  double score() const;
 };
 
 /// How to choose among candidates of one locality tier.
@@ -67,7 +70,8 @@
   /// A call has ended at this host. Load is null when no report came with it.
   void ended(TimePoint Now, const HostId &Host, bool Success,
              const LoadReport *Load);
-  /// The host refused a call; it is avoided until its report ages.
+  /// The host refused a call, which ends it here: ended() is not called for it.
+  /// The host is avoided until its report ages.
   void refused(TimePoint Now, const HostId &Host, const LoadReport &Load);
   /// The link to the host broke.
   void lost(TimePoint Now, const HostId &Host);
--- a/src/shell/OperatorClient.cpp
+++ b/src/shell/OperatorClient.cpp
@@ -1,93 +1,56 @@
-// OperatorClient.cpp - Calls the operator interface of daemons, for tools.
-//
-// The client classes of libjsonrpccpp 0.7 have dynamic exception
-// specifications, which C++20 does not allow; requests are built here instead.
+// OperatorClient.cpp - Calls the operator interface of daemons.
 
 #include "OperatorClient.h"
 
-#include "HttpExchange.h"
-
-#include <algorithm>
-
 namespace figsail {
 
 namespace http = boost::beast::http;
-namespace json = boost::json;
-
-/// Calls under way at the same time.
-static constexpr std::size_t MaxConcurrentCalls = 64;
 
-static OperatorResult parseResponse(const ExchangeResult &Response) {
-  if (!Response)
-    return "no response";
-  json::error_code Code;
-  json::value Body = json::parse(Response->body(), Code);
-  const json::object *Root = Code ? nullptr : Body.if_object();
-  if (!Root)
-    return "HTTP status " + std::to_string(Response->result_int()) +
-           " without a JSON-RPC response";
-  if (const json::value *Result = Root->if_contains("result"))
-    if (const json::object *Fields = Result->if_object())
-      return *Fields;
-  if (const json::value *Error = Root->if_contains("error"))
-    return "error " + json::serialize(*Error);
-  return "malformed JSON-RPC response";
+static std::string requestBody(const std::string &Method,
+                               const Json::Value &Parameters) {
+  Json::Value Call(Json::objectValue);
+  Call["jsonrpc"] = "2.0";
+  Call["id"] = 1;
+  Call["method"] = Method;
+  if (!Parameters.empty())
+    Call["params"] = Parameters;
+  Json::StreamWriterBuilder Writer;
+  Writer["indentation"] = "";
+  return Json::writeString(Writer, Call);
 }
 
-namespace {
-
-/// Calls one after the other, up to MaxConcurrentCalls at a time.
-class CallBatch {
-public:
-  CallBatch(const std::vector<std::string> &Addresses,
-            const std::string &Method, Duration Timeout)
-      : Addresses(Addresses), Timeout(Timeout), Results(Addresses.size()) {
-    Body = json::serialize(json::object{{"jsonrpc", "2.0"},
-                                        {"id", 1},
-                                        {"method", Method},
-                                        {"params", json::object()}});
-  }
-
-  std::vector<OperatorResult> run() {
-    for (std::size_t I = 0; I < MaxConcurrentCalls; ++I)
-      startNext();
-    Context.run();
-    return std::move(Results);
-  }
-
-private:
-  void startNext() {
-    if (Next == Addresses.size())
-      return;
-    std::size_t Index = Next++;
-    HttpExchange::Request Request;
-    Request.method(http::verb::post);
-    Request.target("/");
-    Request.set(http::field::content_type, "application/json");
-    Request.body() = Body;
-    auto Exchange = std::make_shared<HttpExchange>(Context, Addresses[Index]);
-    Exchange->start(std::move(Request), Timeout,
-                    [this, Index, Exchange](const ExchangeResult &Response) {
-                      Results[Index] = parseResponse(Response);
-                      Exchange->close();
-                      startNext();
-                    });
-  }
-
-  const std::vector<std::string> &Addresses;
-  Duration Timeout;
-  std::string Body;
-  std::vector<OperatorResult> Results;
-  std::size_t Next = 0;
-  boost::asio::io_context Context;
-};
-
-} // namespace
+static OperatorResult parseResponse(const std::string &Body) {
+  Json::Value Root;
+  Json::CharReaderBuilder Builder;
+  std::unique_ptr<Json::CharReader> Reader(Builder.newCharReader());
+  std::string Error;
+  if (!Reader->parse(Body.data(), Body.data() + Body.size(), &Root, &Error) ||
+      !Root.isObject())
+    return OperatorError{"the response is not JSON-RPC"};
+  if (Root["error"].isObject())
+    return OperatorError{Root["error"]["message"].asString()};
+  return Root["result"];
+}
 
-std::vector<OperatorResult>
-callOperators(const std::vector<std::string> &Addresses,
-              const std::string &Method, Duration Timeout) {
-  return CallBatch(Addresses, Method, Timeout).run();
+void callOperator(boost::asio::io_context &Context, const std::string &Address,
+                  const std::string &Method, const Json::Value &Parameters,
+                  Duration Timeout,
+                  const std::function<void(OperatorResult)> &Done) {
+  auto Exchange = std::make_shared<HttpExchange>(Context, Address);
+  HttpExchange::Request Request;
+  Request.method(http::verb::post);
+  Request.target("/");
+  Request.set(http::field::content_type, "application/json");
+  Request.keep_alive(false);
+  Request.body() = requestBody(Method, Parameters);
+  Exchange->start(std::move(Request), Timeout, [Done](ExchangeResult Result) {
+    if (!Result)
+      return Done(OperatorError{"there is no response"});
+    if (Result->result() != http::status::ok)
+      return Done(OperatorError{"the HTTP status is " +
+                                std::to_string(Result->result_int())});
+    Done(parseResponse(Result->body()));
+  });
 }
 
 } // namespace figsail
--- a/src/shell/ViewCommands.cpp
+++ b/src/shell/ViewCommands.cpp
@@ -10,7 +10,46 @@
 
 namespace figsail {
 
-namespace json = boost::json;
+/// Calls under way at the same time.
+static constexpr std::size_t MaxConcurrentCalls = 64;
+
+namespace {
+
+/// Calls "status" at a list of addresses, several at a time.
+class StatusBatch {
+public:
+  StatusBatch(std::vector<std::string> Addresses, Duration Timeout)
+      : Addresses(std::move(Addresses)), Timeout(Timeout),
+        Results(this->Addresses.size()) {}
+
+  /// Returns the results in the order of the addresses.
+  std::vector<OperatorResult> run() {
+    for (std::size_t I = 0; I < MaxConcurrentCalls; ++I)
+      startNext();
+    Context.run();
+    return std::move(Results);
+  }
+
+private:
+  void startNext() {
+    if (Next == Addresses.size())
+      return;
+    std::size_t Index = Next++;
+    callOperator(Context, Addresses[Index], "status", Json::Value(), Timeout,
+                 [this, Index](OperatorResult Result) {
+                   Results[Index] = std::move(Result);
+                   startNext();
+                 });
+  }
+
+  std::vector<std::string> Addresses;
+  Duration Timeout;
+  std::vector<OperatorResult> Results;
+  std::size_t Next = 0;
+  boost::asio::io_context Context;
+};
+
+} // namespace
 
 static void showNode(std::ostream &Out, const Configuration &Tree,
                      const std::string &Path, const TreeNode &Node) {
@@ -88,13 +127,16 @@
     Addresses.push_back(Who.OperatorAddress);
   }
   std::vector<OperatorResult> Results =
-      callOperators(Addresses, "status", Context.Timeout);
+      StatusBatch(std::move(Addresses), Context.Timeout).run();
   for (std::size_t I = 0; I < Results.size(); ++I) {
-    if (const auto *Fields = std::get_if<json::object>(&Results[I])) {
+    const auto *Fields = std::get_if<Json::Value>(&Results[I]);
+    if (Fields && Fields->isObject()) {
       Print(Names[I], *Fields, State);
       continue;
     }
-    Context.Out << Names[I] << ": " << std::get<std::string>(Results[I])
+    const auto *Error = std::get_if<OperatorError>(&Results[I]);
+    Context.Out << Names[I] << ": "
+                << (Error ? Error->Text : "the result is not an object")
                 << '\n';
     Status = ControlStatus::Failed;
   }
@@ -102,15 +144,15 @@
 }
 
 ControlStatus offsetsCommand(ControlContext &Context) {
-  auto Print = [&](const std::string &Host, const json::object &Fields,
+  auto Print = [&](const std::string &Host, const Json::Value &Fields,
                    const ReplicatedState &State) {
-    const json::value *Value = Fields.if_contains("applied");
+    const Json::Value &Value = Fields["applied"];
     Context.Out << Host << ": ";
-    if (!Value || !Value->is_number()) {
+    if (!Value.isInt64()) {
       Context.Out << "no offset in the response\n";
       return;
     }
-    auto Applied = Value->to_number<Offset>();
+    auto Applied = Value.asInt64();
     Context.Out << "applied " << Applied;
     if (Applied < State.applied())
       Context.Out << ", behind by " << State.applied() - Applied;
@@ -121,12 +163,14 @@
 
 ControlStatus statusCommand(ControlContext &Context,
                             const ArgumentList &Hosts) {
-  auto Print = [&](const std::string &Host, const json::object &Fields,
+  auto Print = [&](const std::string &Host, const Json::Value &Fields,
                    const ReplicatedState &) {
     Context.Out << Host << ":\n";
-    for (const auto &Field : Fields)
-      Context.Out << "  " << Field.key() << ": "
-                  << json::serialize(Field.value()) << '\n';
+    Json::StreamWriterBuilder Writer;
+    Writer["indentation"] = "";
+    for (const std::string &Name : Fields.getMemberNames())
+      Context.Out << "  " << Name << ": "
+                  << Json::writeString(Writer, Fields[Name]) << '\n';
   };
   return forEachStatus(Context, Hosts, Print);
 }
