--- a/src/shell/ViewCommands.cpp
+++ b/src/shell/ViewCommands.cpp
@@ -10,46 +10,12 @@
 
 namespace figsail {
 
-/// Calls under way at the same time.
-static constexpr std::size_t MaxConcurrentCalls = 64;
-
-namespace {
-
-/// Calls "status" at a list of addresses, several at a time.
-class StatusBatch {
-public:
-  StatusBatch(std::vector<std::string> Addresses, Duration Timeout)
-      : Addresses(std::move(Addresses)), Timeout(Timeout),
-        Results(this->Addresses.size()) {}
-
-  /// Returns the results in the order of the addresses.
-  std::vector<OperatorResult> run() {
-    for (std::size_t I = 0; I < MaxConcurrentCalls; ++I)
-      startNext();
-    Context.run();
-    return std::move(Results);
-  }
-
-private:
-  void startNext() {
-    if (Next == Addresses.size())
-      return;
-    std::size_t Index = Next++;
-    callOperator(Context, Addresses[Index], "status", Json::Value(), Timeout,
-                 [this, Index](OperatorResult Result) {
-                   Results[Index] = std::move(Result);
-                   startNext();
-                 });
-  }
-
-  std::vector<std::string> Addresses;
-  Duration Timeout;
-  std::vector<OperatorResult> Results;
-  std::size_t Next = 0;
-  boost::asio::io_context Context;
-};
-
-} // namespace
+/// Returns the JSON text of a value without line breaks.
+static std::string oneLine(const Json::Value &Value) {
+  Json::StreamWriterBuilder Writer;
+  Writer["indentation"] = "";
+  return Json::writeString(Writer, Value);
+}
 
 static void showNode(std::ostream &Out, const Configuration &Tree,
                      const std::string &Path, const TreeNode &Node) {
@@ -127,16 +93,13 @@
     Addresses.push_back(Who.OperatorAddress);
   }
   std::vector<OperatorResult> Results =
-      StatusBatch(std::move(Addresses), Context.Timeout).run();
+      callOperators(Addresses, "status", Context.Timeout);
   for (std::size_t I = 0; I < Results.size(); ++I) {
-    const auto *Fields = std::get_if<Json::Value>(&Results[I]);
-    if (Fields && Fields->isObject()) {
+    if (const auto *Fields = std::get_if<Json::Value>(&Results[I])) {
       Print(Names[I], *Fields, State);
       continue;
     }
-    const auto *Error = std::get_if<OperatorError>(&Results[I]);
-    Context.Out << Names[I] << ": "
-                << (Error ? Error->Text : "the result is not an object")
+    Context.Out << Names[I] << ": " << std::get<OperatorError>(Results[I]).Text
                 << '\n';
     Status = ControlStatus::Failed;
   }
@@ -148,11 +111,11 @@
                    const ReplicatedState &State) {
     const Json::Value &Value = Fields["applied"];
     Context.Out << Host << ": ";
-    if (!Value.isInt64()) {
+    if (!Value.isIntegral()) {
       Context.Out << "no offset in the response\n";
       return;
     }
-    auto Applied = Value.asInt64();
+    Offset Applied = Value.asInt64();
     Context.Out << "applied " << Applied;
     if (Applied < State.applied())
       Context.Out << ", behind by " << State.applied() - Applied;
@@ -166,11 +129,8 @@
   auto Print = [&](const std::string &Host, const Json::Value &Fields,
                    const ReplicatedState &) {
     Context.Out << Host << ":\n";
-    Json::StreamWriterBuilder Writer;
-    Writer["indentation"] = "";
     for (const std::string &Name : Fields.getMemberNames())
-      Context.Out << "  " << Name << ": "
-                  << Json::writeString(Writer, Fields[Name]) << '\n';
+      Context.Out << "  " << Name << ": " << oneLine(Fields[Name]) << '\n';
   };
   return forEachStatus(Context, Hosts, Print);
 }
