Test: at-most-once execution under random faults

A harness of members and ingresses checks after every step that no request runs twice, that a final refusal is true and that a repeat gets the first answer.

--- /dev/null
+++ b/tests/AtMostOnceHarness.h
@@ -0,0 +1,196 @@
+// AtMostOnceHarness.h - Members and ingresses under delayed, lost and repeated
+// messages, with a check that no request runs twice.
+
+#ifndef FIGSAIL_ATMOSTONCEHARNESS_H
+#define FIGSAIL_ATMOSTONCEHARNESS_H
+
+#include "figsail/Coordinator.h"
+
+#include <algorithm>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace figsail::harness {
+
+/// Mechanisms that the harness defeats from outside, by altering what the code
+/// under test gets to see.
+struct Defeat {
+  bool FenceCheck = false; ///< Tokens reach the executor with a high epoch.
+  bool AckWait = false;    ///< Acknowledgements of all members are forged.
+  bool Complete = false;   ///< All acknowledgements arrive as complete.
+  bool FinalMarks = false; ///< "Never started" is answered without a mark.
+  bool ExecutorIncarnation = false; ///< Tokens name the process they reach.
+  bool OwnIncarnation = false; ///< A restarted member sees itself as listed.
+  bool DomainRule = false;     ///< Grants see each host as a failure domain.
+  bool FreshCallIds = false;   ///< A call keeps its id over its attempts.
+  bool ReleasedToken = false;  ///< A release matches by attempt number only.
+};
+
+/// Place of one host.
+struct Place {
+  std::string Region;
+  std::string Domain;
+};
+
+struct Scenario {
+  std::vector<Place> Hosts;
+  std::vector<std::vector<std::string>> Routes; ///< Home regions of each.
+  std::size_t Ingresses = 3;
+  bool Orderly = false; ///< More list changes, with most messages delivered.
+  std::size_t MaxRequests = 1000; ///< Different identities.
+  Defeat Without = {};
+};
+
+/// One step of a run. The numbers choose among what is possible at the time.
+struct Step {
+  std::uint32_t Kind = 0;
+  std::uint32_t A = 0;
+  std::uint32_t B = 0;
+};
+
+/// What happened, to show that a run exercised something.
+struct Counts {
+  std::size_t Submitted = 0, Answered = 0, Unknown = 0, Runs = 0, Held = 0,
+              Replayed = 0, Released = 0, Stale = 0, Fenced = 0, Epochs = 0,
+              Restarts = 0, GrantsAfterTakeover = 0;
+};
+
+inline constexpr Duration Lifetime = std::chrono::minutes(10);
+inline const std::string Service = "group/service";
+
+/// A request as its caller sees it. Submissions of one identity share it.
+struct Request {
+  RequestKey Key;
+  std::string Route;
+  bool Keyed = true;
+  std::vector<std::string> Runs; ///< One response body for each run.
+};
+
+/// Names a grant, for the checker.
+std::string grantName(const GrantToken &Token);
+
+enum class CallState { Idle, Claiming, Executing, Awaiting, Ended };
+
+/// One submission at an ingress, following rules 1 to 4 of the design.
+struct Call {
+  CallId Id; ///< Fresh for each attempt, so that a late reply matches none.
+  std::size_t Subject = 0; ///< Index of the request.
+  CallState State = CallState::Idle;
+  HostId Peer; ///< Whom it waits for.
+  Incarnation Target = 0;
+  std::optional<GrantToken> Token;
+  std::optional<GrantToken> Released;
+};
+
+/// A daemon: a member of the service, or an ingress only.
+struct Process {
+  Process(PeerRef Ref, Duration Skew)
+      : Ref(Ref), Skew(Skew), Log(Ref, {}), Keys(std::move(Ref), {}) {}
+
+  PeerRef Ref;
+  Duration Skew; ///< Clocks of two processes differ.
+  bool Alive = true;
+  bool Paused = false;
+  std::size_t Applied = 0; ///< Applied entries of the log.
+  EpochHistory History;
+  ExecutionLog Log;
+  Coordinator Keys;
+  std::vector<CallId> Queue, Running;
+  std::unordered_map<CallId, Execute> Work;
+  std::set<std::string> Seen; ///< Grants whose Execute has arrived.
+  std::vector<Call> Calls;
+  std::uint64_t NextCall = 1;
+
+  const EpochHistory *history() const {
+    return History.empty() ? nullptr : &History;
+  }
+};
+
+/// The whole system. All choices come from the steps.
+class World {
+public:
+  explicit World(Scenario Initial);
+
+  void perform(const Step &Next);
+  /// Delivers, runs and retries everything until nothing is left to do.
+  void settle();
+
+  void submit(std::size_t Ingress, std::size_t Subject);
+  std::size_t addRequest(std::size_t Route, bool Keyed);
+  void kill(const HostId &Host);
+  void restart(const HostId &Host, bool Truncated);
+  void setListed(const HostId &Host, bool Listed);
+  void pause(const HostId &Host, bool Paused);
+  void applyAll();
+  void tick(Duration By);
+
+  const std::string &violation() const { return Violation; }
+  const Counts &counts() const { return Seen; }
+  const std::vector<Request> &requests() const { return Requests; }
+
+private:
+  struct Flight {
+    Process *From;
+    Process *To;
+    std::optional<PeerMessage> Message; ///< Empty: the link was lost.
+  };
+
+  Process &ingress(std::size_t I) { return *Ingresses[I % Ingresses.size()]; }
+  Process *at(const HostId &Host);
+  std::vector<Process *> live();
+  TimePoint now(const Process &Who) const { return Clock + Who.Skew; }
+  void fail(const std::string &What) {
+    if (Violation.empty())
+      Violation = What;
+  }
+
+  void appendEpoch();
+  void applyNext(Process &Who);
+  void send(Process &From, const HostId &To, PeerMessage Message);
+  void performOnNetwork(const Step &Next, bool Copy, bool Lose);
+  void submitSome(std::size_t Ingress, std::uint32_t Choice);
+  void perform(Process &Who, EffectList &Effects);
+  void deliver(std::size_t Index);
+  void loseLink(Process *A, Process *B);
+  void receive(Process &Who, Process &From, PeerMessage Message);
+  void defeat(Process &Who, PeerMessage &Message) const;
+  void execute(Process &Who, const Process &From, const Execute &Message);
+  void claim(Process &Who, const Process &From, Claim Message);
+  void forgeAcks(Process &Who);
+  void runNext(Process &Who, std::uint32_t Choice);
+  void finishNext(Process &Who, std::uint32_t Choice);
+
+  void advance(Process &Who, Call &Current, std::uint32_t Choice);
+  void startAttempt(Process &Who, Call &Current, std::uint32_t Choice);
+  void askExecutor(Process &Who, Call &Current);
+  void linkLost(Process &Who, const HostId &Host);
+  void reply(Process &Who, const PeerMessage &Message);
+  void answered(Call &Current, const std::string &Body);
+  void refused(Call &Current);
+  void claimRefused(Call &Current, ErrorKind Kind);
+  CallPolicy policy(const Request &Subject) const;
+
+  Scenario Plan;
+  TimePoint Clock{std::chrono::hours(1)};
+  std::vector<std::unique_ptr<Process>> Processes; ///< All that ever ran.
+  std::vector<std::unique_ptr<Process>> Ingresses;
+  std::set<HostId> Listed;
+  std::map<HostId, Incarnation> ListedInc;
+  std::vector<EpochEntry> Log;
+  std::vector<Flight> Flights;
+  std::vector<Request> Requests;
+  std::set<std::string> RefusedGrants; ///< Answered as final.
+  std::set<std::string> RunGrants;
+  std::string Violation;
+  Counts Seen;
+  Incarnation NextInc = 100;
+};
+
+} // namespace figsail::harness
+
+#endif // FIGSAIL_ATMOSTONCEHARNESS_H
--- /dev/null
+++ b/tests/CoordinatorTest.cpp
@@ -0,0 +1,231 @@
+// CoordinatorTest.cpp - Guards grants, replays and records of a coordinator.
+
+#include "RecordsFixture.h"
+
+#include <gtest/gtest.h>
+
+using namespace figsail;
+using namespace figsail::fixture;
+
+namespace {
+
+const Member Self = member("h0", "d0");
+const Member SameDomain = member("h1", "d0");
+const Member Executor = member("h2", "d1");
+const Member OtherExecutor = member("h3", "d1");
+const PeerRef Front{"i0", 900};
+
+/// A coordinator in the first epoch of a service with two failure domains.
+class CoordinatorTest : public testing::Test {
+protected:
+  CoordinatorTest() { enter(10, {Self, SameDomain, Executor, OtherExecutor}); }
+
+  void enter(Offset At, std::vector<Member> Members) {
+    History.append(epoch(At, std::move(Members), Now));
+    Keys.epochChanged(Now, Service, History, Log, Out);
+    Out.clear();
+  }
+  Claim question(const RequestKey &Key) {
+    Claim Message;
+    Message.Call = {900, ++Calls};
+    Message.Key = Key;
+    Message.Fingerprint = 7;
+    Message.Policy = policy();
+    Message.Epoch = History.current().At;
+    Message.Executor = ref(Executor);
+    return Message;
+  }
+  PeerMessage claim(const Claim &Message) {
+    EffectList Effects;
+    Keys.claim(Now, Front, Message, &History, Effects);
+    for (const Effect &Next : Effects)
+      if (const auto *Sending = std::get_if<SendPeer>(&Next))
+        return Sending->Message;
+    return Received{};
+  }
+  ErrorKind refusal(const Claim &Message) {
+    PeerMessage Reply = claim(Message);
+    const auto *No = std::get_if<ClaimRefused>(&Reply);
+    return No ? No->Kind : ErrorKind::Internal;
+  }
+  GrantToken granted(const Claim &Message) {
+    PeerMessage Reply = claim(Message);
+    const auto *Yes = std::get_if<Granted>(&Reply);
+    return Yes ? Yes->Token : GrantToken{};
+  }
+  GrantToken held(const Claim &Message) {
+    PeerMessage Reply = claim(Message);
+    const auto *Held = std::get_if<ClaimHeld>(&Reply);
+    return Held ? Held->Token : GrantToken{};
+  }
+  void complete(const GrantToken &Grant, const std::string &Body) {
+    Keys.completed(Now, Grant.Executor,
+                   {Grant, RecordState::Done, HttpResponse{200, {}, Body}});
+  }
+
+  TimePoint Now = Start;
+  EpochHistory History;
+  ExecutionLog Log{ref(Self), {}};
+  Coordinator Keys{ref(Self), {}};
+  EffectList Out;
+  std::uint64_t Calls = 0;
+  RequestKey Key =
+      keyOf(epoch(10, {Self, SameDomain, Executor, OtherExecutor}), Self.Host);
+};
+
+} // namespace
+
+TEST_F(CoordinatorTest, OtherEpochIsStaleInBothDirections) {
+  for (Offset Epoch : {5, 15}) {
+    Claim Message = question(Key);
+    Message.Epoch = Epoch;
+    PeerMessage Reply = claim(Message);
+    ASSERT_TRUE(std::holds_alternative<ClaimRefused>(Reply));
+    EXPECT_EQ(std::get<ClaimRefused>(Reply).Kind, ErrorKind::StaleEpoch);
+    EXPECT_EQ(std::get<ClaimRefused>(Reply).Epoch, 10);
+  }
+}
+
+TEST_F(CoordinatorTest, KeyOfAnotherCoordinatorIsRefused) {
+  RequestKey Foreign = keyOf(History.current(), Executor.Host);
+  EXPECT_EQ(refusal(question(Foreign)), ErrorKind::StaleEpoch);
+}
+
+TEST_F(CoordinatorTest, UnlistedIncarnationDoesNotGrant) {
+  Coordinator Restarted({Self.Host, Self.Inc + 1}, {});
+  ExecutionLog Empty({Self.Host, Self.Inc + 1}, {});
+  Restarted.epochChanged(Now, Service, History, Empty, Out);
+  EffectList Effects;
+  Restarted.claim(Now, Front, question(Key), &History, Effects);
+  auto Replies = sent<ClaimRefused>(Effects);
+  ASSERT_EQ(Replies.size(), 1U);
+  EXPECT_EQ(Replies[0].second.Kind, ErrorKind::CoordinatorUnavailable);
+}
+
+TEST_F(CoordinatorTest, KeyIsGrantedOnce) {
+  GrantToken Grant = granted(question(Key));
+  EXPECT_EQ(Grant, token(Key, 10, ref(Self), ref(Executor)));
+  Claim Second = question(Key);
+  Second.Executor = ref(OtherExecutor);
+  EXPECT_EQ(held(Second), Grant);
+}
+
+TEST_F(CoordinatorTest, OtherContentUnderTheSameKeyIsRefused) {
+  granted(question(Key));
+  Claim Second = question(Key);
+  Second.Fingerprint = 8;
+  EXPECT_EQ(refusal(Second), ErrorKind::KeyReused);
+}
+
+TEST_F(CoordinatorTest, RepeatGetsTheFirstAnswer) {
+  GrantToken Grant = granted(question(Key));
+  Keys.completed(Now, ref(OtherExecutor), {Grant, RecordState::Done, {}});
+  EXPECT_EQ(held(question(Key)), Grant) << "only the executor may report";
+  complete(Grant, "first");
+  complete(Grant, "second");
+  PeerMessage Reply = claim(question(Key));
+  ASSERT_TRUE(std::holds_alternative<ClaimDone>(Reply));
+  EXPECT_EQ(std::get<ClaimDone>(Reply).Response.Body, "first");
+}
+
+TEST_F(CoordinatorTest, ReleasedGrantAllowsTheNextAttempt) {
+  Claim Message = question(Key);
+  GrantToken Grant = granted(Message);
+  Message.Released = Grant;
+  Message.Executor = ref(OtherExecutor);
+  GrantToken Next = granted(Message);
+  EXPECT_EQ(Next.Attempt, 2U);
+  EXPECT_EQ(Next.Executor, ref(OtherExecutor));
+  EXPECT_EQ(held(Message), Next) << "a lower attempt changes nothing";
+  Message.Released = Next;
+  Message.Released->Epoch = 5;
+  EXPECT_EQ(held(Message), Next) << "nor does the same number of another epoch";
+  complete(Next, "a");
+  Message.Released = Next;
+  EXPECT_TRUE(std::holds_alternative<ClaimDone>(claim(Message)));
+}
+
+TEST_F(CoordinatorTest, UnsuitableExecutorIsRefused) {
+  Claim Message = question(Key);
+  Message.Executor = ref(SameDomain);
+  EXPECT_EQ(refusal(Message), ErrorKind::StaleEpoch);
+  Message.Executor = {Executor.Host, Executor.Inc + 1};
+  EXPECT_EQ(refusal(Message), ErrorKind::WrongIncarnation);
+  EXPECT_EQ(Keys.size(), 0U);
+}
+
+TEST_F(CoordinatorTest, RestartedExecutorMeansUnknownAtOnce) {
+  granted(question(Key));
+  enter(20, {Self, SameDomain, member("h2", "d1", 777), OtherExecutor});
+  EXPECT_EQ(refusal(question(Key)), ErrorKind::OutcomeUnknown);
+}
+
+TEST_F(CoordinatorTest, RecordLastsItsLifetimeFromTheLastChange) {
+  GrantToken Grant = granted(question(Key));
+  Now += 2 * Lifetime - Duration(1);
+  EXPECT_EQ(held(question(Key)), Grant) << "the run may still be under way";
+  complete(Grant, "a");
+  Now += Lifetime - Duration(1);
+  EXPECT_TRUE(std::holds_alternative<ClaimDone>(claim(question(Key))));
+  Now += Duration(1);
+  EXPECT_EQ(granted(question(Key)).Attempt, 1U) << "a new request by then";
+}
+
+TEST_F(CoordinatorTest, FullMemoryRefusesNewKeysAndKeepsOldOnes) {
+  RecordLimits Small;
+  Small.MaxRecords = 1;
+  Coordinator Full(ref(Self), Small);
+  Full.epochChanged(Now, Service, History, Log, Out);
+  Out.clear();
+  Full.claim(Now, Front, question(Key), &History, Out);
+  RequestKey Second;
+  for (int I = 0; Second == RequestKey{} || Second == Key; ++I)
+    Second = keyOf(History.current(), Self.Host, I);
+  Full.claim(Now, Front, question(Second), &History, Out);
+  Full.claim(Now, Front, question(Key), &History, Out);
+  EXPECT_EQ(sent<Granted>(Out).size(), 1U);
+  EXPECT_EQ(sent<ClaimHeld>(Out).size(), 1U);
+  ASSERT_EQ(sent<ClaimRefused>(Out).size(), 1U);
+  EXPECT_EQ(sent<ClaimRefused>(Out)[0].second.Kind, ErrorKind::RecordCapacity);
+}
+
+TEST_F(CoordinatorTest, AnswerBeyondTheMemoryBoundIsNotKept) {
+  GrantToken Grant = granted(question(Key));
+  complete(Grant, std::string(70000, 'x'));
+  EXPECT_EQ(refusal(question(Key)), ErrorKind::AnswerNotKept);
+
+  RecordLimits Small;
+  Small.MaxTotalBytes = 10;
+  Coordinator Full(ref(Self), Small);
+  Full.epochChanged(Now, Service, History, Log, Out);
+  Full.claim(Now, Front, question(Key), &History, Out);
+  Full.completed(Now, Grant.Executor,
+                 {Grant, RecordState::Done, {200, {}, "more than ten"}});
+  Out.clear();
+  Full.claim(Now, Front, question(Key), &History, Out);
+  ASSERT_EQ(sent<ClaimRefused>(Out).size(), 1U);
+  EXPECT_EQ(sent<ClaimRefused>(Out)[0].second.Kind, ErrorKind::AnswerNotKept);
+}
+
+TEST_F(CoordinatorTest, SingleMemberGrantsToItself) {
+  RequestKey Foreign = keyOf(History.current(), Executor.Host);
+  enter(20, {Self});
+  Claim Message = question(Foreign);
+  Message.Executor = ref(Self);
+  EXPECT_EQ(refusal(Message), ErrorKind::OutcomeUnknown)
+      << "the other members have not acknowledged";
+  Now += Lifetime + Duration(1);
+  EXPECT_EQ(granted(Message).Executor, ref(Self));
+}
+
+TEST_F(CoordinatorTest, HomeRegionsOfTheRouteBoundBothRoles) {
+  EpochEntry Entry = epoch(20, {member("h0", "d0"), member("h1", "d1"),
+                                member("h2", "d2", 0, "away")});
+  Entry.RouteRegions[Route] = {"r"};
+  for (int I = 0; I < 50; ++I)
+    EXPECT_NE(
+        coordinatorOf(Entry, Route, requestKey(Route, std::to_string(I)))->Host,
+        "h2");
+  EXPECT_TRUE(mayExecute(Entry, Route, "h0", "h1"));
+  EXPECT_FALSE(mayExecute(Entry, Route, "h0", "h2"));
+}
--- /dev/null
+++ b/tests/ExecutionLogTest.cpp
@@ -0,0 +1,213 @@
+// ExecutionLogTest.cpp - Guards the executor's side of at-most-once execution.
+
+#include "RecordsFixture.h"
+
+#include <gtest/gtest.h>
+
+using namespace figsail;
+using namespace figsail::fixture;
+
+namespace {
+
+const Member Owner = member("h0", "d0");
+const Member Self = member("h1", "d1");
+const PeerRef Front{"i0", 900};
+const RequestKey Key{1, 2};
+const CallId FirstCall{900, 1};
+const CallId OtherCall{901, 1};
+
+class ExecutionLogTest : public testing::Test {
+protected:
+  ExecutionLog Log{ref(Self), {}};
+  EffectList Out;
+  GrantToken First = token(Key, 10, ref(Owner), ref(Self));
+
+  StartVerdict accept(const CallId &Call, const GrantToken &Grant) {
+    return Log.accept(Start, Front, execute(Call, Grant), nullptr);
+  }
+  ErrorKind refusal(const StartVerdict &Verdict) {
+    const auto *Known = std::get_if<KnownReply>(&Verdict);
+    const auto *Reply = Known ? std::get_if<Refused>(&Known->Reply) : nullptr;
+    return Reply ? Reply->Kind : ErrorKind::Internal;
+  }
+  void run(const std::string &Body) {
+    ASSERT_TRUE(std::holds_alternative<MayRun>(accept(FirstCall, First)));
+    ASSERT_TRUE(Log.start(Start, FirstCall));
+    Log.finish(Start, FirstCall, HttpResponse{200, {}, Body}, {}, Out);
+  }
+};
+
+} // namespace
+
+TEST_F(ExecutionLogTest, SecondCopyOfAMessageDoesNotRunAgain) {
+  ASSERT_TRUE(std::holds_alternative<MayRun>(accept(FirstCall, First)));
+  EXPECT_TRUE(
+      std::holds_alternative<AlreadyUnderWay>(accept(FirstCall, First)));
+  ASSERT_TRUE(Log.start(Start, FirstCall));
+  EXPECT_FALSE(Log.start(Start, FirstCall));
+  Log.finish(Start, FirstCall, HttpResponse{200, {}, "a"}, {}, Out);
+  auto Answers = sent<Answer>(Out);
+  ASSERT_EQ(Answers.size(), 1U);
+  auto Again = accept(FirstCall, First);
+  ASSERT_TRUE(std::holds_alternative<KnownReply>(Again));
+  EXPECT_EQ(std::get<Answer>(std::get<KnownReply>(Again).Reply).Response.Body,
+            "a");
+}
+
+TEST_F(ExecutionLogTest, KeyThatRanDoesNotRunUnderALaterGrant) {
+  run("a");
+  auto Verdict = accept(OtherCall, token(Key, 20, ref(Owner), ref(Self), 2));
+  ASSERT_TRUE(std::holds_alternative<KnownReply>(Verdict));
+  EXPECT_TRUE(
+      std::holds_alternative<Answer>(std::get<KnownReply>(Verdict).Reply));
+}
+
+TEST_F(ExecutionLogTest, CompletionReachesTheCoordinator) {
+  run("a");
+  auto Reports = sent<Completed>(Out);
+  ASSERT_EQ(Reports.size(), 1U);
+  EXPECT_EQ(Reports[0].first, Owner.Host);
+  EXPECT_EQ(Reports[0].second.State, RecordState::Done);
+  EXPECT_EQ(Reports[0].second.Token, First);
+}
+
+TEST_F(ExecutionLogTest, FenceRefusesLowerEpochsOnly) {
+  Log.fence(Service, 10);
+  Log.fence(Service, 5); // A late fence does not lower the bound.
+  EXPECT_EQ(refusal(accept(FirstCall, token(Key, 9, ref(Owner), ref(Self)))),
+            ErrorKind::StaleEpoch);
+  EXPECT_TRUE(std::holds_alternative<MayRun>(accept(OtherCall, First)));
+}
+
+TEST_F(ExecutionLogTest, FenceOvertakesAQueuedRequest) {
+  ASSERT_TRUE(std::holds_alternative<MayRun>(accept(FirstCall, First)));
+  Log.fence(Service, 11);
+  EXPECT_FALSE(Log.start(Start, FirstCall));
+  Log.refuse(Start, FirstCall, ErrorKind::StaleEpoch, {}, Out);
+  EXPECT_EQ(sent<Refused>(Out).size(), 1U);
+  EXPECT_EQ(refusal(accept(FirstCall, First)), ErrorKind::StaleEpoch);
+}
+
+TEST_F(ExecutionLogTest, OtherIncarnationIsRefused) {
+  PeerRef Former{Self.Host, Self.Inc - 1};
+  EXPECT_EQ(refusal(accept(FirstCall, token(Key, 10, ref(Owner), Former))),
+            ErrorKind::WrongIncarnation);
+  Execute Unkeyed = execute(OtherCall, First);
+  Unkeyed.Grant.reset();
+  Unkeyed.Target = Former.Inc;
+  EXPECT_EQ(refusal(Log.accept(Start, Front, Unkeyed, nullptr)),
+            ErrorKind::WrongIncarnation);
+}
+
+TEST_F(ExecutionLogTest, ExecutorInTheCoordinatorsDomainIsRefused) {
+  EpochHistory History;
+  History.append(
+      epoch(10, {member("h0", "d0"), member("h1", "d0"), member("h2", "d1")}));
+  EXPECT_EQ(
+      refusal(Log.accept(Start, Front, execute(FirstCall, First), &History)),
+      ErrorKind::StaleEpoch);
+}
+
+TEST_F(ExecutionLogTest, UnknownGrantIsMadeFinal) {
+  Log.await(Start, Front, {OtherCall, First}, {}, Out);
+  auto Replies = sent<Refused>(Out);
+  ASSERT_EQ(Replies.size(), 1U);
+  EXPECT_EQ(Replies[0].second.Kind, ErrorKind::NeverStarted);
+  EXPECT_EQ(refusal(accept(FirstCall, First)), ErrorKind::NeverStarted);
+  EXPECT_TRUE(std::holds_alternative<MayRun>(
+      accept(FirstCall, token(Key, 10, ref(Owner), ref(Self), 2))))
+      << "the next attempt is not covered by the mark";
+  EXPECT_TRUE(std::holds_alternative<AlreadyUnderWay>(accept(OtherCall, First)))
+      << "a late lower attempt gets the result of the one that waits";
+}
+
+TEST_F(ExecutionLogTest, UnknownCallIsMadeFinal) {
+  Execute Unkeyed = execute(FirstCall, First);
+  Unkeyed.Grant.reset();
+  Log.await(Start, Front, {FirstCall, std::nullopt}, {}, Out);
+  EXPECT_EQ(sent<Refused>(Out).size(), 1U);
+  EXPECT_EQ(refusal(Log.accept(Start, Front, Unkeyed, nullptr)),
+            ErrorKind::NeverStarted);
+}
+
+TEST_F(ExecutionLogTest, OtherIncarnationCannotSayNeverStarted) {
+  PeerRef Former{Self.Host, Self.Inc - 1};
+  Log.await(Start, Front, {FirstCall, token(Key, 10, ref(Owner), Former)}, {},
+            Out);
+  Log.await(Start, Front, {FirstCall, std::nullopt, Former.Inc}, {}, Out);
+  EXPECT_EQ(sent<Failed>(Out).size(), 2U);
+  EXPECT_TRUE(sent<Refused>(Out).empty());
+}
+
+TEST_F(ExecutionLogTest, EveryoneWhoWaitsGetsTheResult) {
+  ASSERT_TRUE(std::holds_alternative<MayRun>(accept(FirstCall, First)));
+  Log.await(Start, {"i1", 901}, {OtherCall, First}, {}, Out);
+  Log.await(Start, {"i1", 901}, {OtherCall, First}, {}, Out);
+  EXPECT_EQ(sent<Received>(Out).size(), 2U);
+  ASSERT_TRUE(Log.start(Start, FirstCall));
+  Log.finish(Start, FirstCall, ErrorKind::BackendFailed, {}, Out);
+  auto Results = sent<Failed>(Out);
+  ASSERT_EQ(Results.size(), 2U);
+  EXPECT_EQ(Results[0].second.Call, FirstCall);
+  EXPECT_EQ(Results[1].second.Call, OtherCall);
+}
+
+TEST_F(ExecutionLogTest, RunThatWroteNothingMayBeRefused) {
+  ASSERT_TRUE(std::holds_alternative<MayRun>(accept(FirstCall, First)));
+  ASSERT_TRUE(Log.start(Start, FirstCall));
+  Log.refuse(Start, FirstCall, ErrorKind::Overloaded, {}, Out);
+  EXPECT_EQ(sent<Refused>(Out).size(), 1U);
+  EXPECT_EQ(refusal(accept(FirstCall, First)), ErrorKind::Overloaded);
+}
+
+TEST_F(ExecutionLogTest, LargeAnswerIsSentOnceAndNotKept) {
+  run(std::string(100000, 'x'));
+  EXPECT_EQ(sent<Answer>(Out).size(), 1U);
+  EXPECT_EQ(sent<Completed>(Out)[0].second.State, RecordState::NotKept);
+  Out.clear();
+  Log.await(Start, Front, {OtherCall, First}, {}, Out);
+  ASSERT_EQ(sent<Failed>(Out).size(), 1U);
+  EXPECT_EQ(sent<Failed>(Out)[0].second.Kind, ErrorKind::AnswerNotKept);
+}
+
+TEST_F(ExecutionLogTest, RecordLastsItsLifetimeAfterTheRun) {
+  ASSERT_TRUE(std::holds_alternative<MayRun>(accept(FirstCall, First)));
+  Log.expire(Start + 3 * Lifetime);
+  EXPECT_EQ(Log.size(), 1U) << "a waiting request does not expire";
+  ASSERT_TRUE(Log.start(Start + 3 * Lifetime, FirstCall));
+  Log.finish(Start + 4 * Lifetime, FirstCall, HttpResponse{}, {}, Out);
+  Log.expire(Start + 5 * Lifetime - Duration(1));
+  EXPECT_EQ(Log.size(), 1U);
+  Log.expire(Start + 6 * Lifetime);
+  EXPECT_EQ(Log.size(), 0U);
+}
+
+TEST_F(ExecutionLogTest, FullMemoryRefusesWithFinalityOrNotAtAll) {
+  RecordLimits Small;
+  Small.MaxRecords = 4; // Marks may use one more.
+  ExecutionLog Full(ref(Self), Small);
+  auto Offer = [&](std::uint64_t Number) {
+    return Full.accept(
+        Start, Front,
+        execute({900, Number}, token({0, Number}, 10, ref(Owner), ref(Self))),
+        nullptr);
+  };
+  for (std::uint64_t I = 1; I <= 4; ++I)
+    ASSERT_TRUE(std::holds_alternative<MayRun>(Offer(I)));
+  EXPECT_EQ(refusal(Offer(5)), ErrorKind::RecordCapacity);
+  auto Unmarked = Offer(6);
+  EXPECT_TRUE(
+      std::holds_alternative<Failed>(std::get<KnownReply>(Unmarked).Reply))
+      << "without a mark, the attempt could still run later";
+}
+
+TEST_F(ExecutionLogTest, RecordsGoToTheNewCoordinatorOnly) {
+  EpochEntry Entry = epoch(20, {Self, member("h2", "d0"), member("h3", "d0")});
+  GrantToken Grant = token(keyOf(Entry, "h2"), 10, ref(Owner), ref(Self));
+  ASSERT_TRUE(std::holds_alternative<MayRun>(accept(FirstCall, Grant)));
+  EXPECT_TRUE(Log.recordsFor(Start, Entry, Service, {"h3", 103}).empty());
+  auto Copies = Log.recordsFor(Start, Entry, Service, {"h2", 102});
+  ASSERT_EQ(Copies.size(), 1U);
+  EXPECT_EQ(Copies[0].State, RecordState::Granted);
+  EXPECT_EQ(Copies[0].Token, Grant);
+}
