Fix: a request that waited for its record lifetime could still start

An executor paused for longer than the record lifetime started its queued request after the coordinator had forgotten the grant. start() now refuses it.

--- a/include/figsail/ExecutionLog.h
+++ b/include/figsail/ExecutionLog.h
@@ -65,8 +65,8 @@
                       const Execute &Message, const EpochHistory *History);
 
   /// Called directly before the write to the backend server. Returns false when
-  /// a fence or a final mark has overtaken the request since accept(); it must
-  /// then be refused.
+  /// a fence or a final mark has overtaken the request since accept(), or when
+  /// the record lifetime has passed; it must then be refused.
   bool start(TimePoint Now, const CallId &Call);
 
   /// The request was refused before it started: marks the attempt final and
--- a/include/figsail/Types.h
+++ b/include/figsail/Types.h
@@ -31,8 +31,10 @@
 /// Peer address "ip:port" of a daemon. Stable over restarts; names the host.
 using HostId = std::string;
 
-/// Identifies one call of one ingress; never reused, since the incarnation
-/// differs after a restart.
+/// Identifies one attempt of a call of one ingress. Never reused: the
+/// incarnation differs after a restart, and each claim and each Execute after a
+/// refusal takes a new one, so that a late reply to an earlier attempt matches
+/// none.
 struct CallId {
   Incarnation Ingress =
       0; ///< Incarnation of the daemon that accepted the call.
--- a/src/core/ExecutionLog.cpp
+++ b/src/core/ExecutionLog.cpp
@@ -224,6 +224,9 @@
   if (!Record || Record->Stage != ExecutionStage::Accepted ||
       Impl->fenced(*Record))
     return false;
+  // After a long pause the coordinator may have forgotten the grant.
+  if (Now >= Record->Expires)
+    return false;
   Record->Stage = ExecutionStage::Running;
   Record->Expires = Now + Record->Lifetime;
   return true;
--- a/src/core/ExecutionLogBase.h
+++ b/src/core/ExecutionLogBase.h
@@ -30,7 +30,8 @@
   std::uint64_t Fingerprint = 0;
   HttpResponse Response; ///< Set with Done.
   Duration Lifetime{0};
-  TimePoint Expires; ///< Not used while Accepted or Running.
+  TimePoint Expires; ///< While Accepted, the time after which it may not start;
+                     ///< not used while Running.
   std::vector<std::pair<PeerRef, CallId>> Waiting; ///< Who gets the result.
   std::vector<HostId> Heirs; ///< Coordinators that took the record over.
 
