--- a/tests/FakeCluster.h
+++ b/tests/FakeCluster.h
@@ -49,6 +49,12 @@
   void resume(const HostId &Host);
   void stop(const HostId &Host) { deliver(Host, StopRequested{}); }
 
+  /// Delivers a message that Tap held back, after any time.
+  void inject(const PeerRef &From, const HostId &To, PeerMessage Message) {
+    deliver(To, PeerReceived{From, std::move(Message)});
+  }
+  PeerRef ref(const HostId &Name) { return {Name, at(Name).Who.Inc}; }
+
   /// Sends a caller's request to an ingress. The index stays valid for
   /// result().
   std::size_t call(const HostId &Ingress, const std::string &Method,
--- a/tests/NodeTest.cpp
+++ b/tests/NodeTest.cpp
@@ -239,6 +239,40 @@
     }
 }
 
+// Guards against a second run when an Execute is late on its link and its
+// coordinator and ingress were lost and replaced meanwhile.
+TEST_F(NodeTest, LateExecuteOfAReplacedCoordinatorIsRefused) {
+  std::optional<Execute> Late;
+  HostId Executor;
+  Net->Tap = [&](const HostId &, const HostId &To, PeerMessage &Message) {
+    auto *Run = std::get_if<Execute>(&Message);
+    if (!Run || Late)
+      return true;
+    Late = *Run;
+    Executor = To;
+    return false;
+  };
+  // Not a member of the service: its loss does not count as a lost record.
+  HostId Entry = Net->add("south", "s1", "/shop/other");
+  Net->run(5s);
+  book(Entry, "late");
+  Net->run(100ms);
+  ASSERT_TRUE(Late && Late->Grant);
+  PeerRef Ingress = Net->ref(Entry);
+  HostId Coordinator = Late->Grant->Coordinator.Host;
+  Net->kill(Entry);
+  Net->kill(Coordinator);
+  Net->run(15s);
+  std::size_t Again =
+      book(Hosts[7] == Coordinator ? Hosts[6] : Hosts[7], "late");
+  Net->run(2s);
+  ASSERT_TRUE(Net->result(Again).ok()) << Net->result(Again).Response.Body;
+  ASSERT_TRUE(Net->up(Executor));
+  Net->inject(Ingress, Executor, *Late);
+  Net->run(2s);
+  EXPECT_EQ(Net->RunsByIdentity["late"].size(), 1U);
+}
+
 // Guards against double runs, false refusals and crossed answers under kills,
 // pauses, cuts, log outages and repeats at once. Each seed is one history.
 TEST(NodeHistoryTest, FaultsAtRandom) {
