Fix: a backend server idled after it had been full for a moment

A report of a full server kept its weight for five seconds and the ingress, which then sent nothing, got no newer one. The load in such a report now counts for twice the time in which the server works it off.

--- a/src/core/Balancer.cpp
+++ b/src/core/Balancer.cpp
@@ -17,6 +17,10 @@
 static constexpr std::size_t OtherDomainPlaces = 4;
 /// A report counts less as it ages, and nothing after this time.
 static constexpr Duration ReportLifetime = std::chrono::seconds(5);
+/// A report of a full server counts nothing after twice the time in which the
+/// server works off what it reported, but not sooner than this. With
+/// ReportLifetime, servers that were full once idled for four seconds.
+static constexpr Duration MinReportLifetime = std::chrono::milliseconds(100);
 /// What is assumed of a host without a report: a cold backend server with one
 /// call of another ingress.
 static constexpr double UnknownLimit = 2;
@@ -46,13 +50,14 @@
   std::uint32_t Outstanding = 0;
   LoadReport Report;
   TimePoint ReportedAt;
+  Duration LoadLifetime = ReportLifetime; ///< Of the load in the report.
   bool Reported = false;
   double Others = 0; ///< Calls of other ingresses in the report.
   double FailureRate = 0;
   TimePoint FailureAt; ///< When FailureRate was last updated.
   TimePoint AvoidUntil;
 
-  double age(TimePoint Now) const;
+  double age(TimePoint Now, Duration Lifetime) const;
   double utilization(TimePoint Now) const;
   double failureRate(TimePoint Now) const;
   double slowness(TimePoint Now, Duration Shortest) const;
@@ -82,18 +87,18 @@
 };
 
 /// Returns the age of the report from 0 (fresh) to 1 (counts nothing).
-double Balancer::HostView::age(TimePoint Now) const {
+double Balancer::HostView::age(TimePoint Now, Duration Lifetime) const {
   if (!Reported)
     return 1;
   double Age = static_cast<double>((Now - ReportedAt).count()) /
-               static_cast<double>(ReportLifetime.count());
+               static_cast<double>(Lifetime.count());
   return std::clamp(Age, 0.0, 1.0);
 }
 
 /// Returns the expected load over the limit. A report with headroom loses its
 /// headroom as it ages, and never counts for more than it said.
 double Balancer::HostView::utilization(TimePoint Now) const {
-  double Age = age(Now);
+  double Age = age(Now, LoadLifetime);
   double Limit = UnknownLimit;
   double Known = 0;
   if (Reported) {
@@ -118,7 +123,7 @@
     return 0;
   double Ratio = static_cast<double>(Report.ServiceTime.count()) /
                  static_cast<double>(Shortest.count());
-  return std::log2(Ratio) / 2 * (1 - age(Now));
+  return std::log2(Ratio) / 2 * (1 - age(Now, ReportLifetime));
 }
 
 void Balancer::HostView::take(TimePoint Now, const LoadReport &Load) {
@@ -137,6 +142,14 @@
   }
   ReportedAt = Now;
   Reported = true;
+  LoadLifetime = ReportLifetime;
+  std::uint32_t Limit = std::max(1U, Load.Limit);
+  if (Present < Limit)
+    return;
+  auto WorkOff = static_cast<std::int64_t>(
+      2 * Present / Limit * static_cast<double>(Load.ServiceTime.count()));
+  LoadLifetime =
+      std::clamp(Duration(WorkOff), MinReportLifetime, ReportLifetime);
 }
 
 std::size_t Balancer::State::tierOf(const Member &Who) const {
@@ -230,7 +243,8 @@
     return Found->second;
   if (Views.size() >= MaxViews)
     std::erase_if(Views, [&](const auto &Entry) {
-      return Entry.second.Outstanding == 0 && Entry.second.age(Now) >= 1;
+      return Entry.second.Outstanding == 0 &&
+             Entry.second.age(Now, ReportLifetime) >= 1;
     });
   return Views[Host];
 }
--- a/tests/BalancerTest.cpp
+++ b/tests/BalancerTest.cpp
@@ -152,6 +152,20 @@
   EXPECT_TRUE(F.sample(50).contains("n1-0"));
 }
 
+// A server that has worked off its queue must not stay idle because its last
+// report said that it was full.
+TEST(Balancer, AFullServerIsTriedAgainWhenItsQueueIsDone) {
+  Fleet F;
+  F.add("north", "n1", 2);
+  LoadReport Busy{
+      .Limit = 10, .Running = 10, .Queued = 20, .ServiceTime = 20ms};
+  F.report("n1-0", Busy);
+  F.report("n1-1", {.Limit = 10, .Running = 8, .ServiceTime = 20ms});
+  EXPECT_FALSE(F.sample(50).contains("n1-0"));
+  F.Now += 200ms;
+  EXPECT_TRUE(F.sample(50).contains("n1-0"));
+}
+
 // A server that answers fast with errors must lose to a loaded one.
 TEST(Balancer, FailureRateOutweighsAnIdleReport) {
   Fleet F;
