--- /dev/null
+++ b/src/core/AdmissionRuns.cpp
@@ -0,0 +1,190 @@
+// AdmissionRuns.cpp - Starts admitted calls, ends them and learns from them.
+
+#include "AdmissionBase.h"
+
+#include <algorithm>
+
+namespace figsail {
+
+/// Weight of one run in the moving average of the service time.
+static constexpr double ServiceTimeWeight = 0.1;
+
+/// Ids of ended idempotent calls are kept this long, so that Await can tell
+/// "ran" from "never arrived". 65536 ids last 165 s at 395 calls/s.
+static constexpr Duration EndedCallLifetime = std::chrono::seconds(60);
+static constexpr std::size_t MaxEndedCalls = 65536;
+
+std::string callText(const CallId &Call) {
+  return std::to_string(Call.Ingress) + '-' + std::to_string(Call.Sequence);
+}
+
+bool Admission::State::mayStart(TimePoint Now, const CallId &Call) const {
+  if (SuspectsRunning == 0)
+    return true;
+  std::uint64_t Fingerprint = Calls.at(Call).Message.Fingerprint;
+  return Suspects.check(Now, Fingerprint) == Suspicion::None;
+}
+
+void Admission::State::pump(TimePoint Now, EffectList &Out) {
+  for (const CallId &Call : Queue.takeExpired(Now))
+    refuseQueued(Now, Call, ErrorKind::DeadlineNotRun, Out);
+  while (Runs.size() < Limit.value()) {
+    auto Next =
+        Queue.pop([&](const CallId &Call) { return mayStart(Now, Call); });
+    if (!Next)
+      return;
+    start(Now, *Next, Out);
+  }
+}
+
+void Admission::State::start(TimePoint Now, const CallId &Call,
+                             EffectList &Out) {
+  AdmittedCall &Starting = Calls.at(Call);
+  std::uint64_t Fingerprint = Starting.Message.Fingerprint;
+  Suspicion Doubt = Suspects.check(Now, Fingerprint);
+  if (Doubt == Suspicion::Blocked) {
+    Out.emplace_back(Count{Counter::Quarantined});
+    refuseQueued(Now, Call, ErrorKind::Quarantined, Out);
+    return;
+  }
+  if (!Starting.Message.Policy.Idempotent && !Log.start(Now, Call)) {
+    refuseQueued(Now, Call, ErrorKind::StaleEpoch, Out);
+    return;
+  }
+  Starting.Run = ++LastRun;
+  Starting.Started = Now;
+  Starting.SuspectsBeside = SuspectsRunning;
+  Starting.Suspect = Doubt == Suspicion::Suspect;
+  if (Starting.Suspect)
+    ++SuspectsRunning;
+  Runs.emplace(Starting.Run, Call);
+  LastTraffic = Now;
+  Out.emplace_back(RunBackend{Starting.Run, std::move(Starting.Message.Request),
+                              Starting.Deadline - Now});
+  Out.emplace_back(Count{Counter::RunsStarted});
+  Out.emplace_back(Trace{TraceKind::RunStarted, callText(Call), {}});
+}
+
+void Admission::State::refuseRun(TimePoint Now, AdmittedCall &Ended,
+                                 ErrorKind Kind, EffectList &Out) {
+  refuseNew(Now, Ended.From, Ended.Message, Kind, Out);
+  if (Ended.Message.Policy.Idempotent)
+    remember(Now, Ended.Message.Call, EndedAs::NotRun);
+}
+
+void Admission::State::finish(TimePoint Now, AdmittedCall &Ended,
+                              std::variant<HttpResponse, ErrorKind> Result,
+                              EffectList &Out) {
+  const CallId &Call = Ended.Message.Call;
+  if (!Ended.Message.Policy.Idempotent) {
+    Log.finish(Now, Call, Result, load(), Out);
+    return;
+  }
+  remember(Now, Call, EndedAs::Ran);
+  if (auto *Response = std::get_if<HttpResponse>(&Result))
+    Out.emplace_back(
+        SendPeer{Ended.From, Answer{Call, std::move(*Response), load()}});
+  else
+    Out.emplace_back(SendPeer{
+        Ended.From, Failed{Call, std::get<ErrorKind>(Result), load()}});
+}
+
+void Admission::State::remember(TimePoint Now, const CallId &Call,
+                                EndedAs How) {
+  auto [Known, Fresh] = EndedCalls.emplace(Call, How);
+  // Once a call has run, no later refusal makes it "not run".
+  if (Known->second != EndedAs::Ran)
+    Known->second = How;
+  if (!Fresh)
+    return;
+  EndedOrder.emplace_back(Now, Call);
+  while (EndedOrder.size() > MaxEndedCalls ||
+         EndedOrder.front().first + EndedCallLifetime < Now) {
+    EndedCalls.erase(EndedOrder.front().second);
+    EndedOrder.pop_front();
+  }
+}
+
+void Admission::State::report(const AdmittedCall &Ended,
+                              std::optional<SuspectReport> Report) {
+  if (Report)
+    Reports.emplace_back(*Report, Ended.Message.Policy.HomeRegions);
+}
+
+/// Updates the limit, the service time and the suspicion from the end of a run.
+void Admission::State::learn(TimePoint Now, const AdmittedCall &Ended,
+                             const BackendDone &Done) {
+  Duration Took = Now - Ended.Started;
+  const CallPolicy &Policy = Ended.Message.Policy;
+  auto Running = static_cast<std::uint32_t>(Runs.size()) + 1;
+  if (const auto *Response = std::get_if<HttpResponse>(&Done.Result)) {
+    bool Shed =
+        Policy.RefusalStatus && Response->Status == Policy.RefusalStatus;
+    if (Shed)
+      return Limit.shed();
+    report(Ended, Suspects.succeeded(Now, Ended.Message.Fingerprint));
+    // Fast failures would make the server look fast.
+    if (Response->Status >= 500)
+      return Limit.failed();
+    Limit.completed(Policy.Route, Took, Running);
+    double Error = static_cast<double>((Took - ServiceTime).count());
+    ServiceTime = ServiceTime.count() == 0
+                      ? Took
+                      : ServiceTime + Duration(static_cast<std::int64_t>(
+                                          Error * ServiceTimeWeight));
+    return;
+  }
+  // The end of a run that was cancelled says nothing about the server.
+  if (Ended.Cancelled)
+    return;
+  switch (std::get<BackendError>(Done.Result)) {
+  case BackendError::Broken:
+    report(Ended, Suspects.crashed(Now, Ended.Message.Fingerprint,
+                                   Ended.Started, Ended.SuspectsBeside == 0));
+    return Limit.disconnected();
+  case BackendError::NotSent:
+    return Limit.disconnected();
+  case BackendError::Malformed:
+    return Limit.failed();
+  case BackendError::TimedOut:
+    return Limit.timedOut(Policy.Route, Took);
+  case BackendError::Cancelled:
+    return;
+  }
+}
+
+void Admission::State::endedWith(TimePoint Now, AdmittedCall &Ended,
+                                 HttpResponse Response, EffectList &Out) {
+  const CallPolicy &Policy = Ended.Message.Policy;
+  if (Policy.RefusalStatus && Response.Status == Policy.RefusalStatus)
+    refuseRun(Now, Ended, ErrorKind::Overloaded, Out);
+  else
+    finish(Now, Ended, std::move(Response), Out);
+}
+
+void Admission::State::endedWith(TimePoint Now, AdmittedCall &Ended,
+                                 BackendError Error, EffectList &Out) {
+  if (Error == BackendError::NotSent)
+    return refuseRun(Now, Ended, ErrorKind::NoBackendServer, Out);
+  Out.emplace_back(Count{Counter::RunsFailed});
+  ErrorKind Kind = Error == BackendError::TimedOut ? ErrorKind::DeadlineUnknown
+                                                   : ErrorKind::BackendFailed;
+  if (!Ended.Message.Policy.Idempotent)
+    Kind = ErrorKind::OutcomeUnknown;
+  finish(Now, Ended, Kind, Out);
+}
+
+/// Adds a time line entry when the limit at least halved since the last entry,
+/// or reached its bound.
+void Admission::State::traceLimit(EffectList &Out) {
+  std::uint32_t Limited = Limit.value();
+  bool Halved = Limited * 2 <= TracedLimit;
+  bool AtBound = Limited == Limit.slots() && TracedLimit != Limited;
+  if (!Halved && !AtBound)
+    return;
+  TracedLimit = Limited;
+  Out.emplace_back(
+      Trace{TraceKind::LimitChanged, Self.Host, std::to_string(Limited)});
+}
+
+} // namespace figsail
