Fix: a refused call was counted down twice

The ingress calls refused() and then ended() for the same call, as the interface said at first. refused() no longer ends the call. The test of avoided hosts now ends both of its calls; it failed before that with one call left outstanding.

--- a/include/figsail/Balancer.h
+++ b/include/figsail/Balancer.h
@@ -72,8 +72,8 @@
   /// A call has ended at this host. Load is null when no report came with it.
   void ended(TimePoint Now, const HostId &Host, bool Success,
              const LoadReport *Load);
-  /// The host refused a call, which ends it here: ended() is not called for it.
-  /// The host is avoided until its report ages.
+  /// The host refused a call; it is avoided until its report ages. Called
+  /// before ended() for the same call.
   void refused(TimePoint Now, const HostId &Host, const LoadReport &Load);
   /// The link to the host broke.
   void lost(TimePoint Now, const HostId &Host);
--- a/src/core/Balancer.cpp
+++ b/src/core/Balancer.cpp
@@ -61,7 +61,7 @@
   double utilization(TimePoint Now) const;
   double failureRate(TimePoint Now) const;
   double slowness(TimePoint Now, Duration Shortest) const;
-  void take(TimePoint Now, const LoadReport &Load);
+  void take(TimePoint Now, const LoadReport &Load, std::uint32_t Own);
   void avoid(TimePoint Until) { AvoidUntil = std::max(AvoidUntil, Until); }
 };
 
@@ -126,12 +126,14 @@
   return std::log2(Ratio) / 2 * (1 - age(Now, ReportLifetime));
 }
 
-void Balancer::HostView::take(TimePoint Now, const LoadReport &Load) {
+/// Own: calls of this ingress that are part of the reported load.
+void Balancer::HostView::take(TimePoint Now, const LoadReport &Load,
+                              std::uint32_t Own) {
   // A report that was under way while the host refused may not undo what the
   // refusal said.
   bool Late = Reported && Now < AvoidUntil;
   double Present = static_cast<double>(Load.Running) + Load.Queued;
-  double Seen = std::max(0.0, Present - Outstanding);
+  double Seen = std::max(0.0, Present - Own);
   if (Late) {
     Report.Limit = std::min(Report.Limit, Load.Limit);
     Others = std::max(Others, Seen);
@@ -299,7 +301,7 @@
   View.FailureRate = Rate + ((Success ? 0 : 1) - Rate) * FailureStep;
   View.FailureAt = Now;
   if (Load)
-    View.take(Now, *Load);
+    View.take(Now, *Load, View.Outstanding);
   if (Load && Load->Draining)
     View.avoid(Now + ReportLifetime);
 }
@@ -307,9 +309,7 @@
 void Balancer::refused(TimePoint Now, const HostId &Host,
                        const LoadReport &Load) {
   HostView &View = Impl->viewOf(Now, Host);
-  if (View.Outstanding > 0)
-    --View.Outstanding;
-  View.take(Now, Load);
+  View.take(Now, Load, std::max(View.Outstanding, 1U) - 1);
   // The time in which half of the queue is served.
   Duration Busy =
       Load.ServiceTime * (Load.Queued + 1) / (2 * std::max(1U, Load.Limit));
--- a/tests/BalancerTest.cpp
+++ b/tests/BalancerTest.cpp
@@ -116,6 +116,7 @@
   F.Under.sent(F.Now, "n1-0");
   F.Under.sent(F.Now, "n1-0");
   F.Under.refused(F.Now, "n1-0", Full);
+  F.Under.ended(F.Now, "n1-0", true, &Full);
   F.Under.ended(F.Now, "n1-0", true, &Idle);
   EXPECT_FALSE(F.sample(50).contains("n1-0"));
   std::vector<HostId> Tried{"n1-1"};
