--- /dev/null
+++ b/src/shell/OperatorClient.cpp
@@ -0,0 +1,104 @@
+// OperatorClient.cpp - Calls the operator interface of daemons.
+
+#include "OperatorClient.h"
+
+namespace figsail {
+
+namespace http = boost::beast::http;
+
+/// Calls under way at the same time.
+static constexpr std::size_t MaxConcurrentCalls = 64;
+
+static std::string requestBody(const std::string &Method,
+                               const Json::Value &Parameters) {
+  Json::Value Call(Json::objectValue);
+  Call["jsonrpc"] = "2.0";
+  Call["id"] = 1;
+  Call["method"] = Method;
+  if (!Parameters.empty())
+    Call["params"] = Parameters;
+  Json::StreamWriterBuilder Writer;
+  Writer["indentation"] = "";
+  return Json::writeString(Writer, Call);
+}
+
+static OperatorResult parseResponse(const std::string &Body) {
+  Json::Value Root;
+  Json::CharReaderBuilder Builder;
+  std::unique_ptr<Json::CharReader> Reader(Builder.newCharReader());
+  std::string Error;
+  if (!Reader->parse(Body.data(), Body.data() + Body.size(), &Root, &Error) ||
+      !Root.isObject())
+    return OperatorError{"the response is not JSON-RPC"};
+  if (Root["error"].isObject())
+    return OperatorError{Root["error"]["message"].asString()};
+  return Root["result"];
+}
+
+void callOperator(boost::asio::io_context &Context, const std::string &Address,
+                  const std::string &Method, const Json::Value &Parameters,
+                  Duration Timeout,
+                  const std::function<void(OperatorResult)> &Done) {
+  auto Exchange = std::make_shared<HttpExchange>(Context, Address);
+  HttpExchange::Request Request;
+  Request.method(http::verb::post);
+  Request.target("/");
+  Request.set(http::field::content_type, "application/json");
+  Request.keep_alive(false);
+  Request.body() = requestBody(Method, Parameters);
+  Exchange->start(std::move(Request), Timeout, [Done](ExchangeResult Result) {
+    if (!Result)
+      return Done(OperatorError{"there is no response"});
+    if (Result->result() != http::status::ok)
+      return Done(OperatorError{"the HTTP status is " +
+                                std::to_string(Result->result_int())});
+    Done(parseResponse(Result->body()));
+  });
+}
+
+namespace {
+
+/// Calls one after the other, up to MaxConcurrentCalls at a time.
+class CallBatch {
+public:
+  CallBatch(const std::vector<std::string> &Addresses,
+            const std::string &Method, Duration Timeout)
+      : Addresses(Addresses), Method(Method), Timeout(Timeout),
+        Results(Addresses.size()) {}
+
+  std::vector<OperatorResult> run() {
+    for (std::size_t I = 0; I < MaxConcurrentCalls; ++I)
+      startNext();
+    Context.run();
+    return std::move(Results);
+  }
+
+private:
+  void startNext() {
+    if (Next == Addresses.size())
+      return;
+    std::size_t Index = Next++;
+    callOperator(Context, Addresses[Index], Method, Json::objectValue, Timeout,
+                 [this, Index](OperatorResult Result) {
+                   Results[Index] = std::move(Result);
+                   startNext();
+                 });
+  }
+
+  const std::vector<std::string> &Addresses;
+  const std::string &Method;
+  Duration Timeout;
+  std::vector<OperatorResult> Results;
+  std::size_t Next = 0;
+  boost::asio::io_context Context;
+};
+
+} // namespace
+
+std::vector<OperatorResult>
+callOperators(const std::vector<std::string> &Addresses,
+              const std::string &Method, Duration Timeout) {
+  return CallBatch(Addresses, Method, Timeout).run();
+}
+
+} // namespace figsail
