--- a/tests/BalancerTest.cpp
+++ b/tests/BalancerTest.cpp
@@ -116,6 +116,7 @@
   F.Under.sent(F.Now, "n1-0");
   F.Under.sent(F.Now, "n1-0");
   F.Under.refused(F.Now, "n1-0", Full);
+  F.Under.ended(F.Now, "n1-0", true, &Full);
   F.Under.ended(F.Now, "n1-0", true, &Idle);
   EXPECT_FALSE(F.sample(50).contains("n1-0"));
   std::vector<HostId> Tried{"n1-1"};
@@ -152,6 +153,20 @@
   EXPECT_TRUE(F.sample(50).contains("n1-0"));
 }
 
+// A server that has worked off its queue must not stay idle because its last
+// report said that it was full.
+TEST(Balancer, AFullServerIsTriedAgainWhenItsQueueIsDone) {
+  Fleet F;
+  F.add("north", "n1", 2);
+  LoadReport Busy{
+      .Limit = 10, .Running = 10, .Queued = 20, .ServiceTime = 20ms};
+  F.report("n1-0", Busy);
+  F.report("n1-1", {.Limit = 10, .Running = 8, .ServiceTime = 20ms});
+  EXPECT_FALSE(F.sample(50).contains("n1-0"));
+  F.Now += 200ms;
+  EXPECT_TRUE(F.sample(50).contains("n1-0"));
+}
+
 // A server that answers fast with errors must lose to a loaded one.
 TEST(Balancer, FailureRateOutweighsAnIdleReport) {
   Fleet F;
