Fix: an Execute unread during a long pause ran beside a newer grant

Cause: an Execute can lie in the socket buffer of a paused executor until the coordinator has forgotten its grant, twice the record lifetime, and then run. Ruled out: the fence (a paused executor has acknowledged no later epoch) and start() (it sees only what was read).

--- a/include/figsail/Events.h
+++ b/include/figsail/Events.h
@@ -119,6 +119,9 @@
   HostId Host;
 };
 
+/// Close all links, with everything on them that was not read or not written.
+struct ResetAllPeers {};
+
 /// Send a request to the backend server.
 struct RunBackend {
   RunId Run = 0;
@@ -209,9 +212,9 @@
 /// End the process; all work is done.
 struct ExitProcess {};
 
-using Effect =
-    std::variant<ReplyCaller, SendPeer, ResetPeer, RunBackend, CancelRun,
-                 ProbeBackend, ReadLog, AppendLog, Trace, Count, ExitProcess>;
+using Effect = std::variant<ReplyCaller, SendPeer, ResetPeer, ResetAllPeers,
+                            RunBackend, CancelRun, ProbeBackend, ReadLog,
+                            AppendLog, Trace, Count, ExitProcess>;
 
 /// Effects in the order in which they are to be carried out.
 using EffectList = std::vector<Effect>;
--- a/src/core/Ingress.cpp
+++ b/src/core/Ingress.cpp
@@ -25,8 +25,8 @@
 /// differ.
 static constexpr Duration ViewDelay = 50ms;
 
-static std::string callName(const CallId &Id) {
-  return std::to_string(Id.Ingress) + "/" + std::to_string(Id.Sequence);
+std::string Ingress::callName(const Call &Which) const {
+  return std::to_string(Self.Inc) + "/" + std::to_string(Which.Number);
 }
 
 static std::uint64_t fingerprint(const RouteSettings &Route,
@@ -95,22 +95,22 @@
   }
   auto Route = Step.State.configuration().findRoute(Arrived.Request.Method,
                                                     Arrived.Request.Target);
-  std::uint64_t Sequence = NextSequence++;
-  Call &New = Calls[Sequence];
-  New.Id = {Self.Inc, Sequence};
+  std::uint64_t Number = NextNumber++;
+  Call &New = Calls[Number];
+  New.Number = Number;
   New.Caller = Arrived.Caller;
   New.Request = std::move(Arrived.Request);
   New.Route = std::move(Route);
   New.Deadline = Step.Now + New.Route->Deadline;
   New.Fingerprint = fingerprint(*New.Route, New.Request);
-  ByCaller[New.Caller] = Sequence;
+  ByCaller[New.Caller] = Number;
   Budget.called(Step.Now, New.Route->Policy.Service);
 
   bool Keyed = !New.Route->Policy.Idempotent &&
                New.Route->Identity.From != IdentityRule::Source::None;
   if (!New.Route->Policy.Idempotent)
-    Step.Out.push_back(Trace{TraceKind::CallArrived, callName(New.Id),
-                             New.Route->Policy.Route});
+    Step.Out.push_back(
+        Trace{TraceKind::CallArrived, callName(New), New.Route->Policy.Route});
   if (Keyed) {
     auto Identity = identityOf(*New.Route, New.Request);
     if (!Identity)
@@ -132,27 +132,41 @@
   if (!Which.Executor.Host.empty())
     Step.Out.push_back(SendPeer{Which.Executor.Host, Cancel{Which.Id}});
   settleOutstanding(Step, Which, true, nullptr);
-  WakeOrder.erase({Which.WakeAt, Which.Id.Sequence});
-  Calls.erase(Found->second);
-  ByCaller.erase(Found);
+  forget(Which);
 }
 
 Ingress::Call *Ingress::find(const CallId &Id) {
   if (Id.Ingress != Self.Inc)
     return nullptr;
-  auto Found = Calls.find(Id.Sequence);
-  return Found == Calls.end() ? nullptr : &Found->second;
+  auto Found = ByAttempt.find(Id.Sequence);
+  return Found == ByAttempt.end() ? nullptr : &Calls.at(Found->second);
 }
 
 void Ingress::wakeAt(Call &Which, TimePoint At) {
-  WakeOrder.erase({Which.WakeAt, Which.Id.Sequence});
+  WakeOrder.erase({Which.WakeAt, Which.Number});
   Which.WakeAt = std::min(At, Which.Deadline);
-  WakeOrder.insert({Which.WakeAt, Which.Id.Sequence});
+  WakeOrder.insert({Which.WakeAt, Which.Number});
+}
+
+/// Takes a new id, so that a late reply to the attempt before matches none.
+void Ingress::newAttempt(Call &Which) {
+  ByAttempt.erase(Which.Id.Sequence);
+  Which.Id = {Self.Inc, NextSequence++};
+  ByAttempt[Which.Id.Sequence] = Which.Number;
+}
+
+void Ingress::forget(const Call &Which) {
+  std::uint64_t Number = Which.Number;
+  WakeOrder.erase({Which.WakeAt, Number});
+  ByAttempt.erase(Which.Id.Sequence);
+  ByCaller.erase(Which.Caller);
+  Calls.erase(Number);
 }
 
 void Ingress::advance(IngressStep &Step, Call &Which) {
   if (Step.Now >= Which.Deadline)
     return deadlinePassed(Step, Which);
+  newAttempt(Which);
   if (Which.Key)
     return claim(Step, Which);
   execute(Step, Which);
@@ -345,6 +359,10 @@
     Step.Out.push_back(Count{Counter::StaleMessages});
     return;
   }
+  // An Execute must not outlive its deadline, or the record that grants it
+  // might be forgotten before it arrives.
+  if (Step.Now >= Which->Deadline)
+    return deadlinePassed(Step, *Which);
   Which->KeyChecked = true;
   Which->ClaimTries = 0;
   Which->Grant = Message.Token;
@@ -355,7 +373,7 @@
     Which->Released = Message.Token;
     return retryLater(Step, *Which, ErrorKind::WrongIncarnation);
   }
-  Step.Out.push_back(Trace{TraceKind::ClaimGranted, callName(Which->Id),
+  Step.Out.push_back(Trace{TraceKind::ClaimGranted, callName(*Which),
                            "attempt " + std::to_string(Message.Token.Attempt) +
                                " at " + Message.Token.Executor.Host});
   sendExecute(Step, *Which, *To);
@@ -402,25 +420,25 @@
       Unsent.insert(Sent->Call.Sequence);
   }
   std::vector<std::uint64_t> Affected;
-  for (const auto &[Sequence, Which] : Calls) {
+  for (const auto &[Number, Which] : Calls) {
     bool AtExecutor =
         (Which.At == Phase::Executing || Which.At == Phase::Awaiting) &&
         Which.Executor.Host == Lost.Host;
     bool AtCoordinator =
         Which.At == Phase::Claiming && Which.Coordinator == Lost.Host;
     if (AtExecutor || AtCoordinator)
-      Affected.push_back(Sequence);
+      Affected.push_back(Number);
   }
   // The order of a hash map must not decide which call gets the retry budget.
   std::ranges::sort(Affected);
   if (!Affected.empty())
     Choice.lost(Step.Now, Lost.Host);
-  for (std::uint64_t Sequence : Affected) {
-    Call &Which = Calls.at(Sequence);
+  for (std::uint64_t Number : Affected) {
+    Call &Which = Calls.at(Number);
     if (Which.At == Phase::Claiming)
       coordinatorLost(Step, Which);
     else
-      executorLost(Step, Which, Unsent.contains(Sequence));
+      executorLost(Step, Which, Unsent.contains(Which.Id.Sequence));
   }
 }
 
@@ -536,12 +554,10 @@
 void Ingress::finish(IngressStep &Step, Call &Which, HttpResponse Response) {
   Step.Out.push_back(Count{Counter::CallsAnswered});
   if (!Which.Route->Policy.Idempotent)
-    Step.Out.push_back(Trace{TraceKind::CallAnswered, callName(Which.Id),
+    Step.Out.push_back(Trace{TraceKind::CallAnswered, callName(Which),
                              std::to_string(Response.Status)});
   Step.Out.push_back(ReplyCaller{Which.Caller, std::move(Response)});
-  WakeOrder.erase({Which.WakeAt, Which.Id.Sequence});
-  ByCaller.erase(Which.Caller);
-  Calls.erase(Which.Id.Sequence);
+  forget(Which);
 }
 
 void Ingress::fail(IngressStep &Step, Call &Which, ErrorKind Kind) {
@@ -554,12 +570,10 @@
   Step.Out.push_back(Count{errorEntry(Kind).Run == RunState::No
                                ? Counter::CallsRefused
                                : Counter::CallsUnknown});
-  Step.Out.push_back(Trace{TraceKind::CallRefused, callName(Which.Id),
+  Step.Out.push_back(Trace{TraceKind::CallRefused, callName(Which),
                            std::string(errorEntry(Kind).Name)});
   Step.Out.push_back(ReplyCaller{Which.Caller, errorResponse(Kind)});
-  WakeOrder.erase({Which.WakeAt, Which.Id.Sequence});
-  ByCaller.erase(Which.Caller);
-  Calls.erase(Which.Id.Sequence);
+  forget(Which);
 }
 
 } // namespace figsail
--- a/src/core/Ingress.h
+++ b/src/core/Ingress.h
@@ -69,7 +69,8 @@
   };
 
   struct Call {
-    CallId Id;
+    std::uint64_t Number = 0; ///< Names the call within this incarnation.
+    CallId Id;                ///< Of the present attempt.
     CallerId Caller = 0;
     HttpRequest Request;
     std::shared_ptr<const RouteSettings> Route;
@@ -94,7 +95,10 @@
     ErrorKind LastRefusal = ErrorKind::NoBackendServer;
   };
 
+  std::string callName(const Call &Which) const;
   Call *find(const CallId &Id);
+  void newAttempt(Call &Which);
+  void forget(const Call &Which);
   void wakeAt(Call &Which, TimePoint At);
   void advance(IngressStep &Step, Call &Which);
   void claim(IngressStep &Step, Call &Which);
@@ -121,10 +125,13 @@
   Balancer Choice;
   RetryBudget Budget;
   RegionLink Link;
-  std::uint64_t NextSequence = 1;
-  std::unordered_map<std::uint64_t, Call> Calls;           ///< By sequence.
-  std::unordered_map<CallerId, std::uint64_t> ByCaller;    ///< To sequence.
-  std::set<std::pair<TimePoint, std::uint64_t>> WakeOrder; ///< To sequence.
+  std::uint64_t NextNumber = 1;
+  std::uint64_t NextSequence = 1;                ///< Of attempts.
+  std::unordered_map<std::uint64_t, Call> Calls; ///< By number.
+  std::unordered_map<std::uint64_t, std::uint64_t>
+      ByAttempt;                                        ///< Sequence to number.
+  std::unordered_map<CallerId, std::uint64_t> ByCaller; ///< To number.
+  std::set<std::pair<TimePoint, std::uint64_t>> WakeOrder; ///< To number.
 };
 
 } // namespace figsail
--- a/src/core/Node.cpp
+++ b/src/core/Node.cpp
@@ -21,6 +21,10 @@
 /// Epochs are kept a little longer than the longest record lifetime in use, so
 /// that the walk over epochs never misses one that matters.
 static constexpr Duration EpochMargin = 1min;
+/// A gap between two events that only a pause of this process explains: the
+/// heartbeat timer alone makes one event a second. What peers sent meanwhile
+/// may be older than the grants it names, whose records live at least a minute.
+static constexpr Duration PauseLimit = 15s;
 /// How often expired records and epochs are dropped.
 static constexpr Duration ExpiryInterval = 5s;
 
@@ -67,6 +71,7 @@
   void message(const PeerRef &From, Snapshot &Message);
   void message(const PeerRef &From, SuspectReport &Message);
 
+  bool wokeFromPause();
   void afterEvent();
   void recordApplied(const LogRecord &Record, const ApplyResult &Result);
   void stateReplaced();
@@ -97,6 +102,7 @@
   Replication Log;
   Liveness Alive;
 
+  TimePoint LastEvent;    ///< When the event before was applied.
   TimePoint Now;          ///< Of the present event.
   std::uint64_t Seed = 0; ///< Of the present event.
   EffectList Out;         ///< Of the present event.
@@ -374,6 +380,15 @@
     ExitAt = Now;
 }
 
+/// Drops what peers sent during a pause. Returns whether there was one.
+bool Node::State::wokeFromPause() {
+  bool Paused = Started && Now - LastEvent > PauseLimit;
+  LastEvent = Now;
+  if (Paused)
+    Out.push_back(ResetAllPeers{});
+  return Paused;
+}
+
 void Node::State::afterEvent() {
   if (!Started) {
     Started = true;
@@ -409,7 +424,10 @@
   Impl->Now = Input.Now;
   Impl->Seed = Input.Seed;
   Impl->Out.clear();
-  std::visit([this](auto &Body) { Impl->handle(Body); }, Input.Body);
+  bool Unread =
+      Impl->wokeFromPause() && std::holds_alternative<PeerReceived>(Input.Body);
+  if (!Unread)
+    std::visit([this](auto &Body) { Impl->handle(Body); }, Input.Body);
   Impl->afterEvent();
   return std::move(Impl->Out);
 }
@@ -422,6 +440,9 @@
 
 HeadVerdict Node::checkHead(std::string_view Method,
                             std::string_view Target) const {
+  // Without the configuration an unknown path says nothing about the route.
+  if (!Impl->Log.caughtUp())
+    return errorResponse(ErrorKind::NoBackendServer);
   return Impl->Calls.checkHead(Impl->Replicated, Method, Target);
 }
 
--- a/src/core/Replication.cpp
+++ b/src/core/Replication.cpp
@@ -103,7 +103,10 @@
     if (Reading)
       return;
     Reading = true;
-    Out.push_back(ReadLog{State.nextOffset(), ReadWait});
+    // The first read of an empty log must end at once: the daemon joins only
+    // when it has caught up.
+    Duration Wait = CaughtUp ? ReadWait : Duration(0);
+    Out.push_back(ReadLog{State.nextOffset(), Wait});
     return;
   }
   if (SourceSince == TimePoint{})
--- a/src/shell/Daemon.cpp
+++ b/src/shell/Daemon.cpp
@@ -238,6 +238,13 @@
 
 void Daemon::perform(ResetPeer &Action) { Peers.reset(Action.Host); }
 
+void Daemon::perform(ResetAllPeers &) {
+  Peers.resetAll();
+  std::erase_if(Waiting, [](const EventBody &Body) {
+    return std::holds_alternative<PeerReceived>(Body);
+  });
+}
+
 void Daemon::perform(RunBackend &Action) {
   if (!Backend)
     return submit(BackendDone{Action.Run, BackendError::NotSent});
--- a/src/shell/Daemon.h
+++ b/src/shell/Daemon.h
@@ -64,6 +64,7 @@
   void perform(ReplyCaller &Action);
   void perform(SendPeer &Action);
   void perform(ResetPeer &Action);
+  void perform(ResetAllPeers &Action);
   void perform(RunBackend &Action);
   void perform(CancelRun &Action);
   void perform(ProbeBackend &Action);
--- a/src/shell/PeerTransport.cpp
+++ b/src/shell/PeerTransport.cpp
@@ -60,6 +60,7 @@
   LinkRef openLink(const HostId &Host, const tcp::endpoint &Address);
   void breakOldIncarnations(const LinkRef &Newest);
   void reset(const HostId &Host);
+  void resetAll();
   void stop();
 
   std::shared_ptr<LinkContext> Common;
@@ -69,6 +70,7 @@
   asio::steady_timer IdleTimer;
   std::set<LinkRef> Links; ///< All that have not reported their end.
   std::unordered_map<HostId, HostLinks> Hosts;
+  std::uint64_t LocalResets = 0; ///< Counts calls of resetAll().
 };
 
 // Events of links.
@@ -210,9 +212,9 @@
 }
 
 void PeerTransport::State::deliverLocally(PeerMessage Message) {
-  asio::post(Common->Loop, [Self = shared_from_this(),
+  asio::post(Common->Loop, [Self = shared_from_this(), Sent = LocalResets,
                             Message = std::move(Message)]() mutable {
-    if (Self->Common->Owner)
+    if (Self->Common->Owner && Sent == Self->LocalResets)
       Self->Handler.peerReceived({Self->Common->Self, std::move(Message)});
   });
 }
@@ -269,6 +271,13 @@
     Link->end(LinkEnd::Reset);
 }
 
+void PeerTransport::State::resetAll() {
+  ++LocalResets;
+  std::vector<LinkRef> Open(Links.begin(), Links.end());
+  for (const LinkRef &Link : Open)
+    Link->end(LinkEnd::Reset);
+}
+
 void PeerTransport::State::stop() {
   Common->Owner = nullptr;
   error_code Ignored;
@@ -303,6 +312,8 @@
 
 void PeerTransport::reset(const HostId &Host) { Impl->reset(Host); }
 
+void PeerTransport::resetAll() { Impl->resetAll(); }
+
 void PeerTransport::close() {
   error_code Ignored;
   Impl->Acceptor.close(Ignored);
--- a/src/shell/PeerTransport.h
+++ b/src/shell/PeerTransport.h
@@ -59,6 +59,9 @@
   /// Sends a message, over a new link when there is none. A message to the own
   /// host is delivered through the event loop.
   void send(const HostId &Host, PeerMessage Message);
+  /// Closes all links, and drops messages to the own host that are not
+  /// delivered yet.
+  void resetAll();
   /// Closes all links to a host. The next send() opens a new one.
   /// Messages that were not sent yet are reported by peerLost().
   void reset(const HostId &Host);
--- a/tests/FakeCluster.h
+++ b/tests/FakeCluster.h
@@ -109,8 +109,9 @@
     Duration ClockOffset{0}; ///< Clocks of two hosts differ by hours.
     bool Paused = false;
     bool Exited = false;
-    std::deque<EventBody> Waiting;       ///< While paused.
-    std::uint64_t Generation = 0;        ///< Counts restarts.
+    bool LinksReset = false;       ///< By ResetAllPeers, in the present event.
+    std::deque<EventBody> Waiting; ///< While paused.
+    std::uint64_t Generation = 0;  ///< Counts restarts.
     std::map<RunId, std::uint64_t> Runs; ///< Under way; the value is unused.
     std::optional<std::pair<Offset, TimePoint>> Read; ///< Held read of the log.
     TimePoint TimerAt = TimePoint::max();
@@ -202,8 +203,13 @@
   Which.Paused = false;
   std::deque<EventBody> Waiting = std::move(Which.Waiting);
   Which.Waiting.clear();
-  for (EventBody &Body : Waiting)
+  Which.LinksReset = false;
+  for (EventBody &Body : Waiting) {
+    // What was not read yet is gone with the links.
+    if (Which.LinksReset && std::holds_alternative<PeerReceived>(Body))
+      continue;
     deliver(Name, std::move(Body));
+  }
 }
 
 inline std::vector<HostId> FakeCluster::hosts() const {
@@ -274,6 +280,12 @@
   } else if (auto *Reset = std::get_if<ResetPeer>(&What)) {
     ++LinkGeneration[{Name, Reset->Host}];
     ++LinkGeneration[{Reset->Host, Name}];
+  } else if (std::holds_alternative<ResetAllPeers>(What)) {
+    From.LinksReset = true;
+    for (const auto &[Peer, Other] : Hosts) {
+      ++LinkGeneration[{Name, Peer}];
+      ++LinkGeneration[{Peer, Name}];
+    }
   } else if (auto *Run = std::get_if<RunBackend>(&What)) {
     startRun(From, *Run);
   } else if (auto *Cancelled = std::get_if<CancelRun>(&What)) {
--- a/tests/NodeTest.cpp
+++ b/tests/NodeTest.cpp
@@ -23,6 +23,18 @@
   EXPECT_TRUE(Net->result(Index).ok()) << Net->result(Index).Response.Body;
 }
 
+// Guards against a 404, on which callers give up, from a daemon that has not
+// read the configuration yet.
+TEST_F(NodeTest, FreshDaemonRefusesWithATimeToComeBack) {
+  Net->LogDown = true;
+  Net->Cut = [](const HostId &, const HostId &) { return true; };
+  HostId Fresh = Net->add("south", "s1", Service);
+  Net->run(1s);
+  HeadVerdict Head = Net->node(Fresh).checkHead("GET", "/look");
+  ASSERT_TRUE(std::holds_alternative<HttpResponse>(Head));
+  EXPECT_EQ(std::get<HttpResponse>(Head).Status, 503U);
+}
+
 // Guards against a second deposit when callers send the same booking again,
 // also at two entrances at the same moment.
 TEST_F(NodeTest, RepeatedBookingRunsOnceAndGetsTheFirstAnswer) {
@@ -273,6 +285,33 @@
   EXPECT_EQ(Net->RunsByIdentity["late"].size(), 1U);
 }
 
+// Guards against a second run when an executor is paused, with an Execute
+// unread, until the coordinator has forgotten the grant.
+TEST_F(NodeTest, ExecuteUnreadDuringALongPauseIsDropped) {
+  HostId Executor;
+  Net->Tap = [&](const HostId &, const HostId &To, PeerMessage &Message) {
+    if (Executor.empty() && std::holds_alternative<Execute>(Message)) {
+      Executor = To;
+      Net->pause(To);
+    }
+    return true;
+  };
+  HostId Entry = Net->add("south", "s1", "/shop/other");
+  Net->run(5s);
+  book(Entry, "old");
+  Net->run(25min);
+  ASSERT_FALSE(Executor.empty());
+  std::size_t Again = book(Entry, "old");
+  Net->run(2s);
+  ASSERT_TRUE(Net->result(Again).ok()) << Net->result(Again).Response.Body;
+  Net->resume(Executor);
+  Net->run(10s);
+  EXPECT_EQ(Net->RunsByIdentity["old"].size(), 1U);
+  std::size_t Fresh = Net->call(Executor, "GET", "/look", "fresh");
+  Net->run(2s);
+  EXPECT_TRUE(Net->result(Fresh).ok()) << Net->result(Fresh).Response.Body;
+}
+
 // Guards against double runs, false refusals and crossed answers under kills,
 // pauses, cuts, log outages and repeats at once. Each seed is one history.
 TEST(NodeHistoryTest, FaultsAtRandom) {
--- a/tests/ProcessSettingsTest.cpp
+++ b/tests/ProcessSettingsTest.cpp
@@ -46,6 +46,18 @@
 
 } // namespace
 
+// Guards against a table that sets records free to outgrow the memory budget
+// that RecordLimits keeps.
+TEST(ProcessSettings, RecordDefaultsAreThoseOfTheCore) {
+  SettingsResult Result = readSettings(complete(), {});
+  const auto *Settings = std::get_if<ProcessSettings>(&Result);
+  ASSERT_TRUE(Settings);
+  const RecordLimits &Given = Settings->Node.Records;
+  EXPECT_EQ(Given.MaxRecords, RecordLimits().MaxRecords);
+  EXPECT_EQ(Given.MaxAnswerBytes, RecordLimits().MaxAnswerBytes);
+  EXPECT_EQ(Given.MaxTotalBytes, RecordLimits().MaxTotalBytes);
+}
+
 TEST(ProcessSettings, ValuesReachTheirPlaces) {
   Arguments Given = complete();
   for (const char *More :
