--- a/include/figsail/ReplicatedState.h
+++ b/include/figsail/ReplicatedState.h
@@ -24,7 +24,8 @@
   bool Duplicate = false; ///< The change id was seen before; nothing was done.
   bool Ignored = false;   ///< Offset already applied, or not readable.
   bool Gap = false; ///< Records before this one are missing; see nextOffset().
-  HostId Joined;    ///< Host that was listed under a new incarnation, or empty.
+  std::optional<Member> Joined; ///< Listed by this record.
+  std::optional<Member> Gone;   ///< No longer listed, or replaced by Joined.
   bool Restored = false; ///< The last part of a snapshot replaced the state.
 };
 
--- a/src/core/Node.cpp
+++ b/src/core/Node.cpp
@@ -75,7 +75,8 @@
   void afterEvent();
   void recordApplied(const LogRecord &Record, const ApplyResult &Result);
   void stateReplaced();
-  void membersChanged();
+  void memberChanged(const Member &Who, bool Listed);
+  void checkInService();
   void ownEpochChanged();
   void propose(const RecordBody &Body);
   void sendReports();
@@ -108,7 +109,8 @@
   EffectList Out;         ///< Of the present event.
 
   bool Started = false;
-  bool MembersStale = false; ///< Records were applied by the present event.
+  bool NeighboursStale = false; ///< Members of the own service changed.
+  std::size_t RegionHosts = 0;  ///< Listed members in the own region.
   bool WasInService = true;
   bool Draining = false;
   TimePoint DrainEnds = TimePoint::max(); ///< The limit of the drain.
@@ -155,9 +157,11 @@
       Trace{TraceKind::ConfigurationApplied, std::to_string(Record.At),
             std::holds_alternative<Accepted>(Result.Outcome) ? "accepted"
                                                              : "rejected"});
-  MembersStale = true;
-  if (!Result.Joined.empty())
-    Calls.memberJoined(Result.Joined);
+  checkInService();
+  if (Result.Gone)
+    memberChanged(*Result.Gone, false);
+  if (Result.Joined)
+    memberChanged(*Result.Joined, true);
   for (const std::string &Service : Result.ServicesChanged) {
     Out.push_back(
         Trace{TraceKind::EpochChanged, Service, std::to_string(Record.At)});
@@ -169,7 +173,12 @@
 void Node::State::stateReplaced() {
   Out.push_back(Trace{TraceKind::ConfigurationApplied,
                       std::to_string(Replicated.applied()), "snapshot"});
-  MembersStale = true;
+  RegionHosts = 0;
+  NeighboursStale = true; // Also when no member of the service is left.
+  for (const auto &[Host, Who] : Replicated.members())
+    memberChanged(Who, true);
+  Log.membersChanged();
+  checkInService();
   ownEpochChanged();
 }
 
@@ -179,14 +188,24 @@
     Records.epochChanged(Now, Settings.Self.Service, *History, Runs, Out);
 }
 
-void Node::State::membersChanged() {
-  Log.membersChanged();
-  Alive.membersChanged(Now, Replicated);
-  auto InRegion =
-      std::ranges::count_if(Replicated.members(), [this](const auto &Entry) {
-        return Entry.second.Region == Settings.Self.Region;
-      });
-  Calls.regionHosts(static_cast<std::size_t>(InRegion));
+/// Tells the modules that depend on this member. Most members concern none of
+/// them, and a change must not cost a walk over all members.
+void Node::State::memberChanged(const Member &Who, bool Listed) {
+  if (Listed)
+    Calls.memberJoined(Who.Host);
+  NeighboursStale |= Who.Service == Settings.Self.Service;
+  if (Who.FailureDomain == Settings.Self.FailureDomain)
+    Log.membersChanged();
+  if (Who.Region != Settings.Self.Region)
+    return;
+  if (Listed)
+    ++RegionHosts;
+  else
+    --RegionHosts;
+  Calls.regionHosts(RegionHosts);
+}
+
+void Node::State::checkInService() {
   bool InService = inService();
   if (InService && !WasInService)
     Admit.returnToService(Now, Out);
@@ -394,8 +413,8 @@
     Started = true;
     Log.start(Now, Out);
   }
-  if (std::exchange(MembersStale, false))
-    membersChanged();
+  if (std::exchange(NeighboursStale, false))
+    Alive.membersChanged(Now, Replicated);
   IngressStep Step = step();
   Calls.timer(Step);
   Admit.timer(Now, Out);
--- a/src/core/ReplicatedState.cpp
+++ b/src/core/ReplicatedState.cpp
@@ -97,8 +97,10 @@
     }
     const Member *Old = member(Join->Who.Host);
     std::string OldService = Old ? Old->Service : Join->Who.Service;
+    if (Old)
+      Result.Gone = *Old;
     list(Join->Who);
-    Result.Joined = Join->Who.Host;
+    Result.Joined = Join->Who;
     refreshEpoch(Now, At, OldService, Result);
     if (OldService != Join->Who.Service)
       refreshEpoch(Now, At, Join->Who.Service, Result);
@@ -113,6 +115,7 @@
     return;
   }
   std::string Service = Listed->Service;
+  Result.Gone = *Listed;
   unlist(Who.Host);
   refreshEpoch(Now, At, Service, Result);
 }
