--- a/src/core/Ingress.cpp
+++ b/src/core/Ingress.cpp
@@ -25,8 +25,8 @@
 /// differ.
 static constexpr Duration ViewDelay = 50ms;
 
-std::string Ingress::callName(const Call &Which) const {
-  return std::to_string(Self.Inc) + "/" + std::to_string(Which.Number);
+std::string Ingress::callName(const Call &Current) const {
+  return std::to_string(Self.Inc) + "/" + std::to_string(Current.Number);
 }
 
 static std::uint64_t fingerprint(const RouteSettings &Route,
@@ -66,7 +66,7 @@
 Ingress::Ingress(const NodeSettings &Settings)
     : Self{Settings.Self.Host, Settings.Self.Inc},
       Here{Settings.Self.Region, Settings.Self.FailureDomain},
-      Choice(Self.Host, Here, makePolicy(Settings.Policy)),
+      Selector(Self.Host, Here, makePolicy(Settings.Policy)),
       Link(Settings.RegionLinkBytes) {}
 
 HeadVerdict Ingress::checkHead(const ReplicatedState &State,
@@ -124,15 +124,15 @@
   auto Found = ByCaller.find(Caller);
   if (Found == ByCaller.end())
     return;
-  Call &Which = Calls.at(Found->second);
+  Call &Current = Calls.at(Found->second);
   // A non-idempotent call is followed to its end, so that its record is
   // settled.
-  if (!Which.Route->Policy.Idempotent)
+  if (!Current.Route->Policy.Idempotent)
     return;
-  if (!Which.Executor.Host.empty())
-    Step.Out.push_back(SendPeer{Which.Executor.Host, Cancel{Which.Id}});
-  settleOutstanding(Step, Which, true, nullptr);
-  forget(Which);
+  if (!Current.Executor.Host.empty())
+    Step.Out.push_back(SendPeer{Current.Executor.Host, Cancel{Current.Id}});
+  settleOutstanding(Step, Current, true, nullptr);
+  forget(Current);
 }
 
 Ingress::Call *Ingress::find(const CallId &Id) {
@@ -142,141 +142,145 @@
   return Found == ByAttempt.end() ? nullptr : &Calls.at(Found->second);
 }
 
-void Ingress::wakeAt(Call &Which, TimePoint At) {
-  WakeOrder.erase({Which.WakeAt, Which.Number});
-  Which.WakeAt = std::min(At, Which.Deadline);
-  WakeOrder.insert({Which.WakeAt, Which.Number});
+void Ingress::wakeAt(Call &Current, TimePoint At) {
+  WakeOrder.erase({Current.WakeAt, Current.Number});
+  Current.WakeAt = std::min(At, Current.Deadline);
+  WakeOrder.insert({Current.WakeAt, Current.Number});
 }
 
 /// Takes a new id, so that a late reply to the attempt before matches none.
-void Ingress::newAttempt(Call &Which) {
-  ByAttempt.erase(Which.Id.Sequence);
-  Which.Id = {Self.Inc, NextSequence++};
-  ByAttempt[Which.Id.Sequence] = Which.Number;
+void Ingress::newAttempt(Call &Current) {
+  ByAttempt.erase(Current.Id.Sequence);
+  Current.Id = {Self.Inc, NextSequence++};
+  ByAttempt[Current.Id.Sequence] = Current.Number;
 }
 
-void Ingress::forget(const Call &Which) {
-  std::uint64_t Number = Which.Number;
-  WakeOrder.erase({Which.WakeAt, Number});
-  ByAttempt.erase(Which.Id.Sequence);
-  ByCaller.erase(Which.Caller);
+void Ingress::forget(const Call &Current) {
+  std::uint64_t Number = Current.Number;
+  WakeOrder.erase({Current.WakeAt, Number});
+  ByAttempt.erase(Current.Id.Sequence);
+  ByCaller.erase(Current.Caller);
   Calls.erase(Number);
 }
 
-void Ingress::advance(IngressStep &Step, Call &Which) {
-  if (Step.Now >= Which.Deadline)
-    return deadlinePassed(Step, Which);
-  newAttempt(Which);
-  if (Which.Key)
-    return claim(Step, Which);
-  execute(Step, Which);
+void Ingress::advance(IngressStep &Step, Call &Current) {
+  if (Step.Now >= Current.Deadline)
+    return deadlinePassed(Step, Current);
+  newAttempt(Current);
+  if (Current.Key)
+    return claim(Step, Current);
+  execute(Step, Current);
 }
 
-const Member *Ingress::chooseExecutor(IngressStep &Step, const Call &Which,
+const Member *Ingress::chooseExecutor(IngressStep &Step, const Call &Current,
                                       const EpochEntry &Epoch,
                                       const HostId *Coordinator) {
-  const std::string &Route = Which.Route->Policy.Route;
+  const std::string &Route = Current.Route->Policy.Route;
   std::vector<const Member *> Eligible;
   for (const Member *Who : eligibleMembers(Epoch, Route)) {
     // The call's own policy binds it even when the tree has changed since it
     // arrived.
-    if (!servedIn(Which.Route->Policy, Who->Region))
+    if (!servedIn(Current.Route->Policy, Who->Region))
       continue;
     if (Coordinator && !mayExecute(Epoch, Route, *Coordinator, Who->Host))
       continue;
     Eligible.push_back(Who);
   }
-  return Choice.choose(Step.Now, Eligible, Which.Tried,
-                       Link.available(Step.Now), Step.Seed);
+  return Selector.choose(Step.Now, Eligible, Current.Tried,
+                         Link.available(Step.Now), Step.Seed);
 }
 
-void Ingress::claim(IngressStep &Step, Call &Which) {
-  const CallPolicy &Policy = Which.Route->Policy;
+void Ingress::claim(IngressStep &Step, Call &Current) {
+  const CallPolicy &Policy = Current.Route->Policy;
   const EpochHistory *History = Step.State.epochs(Policy.Service);
   if (!History || History->empty())
-    return fail(Step, Which, ErrorKind::NoBackendServer);
+    return fail(Step, Current, ErrorKind::NoBackendServer);
   const EpochEntry &Epoch = History->current();
-  const Member *Coordinator = coordinatorOf(Epoch, Policy.Route, *Which.Key);
+  const Member *Coordinator = coordinatorOf(Epoch, Policy.Route, *Current.Key);
   if (!Coordinator || !servedIn(Policy, Coordinator->Region))
-    return fail(Step, Which, ErrorKind::NoBackendServer);
+    return fail(Step, Current, ErrorKind::NoBackendServer);
   const Member *Executor =
-      chooseExecutor(Step, Which, Epoch, &Coordinator->Host);
+      chooseExecutor(Step, Current, Epoch, &Coordinator->Host);
   if (!Executor)
-    return fail(Step, Which, Which.LastRefusal);
+    return fail(Step, Current, Current.LastRefusal);
 
-  Which.At = Phase::Claiming;
-  Which.Coordinator = Coordinator->Host;
-  Which.Executor = {Executor->Host, Executor->Inc};
-  Which.Grant.reset();
+  Current.At = Phase::Claiming;
+  Current.Coordinator = Coordinator->Host;
+  Current.Executor = {Executor->Host, Executor->Inc};
+  Current.Grant.reset();
   Claim Message;
-  Message.Call = Which.Id;
-  Message.Key = *Which.Key;
-  Message.Fingerprint = Which.Fingerprint;
+  Message.Call = Current.Id;
+  Message.Key = *Current.Key;
+  Message.Fingerprint = Current.Fingerprint;
   Message.Policy = Policy;
   Message.Epoch = Epoch.At;
-  Message.Executor = Which.Executor;
-  Message.Released = Which.Released;
+  Message.Executor = Current.Executor;
+  Message.Released = Current.Released;
   Step.Out.push_back(Count{Counter::Claims});
-  Step.Out.push_back(SendPeer{Which.Coordinator, std::move(Message)});
-  wakeAt(Which, Step.Now + ClaimTimeout);
+  Step.Out.push_back(SendPeer{Current.Coordinator, std::move(Message)});
+  wakeAt(Current, Step.Now + ClaimTimeout);
 }
 
-void Ingress::execute(IngressStep &Step, Call &Which) {
-  const EpochHistory *History = Step.State.epochs(Which.Route->Policy.Service);
+void Ingress::execute(IngressStep &Step, Call &Current) {
+  const EpochHistory *History =
+      Step.State.epochs(Current.Route->Policy.Service);
   if (!History || History->empty())
-    return fail(Step, Which, ErrorKind::NoBackendServer);
-  const Member *To = chooseExecutor(Step, Which, History->current(), nullptr);
+    return fail(Step, Current, ErrorKind::NoBackendServer);
+  const Member *To = chooseExecutor(Step, Current, History->current(), nullptr);
   if (!To)
-    return fail(Step, Which, Which.LastRefusal);
-  sendExecute(Step, Which, *To);
-}
-
-void Ingress::sendExecute(IngressStep &Step, Call &Which, const Member &To) {
-  Which.At = Phase::Executing;
-  Which.Executor = {To.Host, To.Inc};
-  Which.Confirmed = false;
-  Which.SilentChecks = 0;
-  ++Which.Attempts;
-  Choice.sent(Step.Now, To.Host);
-  Which.Outstanding = true;
+    return fail(Step, Current, Current.LastRefusal);
+  sendExecute(Step, Current, *To);
+}
+
+void Ingress::sendExecute(IngressStep &Step, Call &Current, const Member &To) {
+  Current.At = Phase::Executing;
+  Current.Executor = {To.Host, To.Inc};
+  Current.Confirmed = false;
+  Current.SilentChecks = 0;
+  ++Current.Attempts;
+  Selector.sent(Step.Now, To.Host);
+  Current.Outstanding = true;
   if (To.FailureDomain != Here.FailureDomain)
     Step.Out.push_back(Count{Counter::CrossDomain});
   if (To.Region != Here.Region) {
-    std::size_t Bytes = messageSize(Which.Request.Headers, Which.Request.Body);
+    std::size_t Bytes =
+        messageSize(Current.Request.Headers, Current.Request.Body);
     Link.sent(Step.Now, Bytes);
     Step.Out.push_back(Count{Counter::CrossRegion});
     Step.Out.push_back(Count{Counter::CrossRegionBytes, Bytes});
   }
   Execute Message;
-  Message.Call = Which.Id;
+  Message.Call = Current.Id;
   Message.Target = To.Inc;
-  Message.Policy = Which.Route->Policy;
-  Message.BudgetMicros = (Which.Deadline - Step.Now).count();
-  Message.Fingerprint = Which.Fingerprint;
-  Message.Grant = Which.Grant;
-  Message.Request = Which.Request;
+  Message.Policy = Current.Route->Policy;
+  Message.BudgetMicros = (Current.Deadline - Step.Now).count();
+  Message.Fingerprint = Current.Fingerprint;
+  Message.Grant = Current.Grant;
+  Message.Request = Current.Request;
   Step.Out.push_back(SendPeer{To.Host, std::move(Message)});
-  wakeAt(Which, Step.Now + ConfirmTimeout);
+  wakeAt(Current, Step.Now + ConfirmTimeout);
 }
 
-void Ingress::sendAwait(IngressStep &Step, Call &Which) {
-  Step.Out.push_back(SendPeer{
-      Which.Executor.Host, Await{Which.Id, Which.Grant, Which.Executor.Inc}});
-  wakeAt(Which, Step.Now + ConfirmTimeout);
+void Ingress::sendAwait(IngressStep &Step, Call &Current) {
+  Step.Out.push_back(
+      SendPeer{Current.Executor.Host,
+               Await{Current.Id, Current.Grant, Current.Executor.Inc}});
+  wakeAt(Current, Step.Now + ConfirmTimeout);
 }
 
 void Ingress::received(IngressStep &Step, const Received &Message) {
-  Call *Which = find(Message.Call);
-  if (!Which || (Which->At != Phase::Executing && Which->At != Phase::Awaiting))
+  Call *Current = find(Message.Call);
+  if (!Current ||
+      (Current->At != Phase::Executing && Current->At != Phase::Awaiting))
     return;
-  Which->Confirmed = true;
-  Which->SilentChecks = 0;
-  wakeAt(*Which, Step.Now + RunningCheckInterval);
+  Current->Confirmed = true;
+  Current->SilentChecks = 0;
+  wakeAt(*Current, Step.Now + RunningCheckInterval);
 }
 
 void Ingress::answered(IngressStep &Step, const PeerRef &From, Answer Message) {
-  Call *Which = find(Message.Call);
-  if (!Which) {
+  Call *Current = find(Message.Call);
+  if (!Current) {
     Step.Out.push_back(Count{Counter::StaleMessages});
     return;
   }
@@ -287,129 +291,129 @@
     Link.received(Step.Now, Bytes);
     Step.Out.push_back(Count{Counter::CrossRegionBytes, Bytes});
   }
-  bool Current = Which->Executor.Host == From.Host;
-  settleOutstanding(Step, *Which, Message.Response.Status < 500,
-                    Current ? &Message.Load : nullptr);
-  finish(Step, *Which, std::move(Message.Response));
+  bool SameHost = Current->Executor.Host == From.Host;
+  settleOutstanding(Step, *Current, Message.Response.Status < 500,
+                    SameHost ? &Message.Load : nullptr);
+  finish(Step, *Current, std::move(Message.Response));
 }
 
 void Ingress::refused(IngressStep &Step, const PeerRef &From,
                       const Refused &Message) {
-  Call *Which = find(Message.Call);
+  Call *Current = find(Message.Call);
   // A late refusal by an executor that the call has left says nothing about the
   // present one.
-  if (!Which || Which->Executor.Host != From.Host ||
-      (Which->At != Phase::Executing && Which->At != Phase::Awaiting)) {
+  if (!Current || Current->Executor.Host != From.Host ||
+      (Current->At != Phase::Executing && Current->At != Phase::Awaiting)) {
     Step.Out.push_back(Count{Counter::StaleMessages});
     return;
   }
   // An Execute that the new incarnation received never reached the old one. For
   // an Await this does not follow: the old one may have received the Execute
   // before.
-  bool Undelivered = Which->At == Phase::Executing &&
+  bool Undelivered = Current->At == Phase::Executing &&
                      Message.Kind == ErrorKind::WrongIncarnation;
-  if (Which->Executor.Inc != From.Inc && !Undelivered)
-    return executorRestarted(Step, *Which);
-  if (Which->Outstanding)
-    Choice.refused(Step.Now, From.Host, Message.Load);
-  settleOutstanding(Step, *Which, true, &Message.Load);
-  if (Which->Grant) {
-    Which->KeyChecked = true;
-    Which->Released = Which->Grant;
+  if (Current->Executor.Inc != From.Inc && !Undelivered)
+    return executorRestarted(Step, *Current);
+  if (Current->Outstanding)
+    Selector.refused(Step.Now, From.Host, Message.Load);
+  settleOutstanding(Step, *Current, true, &Message.Load);
+  if (Current->Grant) {
+    Current->KeyChecked = true;
+    Current->Released = Current->Grant;
   }
   bool ViewsDiffer = Message.Kind == ErrorKind::StaleEpoch ||
                      Message.Kind == ErrorKind::WrongIncarnation;
   if (ViewsDiffer)
-    return retryLater(Step, *Which, Message.Kind);
+    return retryLater(Step, *Current, Message.Kind);
   bool Final = Message.Kind == ErrorKind::WrongRegion ||
                Message.Kind == ErrorKind::Quarantined ||
                Message.Kind == ErrorKind::RecordCapacity;
   if (Final)
-    return fail(Step, *Which, Message.Kind);
-  Which->Tried.push_back(From.Host);
-  retry(Step, *Which, Message.Kind);
+    return fail(Step, *Current, Message.Kind);
+  Current->Tried.push_back(From.Host);
+  retry(Step, *Current, Message.Kind);
 }
 
-void Ingress::executorRestarted(IngressStep &Step, Call &Which) {
-  settleOutstanding(Step, Which, false, nullptr);
-  if (!Which.Route->Policy.Idempotent)
-    return fail(Step, Which, ErrorKind::OutcomeUnknown);
-  retry(Step, Which, ErrorKind::BackendFailed);
+void Ingress::executorRestarted(IngressStep &Step, Call &Current) {
+  settleOutstanding(Step, Current, false, nullptr);
+  if (!Current.Route->Policy.Idempotent)
+    return fail(Step, Current, ErrorKind::OutcomeUnknown);
+  retry(Step, Current, ErrorKind::BackendFailed);
 }
 
 void Ingress::failed(IngressStep &Step, const PeerRef &From,
                      const Failed &Message) {
-  Call *Which = find(Message.Call);
-  if (!Which || Which->Executor.Host != From.Host) {
+  Call *Current = find(Message.Call);
+  if (!Current || Current->Executor.Host != From.Host) {
     Step.Out.push_back(Count{Counter::StaleMessages});
     return;
   }
-  settleOutstanding(Step, *Which, false, &Message.Load);
-  if (!Which->Route->Policy.Idempotent ||
+  settleOutstanding(Step, *Current, false, &Message.Load);
+  if (!Current->Route->Policy.Idempotent ||
       Message.Kind == ErrorKind::DeadlineUnknown)
-    return fail(Step, *Which, Message.Kind);
-  Which->Tried.push_back(From.Host);
-  retry(Step, *Which, Message.Kind);
+    return fail(Step, *Current, Message.Kind);
+  Current->Tried.push_back(From.Host);
+  retry(Step, *Current, Message.Kind);
 }
 
 void Ingress::granted(IngressStep &Step, const Granted &Message) {
-  Call *Which = find(Message.Call);
-  if (!Which || Which->At != Phase::Claiming ||
-      Message.Token.Executor != Which->Executor) {
+  Call *Current = find(Message.Call);
+  if (!Current || Current->At != Phase::Claiming ||
+      Message.Token.Executor != Current->Executor) {
     Step.Out.push_back(Count{Counter::StaleMessages});
     return;
   }
   // An Execute must not outlive its deadline, or the record that grants it
   // might be forgotten before it arrives.
-  if (Step.Now >= Which->Deadline)
-    return deadlinePassed(Step, *Which);
-  Which->KeyChecked = true;
-  Which->ClaimTries = 0;
-  Which->Grant = Message.Token;
+  if (Step.Now >= Current->Deadline)
+    return deadlinePassed(Step, *Current);
+  Current->KeyChecked = true;
+  Current->ClaimTries = 0;
+  Current->Grant = Message.Token;
   const Member *To = Step.State.member(Message.Token.Executor.Host);
   if (!To || To->Inc != Message.Token.Executor.Inc) {
     // The executor was replaced while the claim was under way, and nothing was
     // sent to it.
-    Which->Released = Message.Token;
-    return retryLater(Step, *Which, ErrorKind::WrongIncarnation);
+    Current->Released = Message.Token;
+    return retryLater(Step, *Current, ErrorKind::WrongIncarnation);
   }
-  Step.Out.push_back(Trace{TraceKind::ClaimGranted, callName(*Which),
+  Step.Out.push_back(Trace{TraceKind::ClaimGranted, callName(*Current),
                            "attempt " + std::to_string(Message.Token.Attempt) +
                                " at " + Message.Token.Executor.Host});
-  sendExecute(Step, *Which, *To);
+  sendExecute(Step, *Current, *To);
 }
 
 void Ingress::claimHeld(IngressStep &Step, const ClaimHeld &Message) {
-  Call *Which = find(Message.Call);
-  if (!Which || Which->At != Phase::Claiming)
+  Call *Current = find(Message.Call);
+  if (!Current || Current->At != Phase::Claiming)
     return;
-  Which->At = Phase::Awaiting;
-  Which->Grant = Message.Token;
-  Which->Executor = Message.Token.Executor;
-  Which->Confirmed = false;
-  Which->SilentChecks = 0;
-  sendAwait(Step, *Which);
+  Current->At = Phase::Awaiting;
+  Current->Grant = Message.Token;
+  Current->Executor = Message.Token.Executor;
+  Current->Confirmed = false;
+  Current->SilentChecks = 0;
+  sendAwait(Step, *Current);
 }
 
 void Ingress::claimDone(IngressStep &Step, ClaimDone Message) {
-  Call *Which = find(Message.Call);
-  if (!Which || Which->At != Phase::Claiming)
+  Call *Current = find(Message.Call);
+  if (!Current || Current->At != Phase::Claiming)
     return;
   Step.Out.push_back(Count{Counter::ClaimsReplayed});
-  finish(Step, *Which, std::move(Message.Response));
+  finish(Step, *Current, std::move(Message.Response));
 }
 
 void Ingress::claimRefused(IngressStep &Step, const ClaimRefused &Message) {
-  Call *Which = find(Message.Call);
-  if (!Which || Which->At != Phase::Claiming)
+  Call *Current = find(Message.Call);
+  if (!Current || Current->At != Phase::Claiming)
     return;
   if (Message.Kind == ErrorKind::StaleEpoch ||
       Message.Kind == ErrorKind::WrongIncarnation)
-    return retryLater(Step, *Which, Message.Kind);
+    return retryLater(Step, *Current, Message.Kind);
   // These two are said only after the key was looked up.
-  Which->KeyChecked |= Message.Kind == ErrorKind::KeyReused ||
-                       Message.Kind == ErrorKind::RecordCapacity;
-  fail(Step, *Which, Message.Kind);
+  Current->KeyChecked |= Message.Kind == ErrorKind::KeyReused ||
+                         Message.Kind == ErrorKind::RecordCapacity;
+  fail(Step, *Current, Message.Kind);
 }
 
 void Ingress::peerLost(IngressStep &Step, const PeerLost &Lost) {
@@ -420,120 +424,120 @@
       Unsent.insert(Sent->Call.Sequence);
   }
   std::vector<std::uint64_t> Affected;
-  for (const auto &[Number, Which] : Calls) {
+  for (const auto &[Number, Current] : Calls) {
     bool AtExecutor =
-        (Which.At == Phase::Executing || Which.At == Phase::Awaiting) &&
-        Which.Executor.Host == Lost.Host;
+        (Current.At == Phase::Executing || Current.At == Phase::Awaiting) &&
+        Current.Executor.Host == Lost.Host;
     bool AtCoordinator =
-        Which.At == Phase::Claiming && Which.Coordinator == Lost.Host;
+        Current.At == Phase::Claiming && Current.Coordinator == Lost.Host;
     if (AtExecutor || AtCoordinator)
       Affected.push_back(Number);
   }
   // The order of a hash map must not decide which call gets the retry budget.
   std::ranges::sort(Affected);
   if (!Affected.empty())
-    Choice.lost(Step.Now, Lost.Host);
+    Selector.lost(Step.Now, Lost.Host);
   for (std::uint64_t Number : Affected) {
-    Call &Which = Calls.at(Number);
-    if (Which.At == Phase::Claiming)
-      coordinatorLost(Step, Which);
+    Call &Current = Calls.at(Number);
+    if (Current.At == Phase::Claiming)
+      coordinatorLost(Step, Current);
     else
-      executorLost(Step, Which, Unsent.contains(Which.Id.Sequence));
+      executorLost(Step, Current, Unsent.contains(Current.Id.Sequence));
   }
 }
 
-void Ingress::coordinatorLost(IngressStep &Step, Call &Which) {
+void Ingress::coordinatorLost(IngressStep &Step, Call &Current) {
   // A coordinator that is away for long is replaced after its removal, which
   // takes seconds; the caller is told before that.
-  Which.ClaimTries += MaxClaimTries / 3;
-  retryLater(Step, Which, ErrorKind::CoordinatorUnavailable);
+  Current.ClaimTries += MaxClaimTries / 3;
+  retryLater(Step, Current, ErrorKind::CoordinatorUnavailable);
 }
 
-void Ingress::executorLost(IngressStep &Step, Call &Which, bool Unsent) {
-  bool Execution = Which.At == Phase::Executing;
+void Ingress::executorLost(IngressStep &Step, Call &Current, bool Unsent) {
+  bool Execution = Current.At == Phase::Executing;
   if (Execution && Unsent) {
-    settleOutstanding(Step, Which, false, nullptr);
-    Which.Tried.push_back(Which.Executor.Host);
-    if (Which.Grant)
-      Which.Released = Which.Grant;
-    return retry(Step, Which, ErrorKind::NeverStarted);
+    settleOutstanding(Step, Current, false, nullptr);
+    Current.Tried.push_back(Current.Executor.Host);
+    if (Current.Grant)
+      Current.Released = Current.Grant;
+    return retry(Step, Current, ErrorKind::NeverStarted);
   }
-  if (Which.Route->Policy.Idempotent) {
-    settleOutstanding(Step, Which, false, nullptr);
-    Which.Tried.push_back(Which.Executor.Host);
-    return retry(Step, Which, ErrorKind::BackendFailed);
+  if (Current.Route->Policy.Idempotent) {
+    settleOutstanding(Step, Current, false, nullptr);
+    Current.Tried.push_back(Current.Executor.Host);
+    return retry(Step, Current, ErrorKind::BackendFailed);
   }
-  if (++Which.SilentChecks > MaxSilentChecks) {
-    settleOutstanding(Step, Which, false, nullptr);
-    return fail(Step, Which, ErrorKind::OutcomeUnknown);
+  if (++Current.SilentChecks > MaxSilentChecks) {
+    settleOutstanding(Step, Current, false, nullptr);
+    return fail(Step, Current, ErrorKind::OutcomeUnknown);
   }
-  Which.At = Phase::Awaiting;
-  Which.Confirmed = false;
-  sendAwait(Step, Which);
+  Current.At = Phase::Awaiting;
+  Current.Confirmed = false;
+  sendAwait(Step, Current);
 }
 
-void Ingress::checkSilence(IngressStep &Step, Call &Which) {
-  if (Which.Confirmed) {
+void Ingress::checkSilence(IngressStep &Step, Call &Current) {
+  if (Current.Confirmed) {
     // Still confirmed from the last question: ask again.
-    Which.Confirmed = false;
-    return sendAwait(Step, Which);
+    Current.Confirmed = false;
+    return sendAwait(Step, Current);
   }
   // No reply: the link may have gone silent, so the next question goes over a
   // new one.
-  Step.Out.push_back(ResetPeer{Which.Executor.Host});
-  Choice.lost(Step.Now, Which.Executor.Host);
-  executorLost(Step, Which, false);
+  Step.Out.push_back(ResetPeer{Current.Executor.Host});
+  Selector.lost(Step.Now, Current.Executor.Host);
+  executorLost(Step, Current, false);
 }
 
-void Ingress::retry(IngressStep &Step, Call &Which, ErrorKind Why) {
-  Which.LastRefusal = Why;
-  Which.At = Phase::Backoff;
-  if (Which.Attempts >= Which.Route->MaxAttempts)
-    return fail(Step, Which, Why);
-  if (!Budget.take(Step.Now, Which.Route->Policy.Service)) {
+void Ingress::retry(IngressStep &Step, Call &Current, ErrorKind Why) {
+  Current.LastRefusal = Why;
+  Current.At = Phase::Backoff;
+  if (Current.Attempts >= Current.Route->MaxAttempts)
+    return fail(Step, Current, Why);
+  if (!Budget.take(Step.Now, Current.Route->Policy.Service)) {
     Step.Out.push_back(Count{Counter::RetriesDenied});
     bool NotRun = errorEntry(Why).Run == RunState::No;
-    return fail(Step, Which, NotRun ? ErrorKind::RetryBudgetSpent : Why);
+    return fail(Step, Current, NotRun ? ErrorKind::RetryBudgetSpent : Why);
   }
   Step.Out.push_back(Count{Counter::Retries});
-  advance(Step, Which);
+  advance(Step, Current);
 }
 
-void Ingress::retryLater(IngressStep &Step, Call &Which, ErrorKind Why) {
-  if (++Which.ClaimTries >= MaxClaimTries)
-    return fail(Step, Which, Why);
-  Which.At = Phase::Backoff;
-  wakeAt(Which, Step.Now + ViewDelay);
+void Ingress::retryLater(IngressStep &Step, Call &Current, ErrorKind Why) {
+  if (++Current.ClaimTries >= MaxClaimTries)
+    return fail(Step, Current, Why);
+  Current.At = Phase::Backoff;
+  wakeAt(Current, Step.Now + ViewDelay);
 }
 
-void Ingress::deadlinePassed(IngressStep &Step, Call &Which) {
-  bool Sent = Which.At == Phase::Executing || Which.At == Phase::Awaiting;
-  if (Sent && Which.Route->Policy.Idempotent)
-    Step.Out.push_back(SendPeer{Which.Executor.Host, Cancel{Which.Id}});
-  settleOutstanding(Step, Which, false, nullptr);
-  fail(Step, Which,
+void Ingress::deadlinePassed(IngressStep &Step, Call &Current) {
+  bool Sent = Current.At == Phase::Executing || Current.At == Phase::Awaiting;
+  if (Sent && Current.Route->Policy.Idempotent)
+    Step.Out.push_back(SendPeer{Current.Executor.Host, Cancel{Current.Id}});
+  settleOutstanding(Step, Current, false, nullptr);
+  fail(Step, Current,
        Sent ? ErrorKind::DeadlineUnknown : ErrorKind::DeadlineNotRun);
 }
 
 void Ingress::timer(IngressStep &Step) {
   while (!WakeOrder.empty() && WakeOrder.begin()->first <= Step.Now) {
-    Call &Which = Calls.at(WakeOrder.begin()->second);
+    Call &Current = Calls.at(WakeOrder.begin()->second);
     WakeOrder.erase(WakeOrder.begin());
-    if (Step.Now >= Which.Deadline) {
-      deadlinePassed(Step, Which);
+    if (Step.Now >= Current.Deadline) {
+      deadlinePassed(Step, Current);
       continue;
     }
-    switch (Which.At) {
+    switch (Current.At) {
     case Phase::Backoff:
-      advance(Step, Which);
+      advance(Step, Current);
       continue;
     case Phase::Claiming:
-      Step.Out.push_back(ResetPeer{Which.Coordinator});
-      coordinatorLost(Step, Which);
+      Step.Out.push_back(ResetPeer{Current.Coordinator});
+      coordinatorLost(Step, Current);
       continue;
     case Phase::Executing:
     case Phase::Awaiting:
-      checkSilence(Step, Which);
+      checkSilence(Step, Current);
       continue;
     }
   }
@@ -543,37 +547,37 @@
   return WakeOrder.empty() ? TimePoint::max() : WakeOrder.begin()->first;
 }
 
-void Ingress::settleOutstanding(IngressStep &Step, Call &Which, bool Success,
+void Ingress::settleOutstanding(IngressStep &Step, Call &Current, bool Success,
                                 const LoadReport *Load) {
-  if (!Which.Outstanding)
+  if (!Current.Outstanding)
     return;
-  Which.Outstanding = false;
-  Choice.ended(Step.Now, Which.Executor.Host, Success, Load);
+  Current.Outstanding = false;
+  Selector.ended(Step.Now, Current.Executor.Host, Success, Load);
 }
 
-void Ingress::finish(IngressStep &Step, Call &Which, HttpResponse Response) {
+void Ingress::finish(IngressStep &Step, Call &Current, HttpResponse Response) {
   Step.Out.push_back(Count{Counter::CallsAnswered});
-  if (!Which.Route->Policy.Idempotent)
-    Step.Out.push_back(Trace{TraceKind::CallAnswered, callName(Which),
+  if (!Current.Route->Policy.Idempotent)
+    Step.Out.push_back(Trace{TraceKind::CallAnswered, callName(Current),
                              std::to_string(Response.Status)});
-  Step.Out.push_back(ReplyCaller{Which.Caller, std::move(Response)});
-  forget(Which);
+  Step.Out.push_back(ReplyCaller{Current.Caller, std::move(Response)});
+  forget(Current);
 }
 
-void Ingress::fail(IngressStep &Step, Call &Which, ErrorKind Kind) {
-  settleOutstanding(Step, Which, false, nullptr);
+void Ingress::fail(IngressStep &Step, Call &Current, ErrorKind Kind) {
+  settleOutstanding(Step, Current, false, nullptr);
   // An earlier sending of the same key may have run as long as no coordinator
   // has looked it up.
   bool NotRun = errorEntry(Kind).Run == RunState::No;
-  if (Which.Key && !Which.KeyChecked && NotRun)
+  if (Current.Key && !Current.KeyChecked && NotRun)
     Kind = ErrorKind::CoordinatorUnavailable;
   Step.Out.push_back(Count{errorEntry(Kind).Run == RunState::No
                                ? Counter::CallsRefused
                                : Counter::CallsUnknown});
-  Step.Out.push_back(Trace{TraceKind::CallRefused, callName(Which),
+  Step.Out.push_back(Trace{TraceKind::CallRefused, callName(Current),
                            std::string(errorEntry(Kind).Name)});
-  Step.Out.push_back(ReplyCaller{Which.Caller, errorResponse(Kind)});
-  forget(Which);
+  Step.Out.push_back(ReplyCaller{Current.Caller, errorResponse(Kind)});
+  forget(Current);
 }
 
 } // namespace figsail
--- a/src/core/Ingress.h
+++ b/src/core/Ingress.h
@@ -53,7 +53,7 @@
   /// Sets the number of hosts that share the link between regions.
   void regionHosts(std::size_t Hosts) { Link.share(Hosts); }
   /// A host was listed under a new incarnation.
-  void memberJoined(const HostId &Host) { Choice.forget(Host); }
+  void memberJoined(const HostId &Host) { Selector.forget(Host); }
 
   void timer(IngressStep &Step);
   TimePoint nextWake() const;
@@ -95,34 +95,34 @@
     ErrorKind LastRefusal = ErrorKind::NoBackendServer;
   };
 
-  std::string callName(const Call &Which) const;
+  std::string callName(const Call &Current) const;
   Call *find(const CallId &Id);
-  void newAttempt(Call &Which);
-  void forget(const Call &Which);
-  void wakeAt(Call &Which, TimePoint At);
-  void advance(IngressStep &Step, Call &Which);
-  void claim(IngressStep &Step, Call &Which);
-  void execute(IngressStep &Step, Call &Which);
-  void sendExecute(IngressStep &Step, Call &Which, const Member &To);
-  void sendAwait(IngressStep &Step, Call &Which);
-  void executorRestarted(IngressStep &Step, Call &Which);
-  void checkSilence(IngressStep &Step, Call &Which);
-  void executorLost(IngressStep &Step, Call &Which, bool Unsent);
-  void coordinatorLost(IngressStep &Step, Call &Which);
-  void retry(IngressStep &Step, Call &Which, ErrorKind Why);
-  void retryLater(IngressStep &Step, Call &Which, ErrorKind Why);
-  void deadlinePassed(IngressStep &Step, Call &Which);
-  const Member *chooseExecutor(IngressStep &Step, const Call &Which,
+  void newAttempt(Call &Current);
+  void forget(const Call &Current);
+  void wakeAt(Call &Current, TimePoint At);
+  void advance(IngressStep &Step, Call &Current);
+  void claim(IngressStep &Step, Call &Current);
+  void execute(IngressStep &Step, Call &Current);
+  void sendExecute(IngressStep &Step, Call &Current, const Member &To);
+  void sendAwait(IngressStep &Step, Call &Current);
+  void executorRestarted(IngressStep &Step, Call &Current);
+  void checkSilence(IngressStep &Step, Call &Current);
+  void executorLost(IngressStep &Step, Call &Current, bool Unsent);
+  void coordinatorLost(IngressStep &Step, Call &Current);
+  void retry(IngressStep &Step, Call &Current, ErrorKind Why);
+  void retryLater(IngressStep &Step, Call &Current, ErrorKind Why);
+  void deadlinePassed(IngressStep &Step, Call &Current);
+  const Member *chooseExecutor(IngressStep &Step, const Call &Current,
                                const EpochEntry &Epoch,
                                const HostId *Coordinator);
-  void settleOutstanding(IngressStep &Step, Call &Which, bool Success,
+  void settleOutstanding(IngressStep &Step, Call &Current, bool Success,
                          const LoadReport *Load);
-  void finish(IngressStep &Step, Call &Which, HttpResponse Response);
-  void fail(IngressStep &Step, Call &Which, ErrorKind Kind);
+  void finish(IngressStep &Step, Call &Current, HttpResponse Response);
+  void fail(IngressStep &Step, Call &Current, ErrorKind Kind);
 
   PeerRef Self;
   Locality Here;
-  Balancer Choice;
+  Balancer Selector;
   RetryBudget Budget;
   RegionLink Link;
   std::uint64_t NextNumber = 1;
--- a/src/core/Liveness.cpp
+++ b/src/core/Liveness.cpp
@@ -82,10 +82,10 @@
   for (auto It = First; It != Last; ++It)
     Out.push_back(SendPeer{It->second.Asker, Message});
   Pending.erase(First, Last);
-  for (auto &[Host, Which] : Watching) {
-    if (Message.Alive && Which.Who == Message.Target) {
-      Which.LastHeard = Now;
-      Which.ProbedAt.reset();
+  for (auto &[Host, Neighbour] : Watching) {
+    if (Message.Alive && Neighbour.Who == Message.Target) {
+      Neighbour.LastHeard = Now;
+      Neighbour.ProbedAt.reset();
     }
   }
   if (Message.Alive && From == Message.Target)
@@ -95,51 +95,52 @@
 /// Asks witnesses about a silent neighbour, and other hosts of its region
 /// whether they are there.
 void Liveness::startProbe(TimePoint Now, const ReplicatedState &State,
-                          Watched &Which, EffectList &Out) {
-  Which.ProbedAt = Now;
+                          Watched &Neighbour, EffectList &Out) {
+  Neighbour.ProbedAt = Now;
   std::size_t Asked = 0;
   std::size_t AskedInRegion = 0;
   for (const auto &[Host, Who] : State.members()) {
-    if (Host == Self.Host || Host == Which.Who.Host)
+    if (Host == Self.Host || Host == Neighbour.Who.Host)
       continue;
     if (Who.Service == Self.Service && Asked < Witnesses) {
-      Out.push_back(SendPeer{Host, Probe{Which.Who}});
+      Out.push_back(SendPeer{Host, Probe{Neighbour.Who}});
       ++Asked;
     }
-    bool Remote = Which.Region != Self.Region && Who.Region == Which.Region;
+    bool Remote =
+        Neighbour.Region != Self.Region && Who.Region == Neighbour.Region;
     if (Remote && AskedInRegion < Witnesses) {
       Out.push_back(SendPeer{Host, Probe{{Host, Who.Inc}}});
       ++AskedInRegion;
     }
   }
-  Out.push_back(SendPeer{Which.Who.Host, Probe{Which.Who}});
-  Out.push_back(Trace{TraceKind::MemberSuspected, Which.Who.Host, {}});
+  Out.push_back(SendPeer{Neighbour.Who.Host, Probe{Neighbour.Who}});
+  Out.push_back(Trace{TraceKind::MemberSuspected, Neighbour.Who.Host, {}});
 }
 
 std::optional<RecordBody> Liveness::checkNeighbour(TimePoint Now,
                                                    const ReplicatedState &State,
-                                                   Watched &Which,
+                                                   Watched &Neighbour,
                                                    EffectList &Out) {
-  if (Now - Which.LastHeard < SuspectAfter)
+  if (Now - Neighbour.LastHeard < SuspectAfter)
     return std::nullopt;
-  if (!Which.ProbedAt) {
-    startProbe(Now, State, Which, Out);
+  if (!Neighbour.ProbedAt) {
+    startProbe(Now, State, Neighbour, Out);
     return std::nullopt;
   }
-  if (Now - *Which.ProbedAt < ProbeWait)
+  if (Now - *Neighbour.ProbedAt < ProbeWait)
     return std::nullopt;
   // While nobody of the region replies, the region is cut off rather than the
   // member dead, and its removal would gain nothing.
-  bool RegionSpoke = Which.Region == Self.Region;
+  bool RegionSpoke = Neighbour.Region == Self.Region;
   for (const auto &[Host, Heard] : RegionHeard) {
     const Member *Who = State.member(Host);
-    if (Who && Who->Region == Which.Region && Heard >= *Which.ProbedAt)
+    if (Who && Who->Region == Neighbour.Region && Heard >= *Neighbour.ProbedAt)
       RegionSpoke = true;
   }
-  Which.ProbedAt.reset();
+  Neighbour.ProbedAt.reset();
   if (!RegionSpoke)
     return std::nullopt;
-  return RemoveRecord{Which.Who, Self.Host};
+  return RemoveRecord{Neighbour.Who, Self.Host};
 }
 
 std::optional<RecordBody> Liveness::ownRecord(TimePoint Now,
@@ -165,18 +166,18 @@
   // to.
   bool Paused = NextBeat != TimePoint{} && Now - NextBeat > SuspectAfter / 2;
   NextBeat = Now + BeatInterval;
-  for (auto &[Host, Which] : Watching) {
+  for (auto &[Host, Neighbour] : Watching) {
     if (!Paused)
       continue;
-    Which.LastHeard = Now;
-    Which.ProbedAt.reset();
+    Neighbour.LastHeard = Now;
+    Neighbour.ProbedAt.reset();
   }
   for (const HostId &Host : Successors) {
     Out.push_back(Count{Counter::Heartbeats});
     Out.push_back(SendPeer{Host, Heartbeat{State.applied(), Load}});
   }
-  for (auto &[Host, Which] : Watching)
-    if (auto Removal = checkNeighbour(Now, State, Which, Out))
+  for (auto &[Host, Neighbour] : Watching)
+    if (auto Removal = checkNeighbour(Now, State, Neighbour, Out))
       return Removal;
   return std::nullopt;
 }
--- a/src/core/Liveness.h
+++ b/src/core/Liveness.h
@@ -61,9 +61,9 @@
   ownRecord(TimePoint Now, const ReplicatedState &State, bool CaughtUp);
   std::optional<RecordBody> checkNeighbour(TimePoint Now,
                                            const ReplicatedState &State,
-                                           Watched &Which, EffectList &Out);
-  void startProbe(TimePoint Now, const ReplicatedState &State, Watched &Which,
-                  EffectList &Out);
+                                           Watched &Neighbour, EffectList &Out);
+  void startProbe(TimePoint Now, const ReplicatedState &State,
+                  Watched &Neighbour, EffectList &Out);
 
   Member Self;
   bool Leaving = false;
--- a/src/core/Node.cpp
+++ b/src/core/Node.cpp
@@ -31,9 +31,10 @@
 struct Node::State {
   explicit State(NodeSettings Given)
       : Settings(std::move(Given)), Self{Settings.Self.Host, Settings.Self.Inc},
-        Runs(Self, Settings.Records), Records(Self, Settings.Records),
-        Admit(Self, Settings.Admit, Runs), Calls(Settings),
-        Log(Settings, Replicated), Alive(Settings.Self) {}
+        Executions(Self, Settings.Records),
+        KeyCoordinator(Self, Settings.Records),
+        AdmissionRole(Self, Settings.Admit, Executions), IngressRole(Settings),
+        LogReplication(Settings, Replicated), Neighbours(Settings.Self) {}
 
   void handle(CallerRequest &Body);
   void handle(CallerGone &Body);
@@ -96,12 +97,12 @@
   NodeSettings Settings;
   PeerRef Self;
   ReplicatedState Replicated;
-  ExecutionLog Runs;
-  Coordinator Records;
-  Admission Admit;
-  Ingress Calls;
-  Replication Log;
-  Liveness Alive;
+  ExecutionLog Executions;
+  Coordinator KeyCoordinator;
+  Admission AdmissionRole;
+  Ingress IngressRole;
+  Replication LogReplication;
+  Liveness Neighbours;
 
   TimePoint LastEvent;    ///< When the event before was applied.
   TimePoint Now;          ///< Of the present event.
@@ -177,7 +178,7 @@
   NeighboursStale = true; // Also when no member of the service is left.
   for (const auto &[Host, Who] : Replicated.members())
     memberChanged(Who, true);
-  Log.membersChanged();
+  LogReplication.membersChanged();
   checkInService();
   ownEpochChanged();
 }
@@ -185,72 +186,77 @@
 void Node::State::ownEpochChanged() {
   const EpochHistory *History = ownEpochs();
   if (History && !History->empty())
-    Records.epochChanged(Now, Settings.Self.Service, *History, Runs, Out);
+    KeyCoordinator.epochChanged(Now, Settings.Self.Service, *History,
+                                Executions, Out);
 }
 
 /// Tells the modules that depend on this member. Most members concern none of
 /// them, and a change must not cost a walk over all members.
 void Node::State::memberChanged(const Member &Who, bool Listed) {
   if (Listed)
-    Calls.memberJoined(Who.Host);
+    IngressRole.memberJoined(Who.Host);
   NeighboursStale |= Who.Service == Settings.Self.Service;
   if (Who.FailureDomain == Settings.Self.FailureDomain)
-    Log.membersChanged();
+    LogReplication.membersChanged();
   if (Who.Region != Settings.Self.Region)
     return;
   if (Listed)
     ++RegionHosts;
   else
     --RegionHosts;
-  Calls.regionHosts(RegionHosts);
+  IngressRole.regionHosts(RegionHosts);
 }
 
 void Node::State::checkInService() {
   bool InService = inService();
   if (InService && !WasInService)
-    Admit.returnToService(Now, Out);
+    AdmissionRole.returnToService(Now, Out);
   WasInService = InService;
 }
 
 void Node::State::handle(CallerRequest &Body) {
   IngressStep Step = step();
-  Calls.request(Step, std::move(Body));
+  IngressRole.request(Step, std::move(Body));
 }
 
 void Node::State::handle(CallerGone &Body) {
   IngressStep Step = step();
-  Calls.callerGone(Step, Body.Caller);
+  IngressRole.callerGone(Step, Body.Caller);
 }
 
 void Node::State::handle(PeerReceived &Body) {
-  Alive.heard(Now, Body.From);
+  Neighbours.heard(Now, Body.From);
   std::visit([&](auto &Message) { message(Body.From, Message); }, Body.Message);
 }
 
 void Node::State::handle(PeerLost &Body) {
   IngressStep Step = step();
-  Calls.peerLost(Step, Body);
-  Log.peerLost(Now, Body.Host, Out);
+  IngressRole.peerLost(Step, Body);
+  LogReplication.peerLost(Now, Body.Host, Out);
 }
 
 void Node::State::handle(BackendDone &Body) {
-  Admit.backendDone(Now, Body, Out);
+  AdmissionRole.backendDone(Now, Body, Out);
 }
 
-void Node::State::handle(ProbeDone &Body) { Admit.probeDone(Now, Body, Out); }
+void Node::State::handle(ProbeDone &Body) {
+  AdmissionRole.probeDone(Now, Body, Out);
+}
 
 void Node::State::handle(LogRead &Body) {
-  Log.logRead(Now, Body, onApplied(), Out);
+  LogReplication.logRead(Now, Body, onApplied(), Out);
 }
 
-void Node::State::handle(LogReadFailed &) { Log.logReadFailed(Now, Out); }
+void Node::State::handle(LogReadFailed &) {
+  LogReplication.logReadFailed(Now, Out);
+}
 
 void Node::State::handle(AppendDone &Body) {
   if (Body.Append != OwnAppend)
     return;
   OwnAppend = 0;
   if (Body.At == NoOffset)
-    Alive.appendFailed(Now);
+    Neighbours.appendFailed(Now);
 }
 
 void Node::State::handle(TimerFired &) {}
@@ -260,111 +266,112 @@
     return;
   Draining = true;
   DrainEnds = Now + Settings.DrainLimit;
-  Alive.leave();
-  Admit.drain(Now, Out);
+  Neighbours.leave();
+  AdmissionRole.drain(Now, Out);
   Out.push_back(Trace{TraceKind::DrainStarted, Self.Host, {}});
 }
 
 void Node::State::message(const PeerRef &From, Execute &Message) {
-  Admit.execute(Now, From, std::move(Message), gate(), Out);
+  AdmissionRole.execute(Now, From, std::move(Message), gate(), Out);
 }
 
 void Node::State::message(const PeerRef &, Received &Message) {
   IngressStep Step = step();
-  Calls.received(Step, Message);
+  IngressRole.received(Step, Message);
 }
 
 void Node::State::message(const PeerRef &From, Answer &Message) {
   IngressStep Step = step();
-  Calls.answered(Step, From, std::move(Message));
+  IngressRole.answered(Step, From, std::move(Message));
 }
 
 void Node::State::message(const PeerRef &From, Refused &Message) {
   IngressStep Step = step();
-  Calls.refused(Step, From, Message);
+  IngressRole.refused(Step, From, Message);
 }
 
 void Node::State::message(const PeerRef &From, Failed &Message) {
   IngressStep Step = step();
-  Calls.failed(Step, From, Message);
+  IngressRole.failed(Step, From, Message);
 }
 
 void Node::State::message(const PeerRef &, Cancel &Message) {
-  Admit.cancel(Now, Message.Call, Out);
+  AdmissionRole.cancel(Now, Message.Call, Out);
 }
 
 void Node::State::message(const PeerRef &From, Await &Message) {
-  Admit.await(Now, From, Message, Out);
+  AdmissionRole.await(Now, From, Message, Out);
 }
 
 void Node::State::message(const PeerRef &From, Claim &Message) {
-  Records.claim(Now, From, Message, Replicated.epochs(Message.Policy.Service),
-                Out);
+  KeyCoordinator.claim(Now, From, Message,
+                       Replicated.epochs(Message.Policy.Service), Out);
 }
 
 void Node::State::message(const PeerRef &, Granted &Message) {
   IngressStep Step = step();
-  Calls.granted(Step, Message);
+  IngressRole.granted(Step, Message);
 }
 
 void Node::State::message(const PeerRef &, ClaimHeld &Message) {
   IngressStep Step = step();
-  Calls.claimHeld(Step, Message);
+  IngressRole.claimHeld(Step, Message);
 }
 
 void Node::State::message(const PeerRef &, ClaimDone &Message) {
   IngressStep Step = step();
-  Calls.claimDone(Step, std::move(Message));
+  IngressRole.claimDone(Step, std::move(Message));
 }
 
 void Node::State::message(const PeerRef &, ClaimRefused &Message) {
   IngressStep Step = step();
-  Calls.claimRefused(Step, Message);
+  IngressRole.claimRefused(Step, Message);
 }
 
 void Node::State::message(const PeerRef &From, Completed &Message) {
-  Records.completed(Now, From, Message);
+  KeyCoordinator.completed(Now, From, Message);
 }
 
 void Node::State::message(const PeerRef &From, Fence &Message) {
   Out.push_back(Count{Counter::Fences});
-  Records.fence(Now, From, Message, Replicated.epochs(Message.Service), Runs,
-                Out);
+  KeyCoordinator.fence(Now, From, Message, Replicated.epochs(Message.Service),
+                       Executions, Out);
 }
 
 void Node::State::message(const PeerRef &From, FenceAck &Message) {
-  Records.fenceAck(Now, From, Message, Replicated.epochs(Message.Service));
+  KeyCoordinator.fenceAck(Now, From, Message,
+                          Replicated.epochs(Message.Service));
 }
 
 void Node::State::message(const PeerRef &From, Probe &Message) {
-  Alive.probe(Now, From, Message, Out);
+  Neighbours.probe(Now, From, Message, Out);
 }
 
 void Node::State::message(const PeerRef &From, ProbeReply &Message) {
-  Alive.probeReply(Now, From, Message, Out);
+  Neighbours.probeReply(Now, From, Message, Out);
 }
 
 void Node::State::message(const PeerRef &From, Subscribe &Message) {
-  Log.subscribe(Now, From, Message, Out);
+  LogReplication.subscribe(Now, From, Message, Out);
 }
 
 void Node::State::message(const PeerRef &From, figsail::Records &Message) {
-  Log.records(Now, From, Message, onApplied(), Out);
+  LogReplication.records(Now, From, Message, onApplied(), Out);
 }
 
 void Node::State::message(const PeerRef &From, Snapshot &Message) {
-  if (Log.snapshot(Now, From, Message, Out))
+  if (LogReplication.snapshot(Now, From, Message, Out))
     stateReplaced();
 }
 
 void Node::State::message(const PeerRef &, SuspectReport &Message) {
-  Admit.suspectReport(Now, Message);
+  AdmissionRole.suspectReport(Now, Message);
 }
 
 /// Tells the members of the service about requests that may crash backend
 /// servers.
 void Node::State::sendReports() {
-  for (const auto &[Report, Regions] : Admit.takeReports()) {
+  for (const auto &[Report, Regions] : AdmissionRole.takeReports()) {
     for (const auto &[Host, Who] : Replicated.members()) {
       if (Host == Self.Host || Who.Service != Settings.Self.Service)
         continue;
@@ -391,8 +398,8 @@
   const EpochHistory *History = ownEpochs();
   bool HandedOver =
       !listed() && (!History || History->empty() ||
-                    Records.handedOver(Settings.Self.Service, *History));
-  bool Done = HandedOver && Admit.idle() && Calls.underWay() == 0;
+                    KeyCoordinator.handedOver(Settings.Self.Service, *History));
+  bool Done = HandedOver && AdmissionRole.idle() && IngressRole.underWay() == 0;
   if (Done)
     ExitAt = Now + ExitDelay;
   else if (Now >= DrainEnds)
@@ -411,24 +418,24 @@
 void Node::State::afterEvent() {
   if (!Started) {
     Started = true;
-    Log.start(Now, Out);
+    LogReplication.start(Now, Out);
   }
   if (std::exchange(NeighboursStale, false))
-    Alive.membersChanged(Now, Replicated);
+    Neighbours.membersChanged(Now, Replicated);
   IngressStep Step = step();
-  Calls.timer(Step);
-  Admit.timer(Now, Out);
-  Records.timer(Now, Out);
-  Log.timer(Now, Out);
-  auto Proposal =
-      Alive.timer(Now, Replicated, Log.caughtUp(), Admit.load(), Out);
+  IngressRole.timer(Step);
+  AdmissionRole.timer(Now, Out);
+  KeyCoordinator.timer(Now, Out);
+  LogReplication.timer(Now, Out);
+  auto Proposal = Neighbours.timer(Now, Replicated, LogReplication.caughtUp(),
+                                   AdmissionRole.load(), Out);
   if (Proposal && OwnAppend == 0)
     propose(*Proposal);
-  for (SnapshotRecord &Part : Log.dueSnapshot(Now, Seed))
+  for (SnapshotRecord &Part : LogReplication.dueSnapshot(Now, Seed))
     Out.push_back(AppendLog{NextAppend++, encodeRecord(Part)});
   if (Now >= NextExpiry) {
     NextExpiry = Now + ExpiryInterval;
-    Runs.expire(Now);
+    Executions.expire(Now);
     Replicated.expireEpochs(Now, longestLifetime() + EpochMargin);
   }
   sendReports();
@@ -452,17 +459,18 @@
 }
 
 TimePoint Node::nextWake() const {
-  return std::min({Impl->Calls.nextWake(), Impl->Admit.nextWake(),
-                   Impl->Records.nextWake(), Impl->Log.nextWake(),
-                   Impl->Alive.nextWake(), Impl->DrainEnds, Impl->ExitAt});
+  return std::min({Impl->IngressRole.nextWake(), Impl->AdmissionRole.nextWake(),
+                   Impl->KeyCoordinator.nextWake(),
+                   Impl->LogReplication.nextWake(), Impl->Neighbours.nextWake(),
+                   Impl->DrainEnds, Impl->ExitAt});
 }
 
 HeadVerdict Node::checkHead(std::string_view Method,
                             std::string_view Target) const {
   // Without the configuration an unknown path says nothing about the route.
-  if (!Impl->Log.caughtUp())
+  if (!Impl->LogReplication.caughtUp())
     return errorResponse(ErrorKind::NoBackendServer);
-  return Impl->Calls.checkHead(Impl->Replicated, Method, Target);
+  return Impl->IngressRole.checkHead(Impl->Replicated, Method, Target);
 }
 
 const ReplicatedState &Node::replicated() const { return Impl->Replicated; }
@@ -473,11 +481,11 @@
   Status.Listed = Impl->listed();
   Status.InService = Impl->inService();
   Status.Draining = Impl->Draining;
-  Status.LogReachable = Impl->Log.logReachable();
-  Status.Load = Impl->Admit.load();
-  Status.CallsUnderWay = Impl->Calls.underWay();
-  Status.CoordinatorRecords = Impl->Records.size();
-  Status.ExecutionRecords = Impl->Runs.size();
+  Status.LogReachable = Impl->LogReplication.logReachable();
+  Status.Load = Impl->AdmissionRole.load();
+  Status.CallsUnderWay = Impl->IngressRole.underWay();
+  Status.CoordinatorRecords = Impl->KeyCoordinator.size();
+  Status.ExecutionRecords = Impl->Executions.size();
   return Status;
 }
 
--- a/src/core/Replication.cpp
+++ b/src/core/Replication.cpp
@@ -79,6 +79,8 @@
   } else {
     auto Index = static_cast<std::size_t>(Own - Order.begin());
     Reader = Index < ReadersPerDomain;
+    // The second reader of a failure domain writes only when the first did not.
+    ReaderRank = ReaderRank * ReadersPerDomain + Index;
     while (Index >= ReadersPerDomain) {
       Index = (Index - ReadersPerDomain) / FanOut;
       Found.push_back(Order[Index].second);
--- a/src/core/Replication.h
+++ b/src/core/Replication.h
@@ -78,7 +78,7 @@
   std::size_t SourceIndex = 0; ///< Sources.size(): the log itself.
   bool PlaceStale = true;
   bool Reader = false;        ///< Among the first two of its failure domain.
-  std::size_t ReaderRank = 0; ///< Among all first readers; staggers snapshots.
+  std::size_t ReaderRank = 0; ///< Among all readers; staggers snapshots.
   bool Reading = false;       ///< A read of the log is under way.
   bool LogReachable = false;
   bool CaughtUp = false;
