--- a/tests/NodeTest.cpp
+++ b/tests/NodeTest.cpp
@@ -106,6 +106,7 @@
   Net->Cut = [](const HostId &, const HostId &) { return false; };
   Net->run(5s);
   std::vector<std::size_t> Again;
+  Again.reserve(30);
   for (int I = 0; I < 30; ++I)
     Again.push_back(book(Hosts[0], "new" + std::to_string(I)));
   Net->run(3s);
@@ -237,6 +238,7 @@
 // that passes it on dies.
 TEST_F(NodeTest, ChangeIsInForceEverywhereWithinFiveSecondsOfALoss) {
   std::vector<HostId> Many;
+  Many.reserve(40);
   for (int I = 0; I < 40; ++I)
     Many.push_back(Net->add("south", "s1", "/shop/other"));
   Net->run(10s);
@@ -347,6 +349,7 @@
         }
         Net->run(25min);
         std::vector<std::size_t> Fresh;
+        Fresh.reserve(40);
         for (int I = 0; I < 40; ++I)
           Fresh.push_back(book(Hosts[I % 8], "fresh" + std::to_string(I)));
         Net->run(5s);
