--- a/standins/backend-standin.cpp
+++ b/standins/backend-standin.cpp
@@ -1,6 +1,7 @@
 // backend-standin.cpp - Simulator of a backend server.
 
 #include "BackendStandin.h"
+#include "StandinProgram.h"
 
 #include <boost/asio/signal_set.hpp>
 #include <boost/program_options.hpp>
@@ -73,29 +74,21 @@
     ("response-bytes", po::value(&Settings.ResponseBytes)->default_value(100), "payload of a response")
     ("record", po::value(&RecordFile), "file that gets a line for each start and end of a run");
   // clang-format on
-  try {
-    po::variables_map Values;
-    po::store(po::parse_command_line(Argc, Argv, Options), Values);
-    po::notify(Values);
-    if (Values.contains("help")) {
-      std::cout << Options;
-      return 0;
-    }
-    std::optional<HealthMode> Mode = healthMode(Health);
-    if (!Mode || Settings.Slots == 0)
-      throw po::error("--health is ok, lag or lie; --slots is at least 1");
-    Settings.Health = *Mode;
-    Settings.Overload =
-        Values["shed"].as<bool>() ? OverloadMode::Shed : OverloadMode::Queue;
-    Settings.ColdOverload = overloadMode(ColdOverload);
-    Settings.Service = seconds(ServiceMs / 1000);
-    Settings.ColdStart = seconds(ColdStart);
-    Settings.HealthLag = seconds(HealthLag);
-    Settings.HealthTime = seconds(HealthMs / 1000);
-    serve(Listen, RecordFile, Settings);
-    return 0;
-  } catch (const std::exception &Error) {
-    std::cerr << "backend-standin: " << Error.what() << "\n";
-    return 2;
-  }
+  return runStandin(
+      "backend-standin", Argc, Argv, Options,
+      [&](const po::variables_map &Values) {
+        std::optional<HealthMode> Mode = healthMode(Health);
+        if (!Mode || Settings.Slots == 0)
+          throw po::error("--health is ok, lag or lie; --slots is at least 1");
+        Settings.Health = *Mode;
+        Settings.Overload = Values["shed"].as<bool>() ? OverloadMode::Shed
+                                                      : OverloadMode::Queue;
+        Settings.ColdOverload = overloadMode(ColdOverload);
+        Settings.Service = seconds(ServiceMs / 1000);
+        Settings.ColdStart = seconds(ColdStart);
+        Settings.HealthLag = seconds(HealthLag);
+        Settings.HealthTime = seconds(HealthMs / 1000);
+        serve(Listen, RecordFile, Settings);
+        return 0;
+      });
 }
--- a/standins/history-check.cpp
+++ b/standins/history-check.cpp
@@ -2,6 +2,7 @@
 // backend-standin.
 
 #include "HistoryCheck.h"
+#include "StandinProgram.h"
 
 #include <boost/program_options.hpp>
 #include <fstream>
@@ -85,20 +86,11 @@
     ("history", po::value(&Histories)->multitoken()->required(), "files written by load-standin")
     ("runs", po::value(&Records)->multitoken(), "files written by backend-standin --record");
   // clang-format on
-  try {
-    po::variables_map Values;
-    po::store(po::parse_command_line(Argc, Argv, Options), Values);
-    if (Values.contains("help")) {
-      std::cout << Options;
-      return 0;
-    }
-    po::notify(Values);
-    CheckResult Result =
-        checkHistory(readHistories(Histories), readRuns(Records));
-    print(Result);
-    return Result.Findings.empty() ? 0 : 1;
-  } catch (const std::exception &Error) {
-    std::cerr << "history-check: " << Error.what() << "\n";
-    return 2;
-  }
+  return runStandin(
+      "history-check", Argc, Argv, Options, [&](const po::variables_map &) {
+        CheckResult Result =
+            checkHistory(readHistories(Histories), readRuns(Records));
+        print(Result);
+        return Result.Findings.empty() ? 0 : 1;
+      });
 }
--- a/standins/load-standin.cpp
+++ b/standins/load-standin.cpp
@@ -1,6 +1,7 @@
 // load-standin.cpp - Simulator of callers.
 
 #include "LoadStandin.h"
+#include "StandinProgram.h"
 
 #include <boost/algorithm/string/classification.hpp>
 #include <boost/algorithm/string/split.hpp>
@@ -69,24 +70,15 @@
     ("resend-delay-ms", po::value(&ResendDelayMs)->default_value(100), "time before a further attempt")
     ("timeout-s", po::value(&Timeout)->default_value(10), "time after which an attempt is given up");
   // clang-format on
-  try {
-    po::variables_map Values;
-    po::store(po::parse_command_line(Argc, Argv, Options), Values);
-    if (Values.contains("help")) {
-      std::cout << Options;
-      return 0;
-    }
-    po::notify(Values);
-    boost::split(Settings.Targets, Targets, boost::is_any_of(","));
-    if (Settings.Count == 0 && Length <= 0)
-      throw po::error("either --seconds or --count is needed");
-    Settings.Length = seconds(Length);
-    Settings.ResendDelay = seconds(ResendDelayMs / 1000);
-    Settings.Timeout = seconds(Timeout);
-    run(Settings, HistoryFile);
-    return 0;
-  } catch (const std::exception &Error) {
-    std::cerr << "load-standin: " << Error.what() << "\n";
-    return 2;
-  }
+  return runStandin(
+      "load-standin", Argc, Argv, Options, [&](const po::variables_map &) {
+        boost::split(Settings.Targets, Targets, boost::is_any_of(","));
+        if (Settings.Count == 0 && Length <= 0)
+          throw po::error("either --seconds or --count is needed");
+        Settings.Length = seconds(Length);
+        Settings.ResendDelay = seconds(ResendDelayMs / 1000);
+        Settings.Timeout = seconds(Timeout);
+        run(Settings, HistoryFile);
+        return 0;
+      });
 }
--- a/standins/log-standin.cpp
+++ b/standins/log-standin.cpp
@@ -2,6 +2,7 @@
 
 #include "../src/shell/Endpoint.h"
 #include "LogStandin.h"
+#include "StandinProgram.h"
 
 #include <boost/asio/signal_set.hpp>
 #include <boost/program_options.hpp>
@@ -36,23 +37,15 @@
     ("retention-s", po::value(&RetentionSeconds)->default_value(0), "age of records kept, in seconds; 0: no bound")
     ("appends-per-second", po::value(&Settings.AppendsPerSecond)->default_value(500), "further appends wait");
   // clang-format on
-  try {
-    po::variables_map Values;
-    po::store(po::parse_command_line(Argc, Argv, Options), Values);
-    po::notify(Values);
-    if (Values.contains("help")) {
-      std::cout << Options;
-      return 0;
-    }
-    Settings.Retention =
-        Duration(static_cast<std::int64_t>(RetentionSeconds * 1e6));
-    auto Where = parseEndpoint(Listen);
-    if (!Where || Settings.AppendsPerSecond <= 0)
-      throw po::error("--listen needs ip:port, --appends-per-second a rate");
-    serve(*Where, Settings);
-    return 0;
-  } catch (const std::exception &Error) {
-    std::cerr << "log-standin: " << Error.what() << "\n";
-    return 2;
-  }
+  return runStandin(
+      "log-standin", Argc, Argv, Options, [&](const po::variables_map &) {
+        Settings.Retention =
+            Duration(static_cast<std::int64_t>(RetentionSeconds * 1e6));
+        auto Where = parseEndpoint(Listen);
+        if (!Where || Settings.AppendsPerSecond <= 0)
+          throw po::error(
+              "--listen needs ip:port, --appends-per-second a rate");
+        serve(*Where, Settings);
+        return 0;
+      });
 }
--- a/standins/relay-standin.cpp
+++ b/standins/relay-standin.cpp
@@ -1,6 +1,7 @@
 // relay-standin.cpp - Plain TCP relay, the baseline of latency measurements.
 
 #include "../src/shell/Endpoint.h"
+#include "StandinProgram.h"
 
 #include <array>
 #include <boost/asio/io_context.hpp>
@@ -124,22 +125,13 @@
     ("listen", po::value(&Listen)->default_value("127.0.0.1:0"), "address ip:port; port 0 chooses one")
     ("to", po::value(&To)->required(), "address ip:port that gets the bytes");
   // clang-format on
-  try {
-    po::variables_map Values;
-    po::store(po::parse_command_line(Argc, Argv, Options), Values);
-    if (Values.contains("help")) {
-      std::cout << Options;
-      return 0;
-    }
-    po::notify(Values);
-    auto From = parseEndpoint(Listen);
-    auto Target = parseEndpoint(To);
-    if (!From || !Target)
-      throw po::error("--listen and --to need ip:port");
-    serve(*From, *Target);
-    return 0;
-  } catch (const std::exception &Error) {
-    std::cerr << "relay-standin: " << Error.what() << "\n";
-    return 2;
-  }
+  return runStandin("relay-standin", Argc, Argv, Options,
+                    [&](const po::variables_map &) {
+                      auto From = parseEndpoint(Listen);
+                      auto Target = parseEndpoint(To);
+                      if (!From || !Target)
+                        throw po::error("--listen and --to need ip:port");
+                      serve(*From, *Target);
+                      return 0;
+                    });
 }
