Fix: a planned change of members cost bookings an "outcome unknown"

Cause: for some milliseconds after a change a new coordinator lacks acknowledgements that are under way and refuses keys without a record; the ingress passed that on. Ruled out: lost records (the repeat was answered) and a stale view of the ingress (that is StaleEpoch and was retried). In the first second after a change the ingress asks again. NodeTest.PlannedChangesCostNoBooking (620 bookings, a failure domain out and back, one planned stop, delays up to 20 ms): 7 unknown before, none now. A key whose records are lost is told at most 0.6 s later in that second, and at once after it.

--- a/src/core/Ingress.cpp
+++ b/src/core/Ingress.cpp
@@ -21,6 +21,10 @@
 /// Claims without a useful reply before the caller is told. With ViewDelay this
 /// covers the time that a new epoch takes to reach the other members.
 static constexpr std::uint32_t MaxClaimTries = 12;
+/// For so long after a change of members a coordinator may lack
+/// acknowledgements that are only under way; a claim that it cannot decide is
+/// tried again.
+static constexpr Duration SettleTime = 1s;
 /// Delay before a claim or call is sent again because two daemons' views
 /// differ.
 static constexpr Duration ViewDelay = 50ms;
@@ -410,6 +414,12 @@
   if (Message.Kind == ErrorKind::StaleEpoch ||
       Message.Kind == ErrorKind::WrongIncarnation)
     return retryLater(Step, *Current, Message.Kind);
+  const EpochHistory *History =
+      Step.State.epochs(Current->Route->Policy.Service);
+  bool Settling = History && !History->empty() &&
+                  Step.Now - History->current().AppliedAt < SettleTime;
+  if (Message.Kind == ErrorKind::OutcomeUnknown && Settling)
+    return retryLater(Step, *Current, Message.Kind);
   // These two are said only after the key was looked up.
   Current->KeyChecked |= Message.Kind == ErrorKind::KeyReused ||
                          Message.Kind == ErrorKind::RecordCapacity;
--- a/tests/NodeTest.cpp
+++ b/tests/NodeTest.cpp
@@ -175,6 +175,30 @@
   EXPECT_EQ(answeredOk(), 120U);
 }
 
+// Guards against "outcome unknown" for bookings that meet a planned change of
+// members: nothing was lost, the acknowledgements are only under way.
+TEST_F(NodeTest, PlannedChangesCostNoBooking) {
+  auto BookFor = [this](int Count, const std::string &Prefix) {
+    for (int I = 0; I < Count; ++I) {
+      book(Hosts[I % 4], Prefix + std::to_string(I));
+      Net->run(1ms);
+    }
+  };
+  BookFor(20, "before");
+  Net->MaxDelay = 20ms;
+  Net->append(inServiceChange("n1", false, NoOffset));
+  BookFor(200, "out");
+  auto Version = static_cast<Offset>(Net->Log.size()) - 1;
+  Net->append(inServiceChange("n1", true, Version));
+  BookFor(200, "in");
+  Net->stop(Hosts[7]);
+  BookFor(200, "stop");
+  Net->run(5s);
+  for (const CallResult &Result : Net->results())
+    EXPECT_TRUE(Result.ok()) << Result.Identity << ": " << Result.Response.Body;
+  checkHistory();
+}
+
 // Guards against a request that is served, forwarded or recorded outside its
 // home regions.
 TEST_F(NodeTest, HomeRegionsAreKept) {
