--- a/src/core/Ingress.cpp
+++ b/src/core/Ingress.cpp
@@ -2,6 +2,8 @@
 
 #include "Ingress.h"
 
+#include "RequestIdentity.h"
+
 #include <algorithm>
 
 namespace figsail {
@@ -33,40 +35,11 @@
   return std::to_string(Self.Inc) + "/" + std::to_string(Current.Number);
 }
 
-static std::uint64_t fingerprint(const RouteSettings &Route,
-                                 const HttpRequest &Request) {
-  std::uint64_t Hash = hashText(Route.Policy.Route);
-  Hash = hashText(Request.Method, Hash);
-  Hash = hashText(Request.Target, Hash);
-  return hashText(Request.Body, Hash);
-}
-
-static std::size_t messageSize(const HeaderList &Headers,
-                               const std::string &Body) {
-  std::size_t Size = Body.size();
-  for (const auto &[Name, Value] : Headers)
-    Size += Name.size() + Value.size();
-  return Size;
-}
-
 static bool servedIn(const CallPolicy &Policy, const std::string &Region) {
   const std::vector<std::string> &Home = Policy.HomeRegions;
   return Home.empty() || std::ranges::find(Home, Region) != Home.end();
 }
 
-/// Returns the text that identifies a request, or nothing when the named header
-/// is missing.
-static std::optional<std::string> identityOf(const RouteSettings &Route,
-                                             const HttpRequest &Request) {
-  if (Route.Identity.From == IdentityRule::Source::Body)
-    return Request.Method + '\n' + Request.Target + '\n' + Request.Body;
-  std::string_view Value =
-      findHeader(Request.Headers, Route.Identity.HeaderName);
-  if (Value.empty())
-    return std::nullopt;
-  return std::string(Value);
-}
-
 Ingress::Ingress(const NodeSettings &Settings)
     : Self{Settings.Self.Host, Settings.Self.Inc},
       Here{Settings.Self.Region, Settings.Self.FailureDomain},
@@ -106,7 +79,7 @@
   New.Request = std::move(Arrived.Request);
   New.Route = std::move(Route);
   New.Deadline = Step.Now + New.Route->Deadline;
-  New.Fingerprint = fingerprint(*New.Route, New.Request);
+  New.Fingerprint = requestFingerprint(*New.Route, New.Request);
   ByCaller[New.Caller] = Number;
   Budget.called(Step.Now, New.Route->Policy.Service);
 
