--- a/src/core/Liveness.cpp
+++ b/src/core/Liveness.cpp
@@ -58,7 +58,7 @@
     auto Old = Before.find(Who->Host);
     bool Same = Old != Before.end() && Old->second.Who == Ref;
     Watching[Who->Host] =
-        Same ? Old->second : Watched{Ref, Who->Region, Now, {}, false};
+        Same ? Old->second : Watched{Ref, Who->Region, Now, {}};
   }
 }
 
--- a/src/core/Liveness.h
+++ b/src/core/Liveness.h
@@ -48,8 +48,6 @@
     std::string Region;
     TimePoint LastHeard;
     std::optional<TimePoint> ProbedAt; ///< Set while others are asked about it.
-    bool RegionSpoke =
-        false; ///< Another member of its region has replied since then.
   };
   struct PendingProbe {
     HostId Asker;
--- a/src/core/Replication.cpp
+++ b/src/core/Replication.cpp
@@ -161,7 +161,7 @@
   if (!Any)
     return;
   for (auto &[Host, To] : Children)
-    feed(Now, To, false, Out);
+    feed(To, false, Out);
 }
 
 void Replication::logRead(TimePoint Now, const LogRead &Read,
@@ -192,7 +192,7 @@
   }
 }
 
-void Replication::feed(TimePoint, Child &To, bool Always, EffectList &Out) {
+void Replication::feed(Child &To, bool Always, EffectList &Out) {
   bool TailCovers = !Tail.empty() && Tail.front().At <= To.Next;
   bool Behind = To.Next <= State.applied();
   if (Behind && !TailCovers) {
@@ -230,7 +230,7 @@
   // link.
   if (New || Restarted || Message.From < To.Next)
     To.Next = Message.From;
-  feed(Now, To, true, Out);
+  feed(To, true, Out);
 }
 
 void Replication::records(TimePoint Now, const PeerRef &From,
--- a/src/core/Replication.h
+++ b/src/core/Replication.h
@@ -67,7 +67,7 @@
   void nextSource(TimePoint Now, EffectList &Out);
   void apply(TimePoint Now, const std::vector<LogRecord> &Batch,
              const OnApplied &Applied, EffectList &Out);
-  void feed(TimePoint Now, Child &To, bool Always, EffectList &Out);
+  void feed(Child &To, bool Always, EffectList &Out);
   void remember(const LogRecord &Record);
 
   HostId Self;
