--- a/src/core/Replication.cpp
+++ b/src/core/Replication.cpp
@@ -106,8 +106,8 @@
       return;
     Reading = true;
     // The first read of an empty log must end at once: the daemon joins only
-    // when it has caught up.
-    Duration Wait = CaughtUp ? ReadWait : Duration(0);
+    // when it has caught up. Later ones wait, also when nothing can be applied.
+    Duration Wait = LogWasRead ? ReadWait : Duration(0);
     Out.push_back(ReadLog{State.nextOffset(), Wait});
     return;
   }
@@ -151,10 +151,8 @@
       remember(Record);
     auto Decoded = decodeRecord(Record.Data);
     if (const auto *Body = std::get_if<RecordBody>(&Decoded)) {
-      if (const auto *Part = std::get_if<SnapshotRecord>(Body)) {
+      if (std::holds_alternative<SnapshotRecord>(*Body))
         SnapshotSeen = Now;
-        SnapshotAt = std::max(SnapshotAt, Part->At);
-      }
     }
     Applied(Record, Result);
   }
@@ -167,6 +165,7 @@
 void Replication::logRead(TimePoint Now, const LogRead &Read,
                           const OnApplied &Applied, EffectList &Out) {
   Reading = false;
+  LogWasRead = true;
   Failures = 0;
   if (!LogReachable)
     Out.push_back(Trace{TraceKind::LogBack, std::to_string(Read.Next), {}});
--- a/src/core/Replication.h
+++ b/src/core/Replication.h
@@ -83,17 +83,17 @@
   bool Reader = false;        ///< Among the first two of its failure domain.
   std::size_t ReaderRank = 0; ///< Among all readers; staggers snapshots.
   bool Reading = false;       ///< A read of the log is under way.
+  bool LogWasRead = false;    ///< A read of the log has succeeded.
   bool LogReachable = false;
   bool SourceSpoke = false; ///< The present parent has sent records.
   bool CaughtUp = false;
-  std::uint32_t Failures = 0;   ///< Consecutive failed reads.
-  TimePoint SourceHeard;        ///< When the source spoke last.
-  TimePoint SourceSince;        ///< When this source was chosen.
-  TimePoint NextRenewal;        ///< When to subscribe or read again.
-  TimePoint NextFeed;           ///< When children get a proof of life.
-  TimePoint SnapshotSeen;       ///< When a snapshot record was last seen.
-  Offset SnapshotAt = NoOffset; ///< State offset of that snapshot.
-  std::deque<LogRecord> Tail;   ///< Latest records, for children.
+  std::uint32_t Failures = 0; ///< Consecutive failed reads.
+  TimePoint SourceHeard;      ///< When the source spoke last.
+  TimePoint SourceSince;      ///< When this source was chosen.
+  TimePoint NextRenewal;      ///< When to subscribe or read again.
+  TimePoint NextFeed;         ///< When children get a proof of life.
+  TimePoint SnapshotSeen;     ///< When a snapshot record was last seen.
+  std::deque<LogRecord> Tail; ///< Latest records, for children.
   std::size_t TailBytes = 0;
   std::map<HostId, Child> Children;
   std::map<std::string, std::vector<SnapshotRecord>>
--- a/tests/NodeTest.cpp
+++ b/tests/NodeTest.cpp
@@ -35,6 +35,22 @@
   EXPECT_EQ(std::get<HttpResponse>(Head).Status, 503U);
 }
 
+// Guards against a daemon that reads a log without usable records in a loop.
+TEST(NodeReadTest, OnlyTheFirstReadOfTheLogEndsAtOnce) {
+  NodeSettings Settings;
+  Settings.Self = {"10.0.0.1:1", 1, "", "", "south", "s1", Service, 10};
+  Node Subject(std::move(Settings));
+  auto Wait = [](const EffectList &Effects) {
+    for (const Effect &What : Effects)
+      if (const auto *Read = std::get_if<ReadLog>(&What))
+        return Read->Wait;
+    return Duration(-1);
+  };
+  EXPECT_EQ(Wait(Subject.apply({TimePoint(1h), 1, TimerFired{}})), 0s);
+  // Every record has expired, and no snapshot was written in time.
+  EXPECT_GT(Wait(Subject.apply({TimePoint(1h), 1, LogRead{{}, 5, 5}})), 0s);
+}
+
 // Guards against a second deposit when callers send the same booking again,
 // also at two entrances at the same moment.
 TEST_F(NodeTest, RepeatedBookingRunsOnceAndGetsTheFirstAnswer) {
