--- a/tests/TakeoverTest.cpp
+++ b/tests/TakeoverTest.cpp
@@ -36,6 +36,16 @@
     apply(Before);
     apply(After);
   }
+  /// Chooses a key that Former, Between and Self coordinate one after another.
+  void chooseKey(const EpochEntry &First, const EpochEntry &Second,
+                 const Member &Between, const EpochEntry &Third) {
+    for (int I = 0;; ++I) {
+      Key = keyOf(First, Former.Host, I);
+      if (coordinatorOf(Second, Route, Key)->Host == Between.Host &&
+          coordinatorOf(Third, Route, Key)->Host == Self.Host)
+        return;
+    }
+  }
   void ack(const Member &From, Offset Epoch, bool Complete = false,
            std::vector<RecordCopy> Copies = {}) {
     FenceAck Part;
@@ -153,12 +163,7 @@
   EpochEntry First = epoch(10, {Self, Former, Left, Right});
   EpochEntry Second = epoch(20, {Self, Between, Left, Right});
   EpochEntry Third = epoch(30, {Self, Left, Right});
-  for (int I = 0;; ++I) {
-    Key = keyOf(First, Former.Host, I);
-    if (coordinatorOf(Second, Route, Key)->Host == Between.Host &&
-        coordinatorOf(Third, Route, Key)->Host == Self.Host)
-      break;
-  }
+  chooseKey(First, Second, Between, Third);
   apply(First);
   apply(Second);
   ack(Former, 20, true); // Without the key, which Between coordinates in 20.
@@ -176,12 +181,7 @@
   EpochEntry First = epoch(10, {Self, Former, Left, Right});
   EpochEntry Second = epoch(20, {Self, Between, Left, Right});
   EpochEntry Third = epoch(30, {Self, Left, Right});
-  for (int I = 0;; ++I) {
-    Key = keyOf(First, Former.Host, I);
-    if (coordinatorOf(Second, Route, Key)->Host == Between.Host &&
-        coordinatorOf(Third, Route, Key)->Host == Self.Host)
-      break;
-  }
+  chooseKey(First, Second, Between, Third);
   apply(First);
   apply(Second);
   apply(Third);
