--- a/include/figsail/ErrorKind.h
+++ b/include/figsail/ErrorKind.h
@@ -44,9 +44,10 @@
   DeadlineUnknown,
   AnswerNotKept,
   Internal,
+  ServerRefused,
 };
 inline constexpr std::size_t ErrorKindCount =
-    static_cast<std::size_t>(ErrorKind::Internal) + 1;
+    static_cast<std::size_t>(ErrorKind::ServerRefused) + 1;
 
 /// Whether the request ran on a backend server.
 enum class RunState : std::uint8_t { No, Unknown, Yes };
--- a/include/figsail/PeerMessages.h
+++ b/include/figsail/PeerMessages.h
@@ -15,7 +15,7 @@
 namespace figsail {
 
 /// Version of the peer protocol; links between different versions are refused.
-inline constexpr std::uint32_t PeerProtocolVersion = 1;
+inline constexpr std::uint32_t PeerProtocolVersion = 2;
 
 /// Permission to run one attempt of one keyed request on one executor.
 struct GrantToken {
@@ -44,12 +44,13 @@
   std::uint32_t RefusalStatus =
       0; ///< Status by which the backend server says "not run"; 0: none.
   Duration RecordLifetime{0}; ///< How long a record outlives its run.
+  std::uint32_t Priority = 0; ///< Rank in the admission queue; 0 goes first.
 
   bool operator==(const CallPolicy &) const = default;
   template <class Archive> void serialize(Archive &Ar) {
     auto Micros = RecordLifetime.count();
     Ar(Route, Service, Workspace, HomeRegions, Idempotent, Share, RefusalStatus,
-       Micros);
+       Micros, Priority);
     RecordLifetime = Duration(Micros);
   }
 };
@@ -65,9 +66,13 @@
   std::uint64_t Fingerprint = 0;   ///< Hash of route, method, target and body.
   std::optional<GrantToken> Grant; ///< Set for keyed requests.
   HttpRequest Request;
+  std::string Instance; ///< Backend server that must run it; empty: any.
+  std::int64_t TargetMicros =
+      0; ///< Time left until the route's target latency; may be negative.
 
   template <class Archive> void serialize(Archive &Ar) {
-    Ar(Call, Target, Policy, BudgetMicros, Fingerprint, Grant, Request);
+    Ar(Call, Target, Policy, BudgetMicros, Fingerprint, Grant, Request,
+       Instance, TargetMicros);
   }
 };
 
--- a/src/core/RetryBudget.cpp
+++ b/src/core/RetryBudget.cpp
@@ -4,8 +4,14 @@
 
 namespace figsail {
 
+void RetryBudget::configure(RetryLimits NewLimits) {
+  Limits = NewLimits;
+  for (auto &[Service, Bucket] : Buckets)
+    Bucket.configure(Limits.RatePerSecond, Limits.Burst);
+}
+
 void RetryBudget::called(TimePoint Now, const std::string &Service) {
-  bucketOf(Now, Service).put(CallShare);
+  bucketOf(Now, Service).put(Limits.CallShare);
 }
 
 bool RetryBudget::take(TimePoint Now, const std::string &Service) {
@@ -20,7 +26,8 @@
   if (Buckets.size() >= MaxServices)
     Buckets.erase(Buckets.begin());
   TokenBucket &Fresh =
-      Buckets.emplace(Service, TokenBucket(RatePerSecond, Burst)).first->second;
+      Buckets.emplace(Service, TokenBucket(Limits.RatePerSecond, Limits.Burst))
+          .first->second;
   // Sets the reference time, so that time before the first use earns nothing.
   Fresh.take(Now, 0);
   return Fresh;
--- a/src/core/RetryBudget.h
+++ b/src/core/RetryBudget.h
@@ -10,14 +10,23 @@
 
 namespace figsail {
 
+/// Bounds of a retry budget.
+struct RetryLimits {
+  double CallShare = 0.1;   ///< Retries for each call.
+  double RatePerSecond = 3; ///< Retries without any call.
+  double Burst = 10;        ///< Most retries saved up.
+};
+
 /// Retries allowed for each service: a share of its calls plus a fixed rate.
 class RetryBudget {
 public:
-  static constexpr double CallShare = 0.1;   ///< Retries for each call.
-  static constexpr double RatePerSecond = 3; ///< Retries without any call.
-  static constexpr double Burst = 10;        ///< Most retries saved up.
   static constexpr std::size_t MaxServices = 4096; ///< Budgets kept.
 
+  explicit RetryBudget(RetryLimits Limits = {}) : Limits(Limits) {}
+
+  /// Changes the bounds of all budgets.
+  void configure(RetryLimits NewLimits);
+
   /// A first attempt of a call of this service is sent.
   void called(TimePoint Now, const std::string &Service);
 
@@ -27,6 +36,7 @@
 private:
   TokenBucket &bucketOf(TimePoint Now, const std::string &Service);
 
+  RetryLimits Limits;
   std::unordered_map<std::string, TokenBucket> Buckets; ///< By service path.
 };
 
--- /dev/null
+++ b/src/programs/figsail-sidecar.cpp
@@ -0,0 +1,86 @@
+// figsail-sidecar.cpp - The daemon beside a backend server on the users'
+// platform.
+
+#include "DecisionLog.h"
+#include "Fields.h"
+#include "FileLimit.h"
+#include "Logging.h"
+#include "Reports.h"
+#include "Settings.h"
+#include "SidecarDaemon.h"
+#include "StoreClient.h"
+
+#include <boost/program_options.hpp>
+#include <iostream>
+#include <random>
+
+using namespace figsail;
+namespace options = boost::program_options;
+
+/// Exit status for settings that are not usable.
+static constexpr int SettingsStatus = 2;
+
+static SidecarPlatform makePlatform(boost::asio::io_context &Context,
+                                    StoreHandler &Handler,
+                                    const SidecarConfiguration &Given) {
+  SidecarPlatform Result;
+  Result.Fields = std::make_shared<platform::Fields>(Given.Settings.Service);
+  Result.Reports = std::make_unique<platform::Reports>();
+  Result.Store = std::make_unique<platform::StoreClient>(Context, Handler,
+                                                         Given.Addresses.Store);
+  return Result;
+}
+
+static Incarnation drawIncarnation() {
+  std::random_device Source;
+  Incarnation Drawn = 0;
+  while (Drawn == 0)
+    Drawn = (static_cast<Incarnation>(Source()) << 32) | Source();
+  return Drawn;
+}
+
+static int run(SidecarConfiguration Given) {
+  startStructuredLogging(Given.Settings.Host);
+  raiseFileLimit();
+  Given.Settings.Inc = drawIncarnation();
+  boost::asio::io_context Context(1);
+  SidecarDaemon Self(Context, std::move(Given), makePlatform);
+  if (auto Error = Self.start()) {
+    logError("daemon", *Error);
+    flushLog();
+    return 1;
+  }
+  Context.run();
+  return 0;
+}
+
+int main(int Argc, char **Argv) {
+  options::options_description Known("figsail-sidecar");
+  Known.add_options()("help", "show this text")(
+      "settings",
+      options::value<std::string>()->default_value(platform::settingsPath()),
+      "path of the platform's settings file")(
+      "check", "read the settings, report faults and exit");
+  options::variables_map Chosen;
+  try {
+    options::store(options::parse_command_line(Argc, Argv, Known), Chosen);
+    options::notify(Chosen);
+  } catch (const options::error &Error) {
+    std::cerr << "figsail-sidecar: " << Error.what() << "\n";
+    return SettingsStatus;
+  }
+  if (Chosen.contains("help")) {
+    std::cout << Known;
+    return 0;
+  }
+  auto Read = platform::readSettings(Chosen["settings"].as<std::string>());
+  if (const auto *Fault = std::get_if<platform::SettingsFault>(&Read)) {
+    std::cerr << "figsail-sidecar: settings: " << Fault->Text << "\n";
+    return SettingsStatus;
+  }
+  if (Chosen.contains("check")) {
+    std::cout << "the settings are valid\n";
+    return 0;
+  }
+  return run(std::get<SidecarConfiguration>(std::move(Read)));
+}
--- a/src/programs/figsaild.cpp
+++ b/src/programs/figsaild.cpp
@@ -1,27 +1,16 @@
 // figsaild.cpp - The daemon beside each backend server.
 
 #include "../shell/Daemon.h"
+#include "../shell/FileLimit.h"
 #include "../shell/Logging.h"
 
 #include <iostream>
-#include <sys/resource.h>
 
 using namespace figsail;
 
 /// Exit status for settings that are not usable.
 static constexpr int SettingsStatus = 2;
 
-/// Allows as many open files as the system grants: a daemon has hundreds of
-/// connections to peers, clients and its backend server, and the usual default
-/// is 1024.
-static void raiseFileLimit() {
-  rlimit Limit{};
-  if (getrlimit(RLIMIT_NOFILE, &Limit) != 0)
-    return;
-  Limit.rlim_cur = Limit.rlim_max;
-  setrlimit(RLIMIT_NOFILE, &Limit);
-}
-
 static int run(ProcessSettings Settings) {
   startLogging();
   raiseFileLimit();
--- a/src/shell/BackendClient.cpp
+++ b/src/shell/BackendClient.cpp
@@ -3,6 +3,7 @@
 #include "BackendClient.h"
 #include "BackendExchange.h"
 #include "Endpoint.h"
+#include "SocketOptions.h"
 
 #include <algorithm>
 #include <boost/asio/post.hpp>
@@ -37,6 +38,12 @@
 };
 using CallPtr = std::shared_ptr<BackendCall>;
 
+/// A connection without a request.
+struct IdleConnection {
+  SocketPtr Socket;
+  Clock::time_point Since;
+};
+
 /// Returns whether an unused connection is still open and has no bytes to read,
 /// which could only be the end of the stream or a response to nobody.
 bool quiet(tcp::socket &Socket) {
@@ -77,11 +84,11 @@
   /// Finds a connection for a call, or lets it wait for one.
   void acquire(const CallPtr &Call) {
     while (!Idle.empty()) {
-      SocketPtr Socket = std::move(Idle.back());
+      auto [Socket, Since] = std::move(Idle.back());
       Idle.pop_back();
       beast::error_code Ignored;
       Socket->cancel(Ignored);
-      if (!quiet(*Socket)) {
+      if (Clock::now() - Since > Settings.MaxIdle || !quiet(*Socket)) {
         drop(Socket);
         continue;
       }
@@ -110,6 +117,7 @@
           }
           beast::error_code Ignored;
           Socket->set_option(tcp::no_delay(true), Ignored);
+          setUserTimeout(*Socket, Self->Settings.UnacknowledgedLimit);
           Self->send(Call, Socket);
         });
   }
@@ -119,9 +127,10 @@
     auto Left = std::chrono::duration_cast<Duration>(Call->Timer.expiry() -
                                                      Clock::now());
     if (Settings.SendDeadline)
-      setDeadline(*Call->Message, Left);
+      Settings.Fields->setDeadline(*Call->Message, Left);
     Call->Exchange = std::make_shared<BackendExchange>(
         std::move(Socket), Call->Message, Settings.MaxResponse,
+        *Settings.Fields,
         [Self = shared_from_this(), Weak = std::weak_ptr<BackendCall>(Call)](
             BackendExchange::Result Outcome, bool Reusable) {
           if (CallPtr Call = Weak.lock())
@@ -151,7 +160,7 @@
 
   /// Keeps an unused connection, and closes it once the backend server does.
   void park(const SocketPtr &Socket) {
-    Idle.push_back(Socket);
+    Idle.push_back({Socket, Clock::now()});
     Socket->async_wait(tcp::socket::wait_read,
                        [Self = shared_from_this(), Socket](beast::error_code) {
                          Self->readable(Socket);
@@ -159,7 +168,7 @@
   }
 
   void readable(const SocketPtr &Socket) {
-    auto Found = std::find(Idle.begin(), Idle.end(), Socket);
+    auto Found = std::ranges::find(Idle, Socket, &IdleConnection::Socket);
     if (Found == Idle.end() || quiet(*Socket))
       return;
     Idle.erase(Found);
@@ -234,16 +243,18 @@
     });
   }
 
-  void probe() {
+  void probe(std::string Target) {
     HttpRequest Request;
     Request.Method = "GET";
-    Request.Target = Settings.HealthTarget;
+    Request.Target = std::move(Target);
     CallPtr Call = begin(std::move(Request), Settings.ProbeTimeout);
     Call->OnEnd = [this, Start = Clock::now()](
                       const BackendExchange::Result &Outcome) {
       ProbeDone Done;
       const auto *Response = std::get_if<HttpResponse>(&Outcome);
       Done.Healthy = Response != nullptr && Response->Status == 200;
+      if (Response)
+        Done.Headers = Response->Headers;
       Done.Took = std::chrono::duration_cast<Duration>(Clock::now() - Start);
       Handler.probeDone(Done);
     };
@@ -255,17 +266,22 @@
     for (const CallPtr &Call : Copy)
       release(Call);
     Runs.clear();
+    closeIdle();
+  }
+
+  void closeIdle() {
     auto Unused = std::move(Idle);
     Idle.clear();
-    for (const SocketPtr &Socket : Unused)
-      drop(Socket);
+    for (const IdleConnection &Entry : Unused)
+      drop(Entry.Socket);
   }
 
   asio::io_context &Context;
   BackendHandler &Handler;
   BackendSettings Settings;
   std::optional<tcp::endpoint> Endpoint;
-  std::vector<SocketPtr> Idle; ///< Unused connections, last used at the back.
+  std::vector<IdleConnection>
+      Idle;                    ///< Unused connections, last used at the back.
   std::deque<CallPtr> Waiting; ///< Calls for which no connection is free.
   std::unordered_set<CallPtr> Calls; ///< All calls under way.
   std::unordered_map<RunId, CallPtr> Runs;
@@ -285,6 +301,12 @@
 
 void BackendClient::cancel(RunId Run) { Impl->cancel(Run); }
 
-void BackendClient::probe() { Impl->probe(); }
+void BackendClient::probe() { Impl->probe(Impl->Settings.HealthTarget); }
+
+void BackendClient::probe(std::string Target) {
+  Impl->probe(std::move(Target));
+}
+
+void BackendClient::closeIdle() { Impl->closeIdle(); }
 
 } // namespace figsail
--- a/src/shell/BackendClient.h
+++ b/src/shell/BackendClient.h
@@ -3,6 +3,8 @@
 #ifndef FIGSAIL_BACKENDCLIENT_H
 #define FIGSAIL_BACKENDCLIENT_H
 
+#include "BackendFields.h"
+
 #include "figsail/Events.h"
 
 #include <boost/asio/io_context.hpp>
@@ -27,7 +29,14 @@
   std::size_t MaxResponse =
       std::size_t{8} * 1024 * 1024; ///< Bytes of a response body.
   Duration ProbeTimeout{std::chrono::seconds(1)};
-  bool SendDeadline = true; ///< Send the field Figsail-Deadline-Ms.
+  bool SendDeadline = true; ///< Tell the backend server the remaining time.
+  std::shared_ptr<const BackendFields> Fields =
+      std::make_shared<BackendFields>();
+  Duration MaxIdle{
+      std::chrono::seconds(60)}; ///< Connections unused for longer are closed.
+  Duration UnacknowledgedLimit{std::chrono::seconds(
+      15)}; ///< A connection whose data the server's host does not
+            ///< acknowledge for so long is broken.
 };
 
 /// Pooled connections to one backend server.
@@ -44,6 +53,10 @@
   void cancel(RunId Run);
   /// Asks the health endpoint; ends in BackendHandler::probeDone().
   void probe();
+  /// The same at another target than that of the settings.
+  void probe(std::string Target);
+  /// Closes all unused connections: the backend server has changed.
+  void closeIdle();
 
 private:
   struct State;
--- a/src/shell/BackendExchange.cpp
+++ b/src/shell/BackendExchange.cpp
@@ -38,17 +38,23 @@
   return Message;
 }
 
-void setDeadline(BackendExchange::Message &Message, Duration Budget) {
-  auto Millis = std::chrono::duration_cast<std::chrono::milliseconds>(Budget);
+void BackendFields::setDeadline(Message &Request, Duration Left) const {
+  auto Millis = std::chrono::duration_cast<std::chrono::milliseconds>(Left);
   auto Rounded = std::max<std::chrono::milliseconds::rep>(1, Millis.count());
-  Message.set(DeadlineField, std::to_string(Rounded));
+  Request.set(DeadlineField, std::to_string(Rounded));
+}
+
+ResponseMatch BackendFields::match(const Message &,
+                                   const HttpResponse &) const {
+  return ResponseMatch::Own;
 }
 
 BackendExchange::BackendExchange(std::shared_ptr<asio::ip::tcp::socket> Socket,
                                  std::shared_ptr<const Message> Request,
-                                 std::size_t MaxResponse, EndHandler OnEnd)
+                                 std::size_t MaxResponse,
+                                 const BackendFields &Fields, EndHandler OnEnd)
     : Socket(std::move(Socket)), Request(std::move(Request)),
-      MaxResponse(MaxResponse), OnEnd(std::move(OnEnd)) {}
+      MaxResponse(MaxResponse), Fields(Fields), OnEnd(std::move(OnEnd)) {}
 
 void BackendExchange::start() {
   http::async_write(
@@ -125,6 +131,16 @@
     Headers.emplace_back("Content-Length", std::move(Length));
 }
 
+HttpResponse BackendExchange::takeResponse() {
+  HttpResponse Whole;
+  Whole.Status = Response->get().result_int();
+  Whole.Body = std::move(Response->get().body());
+  bool Bodiless = Request->method() == http::verb::head || Whole.Status == 304;
+  keepEndToEnd(Headers, Bodiless);
+  Whole.Headers = std::move(Headers);
+  return Whole;
+}
+
 void BackendExchange::bodyRead(beast::error_code Error) {
   if (!OnEnd)
     return;
@@ -132,12 +148,17 @@
     readFailed();
     return;
   }
-  HttpResponse Whole;
-  Whole.Status = Response->get().result_int();
-  Whole.Body = std::move(Response->get().body());
-  bool Bodiless = Request->method() == http::verb::head || Whole.Status == 304;
-  keepEndToEnd(Headers, Bodiless);
-  Whole.Headers = std::move(Headers);
+  HttpResponse Whole = takeResponse();
+  switch (Fields.match(*Request, Whole)) {
+  case ResponseMatch::Own:
+    break;
+  case ResponseMatch::Foreign:
+    readHead();
+    return;
+  case ResponseMatch::Unusable:
+    end(BackendError::Malformed, false);
+    return;
+  }
   // Bytes after the response belong to no request; they must not be taken for
   // the response to the next one.
   bool Reusable = Written && Response->keep_alive() && Buffer.size() == 0;
--- a/src/shell/BackendExchange.h
+++ b/src/shell/BackendExchange.h
@@ -4,6 +4,8 @@
 #ifndef FIGSAIL_BACKENDEXCHANGE_H
 #define FIGSAIL_BACKENDEXCHANGE_H
 
+#include "BackendFields.h"
+
 #include "figsail/Events.h"
 
 #include <boost/asio/ip/tcp.hpp>
@@ -23,12 +25,14 @@
   using Result = std::variant<HttpResponse, BackendError>;
   /// Reusable: the connection may carry another request.
   using EndHandler = std::function<void(Result Outcome, bool Reusable)>;
-  using Message = boost::beast::http::request<boost::beast::http::string_body>;
+  using Message = BackendFields::Message;
 
-  /// The request must not change until the end or abandon().
+  /// The request must not change until the end or abandon(). Fields outlives
+  /// the exchange.
   BackendExchange(std::shared_ptr<boost::asio::ip::tcp::socket> Socket,
                   std::shared_ptr<const Message> Request,
-                  std::size_t MaxResponse, EndHandler OnEnd);
+                  std::size_t MaxResponse, const BackendFields &Fields,
+                  EndHandler OnEnd);
 
   /// Starts to write and to read.
   void start();
@@ -43,6 +47,7 @@
   void headRead(boost::beast::error_code Error);
   void readBody();
   void bodyRead(boost::beast::error_code Error);
+  HttpResponse takeResponse();
   void writeDone(boost::beast::error_code Error, std::size_t Bytes);
   void readFailed();
   void end(Result Outcome, bool Reusable);
@@ -50,7 +55,8 @@
   std::shared_ptr<boost::asio::ip::tcp::socket> Socket;
   std::shared_ptr<const Message> Request;
   std::size_t MaxResponse; ///< Bytes of the response body.
-  EndHandler OnEnd;        ///< Null after the end.
+  const BackendFields &Fields;
+  EndHandler OnEnd; ///< Null after the end.
   boost::beast::flat_buffer Buffer;
   std::optional<Parser> Response;
   HeaderList Headers;   ///< Fields of the response head, without trailers.
@@ -62,10 +68,6 @@
 BackendExchange::Message backendMessage(HttpRequest Request,
                                         const std::string &Host);
 
-/// Sets the field that tells the backend server the remaining budget, in whole
-/// milliseconds, at least 1.
-void setDeadline(BackendExchange::Message &Message, Duration Budget);
-
 } // namespace figsail
 
 #endif // FIGSAIL_BACKENDEXCHANGE_H
--- a/src/shell/Declarations.cpp
+++ b/src/shell/Declarations.cpp
@@ -35,7 +35,10 @@
       if (!Document.IsNull())
         readNode(Document, "", std::nullopt, 0);
     } catch (const YAML::BadFile &) {
-      Errors.push_back({{File, 0}, "", "the file cannot be read"});
+      DeclarationError Unreadable;
+      Unreadable.Place.File = File;
+      Unreadable.Text = "the file cannot be read";
+      Errors.push_back(std::move(Unreadable));
     } catch (const YAML::Exception &Error) {
       Errors.push_back({place(Error.mark), "", "YAML: " + Error.msg});
     }
@@ -212,8 +215,8 @@
   if (Error.Place.Line > 0)
     Text += ":" + std::to_string(Error.Place.Line);
   if (!Error.Path.empty())
-    Text += ": " + Error.Path;
-  return Text + ": " + Error.Text;
+    Text.append(": ").append(Error.Path);
+  return Text.append(": ").append(Error.Text);
 }
 
 /// Checks the tree as if it were published to an empty state.
--- a/src/shell/HttpExchange.cpp
+++ b/src/shell/HttpExchange.cpp
@@ -3,6 +3,7 @@
 #include "HttpExchange.h"
 
 #include "Endpoint.h"
+#include "SocketOptions.h"
 
 #include <boost/asio/post.hpp>
 
@@ -53,6 +54,7 @@
     return finish(std::nullopt);
   error_code Ignored;
   Stream.socket().set_option(asio::ip::tcp::no_delay(true), Ignored);
+  setKeepAlive(Stream.socket());
   write();
 }
 
--- a/src/shell/HttpFrontend.cpp
+++ b/src/shell/HttpFrontend.cpp
@@ -176,6 +176,10 @@
   Connection->answer(std::move(Response));
 }
 
+void HttpFrontend::configure(const FrontendSettings &Settings) {
+  Impl->Settings = Settings;
+}
+
 void HttpFrontend::drain() { Impl->drain(); }
 
 std::size_t HttpFrontend::busyConnections() const {
--- a/src/shell/HttpFrontend.h
+++ b/src/shell/HttpFrontend.h
@@ -55,6 +55,8 @@
   std::uint16_t port() const;
   /// Answers a request. Unknown or gone callers are ignored.
   void reply(CallerId Caller, HttpResponse Response);
+  /// Changes the bounds for what arrives from now on.
+  void configure(const FrontendSettings &Settings);
   /// Stops to accept; each connection closes after its present request.
   void drain();
   /// Returns the number of open connections with a request under way.
--- a/src/shell/Logging.cpp
+++ b/src/shell/Logging.cpp
@@ -2,6 +2,8 @@
 
 #include "Logging.h"
 
+#include "DecisionLog.h"
+
 #include <log4cxx/basicconfigurator.h>
 #include <log4cxx/consoleappender.h>
 #include <log4cxx/logger.h>
@@ -21,14 +23,24 @@
   Logger::getRootLogger()->setLevel(Level::getInfo());
 }
 
+static bool Structured = false;
+
+void useStructuredLines() { Structured = true; }
+
+void logLine(const log4cxx::LevelPtr &Level, const char *Component,
+             const std::string &Line) {
+  log4cxx::Logger::getLogger(Component)->log(Level, Line,
+                                             log4cxx::spi::LocationInfo());
+}
+
 /// Writes a line unless no appender is configured; log4cxx would complain on
 /// standard error about each program that uses the library without one.
 static void writeLine(const char *Component, const std::string &Line,
                       const log4cxx::LevelPtr &Level) {
   if (log4cxx::Logger::getRootLogger()->getAllAppenders().empty())
     return;
-  log4cxx::Logger::getLogger(Component)->log(Level, Line,
-                                             log4cxx::spi::LocationInfo());
+  logLine(Level, Component,
+          Structured ? "\"message\":\"" + jsonText(Line) + "\"" : Line);
 }
 
 void logInfo(const char *Component, const std::string &Line) {
--- /dev/null
+++ b/src/shell/MetricsText.h
@@ -0,0 +1,29 @@
+// MetricsText.h - Metrics as text, one "name value" a line.
+
+#ifndef FIGSAIL_METRICSTEXT_H
+#define FIGSAIL_METRICSTEXT_H
+
+#include "Metrics.h"
+
+#include <string>
+#include <string_view>
+
+namespace figsail {
+
+/// Renders all counters and latency series, and further gauges.
+class MetricsText {
+public:
+  explicit MetricsText(const Metrics &Measured);
+  void gauge(std::string_view Name, std::uint64_t Value);
+  std::string take() { return std::move(Text); }
+
+private:
+  void line(std::string_view Name, std::string_view Suffix,
+            std::uint64_t Value);
+
+  std::string Text;
+};
+
+} // namespace figsail
+
+#endif // FIGSAIL_METRICSTEXT_H
--- a/src/shell/PeerLink.cpp
+++ b/src/shell/PeerLink.cpp
@@ -4,11 +4,11 @@
 
 #include "Logging.h"
 #include "PeerCodec.h"
+#include "SocketOptions.h"
 
 #include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
 #include <iterator>
-#include <netinet/tcp.h>
 
 namespace figsail {
 
@@ -25,13 +25,6 @@
 static constexpr std::size_t KeptBufferBytes = 4096;
 static constexpr std::size_t KeptBatchSize = 16;
 
-/// Written data that the peer's host does not acknowledge for so long is given
-/// up with the link. Otherwise the kernel would deliver an Execute after a cut
-/// of many minutes, when its grant may be forgotten.
-static constexpr std::chrono::milliseconds UnacknowledgedLimit{15000};
-using UserTimeout =
-    asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
-
 static void recycle(std::string &Buffer) {
   if (Buffer.capacity() > KeptBufferBytes)
     Buffer = std::string();
@@ -83,7 +76,9 @@
   State = Phase::Greeting;
   error_code Error;
   Socket.set_option(tcp::no_delay(true), Error);
-  Socket.set_option(UserTimeout(UnacknowledgedLimit.count()), Error);
+  setUserTimeout(Socket, Common->Settings.UnacknowledgedLimit);
+  if (Common->Settings.KeepAlive)
+    setKeepAlive(Socket);
   Socket.non_blocking(true, Error);
   if (Error)
     return end(LinkEnd::Broken);
--- a/src/shell/PeerTransport.h
+++ b/src/shell/PeerTransport.h
@@ -43,6 +43,11 @@
       1024; ///< Calls waiting on one link; beyond it the link breaks.
   Duration ConnectTimeout{std::chrono::seconds(1)};
   Duration IdleTimeout{std::chrono::seconds(30)}; ///< An unused link is closed.
+  /// Written data that the peer's host does not acknowledge for so long is
+  /// given up with the link. Otherwise the kernel would deliver an Execute
+  /// after a cut of many minutes, when its grant may be forgotten.
+  Duration UnacknowledgedLimit{std::chrono::seconds(15)};
+  bool KeepAlive = false; ///< Probe idle links, so that silent ones break.
 };
 
 /// All peer links of one daemon: at most one outgoing link for each host, plus
--- /dev/null
+++ b/src/shell/SidecarDaemon.cpp
@@ -0,0 +1,390 @@
+// SidecarDaemon.cpp - Connects the sidecar's reducer to sockets, clocks and
+// signals.
+
+#include "SidecarDaemon.h"
+
+#include "Endpoint.h"
+#include "Logging.h"
+#include "MetricsText.h"
+
+#include <csignal>
+
+namespace figsail {
+
+using boost::system::error_code;
+namespace http = boost::beast::http;
+using namespace std::chrono_literals;
+
+/// Largest body of a client that is buffered. Bodies are held whole, and a host
+/// has a few hundred megabytes for all of them.
+static constexpr std::size_t MaxBufferedBody = std::size_t{8} * 1024 * 1024;
+/// Connections to the backend server; at most as many as it has slots are in
+/// use, so the bound only guards against leaks.
+static constexpr std::size_t MaxServerConnections = 128;
+/// Connections to the backend server that were unused for longer are closed: it
+/// may have forgotten them.
+static constexpr Duration MaxServerIdle = 2s;
+/// Time without an acknowledgement after which a connection is given up.
+static constexpr Duration UnacknowledgedLimit = 1500ms;
+/// How long informational lines may stay in the buffer.
+static constexpr Duration LogFlushInterval = 250ms;
+/// Time at the end of the process for clients and peers to take what was
+/// written.
+static constexpr Duration OutputLimit = 300ms;
+static constexpr Duration OutputPoll = 5ms;
+
+static TimePoint now() {
+  return std::chrono::time_point_cast<Duration>(
+      std::chrono::steady_clock::now());
+}
+
+static PeerSettings peerSettings() {
+  PeerSettings Settings;
+  Settings.UnacknowledgedLimit = UnacknowledgedLimit;
+  Settings.KeepAlive = true;
+  return Settings;
+}
+
+static FrontendSettings
+frontendSettings(const SidecarConfiguration &Configuration) {
+  FrontendSettings Settings;
+  Settings.MaxConnections = Configuration.MaxClientConnections;
+  // Clients of this kind close a connection only when they no longer wait.
+  Settings.ServeHalfClosed = false;
+  return Settings;
+}
+
+static BackendSettings
+backendSettings(const SidecarConfiguration &Configuration,
+                const SidecarPlatform &Platform) {
+  BackendSettings Settings;
+  Settings.Address = Configuration.Addresses.Server;
+  Settings.MaxConnections = MaxServerConnections;
+  Settings.Fields = Platform.Fields;
+  Settings.MaxIdle = MaxServerIdle;
+  Settings.UnacknowledgedLimit = UnacknowledgedLimit;
+  return Settings;
+}
+
+SidecarDaemon::SidecarDaemon(boost::asio::io_context &Context,
+                             SidecarConfiguration Given,
+                             const PlatformFactory &MakePlatform)
+    : Context(Context), Random(Given.Settings.Inc),
+      Configuration(std::move(Given)),
+      Platform(MakePlatform(Context, *this, Configuration)),
+      Decisions(Configuration.Settings),
+      Peers(Context, *this,
+            PeerRef{Configuration.Settings.Host, Configuration.Settings.Inc},
+            Clock, peerSettings()),
+      ClientBounds(frontendSettings(Configuration)),
+      Frontend(Context, *this, ClientBounds),
+      Backend(Context, static_cast<BackendHandler &>(*this),
+              backendSettings(Configuration, Platform)),
+      Control(Context,
+              [this](const auto &Request, const auto &Reply) {
+                controlRequest(Request, Reply);
+              }),
+      Readiness(Context,
+                [this](const auto &Request, const auto &Reply) {
+                  readinessRequest(Request, Reply);
+                }),
+      MetricsService(
+          Context,
+          [this](const auto &, const auto &Reply) { metricsRequest(Reply); }),
+      Signals(Context, SIGTERM, SIGINT, SIGHUP), WakeTimer(Context),
+      LogTimer(Context), ExitTimer(Context) {}
+
+SidecarDaemon::~SidecarDaemon() = default;
+
+std::optional<std::string> SidecarDaemon::listen(HttpService &Service,
+                                                 const std::string &Address) {
+  auto Where = parseEndpoint(Address);
+  if (!Where)
+    return "\"" + Address + "\" is not an address of the form ip:port";
+  try {
+    Service.listen(*Where);
+  } catch (const boost::system::system_error &Error) {
+    return "cannot listen on " + Address + ": " + Error.code().message();
+  }
+  return std::nullopt;
+}
+
+std::optional<std::string> SidecarDaemon::start() {
+  const SidecarAddresses &Addresses = Configuration.Addresses;
+  if (auto Error = Peers.listen(Configuration.Settings.Host))
+    return Error;
+  if (auto Error = Frontend.listen(Addresses.Clients))
+    return Error;
+  if (auto Error = listen(Readiness, Addresses.Readiness))
+    return Error;
+  if (auto Error = listen(Control, Addresses.Control))
+    return Error;
+  if (auto Error = listen(MetricsService, Addresses.Metrics))
+    return Error;
+  awaitSignal();
+  armLogTimer();
+  Decision Line{LogLevel::Info, "started", {}};
+  Line.Fields = {{"incarnation", std::to_string(Configuration.Settings.Inc)},
+                 {"domain", Configuration.Settings.FailureDomain},
+                 {"service", Configuration.Settings.Service},
+                 {"clients", Addresses.Clients},
+                 {"server", Addresses.Server},
+                 {"store", Addresses.Store}};
+  perform(Line);
+  submit(TimerFired{});
+  return std::nullopt;
+}
+
+// Input.
+
+void SidecarDaemon::backendDone(BackendDone Done) {
+  auto Start = RunStarts.find(Done.Run);
+  if (Start != RunStarts.end()) {
+    Measured.add(Latency::Runs, now() - Start->second);
+    RunStarts.erase(Start);
+  }
+  ServerDone Ended{Done.Run, std::move(Done.Result), {}};
+  if (const auto *Response = std::get_if<HttpResponse>(&Ended.Result))
+    Ended.Note = Platform.Fields->readNote(*Response);
+  submit(std::move(Ended));
+}
+
+void SidecarDaemon::probeDone(ProbeDone Done) {
+  submit(Platform.Fields->readProbe(Done));
+}
+
+/// The route is chosen when the request is whole: it depends on the host too.
+HeadVerdict SidecarDaemon::checkHead(std::string_view, std::string_view) {
+  return ReadBody{
+      std::min(Decisions.clientLimits().BodyBytes, MaxBufferedBody)};
+}
+
+void SidecarDaemon::callerRequest(CallerId Caller, HttpRequest Request) {
+  CallStarts[Caller] = now();
+  submit(Platform.Fields->decodeRequest(Caller, std::move(Request)));
+}
+
+void SidecarDaemon::callerGone(CallerId Caller) {
+  CallStarts.erase(Caller);
+  submit(CallerGone{Caller});
+}
+
+void SidecarDaemon::peerReceived(PeerReceived Message) {
+  submit(std::move(Message));
+}
+void SidecarDaemon::peerConnected(PeerConnected Peer) {
+  submit(std::move(Peer));
+}
+void SidecarDaemon::peerLost(PeerLost Lost) { submit(std::move(Lost)); }
+void SidecarDaemon::storeEvent(SidecarEventBody Body) {
+  submit(std::move(Body));
+}
+
+void SidecarDaemon::controlRequest(const HttpService::Request &Request,
+                                   const HttpService::Reply &Reply) {
+  std::string_view Target(Request.target().data(), Request.target().size());
+  std::string_view Method(Request.method_string().data(),
+                          Request.method_string().size());
+  if (Platform.Reports->asksReadiness(Target))
+    return readinessRequest(Request, Reply);
+  Report Decoded = Platform.Reports->decode(Method, Target, Request.body());
+  if (const auto *Bad = std::get_if<BadReport>(&Decoded)) {
+    Decision Line{LogLevel::Warning, "report-unusable", {}};
+    Line.Fields = {{"target", std::string(Target)}, {"reason", Bad->Reason}};
+    perform(Line);
+    return Reply(makeResponse(http::int_to_status(Bad->Status),
+                              Bad->Reason + "\n", "text/plain"));
+  }
+  ReportId Number = ++LastReport;
+  Reports[Number] = Reply;
+  if (auto *Beat = std::get_if<ServerHeartbeat>(&Decoded)) {
+    Beat->Report = Number;
+    return submit(std::move(*Beat));
+  }
+  auto &Leave = std::get<ServerLeaves>(Decoded);
+  Leave.Report = Number;
+  submit(std::move(Leave));
+}
+
+void SidecarDaemon::readinessRequest(const HttpService::Request &,
+                                     const HttpService::Reply &Reply) {
+  Reply(
+      makeResponse(Ready ? http::status::ok : http::status::service_unavailable,
+                   Ready ? "ready\n" : "not ready\n", "text/plain"));
+}
+
+void SidecarDaemon::metricsRequest(const HttpService::Reply &Reply) {
+  MetricsText Text(Measured);
+  Text.gauge("ready", Ready ? 1 : 0);
+  Text.gauge("peer_links", Peers.linkCount());
+  Text.gauge("peer_bytes_sent", Peers.bytesSent());
+  Text.gauge("peer_bytes_received", Peers.bytesReceived());
+  Text.gauge("log_lines_left_out", Log.leftOut() + droppedLogLines());
+  Text.gauge("known_hosts", Decisions.directory().all().size());
+  Reply(makeResponse(http::status::ok, Text.take(), "text/plain"));
+}
+
+void SidecarDaemon::awaitSignal() {
+  Signals.async_wait([this](const error_code &Error, int Number) {
+    if (Error)
+      return;
+    Decision Line{LogLevel::Info, Number == SIGHUP ? "reload" : "stop", {}};
+    perform(Line);
+    if (Number != SIGHUP)
+      submit(StopRequested{});
+    awaitSignal();
+  });
+}
+
+void SidecarDaemon::armLogTimer() {
+  LogTimer.expires_after(LogFlushInterval);
+  LogTimer.async_wait([this](const error_code &Error) {
+    if (Error)
+      return;
+    flushLog();
+    armLogTimer();
+  });
+}
+
+// Events.
+
+void SidecarDaemon::submit(SidecarEventBody Body) {
+  Waiting.push_back(std::move(Body));
+  if (Applying)
+    return;
+  Applying = true;
+  while (!Waiting.empty()) {
+    SidecarEventBody Next = std::move(Waiting.front());
+    Waiting.pop_front();
+    apply(std::move(Next));
+  }
+  Applying = false;
+  armTimer();
+}
+
+void SidecarDaemon::apply(SidecarEventBody Body) {
+  if (Exiting)
+    return;
+  SidecarEvent Input{now(), Random(), std::move(Body)};
+  for (SidecarEffect &Action : Decisions.apply(std::move(Input)))
+    std::visit([this](auto &Body) { perform(Body); }, Action);
+}
+
+void SidecarDaemon::armTimer() {
+  TimePoint Due = Exiting ? TimePoint::max() : Decisions.nextWake();
+  if (Due == ArmedFor)
+    return;
+  ArmedFor = Due;
+  if (Due == TimePoint::max()) {
+    WakeTimer.cancel();
+    return;
+  }
+  WakeTimer.expires_at(Due);
+  WakeTimer.async_wait([this](const error_code &Error) {
+    if (Error)
+      return;
+    ArmedFor = TimePoint::max();
+    submit(TimerFired{});
+  });
+}
+
+// Effects.
+
+void SidecarDaemon::perform(ReplyCaller &Action) {
+  auto Start = CallStarts.find(Action.Caller);
+  if (Start != CallStarts.end()) {
+    Measured.add(Latency::Calls, now() - Start->second);
+    CallStarts.erase(Start);
+  }
+  Frontend.reply(Action.Caller, std::move(Action.Response));
+}
+
+void SidecarDaemon::perform(SendPeer &Action) {
+  Peers.send(Action.Host, std::move(Action.Message));
+}
+
+void SidecarDaemon::perform(ResetPeer &Action) { Peers.reset(Action.Host); }
+
+void SidecarDaemon::perform(RunServer &Action) {
+  RunStarts[Action.Run] = now();
+  Platform.Fields->expectInstance(Action.Request, Action.Instance);
+  Backend.run(Action.Run, std::move(Action.Request), Action.Budget);
+}
+
+void SidecarDaemon::perform(CancelRun &Action) { Backend.cancel(Action.Run); }
+
+void SidecarDaemon::perform(ProbeServer &Action) {
+  Backend.probe(Action.Target);
+}
+
+void SidecarDaemon::perform(AnswerReport &Action) {
+  auto Found = Reports.extract(Action.Report);
+  if (Found.empty())
+    return;
+  if (!Action.Accepted)
+    return Found.mapped()(makeResponse(http::status::bad_request,
+                                       "the report names no usable server\n",
+                                       "text/plain"));
+  auto [Type, Text] = Platform.Reports->acknowledgement();
+  Found.mapped()(makeResponse(http::status::ok, std::move(Text), Type));
+}
+
+void SidecarDaemon::perform(ReadTopicSnapshot &Action) {
+  Platform.Store->readSnapshot(Action.Which);
+}
+
+void SidecarDaemon::perform(ReadTopic &Action) { Platform.Store->read(Action); }
+
+void SidecarDaemon::perform(Announce &Action) {
+  Platform.Store->append(Action.Said);
+}
+
+void SidecarDaemon::perform(SetClientLimits &Action) {
+  ClientBounds.MaxHead = Action.Limits.HeadBytes;
+  ClientBounds.HeadTimeout = Action.Limits.HeadTimeout;
+  ClientBounds.IdleTimeout = Action.Limits.IdleTimeout;
+  Frontend.configure(ClientBounds);
+}
+
+void SidecarDaemon::perform(SetReadiness &Action) {
+  Ready = Action.Ready;
+  Decision Line{LogLevel::Info, Ready ? "ready" : "not-ready", {}};
+  perform(Line);
+}
+
+void SidecarDaemon::perform(CloseClients &) { Frontend.drain(); }
+
+void SidecarDaemon::perform(Decision &Action) { Log.write(now(), Action); }
+
+void SidecarDaemon::perform(Count &Action) {
+  Measured.count(Action.Which, Action.By);
+}
+
+void SidecarDaemon::perform(ExitProcess &) {
+  if (Exiting)
+    return;
+  Exiting = true;
+  Frontend.drain();
+  finishOutput(now() + OutputLimit);
+}
+
+/// Stops the event loop when clients and peers have taken everything, at the
+/// latest at Limit.
+void SidecarDaemon::finishOutput(TimePoint Limit) {
+  Peers.close();
+  bool Finished = Frontend.busyConnections() == 0 && Peers.linkCount() == 0;
+  if (Finished || now() >= Limit) {
+    Decision Line{LogLevel::Info, "stopped", {}};
+    perform(Line);
+    flushLog();
+    Context.stop();
+    return;
+  }
+  ExitTimer.expires_after(OutputPoll);
+  ExitTimer.async_wait([this, Limit](const error_code &Error) {
+    if (!Error)
+      finishOutput(Limit);
+  });
+}
+
+} // namespace figsail
--- /dev/null
+++ b/src/shell/SidecarDaemon.h
@@ -0,0 +1,128 @@
+// SidecarDaemon.h - Connects the sidecar's reducer to sockets, clocks and
+// signals.
+
+#ifndef FIGSAIL_SIDECARDAEMON_H
+#define FIGSAIL_SIDECARDAEMON_H
+
+#include "BackendClient.h"
+#include "DecisionLog.h"
+#include "HttpFrontend.h"
+#include "HttpService.h"
+#include "Metrics.h"
+#include "PeerTransport.h"
+#include "Sidecar.h"
+#include "SidecarPlatform.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <deque>
+#include <functional>
+#include <optional>
+#include <random>
+#include <string>
+#include <unordered_map>
+
+namespace figsail {
+
+/// One sidecar: turns input into events, carries out the effects.
+class SidecarDaemon : private BackendHandler,
+                      private FrontendHandler,
+                      private PeerHandler,
+                      private StoreHandler {
+public:
+  /// Builds the platform's side for a daemon, which receives the store's
+  /// events.
+  using PlatformFactory = std::function<SidecarPlatform(
+      boost::asio::io_context &Context, StoreHandler &Handler,
+      const SidecarConfiguration &Configuration)>;
+
+  /// Configuration.Settings.Inc names this process.
+  SidecarDaemon(boost::asio::io_context &Context,
+                SidecarConfiguration Configuration,
+                const PlatformFactory &MakePlatform);
+  ~SidecarDaemon() override;
+
+  /// Starts to listen and to work. Returns an error text, or nothing. The event
+  /// loop is stopped when the reducer asks for the end of the process.
+  std::optional<std::string> start();
+
+private:
+  // Input.
+  void backendDone(BackendDone Done) override;
+  void probeDone(ProbeDone Done) override;
+  HeadVerdict checkHead(std::string_view Method,
+                        std::string_view Target) override;
+  void callerRequest(CallerId Caller, HttpRequest Request) override;
+  void callerGone(CallerId Caller) override;
+  void peerReceived(PeerReceived Message) override;
+  void peerConnected(PeerConnected Peer) override;
+  void peerLost(PeerLost Lost) override;
+  void storeEvent(SidecarEventBody Body) override;
+  void controlRequest(const HttpService::Request &Request,
+                      const HttpService::Reply &Reply);
+  void readinessRequest(const HttpService::Request &Request,
+                        const HttpService::Reply &Reply);
+  void metricsRequest(const HttpService::Reply &Reply);
+  std::optional<std::string> listen(HttpService &Service,
+                                    const std::string &Address);
+  void awaitSignal();
+  void armLogTimer();
+
+  // Events.
+  void submit(SidecarEventBody Body);
+  void apply(SidecarEventBody Body);
+  void armTimer();
+
+  // Effects.
+  void perform(ReplyCaller &Action);
+  void perform(SendPeer &Action);
+  void perform(ResetPeer &Action);
+  void perform(RunServer &Action);
+  void perform(CancelRun &Action);
+  void perform(ProbeServer &Action);
+  void perform(AnswerReport &Action);
+  void perform(ReadTopicSnapshot &Action);
+  void perform(ReadTopic &Action);
+  void perform(Announce &Action);
+  void perform(SetClientLimits &Action);
+  void perform(SetReadiness &Action);
+  void perform(CloseClients &Action);
+  void perform(Decision &Action);
+  void perform(Count &Action);
+  void perform(ExitProcess &Action);
+  void finishOutput(TimePoint Limit);
+
+  boost::asio::io_context &Context;
+  std::mt19937_64 Random;
+  SidecarConfiguration Configuration;
+  SidecarPlatform Platform;
+  LamportClock Clock;
+  Metrics Measured;
+  DecisionLog Log;
+  Sidecar Decisions;
+  PeerTransport Peers;
+  FrontendSettings ClientBounds;
+  HttpFrontend Frontend;
+  BackendClient Backend;
+  HttpService Control;
+  HttpService Readiness;
+  HttpService MetricsService;
+  boost::asio::signal_set Signals;
+  boost::asio::steady_timer WakeTimer;
+  boost::asio::steady_timer LogTimer;
+  boost::asio::steady_timer ExitTimer;
+  TimePoint ArmedFor = TimePoint::max();
+  std::deque<SidecarEventBody> Waiting;
+  bool Applying = false;
+  bool Ready = false;
+  bool Exiting = false;
+  ReportId LastReport = 0;
+  std::unordered_map<ReportId, HttpService::Reply> Reports;
+  std::unordered_map<CallerId, TimePoint> CallStarts;
+  std::unordered_map<RunId, TimePoint> RunStarts;
+};
+
+} // namespace figsail
+
+#endif // FIGSAIL_SIDECARDAEMON_H
--- /dev/null
+++ b/src/sidecar/CallRouter.cpp
@@ -0,0 +1,474 @@
+// CallRouter.cpp - Calls of clients, from arrival to the one answer.
+
+#include "CallRouter.h"
+
+#include <algorithm>
+#include <array>
+#include <cstdio>
+
+namespace figsail {
+
+using namespace std::chrono_literals;
+
+/// The daemon beside the server confirms at once; the round trip between
+/// regions takes about 60 ms, and a busy daemon has a fifth of a core.
+static constexpr Duration ConfirmTimeout = 200ms;
+/// A confirmed call is asked after at this interval, so that a link which went
+/// silent is noticed.
+static constexpr Duration RunningCheckInterval = 500ms;
+/// Questions without a reply before the daemon counts as unreachable.
+static constexpr std::uint32_t MaxSilentChecks = 2;
+/// Refusals by daemons before the client is told: by then the views of load are
+/// of little use, and the client waits.
+static constexpr std::uint32_t MaxRefusals = 3;
+/// Time limit of a call when neither client nor route says one.
+static constexpr Duration DefaultTimeout = 30s;
+/// Bounds of the time after which a refused client returns.
+static constexpr Duration MinReturn = 30ms;
+static constexpr Duration MaxReturn = 1s;
+/// A client is told to return within this share of its time, since clients
+/// give up on later ones.
+static constexpr double MaxReturnShare = 1.0 / 3;
+/// Share of the operator's retry ratio and slack that is used. The rest covers
+/// calls that a repeated run makes, which other daemons send.
+static constexpr double RetryShare = 0.5;
+
+CallRouter::CallRouter(const SidecarSettings &Settings)
+    : Self{Settings.Host, Settings.Inc}, Here{Settings.Region,
+                                              Settings.FailureDomain},
+      Bounds(Settings.Bounds),
+      Selector(Settings.Host, Here, makePowerOfTwoChoices()),
+      Link(Settings.RegionLinkBytes) {
+  setHostCounts(1, 1);
+}
+
+void CallRouter::setHostCounts(std::size_t All, std::size_t InRegion) {
+  Link.share(InRegion);
+  double Slack = Bounds.RetrySlack * RetryShare /
+                 static_cast<double>(std::max<std::size_t>(1, All));
+  double Window = std::chrono::duration<double>(Bounds.RetryWindow).count();
+  // Half of the slack comes as the burst, half over the window.
+  Budget.configure(RetryLimits{Bounds.RetryRatio * RetryShare,
+                               Slack / 2 / Window, std::max(1.0, Slack / 2)});
+}
+
+// Calls.
+
+CallRouter::Call *CallRouter::find(const CallId &Id, const PeerRef &From) {
+  if (Id.Ingress != Self.Inc)
+    return nullptr;
+  auto Found = ByAttempt.find(Id.Sequence);
+  if (Found == ByAttempt.end())
+    return nullptr;
+  Call &Current = Calls.at(Found->second);
+  return Current.Executor.Host == From.Host ? &Current : nullptr;
+}
+
+void CallRouter::wakeAt(Call &Current, TimePoint At) {
+  WakeOrder.erase({Current.WakeAt, Current.Number});
+  Current.WakeAt = std::min(At, Current.Deadline);
+  WakeOrder.insert({Current.WakeAt, Current.Number});
+}
+
+void CallRouter::forget(Call &Current) {
+  std::uint64_t Number = Current.Number;
+  WakeOrder.erase({Current.WakeAt, Number});
+  ByAttempt.erase(Current.Id.Sequence);
+  ByCaller.erase(Current.Caller);
+  Calls.erase(Number);
+}
+
+void CallRouter::request(RouterStep &Step, ClientRequest Arrived) {
+  Step.Out.emplace_back(Count{Counter::Calls});
+  RoutePtr Route;
+  if (Step.Config)
+    Route = Step.Config->find(Arrived.Host, Arrived.Request.Target);
+  Duration Limit = Arrived.Patience.value_or(DefaultTimeout);
+  if (!Route) {
+    ErrorKind Kind =
+        Step.Config ? ErrorKind::NoRoute : ErrorKind::NoBackendServer;
+    Decision Line{LogLevel::Warning, "call-unrouted", {}};
+    Line.Fields = {{"id", Arrived.Id},
+                   {"host", Arrived.Host},
+                   {"reason", std::string(errorEntry(Kind).Name)},
+                   {"version", Step.Config
+                                   ? std::to_string(Step.Config->Version)
+                                   : "none"}};
+    Step.Out.emplace_back(std::move(Line));
+    Step.Out.emplace_back(Count{Counter::CallsRefused});
+    Step.Out.emplace_back(ReplyCaller{
+        Arrived.Caller, refusal(Step, Kind, Step.Now + Limit, Duration(0))});
+    return;
+  }
+  std::uint64_t Number = NextNumber++;
+  Call &New = Calls[Number];
+  New.Number = Number;
+  New.Caller = Arrived.Caller;
+  New.ClientId = std::move(Arrived.Id);
+  New.Request = std::move(Arrived.Request);
+  New.Service = Splits.next(*Route);
+  New.Arrived = Step.Now;
+  // A client that has waited elsewhere before says so by a shorter patience.
+  Duration Spent = std::max(Duration(0), Route->Timeout - Limit);
+  New.Target = Step.Now + Route->TargetLatency - Spent;
+  New.Deadline = Step.Now + std::min(Limit, Route->Timeout);
+  New.Route = std::move(Route);
+  ByCaller[New.Caller] = Number;
+  Budget.called(Step.Now, New.Service);
+  advance(Step, New);
+}
+
+void CallRouter::callerGone(RouterStep &Step, CallerId Caller) {
+  auto Found = ByCaller.find(Caller);
+  if (Found == ByCaller.end())
+    return;
+  Call &Current = Calls.at(Found->second);
+  if (!Current.Executor.Host.empty())
+    Step.Out.emplace_back(SendPeer{Current.Executor.Host, Cancel{Current.Id}});
+  settle(Step, Current, true, nullptr);
+  logEnd(Step, Current, HttpResponse{}, "client-gone");
+  forget(Current);
+}
+
+// Choice.
+
+const Member *CallRouter::choose(RouterStep &Step, const Call &Current) {
+  std::vector<const Member *> Eligible;
+  const std::vector<std::string> &Home = Current.Route->HomeRegions;
+  for (const Member &Who : Step.Directory.ready(Current.Service)) {
+    if (Step.Evacuated.contains(Who.FailureDomain))
+      continue;
+    if (!Home.empty() && std::ranges::find(Home, Who.Region) == Home.end())
+      continue;
+    Eligible.push_back(&Who);
+  }
+  if (Eligible.empty())
+    return nullptr;
+  return Selector.choose(Step.Now, Eligible, Current.Tried,
+                         Link.available(Step.Now), Step.Seed);
+}
+
+void CallRouter::advance(RouterStep &Step, Call &Current) {
+  if (Step.Now >= Current.Deadline)
+    return deadlinePassed(Step, Current);
+  const Member *To =
+      Current.Refusals < MaxRefusals ? choose(Step, Current) : nullptr;
+  if (To)
+    return send(Step, Current, *To);
+  if (Current.Spare)
+    return deliver(Step, Current, std::move(*Current.Spare));
+  fail(Step, Current, Current.LastError);
+}
+
+void CallRouter::send(RouterStep &Step, Call &Current, const Member &To) {
+  ByAttempt.erase(Current.Id.Sequence);
+  Current.Id = {Self.Inc, NextSequence++};
+  ByAttempt[Current.Id.Sequence] = Current.Number;
+  Current.Executor = {To.Host, To.Inc};
+  Current.Instance = Step.Directory.find(To.Host)->Instance;
+  Current.Confirmed = false;
+  Current.Asking = false;
+  Current.SilentChecks = 0;
+  Current.Outstanding = true;
+  Selector.sent(Step.Now, To.Host);
+  if (To.FailureDomain != Here.FailureDomain)
+    Step.Out.emplace_back(Count{Counter::CrossDomain});
+  if (To.Region != Here.Region) {
+    std::size_t Bytes =
+        messageSize(Current.Request.Headers, Current.Request.Body);
+    Link.sent(Step.Now, Bytes);
+    Step.Out.emplace_back(Count{Counter::CrossRegion});
+    Step.Out.emplace_back(Count{Counter::CrossRegionBytes, Bytes});
+  }
+  Execute Message;
+  Message.Call = Current.Id;
+  Message.Target = To.Inc;
+  Message.Policy.Route = Current.Route->Name;
+  Message.Policy.Service = Current.Service;
+  Message.Policy.HomeRegions = Current.Route->HomeRegions;
+  Message.Policy.Idempotent = Current.Route->Idempotent;
+  Message.Policy.Priority = Current.Route->Priority;
+  Message.BudgetMicros = (Current.Deadline - Step.Now).count();
+  Message.TargetMicros = (Current.Target - Step.Now).count();
+  Message.Instance = Current.Instance;
+  Message.Request = Current.Request;
+  Step.Out.emplace_back(SendPeer{To.Host, std::move(Message)});
+  wakeAt(Current, Step.Now + ConfirmTimeout);
+}
+
+// Replies of daemons.
+
+void CallRouter::received(RouterStep &Step, const PeerRef &From,
+                          const CallId &Id) {
+  Call *Current = find(Id, From);
+  if (!Current)
+    return;
+  Current->Confirmed = true;
+  Current->Asking = false;
+  Current->SilentChecks = 0;
+  wakeAt(*Current, Step.Now + RunningCheckInterval);
+}
+
+void CallRouter::answered(RouterStep &Step, const PeerRef &From,
+                          Answer Message) {
+  Call *Current = find(Message.Call, From);
+  if (!Current) {
+    Step.Out.emplace_back(Count{Counter::StaleMessages});
+    return;
+  }
+  const Announcement *Who = Step.Directory.find(From.Host);
+  if (Who && Who->Region != Here.Region)
+    Link.received(Step.Now,
+                  messageSize(Message.Response.Headers, Message.Response.Body));
+  bool Success = Message.Response.Status < 500;
+  settle(Step, *Current, Success, &Message.Load);
+  ++Current->Servers;
+  Current->MayHaveRun = true;
+  if (Success || !Current->Route->Idempotent)
+    return deliver(Step, *Current, std::move(Message.Response));
+  Current->Spare = std::move(Message.Response);
+  retryAfterRun(Step, *Current, ErrorKind::BackendFailed);
+}
+
+void CallRouter::refused(RouterStep &Step, const PeerRef &From,
+                         const Refused &Message) {
+  Call *Current = find(Message.Call, From);
+  if (!Current) {
+    Step.Out.emplace_back(Count{Counter::StaleMessages});
+    return;
+  }
+  // For a question, a new incarnation does not know what the old one did.
+  bool Restarted = Current->Executor.Inc != From.Inc &&
+                   Message.Kind != ErrorKind::WrongIncarnation;
+  if (Current->Asking && Restarted)
+    return executorLost(Step, *Current, false);
+  if (Current->Outstanding)
+    Selector.refused(Step.Now, From.Host, Message.Load);
+  settle(Step, *Current, true, &Message.Load);
+  Current->Tried.push_back(From.Host);
+  // Other statuses than 503 would tell the client that a repeat is of no use.
+  Current->LastError = errorEntry(Message.Kind).Status == 503
+                           ? Message.Kind
+                           : ErrorKind::NoBackendServer;
+  Current->BusyFor = Message.Load.ServiceTime * (Message.Load.Queued + 1) /
+                     std::max(1U, Message.Load.Limit);
+  if (Message.Kind != ErrorKind::ServerRefused) {
+    ++Current->Refusals;
+    return advance(Step, *Current);
+  }
+  ++Current->Servers;
+  if (!mayRepeat(Step, *Current))
+    return fail(Step, *Current, Message.Kind);
+  advance(Step, *Current);
+}
+
+void CallRouter::failed(RouterStep &Step, const PeerRef &From,
+                        const Failed &Message) {
+  Call *Current = find(Message.Call, From);
+  if (!Current) {
+    Step.Out.emplace_back(Count{Counter::StaleMessages});
+    return;
+  }
+  settle(Step, *Current, false, &Message.Load);
+  ++Current->Servers;
+  Current->MayHaveRun = true;
+  if (!Current->Route->Idempotent)
+    return fail(Step, *Current,
+                Message.Kind == ErrorKind::DeadlineUnknown
+                    ? Message.Kind
+                    : ErrorKind::OutcomeUnknown);
+  retryAfterRun(Step, *Current, Message.Kind);
+}
+
+bool CallRouter::mayRepeat(RouterStep &Step, const Call &Current) {
+  if (Current.Servers >= Current.Route->MaxServers)
+    return false;
+  if (Budget.take(Step.Now, Current.Service)) {
+    Step.Out.emplace_back(Count{Counter::Retries});
+    return true;
+  }
+  Step.Out.emplace_back(Count{Counter::RetriesDenied});
+  return false;
+}
+
+/// Tries another server after one that may have run the call.
+void CallRouter::retryAfterRun(RouterStep &Step, Call &Current, ErrorKind Why) {
+  Current.Tried.push_back(Current.Executor.Host);
+  Current.LastError = Why;
+  if (Step.Now < Current.Deadline && mayRepeat(Step, Current))
+    return advance(Step, Current);
+  if (Current.Spare)
+    return deliver(Step, Current, std::move(*Current.Spare));
+  fail(Step, Current, Why);
+}
+
+// Lost daemons.
+
+void CallRouter::peerLost(RouterStep &Step, const PeerLost &Lost) {
+  Selector.lost(Step.Now, Lost.Host);
+  std::vector<CallId> Unsent;
+  for (const PeerMessage &Message : Lost.Unsent)
+    if (const auto *Sent = std::get_if<Execute>(&Message))
+      Unsent.push_back(Sent->Call);
+  std::vector<std::uint64_t> Affected;
+  for (const auto &[Number, Current] : Calls)
+    if (Current.Executor.Host == Lost.Host)
+      Affected.push_back(Number);
+  for (std::uint64_t Number : Affected) {
+    auto Found = Calls.find(Number);
+    if (Found == Calls.end())
+      continue;
+    bool Never = std::ranges::find(Unsent, Found->second.Id) != Unsent.end();
+    executorLost(Step, Found->second, Never);
+  }
+}
+
+/// The daemon of a call cannot be reached. What may have run must not run
+/// again unless it is idempotent; the daemon is asked over a new link.
+void CallRouter::executorLost(RouterStep &Step, Call &Current, bool Unsent) {
+  if (Unsent) {
+    settle(Step, Current, false, nullptr);
+    Current.Tried.push_back(Current.Executor.Host);
+    Current.LastError = ErrorKind::NoBackendServer;
+    ++Current.Refusals;
+    return advance(Step, Current);
+  }
+  if (Current.Route->Idempotent) {
+    settle(Step, Current, false, nullptr);
+    ++Current.Servers;
+    Current.MayHaveRun = true;
+    return retryAfterRun(Step, Current, ErrorKind::BackendFailed);
+  }
+  if (Current.SilentChecks < MaxSilentChecks)
+    return ask(Step, Current);
+  settle(Step, Current, false, nullptr);
+  fail(Step, Current, ErrorKind::OutcomeUnknown);
+}
+
+void CallRouter::ask(RouterStep &Step, Call &Current) {
+  Current.Asking = true;
+  ++Current.SilentChecks;
+  Step.Out.emplace_back(
+      SendPeer{Current.Executor.Host,
+               Await{Current.Id, std::nullopt, Current.Executor.Inc}});
+  wakeAt(Current, Step.Now + ConfirmTimeout);
+}
+
+/// A confirmed call is asked after; an unconfirmed one, or a question without a
+/// reply, means that the link is silent.
+void CallRouter::checkSilence(RouterStep &Step, Call &Current) {
+  if (Current.Confirmed && !Current.Asking)
+    return ask(Step, Current);
+  Decision Line{LogLevel::Warning, "peer-silent", {}};
+  Line.Fields = {{"id", Current.ClientId},
+                 {"peer", Current.Executor.Host},
+                 {"checks", std::to_string(Current.SilentChecks)}};
+  Step.Out.emplace_back(std::move(Line));
+  Step.Out.emplace_back(ResetPeer{Current.Executor.Host});
+  Selector.lost(Step.Now, Current.Executor.Host);
+  executorLost(Step, Current, false);
+}
+
+void CallRouter::timer(RouterStep &Step) {
+  while (!WakeOrder.empty() && WakeOrder.begin()->first <= Step.Now) {
+    Call &Current = Calls.at(WakeOrder.begin()->second);
+    if (Step.Now >= Current.Deadline)
+      deadlinePassed(Step, Current);
+    else
+      checkSilence(Step, Current);
+  }
+}
+
+TimePoint CallRouter::nextWake() const {
+  return WakeOrder.empty() ? TimePoint::max() : WakeOrder.begin()->first;
+}
+
+// Ends.
+
+void CallRouter::deadlinePassed(RouterStep &Step, Call &Current) {
+  if (Current.Outstanding && Current.Route->Idempotent)
+    Step.Out.emplace_back(SendPeer{Current.Executor.Host, Cancel{Current.Id}});
+  Current.MayHaveRun = Current.MayHaveRun || Current.Outstanding;
+  settle(Step, Current, false, nullptr);
+  fail(Step, Current,
+       Current.MayHaveRun ? ErrorKind::DeadlineUnknown : ErrorKind::Overloaded);
+}
+
+void CallRouter::settle(RouterStep &Step, Call &Current, bool Success,
+                        const LoadReport *Load) {
+  if (!Current.Outstanding)
+    return;
+  Current.Outstanding = false;
+  Selector.ended(Step.Now, Current.Executor.Host, Success, Load);
+}
+
+void CallRouter::deliver(RouterStep &Step, Call &Current,
+                         HttpResponse Response) {
+  Step.Out.emplace_back(Count{Counter::CallsAnswered});
+  logEnd(Step, Current, Response, "answered");
+  Step.Out.emplace_back(ReplyCaller{Current.Caller, std::move(Response)});
+  forget(Current);
+}
+
+/// Ends a call with an answer of its own. A call that may have run is never
+/// called "not run".
+void CallRouter::fail(RouterStep &Step, Call &Current, ErrorKind Kind) {
+  if (Current.MayHaveRun && errorEntry(Kind).Run == RunState::No)
+    Kind = ErrorKind::BackendFailed;
+  bool Known = errorEntry(Kind).Run == RunState::No;
+  Step.Out.emplace_back(
+      Count{Known ? Counter::CallsRefused : Counter::CallsUnknown});
+  HttpResponse Response =
+      refusal(Step, Kind, Current.Deadline, Current.BusyFor);
+  logEnd(Step, Current, Response, errorEntry(Kind).Name);
+  Step.Out.emplace_back(ReplyCaller{Current.Caller, std::move(Response)});
+  forget(Current);
+}
+
+/// Returns a value from 0 to 1 that spreads clients over time.
+static double spread(std::uint64_t Seed) {
+  return static_cast<double>(Seed >> 11) * 0x1.0p-53;
+}
+
+/// Builds an answer that says when to return: when the server has worked off
+/// what waits, spread so that refused clients do not return together.
+HttpResponse CallRouter::refusal(const RouterStep &Step, ErrorKind Kind,
+                                 TimePoint Deadline, Duration BusyFor) const {
+  HttpResponse Response = errorResponse(Kind);
+  std::erase_if(Response.Headers,
+                [](const auto &Field) { return Field.first == "Retry-After"; });
+  if (Response.Status != 503 && Response.Status != 429)
+    return Response;
+  Duration Base = std::clamp(BusyFor, MinReturn, MaxReturn);
+  double Seconds = std::chrono::duration<double>(Base).count() *
+                   (1 + spread(Step.Seed * 0x9e3779b97f4a7c15ULL));
+  double Left = std::chrono::duration<double>(Deadline - Step.Now).count();
+  Seconds = std::min(Seconds, std::max(0.0, Left) * MaxReturnShare);
+  std::array<char, 32> Text{};
+  std::snprintf(Text.data(), Text.size(), "%.3f", Seconds);
+  Response.Headers.emplace_back("Retry-After", Text.data());
+  return Response;
+}
+
+void CallRouter::logEnd(RouterStep &Step, const Call &Current,
+                        const HttpResponse &Response, std::string_view Reason) {
+  LogLevel Level = Reason == "answered" ? LogLevel::Info : LogLevel::Warning;
+  Decision Line{Level, "call-ended", {}};
+  auto Took = std::chrono::duration_cast<std::chrono::milliseconds>(
+      Step.Now - Current.Arrived);
+  Line.Fields = {{"id", Current.ClientId},
+                 {"route", Current.Route->Name},
+                 {"service", Current.Service},
+                 {"call", std::to_string(Current.Id.Ingress) + "-" +
+                              std::to_string(Current.Id.Sequence)},
+                 {"peer", Current.Executor.Host},
+                 {"instance", Current.Instance},
+                 {"servers", std::to_string(Current.Servers)},
+                 {"refusals", std::to_string(Current.Refusals)},
+                 {"status", std::to_string(Response.Status)},
+                 {"outcome", std::string(Reason)},
+                 {"ms", std::to_string(Took.count())}};
+  Step.Out.emplace_back(std::move(Line));
+}
+
+} // namespace figsail
--- /dev/null
+++ b/src/sidecar/CallRouter.h
@@ -0,0 +1,128 @@
+// CallRouter.h - Calls of clients, from arrival to the one answer.
+
+#ifndef FIGSAIL_SIDECAR_CALLROUTER_H
+#define FIGSAIL_SIDECAR_CALLROUTER_H
+
+#include "Instance.h"
+#include "ServiceConfig.h"
+#include "SidecarEvents.h"
+#include "SidecarSettings.h"
+
+#include "RegionLink.h"
+#include "RequestIdentity.h"
+#include "RetryBudget.h"
+
+#include "figsail/Balancer.h"
+
+#include <optional>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace figsail {
+
+/// What one step of the router works with.
+struct RouterStep {
+  TimePoint Now;
+  std::uint64_t Seed;
+  const ServiceConfig *Config; ///< Null while none is known.
+  const InstanceDirectory &Directory;
+  const std::set<std::string> &Evacuated; ///< Failure domains.
+  SidecarEffects &Out;
+};
+
+/// Finds the route, chooses a backend server and thereby its daemon, sends
+/// again what may be sent again, and answers every client exactly once. A call
+/// that no backend server can take is refused at once, with a time to return.
+class CallRouter {
+public:
+  CallRouter(const SidecarSettings &Settings);
+
+  void request(RouterStep &Step, ClientRequest Arrived);
+  void callerGone(RouterStep &Step, CallerId Caller);
+
+  void received(RouterStep &Step, const PeerRef &From, const CallId &Id);
+  void answered(RouterStep &Step, const PeerRef &From, Answer Message);
+  void refused(RouterStep &Step, const PeerRef &From, const Refused &Message);
+  void failed(RouterStep &Step, const PeerRef &From, const Failed &Message);
+  void peerLost(RouterStep &Step, const PeerLost &Lost);
+
+  /// The number of hosts has changed, over which the retry budget and the link
+  /// between regions are divided.
+  void setHostCounts(std::size_t All, std::size_t InRegion);
+  /// A host has another backend server or daemon; old reports are forgotten.
+  void hostChanged(const HostId &Host) { Selector.forget(Host); }
+
+  void timer(RouterStep &Step);
+  TimePoint nextWake() const;
+  std::size_t underWay() const { return Calls.size(); }
+
+private:
+  struct Call {
+    std::uint64_t Number = 0;
+    CallId Id; ///< Of the present attempt.
+    CallerId Caller = 0;
+    std::string ClientId;
+    HttpRequest Request;
+    RoutePtr Route;
+    std::string Service;
+    TimePoint Arrived;
+    TimePoint Deadline;
+    TimePoint Target;
+    TimePoint WakeAt;
+    PeerRef Executor;
+    std::string Instance;
+    std::vector<HostId> Tried;
+    std::uint32_t Servers = 0;  ///< Backend servers that it may have reached.
+    bool MayHaveRun = false;    ///< One of them may have run it.
+    std::uint32_t Refusals = 0; ///< By daemons; nothing reached a server.
+    std::uint32_t SilentChecks = 0;
+    bool Confirmed = false;
+    bool Asking = false; ///< An Await is under way.
+    bool Outstanding = false;
+    ErrorKind LastError = ErrorKind::NoBackendServer;
+    Duration BusyFor{0};               ///< Of the server that refused last.
+    std::optional<HttpResponse> Spare; ///< Failure to deliver if no other
+                                       ///< server can be tried.
+  };
+
+  Call *find(const CallId &Id, const PeerRef &From);
+  void wakeAt(Call &Current, TimePoint At);
+  void forget(Call &Current);
+  const Member *choose(RouterStep &Step, const Call &Current);
+  void advance(RouterStep &Step, Call &Current);
+  void send(RouterStep &Step, Call &Current, const Member &To);
+  void ask(RouterStep &Step, Call &Current);
+  void checkSilence(RouterStep &Step, Call &Current);
+  void executorLost(RouterStep &Step, Call &Current, bool Unsent);
+  void retryAfterRun(RouterStep &Step, Call &Current, ErrorKind Why);
+  bool mayRepeat(RouterStep &Step, const Call &Current);
+  void deadlinePassed(RouterStep &Step, Call &Current);
+  void settle(RouterStep &Step, Call &Current, bool Success,
+              const LoadReport *Load);
+  void deliver(RouterStep &Step, Call &Current, HttpResponse Response);
+  void fail(RouterStep &Step, Call &Current, ErrorKind Kind);
+  HttpResponse refusal(const RouterStep &Step, ErrorKind Kind,
+                       TimePoint Deadline, Duration BusyFor) const;
+  void logEnd(RouterStep &Step, const Call &Current,
+              const HttpResponse &Response, std::string_view Reason);
+
+  PeerRef Self;
+  Locality Here;
+  SidecarBounds Bounds;
+  Balancer Selector;
+  RetryBudget Budget;
+  RegionLink Link;
+  SplitSchedule Splits;
+  std::uint64_t NextNumber = 1;
+  std::uint64_t NextSequence = 1;
+  std::unordered_map<std::uint64_t, Call> Calls;              ///< By number.
+  std::unordered_map<std::uint64_t, std::uint64_t> ByAttempt; ///< To number.
+  std::unordered_map<CallerId, std::uint64_t> ByCaller;       ///< To number.
+  std::set<std::pair<TimePoint, std::uint64_t>> WakeOrder;    ///< To number.
+};
+
+} // namespace figsail
+
+#endif // FIGSAIL_SIDECAR_CALLROUTER_H
--- /dev/null
+++ b/src/sidecar/ServerGate.h
@@ -0,0 +1,148 @@
+// ServerGate.h - Admits calls to the backend server beside this daemon.
+
+#ifndef FIGSAIL_SIDECAR_SERVERGATE_H
+#define FIGSAIL_SIDECAR_SERVERGATE_H
+
+#include "LocalServer.h"
+#include "SidecarEvents.h"
+#include "SidecarSettings.h"
+
+#include "figsail/TokenBucket.h"
+
+#include <deque>
+#include <map>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace figsail {
+
+/// What one step of the gate works with.
+struct GateStep {
+  TimePoint Now;
+  SidecarEffects &Out;
+};
+
+/// Mean duration of the runs of one route, at the usual speed of the server.
+class RunTimes {
+public:
+  /// Returns the expected duration of a run, or of all routes together when the
+  /// route has none.
+  Duration expected(const std::string &Route) const;
+  Duration overall() const { return Overall; }
+  void add(const std::string &Route, Duration Took);
+
+private:
+  std::unordered_map<std::string, Duration> ByRoute;
+  Duration Overall{0};
+};
+
+/// The only way to the backend server. Holds the limits that must be exact:
+/// concurrency, rate while cold, draining, evacuation, home regions, and the
+/// instance that a call is meant for.
+///
+/// Load pattern: more calls than the server can finish within their target
+/// latency. First in, first out would make all of them late. A call that cannot
+/// make its target behind those that go first is therefore refused on arrival,
+/// and one that loses its place to more urgent ones is refused when its target
+/// can no longer be made.
+class ServerGate {
+public:
+  ServerGate(const SidecarSettings &Settings);
+
+  /// Queues, starts or refuses a call.
+  void execute(GateStep &Step, const PeerRef &From, Execute Message);
+  void cancel(GateStep &Step, const CallId &Call);
+  /// Says what became of a call. A call that never arrived is refused for good.
+  void await(GateStep &Step, const PeerRef &From, const Await &Message);
+  void serverDone(GateStep &Step, ServerDone Done);
+  void probed(GateStep &Step, const ServerProbed &Probe);
+
+  /// A heartbeat. The verdict tells whether others need to know.
+  ReportVerdict heartbeat(GateStep &Step, const ServerHeartbeat &Said);
+  ReportVerdict leaves(GateStep &Step, const ServerLeaves &Said);
+
+  /// Sets the settings of the server's service.
+  void configure(const ServiceSettings &Service);
+  /// The failure domain is taken out of service or back. Taking it back counts
+  /// the server as cold until it says otherwise.
+  void evacuate(GateStep &Step, bool Evacuated);
+  /// Takes no new calls from now on; what is queued still runs.
+  void stop() { Stopping = true; }
+
+  void timer(GateStep &Step);
+  TimePoint nextWake(TimePoint Now) const;
+
+  const LocalServer &server() const { return Server; }
+  /// Returns whether no call waits or runs.
+  bool idle() const { return Calls.empty(); }
+  LoadReport load(TimePoint Now) const;
+
+private:
+  struct AdmittedCall {
+    PeerRef From;
+    Execute Message;
+    TimePoint Deadline;
+    TimePoint Target; ///< When the target latency ends.
+    RunId Run = 0;    ///< 0 while it waits.
+    TimePoint Started;
+    bool Cancelled = false;
+  };
+  using CallMap = std::map<CallId, AdmittedCall>;
+
+  std::optional<ErrorKind> checkGate(const Execute &Message) const;
+  std::optional<ErrorKind> checkRoom(TimePoint Now,
+                                     const AdmittedCall &Call) const;
+  std::uint32_t usableSlots() const;
+  std::size_t running() const { return Runs.size(); }
+  Duration expectedRun(const std::string &Route) const;
+  Duration expectedWait(TimePoint Now, const AdmittedCall &Call) const;
+  bool goesBefore(TimePoint Now, const AdmittedCall &One,
+                  const AdmittedCall &Other) const;
+  bool mayStart(TimePoint Now);
+  void pump(GateStep &Step);
+  void start(GateStep &Step, AdmittedCall &Call);
+  void refuseLate(GateStep &Step);
+  void refuseWaiting(GateStep &Step, ErrorKind Kind);
+  void refuse(GateStep &Step, const AdmittedCall &Call, ErrorKind Kind);
+  void reply(GateStep &Step, const PeerRef &To, const CallId &Call,
+             PeerMessage Message);
+  void finish(GateStep &Step, const AdmittedCall &Call, HttpResponse Response,
+              const ServerNote &Note);
+  void finish(GateStep &Step, const AdmittedCall &Call, BackendError Error);
+  void learn(const AdmittedCall &Call, TimePoint Now, bool Success);
+  void noteLoad(const ServerLoad &Load);
+
+  PeerRef Self;
+  std::string Region;
+  SidecarBounds Bounds;
+  LocalServer Server;
+  std::string HealthTarget = "/health";
+  double ColdPerSecond = 1;
+  mutable TokenBucket ColdTokens;
+  double Slowdown = 1; ///< Newest factor that the server reported.
+  RunTimes Times;
+  CallMap Calls; ///< Waiting or running.
+  std::size_t Waiting = 0;
+  std::unordered_map<RunId, CallId> Runs;
+  RunId LastRun = 0;
+  bool Evacuated = false;
+  bool Stopping = false;
+  bool Unreachable = false; ///< The last connection attempt failed.
+  bool Probing = false;     ///< A probe is under way.
+  TimePoint ProbedAt;
+
+  /// Final replies, kept for Await.
+  struct EndedCall {
+    TimePoint At;
+    CallId Call;
+    std::size_t Bytes = 0;
+  };
+  std::map<CallId, PeerMessage> Replies;
+  std::deque<EndedCall> ReplyOrder;
+  std::size_t ReplyBytes = 0;
+};
+
+} // namespace figsail
+
+#endif // FIGSAIL_SIDECAR_SERVERGATE_H
--- /dev/null
+++ b/src/sidecar/Sidecar.cpp
@@ -0,0 +1,370 @@
+// Sidecar.cpp - The reducer: passes each event to the module that owns the
+// state.
+
+#include "Sidecar.h"
+
+#include <algorithm>
+#include <array>
+
+namespace figsail {
+
+using namespace std::chrono_literals;
+
+/// Time from the stop request until client connections are closed. The platform
+/// asks for readiness once a second and needs two misses to send clients
+/// elsewhere.
+static constexpr Duration ClientsLeaveTime = 2300ms;
+/// Time before the process would be killed that is kept for the last answers to
+/// be written.
+static constexpr Duration StopReserve = 500ms;
+
+Sidecar::Sidecar(SidecarSettings Given)
+    : Settings(std::move(Given)), Router(Settings), Gate(Settings),
+      Operator(Topic::Operator), Members(Topic::Members) {
+  Order.Inc = Settings.Inc;
+}
+
+SidecarEffects Sidecar::apply(SidecarEvent Input) {
+  SidecarEffects Out;
+  LastNow = Input.Now;
+  Step S{Input.Now, Input.Seed, Out};
+  std::visit([&](auto &Body) { on(S, Body); }, Input.Body);
+  sendAnnouncement(S);
+  updateReadiness(S);
+  continueStop(S);
+  return Out;
+}
+
+TimePoint Sidecar::nextWake() const {
+  TimePoint Due = std::min(Router.nextWake(), Operator.nextWake());
+  Due = std::min(Due, Members.nextWake());
+  Due = std::min(Due, Gate.nextWake(LastNow));
+  if (AnnounceNeeded && !Announcing && Members.complete())
+    Due = std::min(Due, AnnounceAt);
+  if (Stopping && !ClientsClosed)
+    Due = std::min(Due, StopBegan + ClientsLeaveTime);
+  if (Stopping)
+    Due = std::min(Due, StopBegan + Settings.Bounds.StopLimit - StopReserve);
+  return Due;
+}
+
+RouterStep Sidecar::routerStep(Step &S) {
+  return {S.Now, S.Seed, Config.get(), Directory, Evacuated, S.Out};
+}
+
+TopicFollower &Sidecar::follower(Topic Which) {
+  return Which == Topic::Operator ? Operator : Members;
+}
+
+// Clients and peers.
+
+void Sidecar::on(Step &S, ClientRequest &Body) {
+  RouterStep Step = routerStep(S);
+  Router.request(Step, std::move(Body));
+}
+
+void Sidecar::on(Step &S, CallerGone &Body) {
+  RouterStep Step = routerStep(S);
+  Router.callerGone(Step, Body.Caller);
+}
+
+void Sidecar::on(Step &S, PeerReceived &Body) {
+  message(S, Body.From, Body.Message);
+}
+
+void Sidecar::on(Step &, PeerConnected &) {}
+
+void Sidecar::on(Step &S, PeerLost &Body) {
+  RouterStep Step = routerStep(S);
+  Router.peerLost(Step, Body);
+}
+
+void Sidecar::message(Step &S, const PeerRef &From, PeerMessage &Message) {
+  GateStep AtGate{S.Now, S.Out};
+  RouterStep AtRouter = routerStep(S);
+  if (auto *Body = std::get_if<Execute>(&Message))
+    Gate.execute(AtGate, From, std::move(*Body));
+  else if (auto *Body = std::get_if<Received>(&Message))
+    Router.received(AtRouter, From, Body->Call);
+  else if (auto *Body = std::get_if<Answer>(&Message))
+    Router.answered(AtRouter, From, std::move(*Body));
+  else if (auto *Body = std::get_if<Refused>(&Message))
+    Router.refused(AtRouter, From, *Body);
+  else if (auto *Body = std::get_if<Failed>(&Message))
+    Router.failed(AtRouter, From, *Body);
+  else if (auto *Body = std::get_if<Cancel>(&Message))
+    Gate.cancel(AtGate, Body->Call);
+  else if (auto *Body = std::get_if<Await>(&Message))
+    Gate.await(AtGate, From, *Body);
+  else
+    S.Out.emplace_back(Count{Counter::StaleMessages});
+}
+
+// The backend server.
+
+void Sidecar::on(Step &S, ServerDone &Body) {
+  GateStep Step{S.Now, S.Out};
+  Gate.serverDone(Step, std::move(Body));
+}
+
+void Sidecar::on(Step &S, ServerProbed &Body) {
+  GateStep Step{S.Now, S.Out};
+  Gate.probed(Step, Body);
+}
+
+void Sidecar::on(Step &S, ServerHeartbeat &Body) {
+  GateStep Step{S.Now, S.Out};
+  ReportVerdict Verdict = Gate.heartbeat(Step, Body);
+  configureServer();
+  reported(S, Body.Report, Verdict, Body.Instance);
+}
+
+void Sidecar::on(Step &S, ServerLeaves &Body) {
+  GateStep Step{S.Now, S.Out};
+  reported(S, Body.Report, Gate.leaves(Step, Body), Body.Instance);
+}
+
+/// The gate admits nothing more to a leaving server from now on, so its report
+/// can be acknowledged at once; no other daemon has to know first.
+void Sidecar::reported(Step &S, ReportId Report, ReportVerdict Verdict,
+                       const std::string &Instance) {
+  S.Out.emplace_back(AnswerReport{Report, Verdict != ReportVerdict::Invalid});
+  if (Verdict == ReportVerdict::Unchanged)
+    return;
+  static constexpr std::array<std::string_view, 4> Verdicts{
+      "unchanged", "changed", "stale", "invalid"};
+  static constexpr std::array<std::string_view, 3> States{"absent", "ready",
+                                                          "draining"};
+  Decision Line{LogLevel::Info, "server-report", {}};
+  Line.Fields = {
+      {"instance", Instance},
+      {"verdict", std::string(Verdicts[static_cast<std::size_t>(Verdict)])},
+      {"state",
+       std::string(States[static_cast<std::size_t>(Gate.server().state())])}};
+  S.Out.emplace_back(std::move(Line));
+  if (Verdict == ReportVerdict::Changed)
+    announce(S);
+}
+
+void Sidecar::configureServer() {
+  if (!Config)
+    return;
+  if (const ServiceSettings *Found = Config->service(Gate.server().service()))
+    Gate.configure(*Found);
+}
+
+// Announcements.
+
+Announcement Sidecar::describeSelf() const {
+  Announcement Said;
+  Said.Host = Settings.Host;
+  Said.Order = Order;
+  Said.Region = Settings.Region;
+  Said.FailureDomain = Settings.FailureDomain;
+  Said.State = Gate.server().state();
+  if (Stopping && Said.State == InstanceState::Ready)
+    Said.State = InstanceState::Draining;
+  Said.Instance = Gate.server().instance();
+  Said.Service = Gate.server().service();
+  Said.Slots = Gate.server().slots();
+  return Said;
+}
+
+/// The state of this host has changed.
+void Sidecar::announce(Step &S) {
+  ++Order.Counter;
+  AnnounceNeeded = true;
+  AnnounceAt = S.Now;
+  Directory.merge(describeSelf());
+  hostsChanged();
+}
+
+/// Appends the newest announcement, once the generation is known.
+void Sidecar::sendAnnouncement(Step &S) {
+  bool Due = AnnounceNeeded && !Announcing && Members.complete() &&
+             S.Now >= AnnounceAt;
+  if (!Due)
+    return;
+  Announcing = true;
+  AnnounceNeeded = false;
+  S.Out.emplace_back(Announce{describeSelf()});
+}
+
+void Sidecar::on(Step &S, AnnouncementDone &Body) {
+  Announcing = false;
+  if (Body.Appended) {
+    AnnounceFailures = 0;
+    return;
+  }
+  if (AnnounceFailures == 0) {
+    Decision Line{LogLevel::Warning, "announcement-failed", {}};
+    Line.Fields = {{"reason", Body.Reason}};
+    S.Out.emplace_back(std::move(Line));
+  }
+  AnnounceNeeded = true;
+  AnnounceAt = S.Now + retryPause(AnnounceFailures, S.Seed);
+  ++AnnounceFailures;
+}
+
+// The store.
+
+void Sidecar::on(Step &S, TopicSnapshot &Body) {
+  if (Body.Which == Topic::Operator)
+    clearEvacuations(S, Body.Records);
+  takeAll(S, Body.Records);
+  follower(Body.Which).snapshotRead(S.Out, Body.Next);
+}
+
+void Sidecar::on(Step &S, TopicRecords &Body) {
+  takeAll(S, Body.Records);
+  follower(Body.Which).recordsRead(S.Out, Body.Next);
+}
+
+void Sidecar::on(Step &S, TopicTruncated &Body) {
+  follower(Body.Which).truncated(S.Out);
+}
+
+void Sidecar::on(Step &S, TopicFailed &Body) {
+  follower(Body.Which).failed(S.Now, S.Seed, Body.Reason, S.Out);
+}
+
+void Sidecar::takeAll(Step &S, std::vector<TopicRecord> &Records) {
+  for (TopicRecord &Record : Records)
+    std::visit([&](auto &Body) { take(S, Record.At, Body); }, Record.Body);
+}
+
+void Sidecar::take(Step &S, Offset At, UnusableRecord &Body) {
+  Decision Line{LogLevel::Warning, "record-unusable", {}};
+  Line.Fields = {{"key", Body.Key},
+                 {"offset", std::to_string(At)},
+                 {"reason", Body.Reason}};
+  S.Out.emplace_back(std::move(Line));
+}
+
+/// A configuration never goes back: neither in the order of the store nor in
+/// its version.
+void Sidecar::take(Step &S, Offset At, ConfigPtr &Body) {
+  bool Newer = At > ConfigAt && (!Config || Body->Version > Config->Version);
+  Decision Line{Newer ? LogLevel::Info : LogLevel::Warning,
+                Newer ? "config-in-force" : "config-ignored",
+                {}};
+  Line.Fields = {{"version", std::to_string(Body->Version)},
+                 {"offset", std::to_string(At)},
+                 {"routes", std::to_string(Body->routeCount())}};
+  S.Out.emplace_back(std::move(Line));
+  if (!Newer)
+    return;
+  Config = Body;
+  ConfigAt = At;
+  configureServer();
+  S.Out.emplace_back(SetClientLimits{Config->Limits});
+}
+
+void Sidecar::take(Step &S, Offset At, Evacuation &Body) {
+  Decision Line{LogLevel::Info, "evacuation", {}};
+  Line.Fields = {{"domain", Body.FailureDomain},
+                 {"offset", std::to_string(At)},
+                 {"out", Body.Out ? "yes" : "no"}};
+  S.Out.emplace_back(std::move(Line));
+  if (Body.Out)
+    Evacuated.insert(Body.FailureDomain);
+  else
+    Evacuated.erase(Body.FailureDomain);
+  applyEvacuations(S);
+}
+
+/// A snapshot holds all evacuations; those it lacks have ended.
+void Sidecar::clearEvacuations(Step &S,
+                               const std::vector<TopicRecord> &Records) {
+  std::set<std::string> Present;
+  for (const TopicRecord &Record : Records)
+    if (const auto *Body = std::get_if<Evacuation>(&Record.Body))
+      Present.insert(Body->FailureDomain);
+  std::erase_if(Evacuated, [&](const std::string &Domain) {
+    return !Present.contains(Domain);
+  });
+  applyEvacuations(S);
+}
+
+void Sidecar::applyEvacuations(Step &S) {
+  GateStep Step{S.Now, S.Out};
+  Gate.evacuate(Step, Evacuated.contains(Settings.FailureDomain));
+}
+
+void Sidecar::take(Step &S, Offset, Announcement &Body) {
+  if (Body.Host == Settings.Host) {
+    // The store's newest record of this host must be this daemon's own: an
+    // append of an earlier process may take effect late.
+    if (Body.Order.Inc == Settings.Inc)
+      return;
+    if (Body.Order.Generation >= Order.Generation)
+      Order.Generation = Body.Order.Generation + 1;
+    return announce(S);
+  }
+  if (!Directory.merge(Body))
+    return;
+  Router.hostChanged(Body.Host);
+  hostsChanged();
+}
+
+void Sidecar::take(Step &S, Offset, HostForgotten &Body) {
+  if (Body.Host == Settings.Host)
+    return announce(S);
+  Directory.erase(Body.Host);
+  hostsChanged();
+}
+
+void Sidecar::hostsChanged() {
+  Router.setHostCounts(Directory.all().size(),
+                       Directory.hostsIn(Settings.Region));
+}
+
+// Time and the end.
+
+void Sidecar::on(Step &S, TimerFired &) {
+  RouterStep AtRouter = routerStep(S);
+  Router.timer(AtRouter);
+  InstanceState Before = Gate.server().state();
+  GateStep AtGate{S.Now, S.Out};
+  Gate.timer(AtGate);
+  if (Gate.server().state() != Before)
+    announce(S);
+  Operator.timer(S.Now, S.Out);
+  Members.timer(S.Now, S.Out);
+}
+
+/// Ready means that clients are served as the operator wants it: the
+/// configuration and the other hosts are known.
+void Sidecar::updateReadiness(Step &S) {
+  bool Next = Config && Members.complete() && !Stopping;
+  if (Next == Ready)
+    return;
+  Ready = Next;
+  S.Out.emplace_back(SetReadiness{Ready});
+}
+
+void Sidecar::on(Step &S, StopRequested &) {
+  if (Stopping)
+    return;
+  Stopping = true;
+  StopBegan = S.Now;
+  Gate.stop();
+  announce(S);
+}
+
+/// Clients stay until the platform has had time to send them elsewhere; then
+/// their connections close, and the process ends when nothing is under way.
+void Sidecar::continueStop(Step &S) {
+  if (!Stopping)
+    return;
+  if (!ClientsClosed && S.Now - StopBegan >= ClientsLeaveTime) {
+    ClientsClosed = true;
+    S.Out.emplace_back(CloseClients{});
+  }
+  bool Idle = ClientsClosed && Router.underWay() == 0 && Gate.idle();
+  bool OutOfTime = S.Now - StopBegan >= Settings.Bounds.StopLimit - StopReserve;
+  if (Idle || OutOfTime)
+    S.Out.emplace_back(ExitProcess{});
+}
+
+} // namespace figsail
--- /dev/null
+++ b/src/sidecar/Sidecar.h
@@ -0,0 +1,107 @@
+// Sidecar.h - The reducer of a daemon that learns its configuration and its
+// backend servers from a store.
+
+#ifndef FIGSAIL_SIDECAR_SIDECAR_H
+#define FIGSAIL_SIDECAR_SIDECAR_H
+
+#include "CallRouter.h"
+#include "Instance.h"
+#include "ServerGate.h"
+#include "SidecarEvents.h"
+#include "SidecarSettings.h"
+#include "TopicFollower.h"
+
+#include <set>
+#include <string>
+
+namespace figsail {
+
+/// Given the same events it makes the same decisions.
+class Sidecar {
+public:
+  explicit Sidecar(SidecarSettings Settings);
+
+  /// Reduces one event and returns the effects, in order. Now never goes back.
+  SidecarEffects apply(SidecarEvent Input);
+  /// Returns when a TimerFired event is due.
+  TimePoint nextWake() const;
+
+  const InstanceDirectory &directory() const { return Directory; }
+  /// Returns the limits of the configuration in force.
+  ClientLimits clientLimits() const {
+    return Config ? Config->Limits : ClientLimits();
+  }
+
+private:
+  /// One event and where its effects go.
+  struct Step {
+    TimePoint Now;
+    std::uint64_t Seed;
+    SidecarEffects &Out;
+  };
+
+  void on(Step &S, ClientRequest &Body);
+  void on(Step &S, CallerGone &Body);
+  void on(Step &S, PeerReceived &Body);
+  void on(Step &S, PeerConnected &Body);
+  void on(Step &S, PeerLost &Body);
+  void on(Step &S, ServerDone &Body);
+  void on(Step &S, ServerProbed &Body);
+  void on(Step &S, ServerHeartbeat &Body);
+  void on(Step &S, ServerLeaves &Body);
+  void on(Step &S, TopicSnapshot &Body);
+  void on(Step &S, TopicRecords &Body);
+  void on(Step &S, TopicTruncated &Body);
+  void on(Step &S, TopicFailed &Body);
+  void on(Step &S, AnnouncementDone &Body);
+  void on(Step &S, TimerFired &Body);
+  void on(Step &S, StopRequested &Body);
+
+  void message(Step &S, const PeerRef &From, PeerMessage &Message);
+  void take(Step &S, Offset At, UnusableRecord &Body);
+  void take(Step &S, Offset At, ConfigPtr &Body);
+  void take(Step &S, Offset At, Evacuation &Body);
+  void take(Step &S, Offset At, Announcement &Body);
+  void take(Step &S, Offset At, HostForgotten &Body);
+  void takeAll(Step &S, std::vector<TopicRecord> &Records);
+  void clearEvacuations(Step &S, const std::vector<TopicRecord> &Records);
+
+  RouterStep routerStep(Step &S);
+  TopicFollower &follower(Topic Which);
+  void reported(Step &S, ReportId Report, ReportVerdict Verdict,
+                const std::string &Instance);
+  void announce(Step &S);
+  void sendAnnouncement(Step &S);
+  Announcement describeSelf() const;
+  void hostsChanged();
+  void configureServer();
+  void applyEvacuations(Step &S);
+  void updateReadiness(Step &S);
+  void continueStop(Step &S);
+
+  SidecarSettings Settings;
+  ConfigPtr Config; ///< Null until one was read.
+  Offset ConfigAt = NoOffset;
+  std::set<std::string> Evacuated; ///< Failure domains.
+  InstanceDirectory Directory;
+  CallRouter Router;
+  ServerGate Gate;
+  TopicFollower Operator;
+  TopicFollower Members;
+
+  AnnouncementOrder Order;       ///< Of the next announcement.
+  bool AnnounceNeeded = false;   ///< The store lacks the newest announcement.
+  bool Announcing = false;       ///< An append is under way.
+  unsigned AnnounceFailures = 0; ///< In a row.
+  TimePoint AnnounceAt{};        ///< Not before.
+
+  TimePoint LastNow; ///< Of the last event.
+  bool Ready = false;
+  bool Stopping = false;
+  bool ClientsClosed = false;
+  TimePoint StopBegan;
+};
+
+} // namespace figsail
+
+#endif // FIGSAIL_SIDECAR_SIDECAR_H
--- /dev/null
+++ b/src/sidecar/SidecarSettings.h
@@ -0,0 +1,38 @@
+// SidecarSettings.h - What a sidecar learns when it starts.
+
+#ifndef FIGSAIL_SIDECAR_SIDECARSETTINGS_H
+#define FIGSAIL_SIDECAR_SIDECARSETTINGS_H
+
+#include "figsail/Types.h"
+
+#include <map>
+#include <string>
+
+namespace figsail {
+
+/// Bounds that the operator promises to callers and backend servers.
+struct SidecarBounds {
+  double RetryRatio = 0.1; ///< Repeats for each request, over all daemons.
+  double RetrySlack = 10;  ///< Repeats besides, in one window.
+  Duration RetryWindow{std::chrono::seconds(10)};
+  double ColdOverage = 1; ///< Factor on the rate of a cold backend server.
+  double ColdSlack = 0;   ///< Requests a second on top.
+  Duration StopLimit{std::chrono::seconds(6)}; ///< From SIGTERM to SIGKILL.
+  Duration HeartbeatInterval{std::chrono::milliseconds(1500)};
+};
+
+/// Place, identity and bounds of one sidecar.
+struct SidecarSettings {
+  HostId Host; ///< Peer address.
+  Incarnation Inc = 0;
+  std::string Region;
+  std::string FailureDomain;
+  std::string Service; ///< Of the backend server beside it.
+  std::map<std::string, std::string> RegionOfDomain;
+  double RegionLinkBytes = 30e6 / 8; ///< Bytes a second between two regions.
+  SidecarBounds Bounds;
+};
+
+} // namespace figsail
+
+#endif // FIGSAIL_SIDECAR_SIDECARSETTINGS_H
--- a/tests/AdmissionTest.cpp
+++ b/tests/AdmissionTest.cpp
@@ -288,7 +288,7 @@
     }
   }
   double Seconds = std::chrono::duration<double>(Now - Began).count();
-  RC_ASSERT(Retries <= RetryBudget::Burst + 0.1 * Calls + 3 * Seconds + 1e-6);
+  RC_ASSERT(Retries <= RetryLimits().Burst + 0.1 * Calls + 3 * Seconds + 1e-6);
 }
 
 // A server that starts cold, or fails at random, must never run more than its
