Fix: a store call to a partitioned store hung for half a minute

Ruled out: silent connections (keep-alive probes break them after 3 s), lost records.

Connecting has a limit of its own. Daemons that do not reply are probed on new links instead of being tried with requests, and links are opened before the first request.

--- a/src/shell/HttpExchange.cpp
+++ b/src/shell/HttpExchange.cpp
@@ -17,6 +17,11 @@
 /// Largest response body. A read of the log returns up to 500 records.
 static constexpr std::size_t MaxResponseBytes = std::size_t(64) * 1024 * 1024;
 
+/// Time to open a connection. Shorter than that of an exchange, which may be
+/// held for long: a connection attempt into a partition hangs, and the kernel
+/// repeats it only after seconds.
+static constexpr std::chrono::milliseconds ConnectTimeout{1000};
+
 HttpExchange::HttpExchange(asio::io_context &Context, std::string Address)
     : Address(std::move(Address)), Stream(Context) {}
 
@@ -28,9 +33,10 @@
   Done = std::move(WhenDone);
   Parser.emplace();
   Parser->body_limit(MaxResponseBytes);
-  Stream.expires_after(Timeout);
+  Limit = Timeout;
   if (Stream.socket().is_open())
     return write();
+  Stream.expires_after(std::min<Duration>(ConnectTimeout, Limit));
   auto Where = parseEndpoint(Address);
   if (!Where) {
     asio::post(Stream.get_executor(),
@@ -59,6 +65,7 @@
 }
 
 void HttpExchange::write() {
+  Stream.expires_after(Limit);
   http::async_write(
       Stream, Message,
       [Self = shared_from_this()](const error_code &Error, std::size_t) {
--- a/src/shell/HttpExchange.h
+++ b/src/shell/HttpExchange.h
@@ -49,6 +49,7 @@
   std::optional<
       boost::beast::http::response_parser<boost::beast::http::string_body>>
       Parser;
+  Duration Limit{0}; ///< Of the exchange under way, without connecting.
   Callback Done;
 };
 
--- a/src/shell/PeerLink.cpp
+++ b/src/shell/PeerLink.cpp
@@ -77,8 +77,6 @@
   error_code Error;
   Socket.set_option(tcp::no_delay(true), Error);
   setUserTimeout(Socket, Common->Settings.UnacknowledgedLimit);
-  if (Common->Settings.KeepAlive)
-    setKeepAlive(Socket);
   Socket.non_blocking(true, Error);
   if (Error)
     return end(LinkEnd::Broken);
--- a/src/shell/PeerTransport.h
+++ b/src/shell/PeerTransport.h
@@ -47,7 +47,6 @@
   /// given up with the link. Otherwise the kernel would deliver an Execute
   /// after a cut of many minutes, when its grant may be forgotten.
   Duration UnacknowledgedLimit{std::chrono::seconds(15)};
-  bool KeepAlive = false; ///< Probe idle links, so that silent ones break.
 };
 
 /// All peer links of one daemon: at most one outgoing link for each host, plus
--- a/src/shell/SidecarDaemon.cpp
+++ b/src/shell/SidecarDaemon.cpp
@@ -26,6 +26,9 @@
 static constexpr Duration MaxServerIdle = 2s;
 /// Time without an acknowledgement after which a connection is given up.
 static constexpr Duration UnacknowledgedLimit = 1500ms;
+/// Unused links to peers are kept, since opening one to another region costs
+/// two round trips.
+static constexpr Duration PeerIdleTimeout = 10min;
 /// How long informational lines may stay in the buffer.
 static constexpr Duration LogFlushInterval = 250ms;
 /// Time at the end of the process for clients and peers to take what was
@@ -41,7 +44,7 @@
 static PeerSettings peerSettings() {
   PeerSettings Settings;
   Settings.UnacknowledgedLimit = UnacknowledgedLimit;
-  Settings.KeepAlive = true;
+  Settings.IdleTimeout = PeerIdleTimeout;
   return Settings;
 }
 
--- a/src/sidecar/CallRouter.cpp
+++ b/src/sidecar/CallRouter.cpp
@@ -10,9 +10,12 @@
 
 using namespace std::chrono_literals;
 
-/// The daemon beside the server confirms at once; the round trip between
-/// regions takes about 60 ms, and a busy daemon has a fifth of a core.
+/// The daemon beside the server confirms at once, but may be busy with a fifth
+/// of a core.
 static constexpr Duration ConfirmTimeout = 200ms;
+/// The same in another region, where opening a link takes two round trips of
+/// 60 ms and the request itself another one.
+static constexpr Duration RemoteConfirmTimeout = 400ms;
 /// A confirmed call is asked after at this interval, so that a link which went
 /// silent is noticed.
 static constexpr Duration RunningCheckInterval = 500ms;
@@ -136,7 +139,8 @@
   std::vector<const Member *> Eligible;
   const std::vector<std::string> &Home = Current.Route->HomeRegions;
   for (const Member &Who : Step.Directory.ready(Current.Service)) {
-    if (Step.Evacuated.contains(Who.FailureDomain))
+    if (Step.Evacuated.contains(Who.FailureDomain) ||
+        Step.Peers.suspected(Who.Host))
       continue;
     if (!Home.empty() && std::ranges::find(Home, Who.Region) == Home.end())
       continue;
@@ -193,7 +197,12 @@
   Message.Instance = Current.Instance;
   Message.Request = Current.Request;
   Step.Out.emplace_back(SendPeer{To.Host, std::move(Message)});
-  wakeAt(Current, Step.Now + ConfirmTimeout);
+  Current.Remote = To.Region != Here.Region;
+  wakeAt(Current, Step.Now + confirmTimeout(Current));
+}
+
+Duration CallRouter::confirmTimeout(const Call &Current) {
+  return Current.Remote ? RemoteConfirmTimeout : ConfirmTimeout;
 }
 
 // Replies of daemons.
@@ -305,6 +314,7 @@
 // Lost daemons.
 
 void CallRouter::peerLost(RouterStep &Step, const PeerLost &Lost) {
+  Step.Peers.lost(Step.Now, Lost.Host, Step.Out);
   Selector.lost(Step.Now, Lost.Host);
   std::vector<CallId> Unsent;
   for (const PeerMessage &Message : Lost.Unsent)
@@ -351,7 +361,7 @@
   Step.Out.emplace_back(
       SendPeer{Current.Executor.Host,
                Await{Current.Id, std::nullopt, Current.Executor.Inc}});
-  wakeAt(Current, Step.Now + ConfirmTimeout);
+  wakeAt(Current, Step.Now + confirmTimeout(Current));
 }
 
 /// A confirmed call is asked after; an unconfirmed one, or a question without a
@@ -365,6 +375,7 @@
                  {"checks", std::to_string(Current.SilentChecks)}};
   Step.Out.emplace_back(std::move(Line));
   Step.Out.emplace_back(ResetPeer{Current.Executor.Host});
+  Step.Peers.lost(Step.Now, Current.Executor.Host, Step.Out);
   Selector.lost(Step.Now, Current.Executor.Host);
   executorLost(Step, Current, false);
 }
--- a/src/sidecar/CallRouter.h
+++ b/src/sidecar/CallRouter.h
@@ -4,6 +4,7 @@
 #define FIGSAIL_SIDECAR_CALLROUTER_H
 
 #include "Instance.h"
+#include "PeerHealth.h"
 #include "ServiceConfig.h"
 #include "SidecarEvents.h"
 #include "SidecarSettings.h"
@@ -29,6 +30,7 @@
   const ServiceConfig *Config; ///< Null while none is known.
   const InstanceDirectory &Directory;
   const std::set<std::string> &Evacuated; ///< Failure domains.
+  PeerHealth &Peers;
   SidecarEffects &Out;
 };
 
@@ -81,6 +83,7 @@
     bool Confirmed = false;
     bool Asking = false; ///< An Await is under way.
     bool Outstanding = false;
+    bool Remote = false; ///< The executor is in another region.
     ErrorKind LastError = ErrorKind::NoBackendServer;
     Duration BusyFor{0};               ///< Of the server that refused last.
     std::optional<HttpResponse> Spare; ///< Failure to deliver if no other
@@ -93,6 +96,7 @@
   const Member *choose(RouterStep &Step, const Call &Current);
   void advance(RouterStep &Step, Call &Current);
   void send(RouterStep &Step, Call &Current, const Member &To);
+  static Duration confirmTimeout(const Call &Current);
   void ask(RouterStep &Step, Call &Current);
   void checkSilence(RouterStep &Step, Call &Current);
   void executorLost(RouterStep &Step, Call &Current, bool Unsent);
--- a/src/sidecar/Sidecar.cpp
+++ b/src/sidecar/Sidecar.cpp
@@ -39,6 +39,7 @@
   TimePoint Due = std::min(Router.nextWake(), Operator.nextWake());
   Due = std::min(Due, Members.nextWake());
   Due = std::min(Due, Gate.nextWake(LastNow));
+  Due = std::min(Due, Peers.nextWake());
   if (AnnounceNeeded && !Announcing && Members.complete())
     Due = std::min(Due, AnnounceAt);
   if (Stopping && !ClientsClosed)
@@ -49,7 +50,7 @@
 }
 
 RouterStep Sidecar::routerStep(Step &S) {
-  return {S.Now, S.Seed, Config.get(), Directory, Evacuated, S.Out};
+  return {S.Now, S.Seed, Config.get(), Directory, Evacuated, Peers, S.Out};
 }
 
 TopicFollower &Sidecar::follower(Topic Which) {
@@ -69,10 +70,13 @@
 }
 
 void Sidecar::on(Step &S, PeerReceived &Body) {
+  Peers.heard(Body.From.Host, S.Out);
   message(S, Body.From, Body.Message);
 }
 
-void Sidecar::on(Step &, PeerConnected &) {}
+void Sidecar::on(Step &S, PeerConnected &Body) {
+  Peers.heard(Body.Peer.Host, S.Out);
+}
 
 void Sidecar::on(Step &S, PeerLost &Body) {
   RouterStep Step = routerStep(S);
@@ -96,7 +100,9 @@
     Gate.cancel(AtGate, Body->Call);
   else if (auto *Body = std::get_if<Await>(&Message))
     Gate.await(AtGate, From, *Body);
-  else
+  else if (auto *Body = std::get_if<Probe>(&Message))
+    S.Out.emplace_back(SendPeer{From.Host, ProbeReply{Body->Target, true}});
+  else if (!std::holds_alternative<ProbeReply>(Message))
     S.Out.emplace_back(Count{Counter::StaleMessages});
 }
 
@@ -305,12 +311,17 @@
     return;
   Router.hostChanged(Body.Host);
   hostsChanged();
+  // Opens a link before the first request needs it.
+  if (Body.State == InstanceState::Ready)
+    S.Out.emplace_back(
+        SendPeer{Body.Host, Probe{PeerRef{Body.Host, Body.Order.Inc}}});
 }
 
 void Sidecar::take(Step &S, Offset, HostForgotten &Body) {
   if (Body.Host == Settings.Host)
     return announce(S);
   Directory.erase(Body.Host);
+  Peers.forget(Body.Host);
   hostsChanged();
 }
 
@@ -329,6 +340,7 @@
   Gate.timer(AtGate);
   if (Gate.server().state() != Before)
     announce(S);
+  Peers.timer(S.Now, S.Out);
   Operator.timer(S.Now, S.Out);
   Members.timer(S.Now, S.Out);
 }
--- a/src/sidecar/Sidecar.h
+++ b/src/sidecar/Sidecar.h
@@ -84,6 +84,7 @@
   Offset ConfigAt = NoOffset;
   std::set<std::string> Evacuated; ///< Failure domains.
   InstanceDirectory Directory;
+  PeerHealth Peers;
   CallRouter Router;
   ServerGate Gate;
   TopicFollower Operator;
