Change: one daemon of each failure domain reads the store for the others

A daemon asks the reader of its failure domain twice a second and reads for itself when that one does not reach the store; held reads last 1 or 2 s. Any daemon answers any other from its image of the topics, so one that restarts while the store is away learns the configuration from its peers.

--- a/include/figsail/PeerMessages.h
+++ b/include/figsail/PeerMessages.h
@@ -288,12 +288,53 @@
   }
 };
 
+/// Topics of a keyed log that daemons follow.
+enum class Topic : std::uint8_t {
+  Operator, ///< Configuration and evacuations; only the operator writes.
+  Members,  ///< Announcements of the daemons.
+};
+inline constexpr std::size_t TopicCount = 2;
+
+/// One record of a keyed log.
+struct KeyedRecord {
+  std::string Key;
+  std::optional<std::string> Value; ///< Nothing: the key was dropped.
+  Offset At = NoOffset;
+
+  bool operator==(const KeyedRecord &) const = default;
+  template <class Archive> void serialize(Archive &Ar) { Ar(Key, Value, At); }
+};
+
+/// What is known of one topic: the newest record of each key below Next.
+struct TopicPart {
+  Offset Next = 0; ///< Where to read on; 0: nothing is known.
+  std::vector<KeyedRecord> Records;
+  template <class Archive> void serialize(Archive &Ar) { Ar(Next, Records); }
+};
+
+/// Daemon to daemon: send what is newer than these offsets, and for some time
+/// what comes after it.
+struct TopicSubscribe {
+  std::vector<Offset> From; ///< By topic.
+  template <class Archive> void serialize(Archive &Ar) { Ar(From); }
+};
+
+/// Answer to TopicSubscribe, and news.
+struct TopicUpdate {
+  bool Live = false;     ///< The sender reads the store itself, and reaches it.
+  bool Complete = false; ///< The sender has read every topic.
+  std::vector<TopicPart> Parts; ///< By topic.
+  template <class Archive> void serialize(Archive &Ar) {
+    Ar(Live, Complete, Parts);
+  }
+};
+
 /// The order is the wire encoding: append only.
 using PeerMessage =
     std::variant<Execute, Received, Answer, Refused, Failed, Cancel, Await,
                  Claim, Granted, ClaimHeld, ClaimDone, ClaimRefused, Completed,
                  Fence, FenceAck, Heartbeat, Probe, ProbeReply, Subscribe,
-                 Records, Snapshot, SuspectReport>;
+                 Records, Snapshot, SuspectReport, TopicSubscribe, TopicUpdate>;
 
 /// Returns whether the message is control traffic, which is sent ahead of
 /// queued calls.
--- a/src/core/Names.cpp
+++ b/src/core/Names.cpp
@@ -7,12 +7,12 @@
 namespace figsail {
 
 static constexpr std::array<std::string_view, std::variant_size_v<PeerMessage>>
-    MessageNames{"Execute",   "Received",     "Answer",    "Refused",
-                 "Failed",    "Cancel",       "Await",     "Claim",
-                 "Granted",   "ClaimHeld",    "ClaimDone", "ClaimRefused",
-                 "Completed", "Fence",        "FenceAck",  "Heartbeat",
-                 "Probe",     "ProbeReply",   "Subscribe", "Records",
-                 "Snapshot",  "SuspectReport"};
+    MessageNames{"Execute",   "Received",      "Answer",         "Refused",
+                 "Failed",    "Cancel",        "Await",          "Claim",
+                 "Granted",   "ClaimHeld",     "ClaimDone",      "ClaimRefused",
+                 "Completed", "Fence",         "FenceAck",       "Heartbeat",
+                 "Probe",     "ProbeReply",    "Subscribe",      "Records",
+                 "Snapshot",  "SuspectReport", "TopicSubscribe", "TopicUpdate"};
 
 bool isControl(const PeerMessage &Message) {
   return !std::holds_alternative<Execute>(Message) &&
--- a/src/core/Node.cpp
+++ b/src/core/Node.cpp
@@ -71,6 +71,8 @@
   void message(const PeerRef &From, figsail::Records &Message);
   void message(const PeerRef &From, Snapshot &Message);
   void message(const PeerRef &From, SuspectReport &Message);
+  void message(const PeerRef &From, TopicSubscribe &Message);
+  void message(const PeerRef &From, TopicUpdate &Message);
 
   bool wokeFromPause();
   void afterEvent();
@@ -368,6 +370,15 @@
   AdmissionRole.suspectReport(Now, Message);
 }
 
+// Only daemons that follow a keyed log send these.
+void Node::State::message(const PeerRef &, TopicSubscribe &) {
+  Out.emplace_back(Count{Counter::StaleMessages});
+}
+
+void Node::State::message(const PeerRef &, TopicUpdate &) {
+  Out.emplace_back(Count{Counter::StaleMessages});
+}
+
 /// Tells the members of the service about requests that may crash backend
 /// servers.
 void Node::State::sendReports() {
--- a/src/programs/figsail-sidecar.cpp
+++ b/src/programs/figsail-sidecar.cpp
@@ -5,6 +5,7 @@
 #include "Fields.h"
 #include "FileLimit.h"
 #include "Logging.h"
+#include "Records.h"
 #include "Reports.h"
 #include "Settings.h"
 #include "SidecarDaemon.h"
@@ -25,6 +26,7 @@
                                     const SidecarConfiguration &Given) {
   SidecarPlatform Result;
   Result.Fields = std::make_shared<platform::Fields>(Given.Settings.Service);
+  Result.Records = std::make_unique<platform::Records>();
   Result.Reports = std::make_unique<platform::Reports>();
   Result.Store = std::make_unique<platform::StoreClient>(Context, Handler,
                                                          Given.Addresses.Store);
--- a/src/shell/SidecarPlatform.h
+++ b/src/shell/SidecarPlatform.h
@@ -89,6 +89,7 @@
 /// The platform's side of one sidecar.
 struct SidecarPlatform {
   std::shared_ptr<const RequestFields> Fields;
+  std::unique_ptr<const RecordDecoder> Records;
   std::unique_ptr<ReportCodec> Reports;
   std::unique_ptr<TopicStore> Store;
 };
--- a/src/sidecar/Sidecar.cpp
+++ b/src/sidecar/Sidecar.cpp
@@ -18,9 +18,9 @@
 /// be written.
 static constexpr Duration StopReserve = 500ms;
 
-Sidecar::Sidecar(SidecarSettings Given)
+Sidecar::Sidecar(SidecarSettings Given, const RecordDecoder &Decoder)
     : Settings(std::move(Given)), Router(Settings), Gate(Settings),
-      Operator(Topic::Operator), Members(Topic::Members) {
+      Decoder(Decoder), Relay(Settings.Host, Settings.FailureDomain) {
   Order.Inc = Settings.Inc;
 }
 
@@ -28,7 +28,9 @@
   SidecarEffects Out;
   LastNow = Input.Now;
   Step S{Input.Now, Input.Seed, Out};
+  std::vector<Offset> Before = offsets();
   std::visit([&](auto &Body) { on(S, Body); }, Input.Body);
+  tellSubscribers(S, Before);
   sendAnnouncement(S);
   updateReadiness(S);
   continueStop(S);
@@ -36,11 +38,12 @@
 }
 
 TimePoint Sidecar::nextWake() const {
-  TimePoint Due = std::min(Router.nextWake(), Operator.nextWake());
-  Due = std::min(Due, Members.nextWake());
+  TimePoint Due = std::min(Router.nextWake(), Relay.nextWake());
+  for (const TopicState &State : Topics)
+    Due = std::min(Due, State.Follower.nextWake());
   Due = std::min(Due, Gate.nextWake(LastNow));
   Due = std::min(Due, Peers.nextWake());
-  if (AnnounceNeeded && !Announcing && Members.complete())
+  if (AnnounceNeeded && !Announcing && complete())
     Due = std::min(Due, AnnounceAt);
   if (Stopping && !ClientsClosed)
     Due = std::min(Due, StopBegan + ClientsLeaveTime);
@@ -53,10 +56,6 @@
   return {S.Now, S.Seed, Config.get(), Directory, Evacuated, Peers, S.Out};
 }
 
-TopicFollower &Sidecar::follower(Topic Which) {
-  return Which == Topic::Operator ? Operator : Members;
-}
-
 // Clients and peers.
 
 void Sidecar::on(Step &S, ClientRequest &Body) {
@@ -74,8 +73,12 @@
   message(S, Body.From, Body.Message);
 }
 
+/// A daemon that knows nothing yet asks whoever it meets: the store may be
+/// away.
 void Sidecar::on(Step &S, PeerConnected &Body) {
   Peers.heard(Body.Peer.Host, S.Out);
+  if (!complete())
+    S.Out.emplace_back(SendPeer{Body.Peer.Host, TopicSubscribe{offsets()}});
 }
 
 void Sidecar::on(Step &S, PeerLost &Body) {
@@ -100,6 +103,10 @@
     Gate.cancel(AtGate, Body->Call);
   else if (auto *Body = std::get_if<Await>(&Message))
     Gate.await(AtGate, From, *Body);
+  else if (auto *Body = std::get_if<TopicSubscribe>(&Message))
+    subscribe(S, From, *Body);
+  else if (auto *Body = std::get_if<TopicUpdate>(&Message))
+    update(S, From, *Body);
   else if (auto *Body = std::get_if<Probe>(&Message))
     S.Out.emplace_back(SendPeer{From.Host, ProbeReply{Body->Target, true}});
   else if (!std::holds_alternative<ProbeReply>(Message))
@@ -187,8 +194,7 @@
 
 /// Appends the newest announcement, once the generation is known.
 void Sidecar::sendAnnouncement(Step &S) {
-  bool Due = AnnounceNeeded && !Announcing && Members.complete() &&
-             S.Now >= AnnounceAt;
+  bool Due = AnnounceNeeded && !Announcing && complete() && S.Now >= AnnounceAt;
   if (!Due)
     return;
   Announcing = true;
@@ -215,28 +221,96 @@
 // The store.
 
 void Sidecar::on(Step &S, TopicSnapshot &Body) {
-  if (Body.Which == Topic::Operator)
-    clearEvacuations(S, Body.Records);
-  takeAll(S, Body.Records);
-  follower(Body.Which).snapshotRead(S.Out, Body.Next);
+  TopicState &State = stateOf(Body.Which);
+  takeAll(S, Body.Which,
+          State.Image.absorbAll({Body.Next, std::move(Body.Records)}));
+  State.Follower.readDone(S.Now, State.Image.next(), false, S.Out);
 }
 
 void Sidecar::on(Step &S, TopicRecords &Body) {
-  takeAll(S, Body.Records);
-  follower(Body.Which).recordsRead(S.Out, Body.Next);
+  TopicState &State = stateOf(Body.Which);
+  bool Any = !Body.Records.empty();
+  takeAll(S, Body.Which,
+          State.Image.absorb({Body.Next, std::move(Body.Records)}));
+  State.Follower.readDone(S.Now, State.Image.next(), Any, S.Out);
 }
 
 void Sidecar::on(Step &S, TopicTruncated &Body) {
-  follower(Body.Which).truncated(S.Out);
+  stateOf(Body.Which).Follower.truncated(S.Out);
 }
 
 void Sidecar::on(Step &S, TopicFailed &Body) {
-  follower(Body.Which).failed(S.Now, S.Seed, Body.Reason, S.Out);
+  stateOf(Body.Which).Follower.failed(S.Now, S.Seed, Body.Reason, S.Out);
+}
+
+void Sidecar::takeAll(Step &S, Topic Which,
+                      const std::vector<KeyedRecord> &Records) {
+  for (const KeyedRecord &Record : Records) {
+    TopicContent Content = Decoder.decode(Which, Record);
+    std::visit([&](auto &Body) { take(S, Record.At, Body); }, Content);
+  }
+}
+
+std::vector<Offset> Sidecar::offsets() const {
+  std::vector<Offset> Result;
+  for (const TopicState &State : Topics)
+    Result.push_back(State.Image.next());
+  return Result;
+}
+
+bool Sidecar::complete() const {
+  return std::ranges::all_of(Topics, [](const TopicState &State) {
+    return State.Follower.complete();
+  });
+}
+
+// Sharing reads.
+
+TopicUpdate Sidecar::updateSince(const std::vector<Offset> &From) const {
+  TopicUpdate Update;
+  Update.Complete = complete();
+  Update.Live = std::ranges::all_of(
+      Topics, [](const TopicState &State) { return State.Follower.live(); });
+  for (std::size_t I = 0; I < TopicCount; ++I)
+    Update.Parts.push_back(
+        Topics[I].Image.since(I < From.size() ? From[I] : 0));
+  return Update;
 }
 
-void Sidecar::takeAll(Step &S, std::vector<TopicRecord> &Records) {
-  for (TopicRecord &Record : Records)
-    std::visit([&](auto &Body) { take(S, Record.At, Body); }, Record.Body);
+void Sidecar::subscribe(Step &S, const PeerRef &From,
+                        const TopicSubscribe &Message) {
+  Relay.subscribed(S.Now, From.Host);
+  S.Out.emplace_back(SendPeer{From.Host, updateSince(Message.From)});
+}
+
+void Sidecar::update(Step &S, const PeerRef &From, TopicUpdate &Message) {
+  Relay.updated(S.Now, From.Host, Message);
+  std::size_t Count = std::min(Message.Parts.size(), TopicCount);
+  for (std::size_t I = 0; I < Count; ++I) {
+    if (Message.Complete)
+      Topics[I].Follower.completed();
+    takeAll(S, static_cast<Topic>(I),
+            Topics[I].Image.absorb(std::move(Message.Parts[I])));
+  }
+}
+
+/// Tells news to those who asked for it, whether they came from the store or
+/// from another daemon.
+void Sidecar::tellSubscribers(Step &S, const std::vector<Offset> &Before) {
+  if (offsets() == Before)
+    return;
+  for (const HostId &Host : Relay.subscribers(S.Now))
+    S.Out.emplace_back(SendPeer{Host, updateSince(Before)});
+}
+
+void Sidecar::followTopics(Step &S) {
+  if (complete())
+    Relay.timer(S.Now, Directory, Peers, offsets(), S.Out);
+  bool Reads = !complete() || Relay.readsStore(S.Now);
+  for (TopicState &State : Topics) {
+    State.Follower.activate(S.Now, Reads);
+    State.Follower.timer(S.Now, State.Image.next(), S.Out);
+  }
 }
 
 void Sidecar::take(Step &S, Offset At, UnusableRecord &Body) {
@@ -279,19 +353,6 @@
   applyEvacuations(S);
 }
 
-/// A snapshot holds all evacuations; those it lacks have ended.
-void Sidecar::clearEvacuations(Step &S,
-                               const std::vector<TopicRecord> &Records) {
-  std::set<std::string> Present;
-  for (const TopicRecord &Record : Records)
-    if (const auto *Body = std::get_if<Evacuation>(&Record.Body))
-      Present.insert(Body->FailureDomain);
-  std::erase_if(Evacuated, [&](const std::string &Domain) {
-    return !Present.contains(Domain);
-  });
-  applyEvacuations(S);
-}
-
 void Sidecar::applyEvacuations(Step &S) {
   GateStep Step{S.Now, S.Out};
   Gate.evacuate(Step, Evacuated.contains(Settings.FailureDomain));
@@ -341,14 +402,13 @@
   if (Gate.server().state() != Before)
     announce(S);
   Peers.timer(S.Now, S.Out);
-  Operator.timer(S.Now, S.Out);
-  Members.timer(S.Now, S.Out);
+  followTopics(S);
 }
 
 /// Ready means that clients are served as the operator wants it: the
 /// configuration and the other hosts are known.
 void Sidecar::updateReadiness(Step &S) {
-  bool Next = Config && Members.complete() && !Stopping;
+  bool Next = Config && complete() && !Stopping;
   if (Next == Ready)
     return;
   Ready = Next;
--- a/src/sidecar/Sidecar.h
+++ b/src/sidecar/Sidecar.h
@@ -10,7 +10,10 @@
 #include "SidecarEvents.h"
 #include "SidecarSettings.h"
 #include "TopicFollower.h"
+#include "TopicImage.h"
+#include "TopicRelay.h"
 
+#include <array>
 #include <set>
 #include <string>
 
@@ -19,7 +22,8 @@
 /// Given the same events it makes the same decisions.
 class Sidecar {
 public:
-  explicit Sidecar(SidecarSettings Settings);
+  /// Decoder outlives the reducer.
+  Sidecar(SidecarSettings Settings, const RecordDecoder &Decoder);
 
   /// Reduces one event and returns the effects, in order. Now never goes back.
   SidecarEffects apply(SidecarEvent Input);
@@ -63,11 +67,25 @@
   void take(Step &S, Offset At, Evacuation &Body);
   void take(Step &S, Offset At, Announcement &Body);
   void take(Step &S, Offset At, HostForgotten &Body);
-  void takeAll(Step &S, std::vector<TopicRecord> &Records);
-  void clearEvacuations(Step &S, const std::vector<TopicRecord> &Records);
+  /// The state of one topic.
+  struct TopicState {
+    explicit TopicState(Topic Which) : Follower(Which) {}
+    TopicFollower Follower;
+    TopicImage Image;
+  };
+  TopicState &stateOf(Topic Which) {
+    return Topics[static_cast<std::size_t>(Which)];
+  }
+  void takeAll(Step &S, Topic Which, const std::vector<KeyedRecord> &Records);
+  void subscribe(Step &S, const PeerRef &From, const TopicSubscribe &Message);
+  void update(Step &S, const PeerRef &From, TopicUpdate &Message);
+  TopicUpdate updateSince(const std::vector<Offset> &From) const;
+  void tellSubscribers(Step &S, const std::vector<Offset> &Before);
+  std::vector<Offset> offsets() const;
+  bool complete() const;
+  void followTopics(Step &S);
 
   RouterStep routerStep(Step &S);
-  TopicFollower &follower(Topic Which);
   void reported(Step &S, ReportId Report, ReportVerdict Verdict,
                 const std::string &Instance);
   void announce(Step &S);
@@ -87,8 +105,10 @@
   PeerHealth Peers;
   CallRouter Router;
   ServerGate Gate;
-  TopicFollower Operator;
-  TopicFollower Members;
+  const RecordDecoder &Decoder;
+  std::array<TopicState, TopicCount> Topics{TopicState(Topic::Operator),
+                                            TopicState(Topic::Members)};
+  TopicRelay Relay;
 
   AnnouncementOrder Order;       ///< Of the next announcement.
   bool AnnounceNeeded = false;   ///< The store lacks the newest announcement.
--- a/src/sidecar/SidecarEvents.h
+++ b/src/sidecar/SidecarEvents.h
@@ -20,13 +20,6 @@
 /// Numbers of requests on the control interface.
 using ReportId = std::uint64_t;
 
-/// Topics of the store that a sidecar follows.
-enum class Topic : std::uint8_t {
-  Operator, ///< Configuration and evacuations; only the operator writes.
-  Members,  ///< Announcements of the sidecars.
-};
-inline constexpr std::size_t TopicCount = 2;
-
 // Events.
 
 /// A client's request has arrived whole.
@@ -105,25 +98,29 @@
   std::string Reason;
 };
 
-/// One record of a topic, decoded.
-struct TopicRecord {
-  Offset At = NoOffset;
-  std::variant<UnusableRecord, ConfigPtr, Evacuation, Announcement,
-               HostForgotten>
-      Body;
+/// A record of a topic, decoded.
+using TopicContent = std::variant<UnusableRecord, ConfigPtr, Evacuation,
+                                  Announcement, HostForgotten>;
+
+/// Decodes records of the topics. A record without a value says that its key
+/// was dropped.
+class RecordDecoder {
+public:
+  virtual ~RecordDecoder() = default;
+  virtual TopicContent decode(Topic Which, const KeyedRecord &Record) const = 0;
 };
 
 /// The newest record of each key of a topic was read.
 struct TopicSnapshot {
   Topic Which = Topic::Operator;
-  std::vector<TopicRecord> Records;
+  std::vector<KeyedRecord> Records;
   Offset Next = 0; ///< Read on from here; earlier records are covered.
 };
 
 /// Records of a topic were read, possibly none.
 struct TopicRecords {
   Topic Which = Topic::Operator;
-  std::vector<TopicRecord> Records;
+  std::vector<KeyedRecord> Records;
   Offset Next = 0;
 };
 
--- a/src/sidecar/TopicFollower.cpp
+++ b/src/sidecar/TopicFollower.cpp
@@ -8,9 +8,14 @@
 
 using namespace std::chrono_literals;
 
-/// How long the store may hold a read when there is nothing new. Long, since
-/// each call has a price; lost connections are found by keep-alive probes.
-static constexpr Duration TailWait = 30s;
+/// How long the store may hold a read when there is nothing new. A held read
+/// may be forgotten by the store, so the wait for the configuration is well
+/// below the time in which one must be in force.
+static constexpr Duration OperatorWait = 1s;
+static constexpr Duration MembersWait = 2s;
+/// Pause after a read that returned announcements: they come in groups, and
+/// each call has a price.
+static constexpr Duration MembersPause = 200ms;
 /// Pauses after failures. Entries must be back two seconds after the store is,
 /// so the longest pause is well below.
 static constexpr Duration FirstPause = 100ms;
@@ -28,62 +33,75 @@
   return Which == Topic::Operator ? "operator" : "members";
 }
 
-void TopicFollower::readOn(SidecarEffects &Out) {
-  RetryAt = TimePoint::max();
-  if (Listed)
-    Out.emplace_back(ReadTopic{Which, Next, TailWait});
-  else
+void TopicFollower::read(Offset Next, SidecarEffects &Out) {
+  Reading = true;
+  ReadAt = TimePoint::max();
+  if (NeedsSnapshot) {
     Out.emplace_back(ReadTopicSnapshot{Which});
-}
-
-void TopicFollower::regained(SidecarEffects &Out) {
-  if (Failures == 0 && Complete)
     return;
-  Decision Line{LogLevel::Info, "store-reached", {}};
-  Line.Fields = {{"topic", std::string(topicName(Which))},
-                 {"failures", std::to_string(Failures)}};
-  Out.emplace_back(std::move(Line));
-  Failures = 0;
+  }
+  Duration Wait = Which == Topic::Operator ? OperatorWait : MembersWait;
+  // The first read after a loss shows at once whether the store is back.
+  Out.emplace_back(ReadTopic{Which, Next, Reached ? Wait : Duration(0)});
 }
 
-void TopicFollower::snapshotRead(SidecarEffects &Out, Offset NextOffset) {
-  regained(Out);
+void TopicFollower::readDone(TimePoint Now, Offset Next, bool Records,
+                             SidecarEffects &Out) {
+  Reading = false;
+  if (!Reached) {
+    Decision Line{LogLevel::Info, "store-reached", {}};
+    Line.Fields = {{"topic", std::string(topicName(Which))},
+                   {"failures", std::to_string(Failures)},
+                   {"next", std::to_string(Next)}};
+    Out.emplace_back(std::move(Line));
+  }
+  Reached = true;
+  Failures = 0;
   Complete = true;
-  Listed = true;
-  Next = NextOffset;
-  readOn(Out);
-}
-
-void TopicFollower::recordsRead(SidecarEffects &Out, Offset NextOffset) {
-  regained(Out);
-  Next = NextOffset;
-  readOn(Out);
+  NeedsSnapshot = false;
+  if (!Active)
+    return;
+  ReadAt =
+      Now + (Records && Which == Topic::Members ? MembersPause : Duration(0));
+  timer(Now, Next, Out);
 }
 
 void TopicFollower::truncated(SidecarEffects &Out) {
   Decision Line{LogLevel::Warning, "store-truncated", {}};
-  Line.Fields = {{"topic", std::string(topicName(Which))},
-                 {"wanted", std::to_string(Next)}};
+  Line.Fields = {{"topic", std::string(topicName(Which))}};
   Out.emplace_back(std::move(Line));
-  Listed = false;
-  readOn(Out);
+  NeedsSnapshot = true;
+  read(0, Out);
 }
 
 void TopicFollower::failed(TimePoint Now, std::uint64_t Seed,
                            const std::string &Reason, SidecarEffects &Out) {
+  Reading = false;
   if (Failures == 0) {
     Decision Line{LogLevel::Warning, "store-lost", {}};
     Line.Fields = {{"topic", std::string(topicName(Which))},
                    {"reason", Reason}};
     Out.emplace_back(std::move(Line));
   }
-  RetryAt = Now + retryPause(Failures, Seed);
+  Reached = false;
+  if (Active)
+    ReadAt = Now + retryPause(Failures, Seed);
   ++Failures;
 }
 
-void TopicFollower::timer(TimePoint Now, SidecarEffects &Out) {
-  if (Now >= RetryAt)
-    readOn(Out);
+void TopicFollower::timer(TimePoint Now, Offset Next, SidecarEffects &Out) {
+  if (Active && !Reading && Now >= ReadAt)
+    read(Next, Out);
+}
+
+void TopicFollower::activate(TimePoint Now, bool Wanted) {
+  if (Wanted == Active)
+    return;
+  Active = Wanted;
+  if (!Active)
+    ReadAt = TimePoint::max();
+  else if (!Reading)
+    ReadAt = Now;
 }
 
 } // namespace figsail
--- a/src/sidecar/TopicFollower.h
+++ b/src/sidecar/TopicFollower.h
@@ -10,38 +10,44 @@
 
 namespace figsail {
 
-/// First reads the newest record of each key, then what is appended. One read
-/// is under way at any time, or a pause after a failure.
+/// First reads the newest record of each key, then what is appended. While it
+/// is active, one read is under way at any time, or a pause after a failure.
 class TopicFollower {
 public:
   explicit TopicFollower(Topic Which) : Which(Which) {}
 
-  /// A read has ended; the next one starts at once.
-  void snapshotRead(SidecarEffects &Out, Offset NextOffset);
-  void recordsRead(SidecarEffects &Out, Offset NextOffset);
+  /// A read has ended; the next one starts after a pause that depends on the
+  /// topic. Next is where to read on.
+  void readDone(TimePoint Now, Offset Next, bool Records, SidecarEffects &Out);
   /// The wanted records are gone; starts over from a snapshot.
   void truncated(SidecarEffects &Out);
   /// A read has failed; the next one waits. Logs the loss of the store once.
   void failed(TimePoint Now, std::uint64_t Seed, const std::string &Reason,
               SidecarEffects &Out);
-  void timer(TimePoint Now, SidecarEffects &Out);
-  TimePoint nextWake() const { return RetryAt; }
+  /// Starts a read that is due, from Next on.
+  void timer(TimePoint Now, Offset Next, SidecarEffects &Out);
+  /// Reads the store, or leaves it to another daemon. A read under way ends.
+  void activate(TimePoint Now, bool Wanted);
+  TimePoint nextWake() const { return ReadAt; }
 
-  /// Returns whether a snapshot was read since the start.
+  /// Returns whether the topic is known as a whole.
   bool complete() const { return Complete; }
-  /// Returns whether the last read ended well.
-  bool reachable() const { return Failures == 0 && Complete; }
+  /// Another daemon has told the whole topic.
+  void completed() { Complete = true; }
+  /// Returns whether the store is read here, and the last read ended well.
+  bool live() const { return Active && Complete && Failures == 0; }
 
 private:
-  void readOn(SidecarEffects &Out);
-  void regained(SidecarEffects &Out);
+  void read(Offset Next, SidecarEffects &Out);
 
   Topic Which;
+  bool Active = true;
+  bool Reading = false;
   bool Complete = false;
-  bool Listed = false; ///< Next is the end of a snapshot or of a read.
-  Offset Next = 0;
+  bool NeedsSnapshot = true;
   unsigned Failures = 0; ///< In a row.
-  TimePoint RetryAt{};   ///< Due at the first timer; max() while reading.
+  bool Reached = false;  ///< A read has ended well since the start or a loss.
+  TimePoint ReadAt{};    ///< Of the next read; max() while there is none due.
 };
 
 /// Returns the pause before the try after a number of failures in a row, spread
--- a/tests/PeerCodecTest.cpp
+++ b/tests/PeerCodecTest.cpp
@@ -128,9 +128,18 @@
     return Records{anyRecords()};
   case 20:
     return Snapshot{any<std::int64_t>(), anyText()};
-  default:
+  case 21:
     return SuspectReport{any<std::uint64_t>(), any<std::uint32_t>(),
                          any<bool>()};
+  case 22:
+    return TopicSubscribe{any<std::vector<std::int64_t>>()};
+  default: {
+    KeyedRecord Kept{anyText(), anyText(), any<std::int64_t>()};
+    KeyedRecord Dropped{anyText(), std::nullopt, any<std::int64_t>()};
+    return TopicUpdate{any<bool>(),
+                       any<bool>(),
+                       {TopicPart{any<std::int64_t>(), {Kept, Dropped}}}};
+  }
   }
 }
 
