Change: choose servers by expected time, with news of their speed

Cause: a quarter of the hosts works at a quarter of its speed at any moment, for some 300 ms; an ingress learned it from its own next answer, half a second later.

Daemons probe the load every 100 ms where no answer tells it and tell ingresses of their region when the speed changes by 1.4.

--- a/include/figsail/Balancer.h
+++ b/include/figsail/Balancer.h
@@ -29,7 +29,11 @@
   bool Avoid =
       false; ///< Refused or lost lately; chosen only when nothing else is left.
 
-  bool Stale = false; ///< No report, or one too old to count.
+  bool Stale = false;      ///< No report, or one too old to count.
+  Duration Expected{0};    ///< Until the answer: way, wait, run and, with the
+                           ///< likelihood of a failure, a repeat.
+  bool Remote = false;     ///< In another region.
+  bool MeetsTarget = true; ///< Expected is within the call's target.
 
   /// Utilization with failures and slowness counted in; lower is better.
   double score() const;
@@ -39,6 +43,9 @@
 class SelectionPolicy {
 public:
   virtual ~SelectionPolicy() = default;
+  /// Returns whether candidates of one tier are preferred to all of the next.
+  /// Otherwise all are passed to pick() together.
+  virtual bool usesTiers() const { return true; }
   /// Returns an index into Candidates, which is not empty.
   virtual std::size_t pick(std::span<const Candidate> Candidates,
                            std::uint64_t Seed) = 0;
@@ -47,15 +54,31 @@
 std::unique_ptr<SelectionPolicy> makeRoundRobin();
 std::unique_ptr<SelectionPolicy> makeLeastOutstanding();
 std::unique_ptr<SelectionPolicy> makePowerOfTwoChoices();
+/// Chooses by Candidate::Expected over all tiers. Another region, whose link is
+/// narrow, is chosen only where the target is met there and not here.
+///
+/// Load pattern: servers that slow down to a quarter of their speed for some
+/// hundred milliseconds while others nearby do not.
+std::unique_ptr<SelectionPolicy> makeShortestExpectedTime();
 
 /// Returns the policy with that name ("round-robin", "least-outstanding",
-/// "power-of-two"), or null.
+/// "power-of-two", "expected-time"), or null.
 std::unique_ptr<SelectionPolicy> makePolicy(const std::string &Name);
 
 /// Where this ingress stands.
 struct Locality {
   std::string Region;
   std::string FailureDomain;
+  Duration DomainRoundTrip{
+      std::chrono::milliseconds(3)}; ///< To another failure domain.
+  Duration RegionRoundTrip{
+      std::chrono::milliseconds(62)}; ///< To another region.
+};
+
+/// What is known of a call before a server is chosen.
+struct CallOutlook {
+  Duration UsualRun{0}; ///< At the usual speed of a server; 0: not known.
+  Duration TargetLeft = Duration::max(); ///< Until the target latency ends.
 };
 
 /// Tracks load of backend servers and chooses one.
@@ -68,7 +91,7 @@
   /// Returns null when none is left.
   const Member *choose(TimePoint Now, std::span<const Member *const> Eligible,
                        std::span<const HostId> Tried, bool RemoteAllowed,
-                       std::uint64_t Seed);
+                       std::uint64_t Seed, const CallOutlook &Outlook = {});
 
   void sent(TimePoint Now, const HostId &Host);
   /// A call has ended at this host. Load is null when no report came with it.
@@ -77,6 +100,8 @@
   /// The host refused a call; it is avoided until its report ages. Called
   /// before ended() for the same call.
   void refused(TimePoint Now, const HostId &Host, const LoadReport &Load);
+  /// The host tells its load by itself.
+  void reported(TimePoint Now, const HostId &Host, const LoadReport &Load);
   /// The link to the host broke.
   void lost(TimePoint Now, const HostId &Host);
   /// The host was listed anew: its old report is forgotten.
--- a/include/figsail/Types.h
+++ b/include/figsail/Types.h
@@ -104,11 +104,15 @@
   std::uint32_t Queued = 0;  ///< Requests waiting for a slot.
   Duration ServiceTime{0};   ///< Moving average of the run time.
   bool Draining = false;     ///< Takes no new work.
+  Duration UsualTime{0};     ///< ServiceTime without what slows the server at
+                             ///< this moment; 0: not known.
 
   template <class Archive> void serialize(Archive &Ar) {
     auto Micros = ServiceTime.count();
-    Ar(Limit, Running, Queued, Micros, Draining);
+    auto UsualMicros = UsualTime.count();
+    Ar(Limit, Running, Queued, Micros, Draining, UsualMicros);
     ServiceTime = Duration(Micros);
+    UsualTime = Duration(UsualMicros);
   }
 };
 
--- a/src/core/Balancer.cpp
+++ b/src/core/Balancer.cpp
@@ -40,12 +40,27 @@
 
 /// Locality tiers, nearest first.
 static constexpr std::size_t TierCount = 3;
+static constexpr std::size_t RemoteTier = 2;
 /// Score from which a tier counts as saturated: a full limit runs.
 static constexpr double SaturatedAt = 1;
 /// The same before a call goes to another region, where the round trip costs
 /// more than a short queue: another full limit waits.
 static constexpr double SaturatedBeforeRemote = 2;
 
+/// How long a report that a server is slow counts. Hosts tell of a change at
+/// once, but only for as long as they get calls.
+static constexpr Duration SlownessLifetime = std::chrono::seconds(2);
+/// The same in another region, which is not told of changes.
+static constexpr Duration RemoteSlownessLifetime =
+    std::chrono::milliseconds(400);
+/// Assumed service time where no host has reported one.
+static constexpr Duration UnknownServiceTime = std::chrono::milliseconds(50);
+/// Share of the service time by which a server with a full limit is less
+/// preferred than an idle one.
+static constexpr double FullnessWeight = 0.3;
+/// Service times that a failure costs: the run, and the repeat elsewhere.
+static constexpr double FailureCost = 4;
+
 struct Balancer::HostView {
   std::uint32_t Outstanding = 0;
   LoadReport Report;
@@ -61,6 +76,8 @@
   double utilization(TimePoint Now) const;
   double failureRate(TimePoint Now) const;
   double slowness(TimePoint Now, Duration Shortest) const;
+  Duration expected(TimePoint Now, Duration Typical, Duration UsualRun,
+                    bool Remote) const;
   void take(TimePoint Now, const LoadReport &Load, std::uint32_t Own);
   void avoid(TimePoint Until) { AvoidUntil = std::max(AvoidUntil, Until); }
 };
@@ -81,8 +98,9 @@
   void buildSubset(std::span<const Member *const> Eligible);
   void keepSecondDomain();
   void sortIntoTiers(TimePoint Now, std::span<const HostId> Tried,
-                     bool RemoteAllowed);
+                     bool RemoteAllowed, const CallOutlook &Outlook);
   Duration shortestServiceTime() const;
+  const Member *pickOverall(std::uint64_t Seed);
   HostView &viewOf(TimePoint Now, const HostId &Host);
 };
 
@@ -126,6 +144,33 @@
   return std::log2(Ratio) / 2 * (1 - age(Now, ReportLifetime));
 }
 
+/// Returns the expected time of a call at the host, without the way. Typical:
+/// service time of a host that has not reported one. UsualRun: of the call, if
+/// it is known.
+Duration Balancer::HostView::expected(TimePoint Now, Duration Typical,
+                                      Duration UsualRun, bool Remote) const {
+  Duration Usual = Typical;
+  double Factor = 1; // Duration of work now over the usual one.
+  if (Reported && Report.UsualTime > Duration(0)) {
+    Usual = Report.UsualTime;
+    double Reported = static_cast<double>(Report.ServiceTime.count()) /
+                      static_cast<double>(Usual.count());
+    double Age = age(Now, Remote ? RemoteSlownessLifetime : SlownessLifetime);
+    Factor = 1 + (Reported - 1) * (1 - Age);
+  }
+  if (UsualRun > Duration(0))
+    Usual = UsualRun;
+  double Service = static_cast<double>(Usual.count()) * Factor;
+  double Age = age(Now, LoadLifetime);
+  double Limit = Reported ? std::max(1U, Report.Limit) : UnknownLimit;
+  double Present = Outstanding + (Reported ? Others * (1 - Age) : 0.0);
+  double Ahead = std::max(0.0, Present + 1 - Limit) / Limit;
+  double Full = FullnessWeight * std::min(1.0, Present / Limit);
+  double Failures = FailureCost * failureRate(Now);
+  return Duration(
+      static_cast<Duration::rep>(Service * (1 + Ahead + Full + Failures)));
+}
+
 /// Own: calls of this ingress that are part of the reported load.
 void Balancer::HostView::take(TimePoint Now, const LoadReport &Load,
                               std::uint32_t Own) {
@@ -215,17 +260,22 @@
 
 void Balancer::State::sortIntoTiers(TimePoint Now,
                                     std::span<const HostId> Tried,
-                                    bool RemoteAllowed) {
+                                    bool RemoteAllowed,
+                                    const CallOutlook &Outlook) {
   for (std::size_t Tier = 0; Tier < TierCount; ++Tier) {
     Fresh[Tier].clear();
     Avoided[Tier].clear();
   }
   Duration Shortest = shortestServiceTime();
+  Duration Typical =
+      Shortest == Duration::max() ? UnknownServiceTime : Shortest;
+  const std::array<Duration, TierCount> RoundTrips{
+      Duration(0), Here.DomainRoundTrip, Here.RegionRoundTrip};
   for (const Member *Who : Subset) {
     if (std::ranges::find(Tried, Who->Host) != Tried.end())
       continue;
     std::size_t Tier = tierOf(*Who);
-    if (Tier == 2 && !RemoteAllowed)
+    if (Tier == RemoteTier && !RemoteAllowed)
       continue;
     const HostView &View = viewOf(Now, Who->Host);
     Candidate Entry;
@@ -236,6 +286,11 @@
     Entry.Slowness = View.slowness(Now, Shortest);
     Entry.Avoid = Now < View.AvoidUntil;
     Entry.Stale = View.age(Now, ReportLifetime) >= 1;
+    Entry.Remote = Tier == RemoteTier;
+    Entry.Expected =
+        RoundTrips[Tier] +
+        View.expected(Now, Typical, Outlook.UsualRun, Entry.Remote);
+    Entry.MeetsTarget = Entry.Expected <= Outlook.TargetLeft;
     (Entry.Avoid ? Avoided : Fresh)[Tier].push_back(Entry);
   }
 }
@@ -263,10 +318,13 @@
 const Member *Balancer::choose(TimePoint Now,
                                std::span<const Member *const> Eligible,
                                std::span<const HostId> Tried,
-                               bool RemoteAllowed, std::uint64_t Seed) {
+                               bool RemoteAllowed, std::uint64_t Seed,
+                               const CallOutlook &Outlook) {
   State &S = *Impl;
   S.buildSubset(Eligible);
-  S.sortIntoTiers(Now, Tried, RemoteAllowed);
+  S.sortIntoTiers(Now, Tried, RemoteAllowed, Outlook);
+  if (!S.Policy->usesTiers())
+    return S.pickOverall(Seed);
   const Candidate *Best = nullptr;
   for (const std::vector<Candidate> &Tier : S.Fresh) {
     if (Tier.empty())
@@ -289,6 +347,18 @@
   return nullptr;
 }
 
+/// Chooses among all that are not avoided, else among all.
+const Member *Balancer::State::pickOverall(std::uint64_t Seed) {
+  for (auto *Tiers : {&Fresh, &Avoided}) {
+    std::vector<Candidate> &All = Tiers->front();
+    for (std::size_t Tier = 1; Tier < TierCount; ++Tier)
+      std::ranges::copy((*Tiers)[Tier], std::back_inserter(All));
+    if (!All.empty())
+      return All[Policy->pick(All, Seed)].Who;
+  }
+  return nullptr;
+}
+
 void Balancer::sent(TimePoint Now, const HostId &Host) {
   ++Impl->viewOf(Now, Host).Outstanding;
 }
@@ -319,6 +389,12 @@
     View.avoid(Now + ReportLifetime);
 }
 
+void Balancer::reported(TimePoint Now, const HostId &Host,
+                        const LoadReport &Load) {
+  HostView &View = Impl->viewOf(Now, Host);
+  View.take(Now, Load, View.Outstanding);
+}
+
 void Balancer::lost(TimePoint Now, const HostId &Host) {
   HostView &View = Impl->viewOf(Now, Host);
   View.Reported = false;
--- a/src/core/SelectionPolicy.cpp
+++ b/src/core/SelectionPolicy.cpp
@@ -68,6 +68,49 @@
   }
 };
 
+/// Share by which expected times are varied at random. Ingresses hear of a
+/// change at the same moment and would all choose the same server.
+constexpr double ExpectedTimeSpread = 0.2;
+
+class ShortestExpectedTime final : public SelectionPolicy {
+public:
+  bool usesTiers() const override { return false; }
+  std::size_t pick(std::span<const Candidate> Candidates,
+                   std::uint64_t Seed) override {
+    std::size_t Best = 0;
+    double BestTime = 0;
+    bool NearOnly = usesNearOnly(Candidates);
+    bool Found = false;
+    for (std::size_t I = 0; I < Candidates.size(); ++I) {
+      Seed = Seed * 6364136223846793005ULL + 1442695040888963407ULL;
+      if (NearOnly && Candidates[I].Remote)
+        continue;
+      double Random = static_cast<double>(Seed >> 33) * 0x1.0p-31;
+      double Time = static_cast<double>(Candidates[I].Expected.count()) *
+                    (1 + ExpectedTimeSpread * Random);
+      if (Found && Time >= BestTime)
+        continue;
+      Found = true;
+      Best = I;
+      BestTime = Time;
+    }
+    return Best;
+  }
+
+private:
+  static bool usesNearOnly(std::span<const Candidate> Candidates) {
+    bool AnyNear = false;
+    bool NearMeets = false;
+    bool RemoteMeets = false;
+    for (const Candidate &Entry : Candidates) {
+      AnyNear = AnyNear || !Entry.Remote;
+      NearMeets = NearMeets || (!Entry.Remote && Entry.MeetsTarget);
+      RemoteMeets = RemoteMeets || (Entry.Remote && Entry.MeetsTarget);
+    }
+    return AnyNear && (NearMeets || !RemoteMeets);
+  }
+};
+
 } // namespace
 
 std::unique_ptr<SelectionPolicy> makeRoundRobin() {
@@ -82,6 +125,10 @@
   return std::make_unique<PowerOfTwoChoices>();
 }
 
+std::unique_ptr<SelectionPolicy> makeShortestExpectedTime() {
+  return std::make_unique<ShortestExpectedTime>();
+}
+
 std::unique_ptr<SelectionPolicy> makePolicy(const std::string &Name) {
   if (Name == "round-robin")
     return makeRoundRobin();
@@ -89,6 +136,8 @@
     return makeLeastOutstanding();
   if (Name == "power-of-two")
     return makePowerOfTwoChoices();
+  if (Name == "expected-time")
+    return makeShortestExpectedTime();
   return nullptr;
 }
 
--- a/src/sidecar/CallRouter.cpp
+++ b/src/sidecar/CallRouter.cpp
@@ -40,7 +40,7 @@
     : Self{Settings.Host, Settings.Inc}, Here{Settings.Region,
                                               Settings.FailureDomain},
       Bounds(Settings.Bounds),
-      Selector(Settings.Host, Here, makePowerOfTwoChoices()),
+      Selector(Settings.Host, Here, makeShortestExpectedTime()),
       Link(Settings.RegionLinkBytes) {
   setHostCounts(1, 1);
 }
@@ -148,8 +148,11 @@
   }
   if (Eligible.empty())
     return nullptr;
+  CallOutlook Outlook;
+  Outlook.UsualRun = Times.expected(Current.Route->Name);
+  Outlook.TargetLeft = Current.Target - Step.Now;
   return Selector.choose(Step.Now, Eligible, Current.Tried,
-                         Link.available(Step.Now), Step.Seed);
+                         Link.available(Step.Now), Step.Seed, Outlook);
 }
 
 void CallRouter::advance(RouterStep &Step, Call &Current) {
@@ -174,6 +177,7 @@
   Current.Asking = false;
   Current.SilentChecks = 0;
   Current.Outstanding = true;
+  Current.SentAt = Step.Now;
   Selector.sent(Step.Now, To.Host);
   if (To.FailureDomain != Here.FailureDomain)
     Step.Out.emplace_back(Count{Counter::CrossDomain});
@@ -230,6 +234,8 @@
     Link.received(Step.Now,
                   messageSize(Message.Response.Headers, Message.Response.Body));
   bool Success = Message.Response.Status < 500;
+  if (Success)
+    learn(*Current, Step.Now, Message.Load);
   settle(Step, *Current, Success, &Message.Load);
   ++Current->Servers;
   Current->MayHaveRun = true;
@@ -239,6 +245,21 @@
   retryAfterRun(Step, *Current, ErrorKind::BackendFailed);
 }
 
+/// Learns the usual duration of a route from an answer.
+void CallRouter::learn(const Call &Current, TimePoint Now,
+                       const LoadReport &Load) {
+  Duration Took = Now - Current.SentAt;
+  if (Current.Remote)
+    Took -= std::min(Took, Here.RegionRoundTrip);
+  double Factor = 1;
+  if (Load.UsualTime > Duration(0) && Load.ServiceTime > Duration(0))
+    Factor = static_cast<double>(Load.ServiceTime.count()) /
+             static_cast<double>(Load.UsualTime.count());
+  Times.add(Current.Route->Name,
+            Duration(static_cast<Duration::rep>(
+                static_cast<double>(Took.count()) / Factor)));
+}
+
 void CallRouter::refused(RouterStep &Step, const PeerRef &From,
                          const Refused &Message) {
   Call *Current = find(Message.Call, From);
@@ -253,7 +274,10 @@
     return executorLost(Step, *Current, false);
   if (Current->Outstanding)
     Selector.refused(Step.Now, From.Host, Message.Load);
-  settle(Step, *Current, true, &Message.Load);
+  // A server that refuses what its daemon admits is at fault; it would look
+  // idle and attract all work.
+  settle(Step, *Current, Message.Kind != ErrorKind::ServerRefused,
+         &Message.Load);
   Current->Tried.push_back(From.Host);
   // Other statuses than 503 would tell the client that a repeat is of no use.
   Current->LastError = errorEntry(Message.Kind).Status == 503
--- a/src/sidecar/CallRouter.h
+++ b/src/sidecar/CallRouter.h
@@ -5,6 +5,7 @@
 
 #include "Instance.h"
 #include "PeerHealth.h"
+#include "RunTimes.h"
 #include "ServiceConfig.h"
 #include "SidecarEvents.h"
 #include "SidecarSettings.h"
@@ -49,6 +50,10 @@
   void refused(RouterStep &Step, const PeerRef &From, const Refused &Message);
   void failed(RouterStep &Step, const PeerRef &From, const Failed &Message);
   void peerLost(RouterStep &Step, const PeerLost &Lost);
+  /// A daemon tells the load of its server by itself.
+  void loadReported(TimePoint Now, const HostId &Host, const LoadReport &Load) {
+    Selector.reported(Now, Host, Load);
+  }
 
   /// The number of hosts has changed, over which the retry budget and the link
   /// between regions are divided.
@@ -72,6 +77,7 @@
     TimePoint Arrived;
     TimePoint Deadline;
     TimePoint Target;
+    TimePoint SentAt; ///< Of the present attempt.
     TimePoint WakeAt;
     PeerRef Executor;
     std::string Instance;
@@ -91,6 +97,7 @@
   };
 
   Call *find(const CallId &Id, const PeerRef &From);
+  void learn(const Call &Current, TimePoint Now, const LoadReport &Load);
   void wakeAt(Call &Current, TimePoint At);
   void forget(Call &Current);
   const Member *choose(RouterStep &Step, const Call &Current);
@@ -119,6 +126,7 @@
   RetryBudget Budget;
   RegionLink Link;
   SplitSchedule Splits;
+  RunTimes Times; ///< From sending to the answer, at usual speed.
   std::uint64_t NextNumber = 1;
   std::uint64_t NextSequence = 1;
   std::unordered_map<std::uint64_t, Call> Calls;              ///< By number.
--- /dev/null
+++ b/src/sidecar/RunTimes.cpp
@@ -0,0 +1,39 @@
+// RunTimes.cpp - How long the runs of each route take.
+
+#include "RunTimes.h"
+
+namespace figsail {
+
+using namespace std::chrono_literals;
+
+/// Weight of one run in the mean duration of runs.
+static constexpr double RunTimeWeight = 0.1;
+/// Assumed duration of a run before the first one has ended.
+static constexpr Duration UnknownRunTime = 50ms;
+/// Routes whose times are kept; removed ones leave theirs behind.
+static constexpr std::size_t MaxRoutes = 65536;
+
+Duration RunTimes::expected(const std::string &Route) const {
+  auto Found = ByRoute.find(Route);
+  if (Found != ByRoute.end())
+    return Found->second;
+  return Overall > Duration(0) ? Overall : UnknownRunTime;
+}
+
+static void average(Duration &Mean, Duration Sample) {
+  if (Mean == Duration(0)) {
+    Mean = Sample;
+    return;
+  }
+  auto Error = static_cast<double>((Sample - Mean).count());
+  Mean += Duration(static_cast<Duration::rep>(Error * RunTimeWeight));
+}
+
+void RunTimes::add(const std::string &Route, Duration Took) {
+  if (ByRoute.size() >= MaxRoutes)
+    ByRoute.clear();
+  average(ByRoute[Route], Took);
+  average(Overall, Took);
+}
+
+} // namespace figsail
--- a/src/sidecar/ServerGate.cpp
+++ b/src/sidecar/ServerGate.cpp
@@ -13,10 +13,6 @@
 /// Share of the slots that is used. A backend server slows down when nearly all
 /// of its slots are taken, so the last ones cost more than they bring.
 static constexpr double UsableSlotShare = 0.8;
-/// Weight of one run in the mean duration of runs.
-static constexpr double RunTimeWeight = 0.1;
-/// Assumed duration of a run before the first one has ended.
-static constexpr Duration UnknownRunTime = 50ms;
 /// Share of the rate of a cold server that may come at once.
 static constexpr double ColdBurstShare = 0.25;
 /// How long a server counts as cold after its failure domain returns, unless it
@@ -27,6 +23,13 @@
 /// Probe interval otherwise. Bounds how long a server that turned cold between
 /// two heartbeats gets the full rate.
 static constexpr Duration ProbeInterval = 500ms;
+/// Probe interval while calls come but no response tells the load. The speed of
+/// a server changes every few hundred milliseconds.
+static constexpr Duration LoadProbeInterval = 100ms;
+/// Ingresses are told when the speed has changed by this factor.
+static constexpr double TellFactor = 1.4;
+/// Ingresses that have sent nothing for so long are not told.
+static constexpr Duration IngressLifetime = 3s;
 /// A probe without an end by then counts as lost.
 static constexpr Duration ProbeLimit = 2s;
 /// Heartbeats missed before the server counts as gone. Single ones arrive
@@ -48,29 +51,6 @@
       std::chrono::duration_cast<std::chrono::milliseconds>(Time).count());
 }
 
-// Run times.
-
-Duration RunTimes::expected(const std::string &Route) const {
-  auto Found = ByRoute.find(Route);
-  if (Found != ByRoute.end())
-    return Found->second;
-  return Overall > Duration(0) ? Overall : UnknownRunTime;
-}
-
-static void average(Duration &Mean, Duration Sample) {
-  if (Mean == Duration(0)) {
-    Mean = Sample;
-    return;
-  }
-  auto Error = static_cast<double>((Sample - Mean).count());
-  Mean += Duration(static_cast<Duration::rep>(Error * RunTimeWeight));
-}
-
-void RunTimes::add(const std::string &Route, Duration Took) {
-  average(ByRoute[Route], Took);
-  average(Overall, Took);
-}
-
 // Limits.
 
 ServerGate::ServerGate(const SidecarSettings &Settings)
@@ -110,13 +90,29 @@
   }
   Report.Running = static_cast<std::uint32_t>(running());
   Report.Queued = static_cast<std::uint32_t>(Waiting);
+  Report.UsualTime = Times.overall();
   Report.ServiceTime = Duration(static_cast<Duration::rep>(
       static_cast<double>(Times.overall().count()) * Slowdown));
   return Report;
 }
 
-void ServerGate::noteLoad(const ServerLoad &Load) {
+void ServerGate::noteLoad(TimePoint Now, const ServerLoad &Load) {
   Slowdown = Load.SlowdownFactor;
+  LoadAt = Now;
+}
+
+std::vector<HostId> ServerGate::takeListeners(TimePoint Now) {
+  double Change = Slowdown / ToldSlowdown;
+  if (Change < TellFactor && Change > 1 / TellFactor)
+    return {};
+  ToldSlowdown = Slowdown;
+  std::erase_if(Ingresses, [&](const auto &Entry) {
+    return Entry.second + IngressLifetime < Now;
+  });
+  std::vector<HostId> Hosts;
+  for (const auto &[Host, SentAt] : Ingresses)
+    Hosts.push_back(Host);
+  return Hosts;
 }
 
 // Arrival.
@@ -194,6 +190,7 @@
   }
   if (Calls.contains(Id))
     return;
+  Ingresses[From.Host] = Step.Now;
   AdmittedCall Call;
   Call.From = From;
   Call.Deadline = Step.Now + Duration(Message.BudgetMicros);
@@ -323,7 +320,7 @@
   auto Ended = Calls.extract(Found->second);
   Runs.erase(Found);
   if (Done.Note.Load)
-    noteLoad(*Done.Note.Load);
+    noteLoad(Step.Now, *Done.Note.Load);
   AdmittedCall &Call = Ended.mapped();
   if (auto *Response = std::get_if<HttpResponse>(&Done.Result))
     finish(Step, Call, std::move(*Response), Done.Note);
@@ -468,7 +465,7 @@
 void ServerGate::probed(GateStep &Step, const ServerProbed &Probe) {
   Probing = false;
   if (Probe.Load)
-    noteLoad(*Probe.Load);
+    noteLoad(Step.Now, *Probe.Load);
   bool Same = !Probe.Instance.empty() && Probe.Instance == Server.instance();
   if (Same)
     Unreachable = false;
@@ -489,9 +486,7 @@
   }
   refuseLate(Step);
   pump(Step);
-  Duration Interval = Unreachable ? UnreachableProbe : ProbeInterval;
-  bool Due = Step.Now >= ProbedAt + (Probing ? ProbeLimit : Interval);
-  if (Server.state() != InstanceState::Ready || !Due)
+  if (Server.state() != InstanceState::Ready || Step.Now < nextProbe())
     return;
   Probing = true;
   ProbedAt = Step.Now;
@@ -509,8 +504,17 @@
     return TimePoint::max();
   if (Server.state() == InstanceState::Draining)
     return Server.heardAt() + Bounds.HeartbeatInterval * MissedHeartbeats;
-  Duration Interval = Unreachable ? UnreachableProbe : ProbeInterval;
-  return ProbedAt + (Probing ? ProbeLimit : Interval);
+  return nextProbe();
+}
+
+TimePoint ServerGate::nextProbe() const {
+  if (Probing)
+    return ProbedAt + ProbeLimit;
+  if (Unreachable)
+    return ProbedAt + UnreachableProbe;
+  TimePoint ForLoad = std::max(ProbedAt, LoadAt) + LoadProbeInterval;
+  TimePoint ForCold = ProbedAt + ProbeInterval;
+  return Ingresses.empty() ? ForCold : std::min(ForLoad, ForCold);
 }
 
 } // namespace figsail
--- a/src/sidecar/ServerGate.h
+++ b/src/sidecar/ServerGate.h
@@ -4,6 +4,7 @@
 #define FIGSAIL_SIDECAR_SERVERGATE_H
 
 #include "LocalServer.h"
+#include "RunTimes.h"
 #include "SidecarEvents.h"
 #include "SidecarSettings.h"
 
@@ -23,20 +24,6 @@
   SidecarEffects &Out;
 };
 
-/// Mean duration of the runs of one route, at the usual speed of the server.
-class RunTimes {
-public:
-  /// Returns the expected duration of a run, or of all routes together when the
-  /// route has none.
-  Duration expected(const std::string &Route) const;
-  Duration overall() const { return Overall; }
-  void add(const std::string &Route, Duration Took);
-
-private:
-  std::unordered_map<std::string, Duration> ByRoute;
-  Duration Overall{0};
-};
-
 /// The only way to the backend server. Holds the limits that must be exact:
 /// concurrency, rate while cold, draining, evacuation, home regions, and the
 /// instance that a call is meant for.
@@ -77,6 +64,9 @@
   /// Returns whether no call waits or runs.
   bool idle() const { return Calls.empty(); }
   LoadReport load(TimePoint Now) const;
+  /// Returns the ingresses to tell of the load, when the speed of the server
+  /// has changed since they were last told; otherwise nothing.
+  std::vector<HostId> takeListeners(TimePoint Now);
 
 private:
   struct AdmittedCall {
@@ -102,6 +92,7 @@
   bool mayStart(TimePoint Now);
   void pump(GateStep &Step);
   void start(GateStep &Step, AdmittedCall &Call);
+  TimePoint nextProbe() const;
   void refuseLate(GateStep &Step);
   void refuseWaiting(GateStep &Step, ErrorKind Kind);
   void refuse(GateStep &Step, const AdmittedCall &Call, ErrorKind Kind);
@@ -111,7 +102,7 @@
               const ServerNote &Note);
   void finish(GateStep &Step, const AdmittedCall &Call, BackendError Error);
   void learn(const AdmittedCall &Call, TimePoint Now, bool Success);
-  void noteLoad(const ServerLoad &Load);
+  void noteLoad(TimePoint Now, const ServerLoad &Load);
 
   PeerRef Self;
   std::string Region;
@@ -120,7 +111,10 @@
   std::string HealthTarget = "/health";
   double ColdPerSecond = 1;
   mutable TokenBucket ColdTokens;
-  double Slowdown = 1; ///< Newest factor that the server reported.
+  double Slowdown = 1;     ///< Newest factor that the server reported.
+  double ToldSlowdown = 1; ///< Last told to the ingresses.
+  TimePoint LoadAt;        ///< When the server last told its load.
+  std::map<HostId, TimePoint> Ingresses; ///< To when they sent a call last.
   RunTimes Times;
   CallMap Calls; ///< Waiting or running.
   std::size_t Waiting = 0;
--- a/src/sidecar/Sidecar.cpp
+++ b/src/sidecar/Sidecar.cpp
@@ -31,6 +31,7 @@
   std::vector<Offset> Before = offsets();
   std::visit([&](auto &Body) { on(S, Body); }, Input.Body);
   tellSubscribers(S, Before);
+  tellLoad(S);
   sendAnnouncement(S);
   updateReadiness(S);
   continueStop(S);
@@ -52,6 +53,16 @@
   return Due;
 }
 
+/// Tells ingresses of the own region that the server has become slower or
+/// faster. For another region the news would be late and costly.
+void Sidecar::tellLoad(Step &S) {
+  for (const HostId &Host : Gate.takeListeners(S.Now)) {
+    const Announcement *Who = Directory.find(Host);
+    if (Who && Who->Region == Settings.Region)
+      S.Out.emplace_back(SendPeer{Host, Heartbeat{NoOffset, Gate.load(S.Now)}});
+  }
+}
+
 RouterStep Sidecar::routerStep(Step &S) {
   return {S.Now, S.Seed, Config.get(), Directory, Evacuated, Peers, S.Out};
 }
@@ -103,6 +114,8 @@
     Gate.cancel(AtGate, Body->Call);
   else if (auto *Body = std::get_if<Await>(&Message))
     Gate.await(AtGate, From, *Body);
+  else if (auto *Body = std::get_if<Heartbeat>(&Message))
+    Router.loadReported(S.Now, From.Host, Body->Load);
   else if (auto *Body = std::get_if<TopicSubscribe>(&Message))
     subscribe(S, From, *Body);
   else if (auto *Body = std::get_if<TopicUpdate>(&Message))
--- a/src/sidecar/Sidecar.h
+++ b/src/sidecar/Sidecar.h
@@ -85,6 +85,7 @@
   bool complete() const;
   void followTopics(Step &S);
 
+  void tellLoad(Step &S);
   RouterStep routerStep(Step &S);
   void reported(Step &S, ReportId Report, ReportVerdict Verdict,
                 const std::string &Instance);
