Change: spend retries and store calls where they help

A restarted daemon read both topics and held two reads before its failure domain's reader had answered; at the start every announcement woke every daemon. Calls with home regions could not be passed on over the region link, though their target leaves room.

Only a failure within half of the usual run is repeated. The reader of the failure domain gets 150 ms to answer first; announcements are read in groups.

--- a/src/sidecar/CallRouter.cpp
+++ b/src/sidecar/CallRouter.cpp
@@ -34,7 +34,9 @@
 static constexpr double MaxReturnShare = 1.0 / 3;
 /// Share of the operator's retry ratio and slack that is used. The rest covers
 /// calls that a repeated run makes, which other daemons send.
-static constexpr double RetryShare = 0.5;
+static constexpr double RetryShare = 0.75;
+/// A server that fails within this share of the usual run is itself at fault.
+static constexpr double OwnFaultShare = 0.5;
 
 CallRouter::CallRouter(const SidecarSettings &Settings)
     : Self{Settings.Host, Settings.Inc}, Here{Settings.Region,
@@ -215,9 +217,13 @@
   Message.BudgetMicros = (Current.Deadline - Step.Now).count();
   Message.TargetMicros = (Current.Target - Step.Now).count();
   Message.Instance = Current.Instance;
-  // In another region the refusal itself would cost a round trip.
+  // A refusal from another region costs a round trip, and so does the next try.
+  Duration Detour =
+      To.Region == Here.Region ? Duration(0) : 2 * Here.RegionRoundTrip;
+  bool InTime =
+      Step.Now + Detour + Times.expected(Current.Route->Name) < Current.Target;
   Message.MayGoElsewhere =
-      MayGoElsewhere && To.Region == Here.Region &&
+      MayGoElsewhere && InTime &&
       Step.Directory.ready(Current.Service).size() > Current.Tried.size() + 1;
   Message.Request = Current.Request;
   Step.Out.emplace_back(SendPeer{To.Host, std::move(Message)});
@@ -254,20 +260,22 @@
     Link.received(Step.Now,
                   messageSize(Message.Response.Headers, Message.Response.Body));
   bool Success = Message.Response.Status < 500;
+  bool OwnFault = runShare(*Current, Step.Now, Message.Load) < OwnFaultShare;
   if (Success)
     learn(*Current, Step.Now, Message.Load);
   settle(Step, *Current, Success, &Message.Load);
   ++Current->Servers;
   Current->MayHaveRun = true;
-  if (Success || !Current->Route->Idempotent)
+  if (Success || !Current->Route->Idempotent || !OwnFault)
     return deliver(Step, *Current, std::move(Message.Response));
   Current->Spare = std::move(Message.Response);
   retryAfterRun(Step, *Current, ErrorKind::BackendFailed);
 }
 
-/// Learns the usual duration of a route from an answer.
-void CallRouter::learn(const Call &Current, TimePoint Now,
-                       const LoadReport &Load) {
+/// Returns the duration of the present attempt at the usual speed of the
+/// server.
+Duration CallRouter::usualRun(const Call &Current, TimePoint Now,
+                              const LoadReport &Load) const {
   Duration Took = Now - Current.SentAt;
   if (Current.Remote)
     Took -= std::min(Took, Here.RegionRoundTrip);
@@ -275,9 +283,24 @@
   if (Load.UsualTime > Duration(0) && Load.ServiceTime > Duration(0))
     Factor = static_cast<double>(Load.ServiceTime.count()) /
              static_cast<double>(Load.UsualTime.count());
-  Times.add(Current.Route->Name,
-            Duration(static_cast<Duration::rep>(
-                static_cast<double>(Took.count()) / Factor)));
+  return Duration(
+      static_cast<Duration::rep>(static_cast<double>(Took.count()) / Factor));
+}
+
+void CallRouter::learn(const Call &Current, TimePoint Now,
+                       const LoadReport &Load) {
+  Times.add(Current.Route->Name, usualRun(Current, Now, Load));
+}
+
+/// Returns how long the present attempt took, over the usual time.
+///
+/// Load pattern: a service fails a part of its calls, and the runs that made
+/// them fail in turn. Such a run fails late; to repeat it would repeat its
+/// calls and spend the retry budget of the service that is short.
+double CallRouter::runShare(const Call &Current, TimePoint Now,
+                            const LoadReport &Load) const {
+  return static_cast<double>(usualRun(Current, Now, Load).count()) /
+         static_cast<double>(Times.expected(Current.Route->Name).count());
 }
 
 void CallRouter::refused(RouterStep &Step, const PeerRef &From,
--- a/src/sidecar/CallRouter.h
+++ b/src/sidecar/CallRouter.h
@@ -98,6 +98,10 @@
   };
 
   Call *find(const CallId &Id, const PeerRef &From);
+  Duration usualRun(const Call &Current, TimePoint Now,
+                    const LoadReport &Load) const;
+  double runShare(const Call &Current, TimePoint Now,
+                  const LoadReport &Load) const;
   void learn(const Call &Current, TimePoint Now, const LoadReport &Load);
   void wakeAt(Call &Current, TimePoint At);
   void forget(Call &Current);
--- a/src/sidecar/Sidecar.cpp
+++ b/src/sidecar/Sidecar.cpp
@@ -14,6 +14,8 @@
 /// asks for readiness once a second and needs two misses to send clients
 /// elsewhere.
 static constexpr Duration ClientsLeaveTime = 2300ms;
+/// Time between questions to peers while the store is away at the start.
+static constexpr Duration AskPeerInterval = 300ms;
 /// Time before the process would be killed that is kept for the last answers to
 /// be written.
 static constexpr Duration StopReserve = 500ms;
@@ -84,12 +86,16 @@
   message(S, Body.From, Body.Message);
 }
 
-/// A daemon that knows nothing yet asks whoever it meets: the store may be
-/// away.
+/// A daemon that knows nothing yet and does not reach the store asks whoever it
+/// meets. One at a time, since the answer is the whole state.
 void Sidecar::on(Step &S, PeerConnected &Body) {
   Peers.heard(Body.Peer.Host, S.Out);
-  if (!complete())
-    S.Out.emplace_back(SendPeer{Body.Peer.Host, TopicSubscribe{offsets()}});
+  bool StoreFails = std::ranges::any_of(
+      Topics, [](const TopicState &State) { return State.Follower.failing(); });
+  if (complete() || !StoreFails || S.Now < AskPeerAt)
+    return;
+  AskPeerAt = S.Now + AskPeerInterval;
+  S.Out.emplace_back(SendPeer{Body.Peer.Host, TopicSubscribe{offsets()}});
 }
 
 void Sidecar::on(Step &S, PeerLost &Body) {
@@ -317,9 +323,10 @@
 }
 
 void Sidecar::followTopics(Step &S) {
-  if (complete())
+  bool KnowsHosts = stateOf(Topic::Members).Follower.complete();
+  if (KnowsHosts)
     Relay.timer(S.Now, Directory, Peers, offsets(), S.Out);
-  bool Reads = !complete() || Relay.readsStore(S.Now);
+  bool Reads = !KnowsHosts || Relay.readsStore(S.Now);
   for (TopicState &State : Topics) {
     State.Follower.activate(S.Now, Reads);
     State.Follower.timer(S.Now, State.Image.next(), S.Out);
--- a/src/sidecar/Sidecar.h
+++ b/src/sidecar/Sidecar.h
@@ -114,6 +114,7 @@
   AnnouncementOrder Order;       ///< Of the next announcement.
   bool AnnounceNeeded = false;   ///< The store lacks the newest announcement.
   bool Announcing = false;       ///< An append is under way.
+  TimePoint AskPeerAt{};         ///< Not before.
   unsigned AnnounceFailures = 0; ///< In a row.
   TimePoint AnnounceAt{};        ///< Not before.
 
--- a/src/sidecar/TopicFollower.cpp
+++ b/src/sidecar/TopicFollower.cpp
@@ -11,11 +11,17 @@
 /// How long the store may hold a read when there is nothing new. A held read
 /// may be forgotten by the store, so the wait for the configuration is well
 /// below the time in which one must be in force.
-static constexpr Duration OperatorWait = 1s;
+static constexpr Duration OperatorWait = 1500ms;
 static constexpr Duration MembersWait = 2s;
 /// Pause after a read that returned announcements: they come in groups, and
 /// each call has a price.
-static constexpr Duration MembersPause = 200ms;
+static constexpr Duration MembersPause = 500ms;
+/// Pause after the first snapshot. Meanwhile the reader of the failure domain,
+/// which the snapshot names, can answer in the store's place.
+static constexpr Duration SnapshotPause = 150ms;
+/// The operator's topic is read so much later than the members' at the start,
+/// for the same reason.
+static constexpr Duration OperatorDelay = 100ms;
 /// Pauses after failures. Entries must be back two seconds after the store is,
 /// so the longest pause is well below.
 static constexpr Duration FirstPause = 100ms;
@@ -55,14 +61,18 @@
                    {"next", std::to_string(Next)}};
     Out.emplace_back(std::move(Line));
   }
+  bool First = !Complete;
   Reached = true;
   Failures = 0;
   Complete = true;
   NeedsSnapshot = false;
   if (!Active)
     return;
-  ReadAt =
-      Now + (Records && Which == Topic::Members ? MembersPause : Duration(0));
+  ReadAt = Now;
+  if (First)
+    ReadAt += SnapshotPause;
+  else if (Records && Which == Topic::Members)
+    ReadAt += MembersPause;
   timer(Now, Next, Out);
 }
 
@@ -90,6 +100,8 @@
 }
 
 void TopicFollower::timer(TimePoint Now, Offset Next, SidecarEffects &Out) {
+  if (ReadAt == TimePoint{})
+    ReadAt = Which == Topic::Operator ? Now + OperatorDelay : Now;
   if (Active && !Reading && Now >= ReadAt)
     read(Next, Out);
 }
--- a/src/sidecar/TopicFollower.h
+++ b/src/sidecar/TopicFollower.h
@@ -36,6 +36,8 @@
   void completed() { Complete = true; }
   /// Returns whether the store is read here, and the last read ended well.
   bool live() const { return Active && Complete && Failures == 0; }
+  /// Returns whether the last read of the store has failed.
+  bool failing() const { return Failures > 0; }
 
 private:
   void read(Offset Next, SidecarEffects &Out);
--- a/src/sidecar/TopicRelay.cpp
+++ b/src/sidecar/TopicRelay.cpp
@@ -14,6 +14,9 @@
 /// A reader that has not answered for so long is not relied upon. Two lost
 /// answers, and a configuration still comes into force in time.
 static constexpr Duration LiveTime = 1300ms;
+/// A reader that was just chosen has so long to answer before the store is
+/// read.
+static constexpr Duration AnswerGrace = 150ms;
 /// A daemon that has not asked for so long is not told of news.
 static constexpr Duration SubscriberTime = 2s;
 
@@ -45,7 +48,7 @@
   HostId Chosen = chooseReader(Self, FailureDomain, Directory, Peers);
   if (Chosen != Reader) {
     Reader = Chosen;
-    LiveUntil = TimePoint{};
+    LiveUntil = Now + AnswerGrace;
     Decision Line{LogLevel::Info, "store-reader", {}};
     Line.Fields = {{"reader", Reader}};
     Out.emplace_back(std::move(Line));
--- a/tests/SidecarTest.cpp
+++ b/tests/SidecarTest.cpp
@@ -63,6 +63,7 @@
   /// Reads empty topics, a configuration, and hosts a, b and c.
   void learn(bool Idempotent = true) {
     tick();
+    tick(100ms);
     apply(TopicSnapshot{Topic::Operator, {}, 0});
     apply(TopicSnapshot{Topic::Members, {}, 0});
     operatorRecord("config", 1, config(5, Idempotent));
@@ -247,12 +248,29 @@
 TEST_F(SidecarTest, TheServersFailureIsDeliveredUnchanged) {
   learn(true);
   auto [First, Call] = sent(request(1));
+  Now += 5ms;
   auto [Second, Again] =
       sent(reply(First, Answer{Call.Call, {500, {}, "first"}, {}}));
   auto Out = reply(Second, Answer{Again.Call, {500, {}, "second"}, {}});
   EXPECT_EQ(answer(Out)->Body, "second");
 }
 
+// Load pattern: a service fails a part of its calls, and the runs that made
+// them fail late. Repeating those multiplies the calls to the service.
+TEST_F(SidecarTest, ARunThatFailsLateIsNotRepeated) {
+  learn(true);
+  for (CallerId Caller = 1; Caller <= 30; ++Caller) {
+    auto [Host, Call] = sent(request(Caller));
+    Now += 100ms;
+    reply(Host, Answer{Call.Call, {200, {}, ""}, {}});
+  }
+  auto [Host, Call] = sent(request(31));
+  Now += 90ms;
+  auto Out = reply(Host, Answer{Call.Call, {500, {}, "callee"}, {}});
+  EXPECT_TRUE(messages<Execute>(Out).empty());
+  EXPECT_EQ(answer(Out)->Body, "callee");
+}
+
 TEST_F(SidecarTest, ACallThatMayHaveRunIsNotRepeated) {
   learn(false);
   auto [Host, Call] = sent(request(1));
