Test: sidecar, platform formats and choice by expected time; settings are reloaded

The settings are read anew on SIGHUP and every 2 s; bounds and the address of the store take effect without a restart, faulty settings change nothing. A cold server gets half of the overage that the operator allows: 50 requests a second instead of 40 where the bound is 65.

--- a/include/figsail/Events.h
+++ b/include/figsail/Events.h
@@ -65,7 +65,7 @@
 struct ProbeDone {
   bool Healthy = false;
   Duration Took{0};
-  HeaderList Headers; ///< Of the response, if there was one.
+  HeaderList Headers{}; ///< Of the response, if there was one.
 };
 
 /// A read of the log has ended.
--- a/src/programs/figsail-sidecar.cpp
+++ b/src/programs/figsail-sidecar.cpp
@@ -21,7 +21,15 @@
 /// Exit status for settings that are not usable.
 static constexpr int SettingsStatus = 2;
 
-static SidecarPlatform makePlatform(boost::asio::io_context &Context,
+static SettingsRead readAgain(const std::string &Path) {
+  auto Read = platform::readSettings(Path);
+  if (auto *Fault = std::get_if<platform::SettingsFault>(&Read))
+    return std::move(Fault->Text);
+  return std::get<SidecarConfiguration>(std::move(Read));
+}
+
+static SidecarPlatform makePlatform(const std::string &Path,
+                                    boost::asio::io_context &Context,
                                     StoreHandler &Handler,
                                     const SidecarConfiguration &Given) {
   SidecarPlatform Result;
@@ -30,6 +38,7 @@
   Result.Reports = std::make_unique<platform::Reports>();
   Result.Store = std::make_unique<platform::StoreClient>(Context, Handler,
                                                          Given.Addresses.Store);
+  Result.ReadSettings = [Path] { return readAgain(Path); };
   return Result;
 }
 
@@ -41,12 +50,15 @@
   return Drawn;
 }
 
-static int run(SidecarConfiguration Given) {
+static int run(const std::string &Path, SidecarConfiguration Given) {
   startStructuredLogging(Given.Settings.Host);
   raiseFileLimit();
   Given.Settings.Inc = drawIncarnation();
   boost::asio::io_context Context(1);
-  SidecarDaemon Self(Context, std::move(Given), makePlatform);
+  SidecarDaemon Self(Context, std::move(Given),
+                     [&Path](auto &Loop, auto &Handler, const auto &Settings) {
+                       return makePlatform(Path, Loop, Handler, Settings);
+                     });
   if (auto Error = Self.start()) {
     logError("daemon", *Error);
     flushLog();
@@ -75,7 +87,8 @@
     std::cout << Known;
     return 0;
   }
-  auto Read = platform::readSettings(Chosen["settings"].as<std::string>());
+  auto Path = Chosen["settings"].as<std::string>();
+  auto Read = platform::readSettings(Path);
   if (const auto *Fault = std::get_if<platform::SettingsFault>(&Read)) {
     std::cerr << "figsail-sidecar: settings: " << Fault->Text << "\n";
     return SettingsStatus;
@@ -84,5 +97,5 @@
     std::cout << "the settings are valid\n";
     return 0;
   }
-  return run(std::get<SidecarConfiguration>(std::move(Read)));
+  return run(Path, std::get<SidecarConfiguration>(std::move(Read)));
 }
--- a/src/shell/HttpExchange.cpp
+++ b/src/shell/HttpExchange.cpp
@@ -49,6 +49,11 @@
                        });
 }
 
+void HttpExchange::moveTo(std::string NewAddress) {
+  Address = std::move(NewAddress);
+  Stream.close();
+}
+
 void HttpExchange::close() {
   Done = nullptr;
   Stream.close();
--- a/src/shell/HttpExchange.h
+++ b/src/shell/HttpExchange.h
@@ -32,6 +32,9 @@
   /// Starts an exchange; Done is called once, from the event loop. Must not be
   /// called while one is under way.
   void start(Request Message, Duration Timeout, Callback Done);
+  /// Uses another address from the next connection on. An exchange under way
+  /// fails.
+  void moveTo(std::string NewAddress);
   /// Closes the connection. An exchange under way ends without its callback.
   void close();
 
--- a/src/shell/SidecarDaemon.cpp
+++ b/src/shell/SidecarDaemon.cpp
@@ -31,6 +31,8 @@
 static constexpr Duration PeerIdleTimeout = 10min;
 /// How long informational lines may stay in the buffer.
 static constexpr Duration LogFlushInterval = 250ms;
+/// How often the settings are read anew.
+static constexpr Duration SettingsInterval = 2s;
 /// Time at the end of the process for clients and peers to take what was
 /// written.
 static constexpr Duration OutputLimit = 300ms;
@@ -95,7 +97,7 @@
           Context,
           [this](const auto &, const auto &Reply) { metricsRequest(Reply); }),
       Signals(Context, SIGTERM, SIGINT, SIGHUP), WakeTimer(Context),
-      LogTimer(Context), ExitTimer(Context) {}
+      LogTimer(Context), SettingsTimer(Context), ExitTimer(Context) {}
 
 SidecarDaemon::~SidecarDaemon() = default;
 
@@ -126,6 +128,7 @@
     return Error;
   awaitSignal();
   armLogTimer();
+  armSettingsTimer();
   Decision Line{LogLevel::Info, "started", {}};
   Line.Fields = {{"incarnation", std::to_string(Configuration.Settings.Inc)},
                  {"domain", Configuration.Settings.FailureDomain},
@@ -231,14 +234,54 @@
   Signals.async_wait([this](const error_code &Error, int Number) {
     if (Error)
       return;
-    Decision Line{LogLevel::Info, Number == SIGHUP ? "reload" : "stop", {}};
-    perform(Line);
-    if (Number != SIGHUP)
+    if (Number == SIGHUP) {
+      reloadSettings(true);
+    } else {
+      Decision Line{LogLevel::Info, "stop", {}};
+      perform(Line);
       submit(StopRequested{});
+    }
     awaitSignal();
   });
 }
 
+/// The settings may change without a signal.
+void SidecarDaemon::armSettingsTimer() {
+  SettingsTimer.expires_after(SettingsInterval);
+  SettingsTimer.async_wait([this](const error_code &Error) {
+    if (Error)
+      return;
+    reloadSettings(false);
+    armSettingsTimer();
+  });
+}
+
+/// Applies what can change while the daemon runs: the bounds and the address of
+/// the store. Faulty settings change nothing.
+void SidecarDaemon::reloadSettings(bool Asked) {
+  SettingsRead Read = Platform.ReadSettings();
+  if (const auto *Fault = std::get_if<std::string>(&Read)) {
+    Decision Line{LogLevel::Error, "settings-unusable", {}};
+    Line.Fields = {{"reason", *Fault}};
+    return perform(Line);
+  }
+  auto &Next = std::get<SidecarConfiguration>(Read);
+  bool NewBounds = Next.Settings.Bounds != Configuration.Settings.Bounds;
+  bool NewStore = Next.Addresses.Store != Configuration.Addresses.Store;
+  if (!Asked && !NewBounds && !NewStore)
+    return;
+  Decision Line{LogLevel::Info, "reload", {}};
+  Line.Fields = {{"bounds", NewBounds ? "changed" : "unchanged"},
+                 {"store", Next.Addresses.Store}};
+  perform(Line);
+  Configuration.Settings.Bounds = Next.Settings.Bounds;
+  Configuration.Addresses.Store = Next.Addresses.Store;
+  if (NewStore)
+    Platform.Store->moveTo(Next.Addresses.Store);
+  if (NewBounds)
+    submit(BoundsChanged{Next.Settings.Bounds});
+}
+
 void SidecarDaemon::armLogTimer() {
   LogTimer.expires_after(LogFlushInterval);
   LogTimer.async_wait([this](const error_code &Error) {
--- a/src/shell/SidecarDaemon.h
+++ b/src/shell/SidecarDaemon.h
@@ -68,6 +68,8 @@
                                     const std::string &Address);
   void awaitSignal();
   void armLogTimer();
+  void armSettingsTimer();
+  void reloadSettings(bool Asked);
 
   // Events.
   void submit(SidecarEventBody Body);
@@ -111,6 +113,7 @@
   boost::asio::signal_set Signals;
   boost::asio::steady_timer WakeTimer;
   boost::asio::steady_timer LogTimer;
+  boost::asio::steady_timer SettingsTimer;
   boost::asio::steady_timer ExitTimer;
   TimePoint ArmedFor = TimePoint::max();
   std::deque<SidecarEventBody> Waiting;
--- a/src/shell/SidecarPlatform.h
+++ b/src/shell/SidecarPlatform.h
@@ -9,6 +9,7 @@
 #include "SidecarEvents.h"
 #include "SidecarSettings.h"
 
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
@@ -67,6 +68,8 @@
   virtual void readSnapshot(Topic Which) = 0;
   virtual void read(const ReadTopic &Wanted) = 0;
   virtual void append(const Announcement &Said) = 0;
+  /// The store has another address from the next call on.
+  virtual void moveTo(const std::string &Address) = 0;
 };
 
 /// Where a sidecar listens and whom it calls.
@@ -86,12 +89,16 @@
   std::size_t MaxClientConnections = 250;
 };
 
+/// The settings as they are now, or what is wrong with them.
+using SettingsRead = std::variant<SidecarConfiguration, std::string>;
+
 /// The platform's side of one sidecar.
 struct SidecarPlatform {
   std::shared_ptr<const RequestFields> Fields;
   std::unique_ptr<const RecordDecoder> Records;
   std::unique_ptr<ReportCodec> Reports;
   std::unique_ptr<TopicStore> Store;
+  std::function<SettingsRead()> ReadSettings;
 };
 
 } // namespace figsail
--- a/src/sidecar/CallRouter.cpp
+++ b/src/sidecar/CallRouter.cpp
@@ -48,6 +48,8 @@
 }
 
 void CallRouter::setHostCounts(std::size_t All, std::size_t InRegion) {
+  AllHosts = All;
+  RegionHosts = InRegion;
   Link.share(InRegion);
   double Slack = Bounds.RetrySlack * RetryShare /
                  static_cast<double>(std::max<std::size_t>(1, All));
--- a/src/sidecar/CallRouter.h
+++ b/src/sidecar/CallRouter.h
@@ -55,6 +55,11 @@
     Selector.reported(Now, Host, Load);
   }
 
+  /// The operator's bounds have changed.
+  void configure(const SidecarBounds &Changed) {
+    Bounds = Changed;
+    setHostCounts(AllHosts, RegionHosts);
+  }
   /// The number of hosts has changed, over which the retry budget and the link
   /// between regions are divided.
   void setHostCounts(std::size_t All, std::size_t InRegion);
@@ -132,6 +137,8 @@
   Balancer Selector;
   RetryBudget Budget;
   RegionLink Link;
+  std::size_t AllHosts = 1;
+  std::size_t RegionHosts = 1;
   SplitSchedule Splits;
   RunTimes Times; ///< From sending to the answer, at usual speed.
   std::uint64_t NextNumber = 1;
--- a/src/sidecar/ServerGate.cpp
+++ b/src/sidecar/ServerGate.cpp
@@ -15,8 +15,11 @@
 static constexpr double UsableSlotShare = 0.8;
 /// A server counts as slow from this factor on its usual duration.
 static constexpr double SlowFactor = 1.5;
-/// Share of the rate of a cold server that may come at once.
-static constexpr double ColdBurstShare = 0.25;
+/// Shares of the overage that the operator allows on the rate of a cold server:
+/// for the steady rate, and for what may come at once. Together below 1, since
+/// both may fall into the same second.
+static constexpr double ColdRateShare = 0.5;
+static constexpr double ColdBurstShare = 0.4;
 /// How long a server counts as cold after its failure domain returns, unless it
 /// says something else. Longer than the time between two heartbeats.
 static constexpr Duration ReturnColdTime = 3s;
@@ -64,8 +67,18 @@
   if (Service.ColdPerSecond == ColdPerSecond)
     return;
   ColdPerSecond = Service.ColdPerSecond;
-  ColdTokens.configure(ColdPerSecond,
-                       std::max(1.0, ColdPerSecond * ColdBurstShare));
+  limitColdRate();
+}
+
+void ServerGate::configure(const SidecarBounds &Changed) {
+  Bounds = Changed;
+  limitColdRate();
+}
+
+void ServerGate::limitColdRate() {
+  double Overage = ColdPerSecond * std::max(0.0, Bounds.ColdOverage - 1);
+  ColdTokens.configure(ColdPerSecond + Overage * ColdRateShare,
+                       std::max(1.0, Overage * ColdBurstShare));
 }
 
 std::uint32_t ServerGate::usableSlots() const {
--- a/src/sidecar/ServerGate.h
+++ b/src/sidecar/ServerGate.h
@@ -51,6 +51,8 @@
 
   /// Sets the settings of the server's service.
   void configure(const ServiceSettings &Service);
+  /// The operator's bounds have changed.
+  void configure(const SidecarBounds &Changed);
   /// The failure domain is taken out of service or back. Taking it back counts
   /// the server as cold until it says otherwise.
   void evacuate(GateStep &Step, bool Evacuated);
@@ -110,6 +112,8 @@
   SidecarBounds Bounds;
   LocalServer Server;
   std::string HealthTarget = "/health";
+  void limitColdRate();
+
   double ColdPerSecond = 1;
   mutable TokenBucket ColdTokens;
   double Slowdown = 1;     ///< Newest factor that the server reported.
--- a/src/sidecar/Sidecar.cpp
+++ b/src/sidecar/Sidecar.cpp
@@ -71,6 +71,12 @@
 
 // Clients and peers.
 
+void Sidecar::on(Step &, BoundsChanged &Body) {
+  Settings.Bounds = Body.Bounds;
+  Router.configure(Body.Bounds);
+  Gate.configure(Body.Bounds);
+}
+
 void Sidecar::on(Step &S, ClientRequest &Body) {
   RouterStep Step = routerStep(S);
   Router.request(Step, std::move(Body));
--- a/src/sidecar/Sidecar.h
+++ b/src/sidecar/Sidecar.h
@@ -44,6 +44,7 @@
     SidecarEffects &Out;
   };
 
+  void on(Step &S, BoundsChanged &Body);
   void on(Step &S, ClientRequest &Body);
   void on(Step &S, CallerGone &Body);
   void on(Step &S, PeerReceived &Body);
--- a/src/sidecar/SidecarEvents.h
+++ b/src/sidecar/SidecarEvents.h
@@ -6,6 +6,7 @@
 
 #include "Instance.h"
 #include "ServiceConfig.h"
+#include "SidecarSettings.h"
 
 #include "figsail/Events.h"
 
@@ -141,11 +142,17 @@
   std::string Reason; ///< Of a failure.
 };
 
+/// The bounds of the process settings have changed.
+struct BoundsChanged {
+  SidecarBounds Bounds;
+};
+
 using SidecarEventBody =
-    std::variant<ClientRequest, CallerGone, PeerReceived, PeerConnected,
-                 PeerLost, ServerDone, ServerProbed, ServerHeartbeat,
-                 ServerLeaves, TopicSnapshot, TopicRecords, TopicTruncated,
-                 TopicFailed, AnnouncementDone, TimerFired, StopRequested>;
+    std::variant<BoundsChanged, ClientRequest, CallerGone, PeerReceived,
+                 PeerConnected, PeerLost, ServerDone, ServerProbed,
+                 ServerHeartbeat, ServerLeaves, TopicSnapshot, TopicRecords,
+                 TopicTruncated, TopicFailed, AnnouncementDone, TimerFired,
+                 StopRequested>;
 
 /// One event with the inputs that the reducer may not fetch itself.
 struct SidecarEvent {
--- a/src/sidecar/SidecarSettings.h
+++ b/src/sidecar/SidecarSettings.h
@@ -19,6 +19,8 @@
   double ColdSlack = 0;   ///< Requests a second on top.
   Duration StopLimit{std::chrono::seconds(6)}; ///< From SIGTERM to SIGKILL.
   Duration HeartbeatInterval{std::chrono::milliseconds(1500)};
+
+  bool operator==(const SidecarBounds &) const = default;
 };
 
 /// Place, identity and bounds of one sidecar.
--- a/tests/BackendClientTest.cpp
+++ b/tests/BackendClientTest.cpp
@@ -361,6 +361,48 @@
   EXPECT_EQ(Server.accepted(), 3U);
 }
 
+/// Requests and responses carry a number in the field X-Id.
+class NumberedFields : public BackendFields {
+public:
+  ResponseMatch match(const Message &Request,
+                      const HttpResponse &Response) const override {
+    std::string_view Id = findHeader(Response.Headers, "X-Id");
+    if (Id.empty())
+      return ResponseMatch::Unusable;
+    return Id == Request["X-Id"] ? ResponseMatch::Own : ResponseMatch::Foreign;
+  }
+};
+
+std::string numbered(const std::string &Id, const std::string &Body) {
+  return "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(Body.size()) +
+         "\r\nX-Id: " + Id + "\r\n\r\n" + Body;
+}
+
+// A second answer to an earlier request may arrive where the next answer is
+// due; it must reach nobody.
+TEST_F(BackendClientTest, AnAnswerToAnotherRequestIsSkipped) {
+  ScriptedServer Server(Client, [](RawConnection &Peer, std::size_t) {
+    Peer.request();
+    Peer.send(numbered("6", "foreign"));
+    Peer.send(numbered("7", "own"));
+    Peer.ended();
+  });
+  BackendSettings Settings;
+  Settings.Fields = std::make_shared<NumberedFields>();
+  connectTo(Server.port(), Settings);
+  start(1, seconds(30), {"GET", "/x", {{"X-Id", "7"}}, {}});
+  EXPECT_EQ(bodyOf(await(1)), "own");
+}
+
+TEST_F(BackendClientTest, AnAnswerThatNamesNoRequestIsNotPassedOn) {
+  ScriptedServer Server(Client, once(Ok));
+  BackendSettings Settings;
+  Settings.Fields = std::make_shared<NumberedFields>();
+  connectTo(Server.port(), Settings);
+  start(1, seconds(30), {"GET", "/x", {{"X-Id", "7"}}, {}});
+  EXPECT_EQ(errorOf(await(1)), BackendError::Malformed);
+}
+
 TEST_F(BackendClientTest, TimeoutAndCancelCloseTheConnection) {
   std::promise<void> Arrived;
   std::promise<void> Ended[2];
--- a/tests/BalancerTest.cpp
+++ b/tests/BalancerTest.cpp
@@ -245,3 +245,64 @@
     }
   }
 }
+
+namespace {
+
+constexpr LoadReport Fast{
+    .Limit = 10, .ServiceTime = 100ms, .UsualTime = 100ms};
+constexpr LoadReport Slow{
+    .Limit = 10, .ServiceTime = 400ms, .UsualTime = 100ms};
+
+/// Hosts of the chosen servers, under the policy of expected times.
+std::map<std::string, int> choices(Fleet &F, Duration TargetLeft) {
+  std::map<std::string, int> Chosen;
+  for (int I = 0; I < 100; ++I) {
+    F.Seed = F.Seed * 6364136223846793005ULL + 1442695040888963407ULL;
+    const Member *Who =
+        F.Under.choose(F.Now, F.Eligible, {}, true, F.Seed ^ F.Seed >> 29,
+                       {100ms, TargetLeft});
+    ++Chosen[Who->Host];
+  }
+  return Chosen;
+}
+
+struct ExpectedTime : testing::Test {
+  ExpectedTime() {
+    F.Under =
+        Balancer("10.9.9.9:7000", {"north", "n1"}, makeShortestExpectedTime());
+  }
+  Fleet F;
+};
+
+} // namespace
+
+// Load pattern: a server works at a quarter of its speed for some hundred
+// milliseconds while its neighbours do not.
+TEST_F(ExpectedTime, ASlowServerIsAvoidedAtOnceAndUsedAgain) {
+  F.add("north", "n1", 3);
+  F.reportAll(Fast);
+  F.Under.reported(F.Now, "n1-0", Slow);
+  EXPECT_EQ(choices(F, 300ms)["n1-0"], 0);
+  F.Under.reported(F.Now, "n1-0", Fast);
+  EXPECT_GT(choices(F, 300ms)["n1-0"], 10);
+}
+
+// The link between regions is narrow: it is used where that makes an answer
+// timely, and not to save some milliseconds.
+TEST_F(ExpectedTime, AnotherRegionOnlyWhereItMeetsTheTarget) {
+  F.add("north", "n1", 1);
+  F.add("south", "s1", 1);
+  F.report("n1-0", Slow);
+  F.report("s1-0", Fast);
+  EXPECT_EQ(choices(F, 300ms)["s1-0"], 100) << "400 ms here, 162 ms there";
+  EXPECT_EQ(choices(F, 500ms)["s1-0"], 0) << "in time here too";
+  EXPECT_EQ(choices(F, 100ms)["s1-0"], 0) << "late there too";
+}
+
+TEST_F(ExpectedTime, AServerThatFailsIsAvoided) {
+  F.add("north", "n1", 2);
+  F.reportAll(Fast);
+  for (int I = 0; I < 8; ++I)
+    F.report("n1-0", Fast, false);
+  EXPECT_EQ(choices(F, 300ms)["n1-0"], 0);
+}
--- a/tests/PeerCodecTest.cpp
+++ b/tests/PeerCodecTest.cpp
@@ -78,9 +78,16 @@
 PeerMessage anyMessage(std::size_t Index) {
   switch (Index) {
   case 0:
-    return Execute{anyCall(),           any<std::uint64_t>(), anyPolicy(),
-                   any<std::int64_t>(), any<std::uint64_t>(), anyGrant(),
-                   anyRequest()};
+    return Execute{anyCall(),
+                   any<std::uint64_t>(),
+                   anyPolicy(),
+                   any<std::int64_t>(),
+                   any<std::uint64_t>(),
+                   anyGrant(),
+                   anyRequest(),
+                   anyText(),
+                   any<std::int64_t>(),
+                   any<bool>()};
   case 1:
     return Received{anyCall()};
   case 2:
--- a/tests/PlatformTest.cpp
+++ b/tests/PlatformTest.cpp
@@ -236,6 +236,8 @@
       : Server(Context, [this](const auto &Request, const auto &Reply) {
           Targets.emplace_back(Request.target());
           Bodies.push_back(Request.body());
+          if (HoldAnswers)
+            return Held.push_back(Reply);
           if (Answers.empty())
             return Reply(std::nullopt);
           auto Next = std::move(Answers.front());
@@ -243,8 +245,8 @@
           Reply(std::move(Next));
         }) {
     auto Where = Server.listen({boost::asio::ip::make_address("127.0.0.1"), 0});
-    Client = std::make_unique<platform::StoreClient>(
-        Context, *this, "127.0.0.1:" + std::to_string(Where.port()));
+    Address = "127.0.0.1:" + std::to_string(Where.port());
+    Client = std::make_unique<platform::StoreClient>(Context, *this, Address);
   }
   void storeEvent(SidecarEventBody Body) override {
     Event = std::move(Body);
@@ -262,6 +264,9 @@
 
   boost::asio::io_context Context;
   std::deque<HttpService::Response> Answers; ///< None left: the answer is lost.
+  bool HoldAnswers = false;
+  std::vector<HttpService::Reply> Held;
+  std::string Address;
   std::vector<std::string> Targets;
   std::vector<std::string> Bodies;
   SidecarEventBody Event;
@@ -313,6 +318,29 @@
   EXPECT_NE(Bodies[1].find("10.0.0.1:7000"), std::string::npos);
 }
 
+// A connection attempt into a partition hangs, and the kernel repeats it only
+// after seconds: with the time of a held read for it, a daemon came back to the
+// store 6 s after the partition had ended.
+TEST_F(StoreTest, AnAttemptToConnectDoesNotTakeTheTimeOfAHeldRead) {
+  // Nobody accepts, and the queue of new connections is full.
+  boost::asio::ip::tcp::acceptor Full(Context);
+  Full.open(boost::asio::ip::tcp::v4());
+  Full.bind({boost::asio::ip::make_address("127.0.0.1"), 0});
+  Full.listen(0);
+  std::vector<boost::asio::ip::tcp::socket> Waiting;
+  for (int I = 0; I < 4; ++I) {
+    Waiting.emplace_back(Context);
+    Waiting.back().async_connect(Full.local_endpoint(), [](auto) {});
+  }
+  Client->moveTo("127.0.0.1:" + std::to_string(Full.local_endpoint().port()));
+  // Another call, which the store does not answer, has less time in all.
+  platform::StoreClient Other(Context, *this, Address);
+  HoldAnswers = true;
+  Other.read({Topic::Members, 3, 10s});
+  Client->read({Topic::Operator, 3, 60s});
+  EXPECT_EQ(wait<TopicFailed>().Which, Topic::Operator) << "which ends first";
+}
+
 // Settings.
 
 const std::string GoodSettings = R"(
--- a/tests/SidecarTestSupport.h
+++ b/tests/SidecarTestSupport.h
@@ -55,6 +55,8 @@
   Settings.Service = "booking";
   Settings.Bounds.RetryRatio = 0.2;
   Settings.Bounds.RetrySlack = 64;
+  Settings.Bounds.ColdOverage = 1.5;
+  Settings.Bounds.ColdSlack = 5;
   return Settings;
 }
 
