--- a/include/figsail/PeerMessages.h
+++ b/include/figsail/PeerMessages.h
@@ -66,7 +66,7 @@
   std::uint64_t Fingerprint = 0;   ///< Hash of route, method, target and body.
   std::optional<GrantToken> Grant; ///< Set for keyed requests.
   HttpRequest Request;
-  std::string Instance; ///< Backend server that must run it; empty: any.
+  std::string Instance; ///< Backend server that the ingress knows of.
   std::int64_t TargetMicros =
       0; ///< Time left until the route's target latency; may be negative.
   bool MayGoElsewhere =
--- a/src/sidecar/ServerGate.cpp
+++ b/src/sidecar/ServerGate.cpp
@@ -140,8 +140,9 @@
     return ErrorKind::Draining;
   if (Server.state() == InstanceState::Absent || Unreachable)
     return ErrorKind::NoBackendServer;
-  if (Message.Policy.Service != Server.service() ||
-      Message.Instance != Server.instance())
+  // The address may have gone to another service. Another instance of the same
+  // service is as good as the one that the ingress knows.
+  if (Message.Policy.Service != Server.service())
     return ErrorKind::WrongIncarnation;
   return std::nullopt;
 }
@@ -333,6 +334,7 @@
 }
 
 void ServerGate::start(GateStep &Step, AdmittedCall &Call) {
+  Call.Message.Instance = Server.instance();
   Call.Run = ++LastRun;
   Call.Started = Step.Now;
   --Waiting;
