--- a/include/figsail/Types.h
+++ b/include/figsail/Types.h
@@ -40,7 +40,12 @@
       0; ///< Incarnation of the daemon that accepted the call.
   std::uint64_t Sequence = 0; ///< Counts up from 1 within the incarnation.
 
-  auto operator<=>(const CallId &) const = default;
+  bool operator==(const CallId &) const = default;
+  // clang-tidy 14 reports false errors in a defaulted <=>.
+  bool operator<(const CallId &Other) const {
+    return std::tie(Ingress, Sequence) <
+           std::tie(Other.Ingress, Other.Sequence);
+  }
   template <class Archive> void serialize(Archive &Ar) {
     Ar(Ingress, Sequence);
   }
--- a/src/core/AdmissionBase.h
+++ b/src/core/AdmissionBase.h
@@ -5,6 +5,7 @@
 
 #include "ConcurrencyLimit.h"
 #include "Quarantine.h"
+#include "RequestIdentity.h"
 #include "WorkspaceQueue.h"
 
 #include "figsail/Admission.h"
@@ -34,9 +35,6 @@
   NeverArrived, ///< Reported as never started; must not start any more.
 };
 
-/// Returns the text of a call id for the time line.
-std::string callText(const CallId &Call);
-
 struct Admission::State {
   State(PeerRef Self, AdmissionSettings Given, ExecutionLog &Log)
       : Self(std::move(Self)), Settings(std::move(Given)), Log(Log),
--- a/src/core/AdmissionRuns.cpp
+++ b/src/core/AdmissionRuns.cpp
@@ -14,10 +14,6 @@
 static constexpr Duration EndedCallLifetime = std::chrono::seconds(60);
 static constexpr std::size_t MaxEndedCalls = 65536;
 
-std::string callText(const CallId &Call) {
-  return std::to_string(Call.Ingress) + '-' + std::to_string(Call.Sequence);
-}
-
 bool Admission::State::mayStart(TimePoint Now, const CallId &Call) const {
   if (SuspectsRunning == 0)
     return true;
--- a/src/core/RequestIdentity.cpp
+++ b/src/core/RequestIdentity.cpp
@@ -32,4 +32,8 @@
   return Size;
 }
 
+std::string callText(const CallId &Call) {
+  return std::to_string(Call.Ingress) + '-' + std::to_string(Call.Sequence);
+}
+
 } // namespace figsail
--- a/src/core/RequestIdentity.h
+++ b/src/core/RequestIdentity.h
@@ -24,6 +24,10 @@
 /// Returns the bytes of a message's header fields and body.
 std::size_t messageSize(const HeaderList &Headers, const std::string &Body);
 
+/// Returns "incarnation-sequence", which names one attempt of a call in logs
+/// and time lines.
+std::string callText(const CallId &Call);
+
 } // namespace figsail
 
 #endif // FIGSAIL_REQUESTIDENTITY_H
--- a/src/shell/Daemon.cpp
+++ b/src/shell/Daemon.cpp
@@ -67,8 +67,8 @@
       Log(Context, *this, Settings.Log, LogTimeout),
       Operators(Context,
                 {Settings.Node.Self, Decisions, Peers, Measured, Events}),
-      Signals(Context, SIGTERM, SIGINT), WakeTimer(Context),
-      ExitTimer(Context) {
+      Signals(Context, SIGTERM, SIGINT),
+      Waker(Context, [this] { submit(TimerFired{}); }), ExitTimer(Context) {
   if (!Settings.Backend.empty())
     Backend = std::make_unique<BackendClient>(
         Context, static_cast<BackendHandler &>(*this),
@@ -161,20 +161,11 @@
 
 // Events.
 
-/// Applies an event after those that are waiting. An effect may end at once and
-/// submit an event from within perform().
 void Daemon::submit(EventBody Body) {
-  Waiting.push_back(std::move(Body));
-  if (Applying)
-    return;
-  Applying = true;
-  while (!Waiting.empty()) {
-    EventBody Next = std::move(Waiting.front());
-    Waiting.pop_front();
-    apply(std::move(Next));
-  }
-  Applying = false;
-  armTimer();
+  bool Emptied = Waiting.submit(
+      std::move(Body), [this](EventBody Next) { apply(std::move(Next)); });
+  if (Emptied)
+    Waker.arm(Exiting ? TimePoint::max() : Decisions.nextWake());
 }
 
 void Daemon::apply(EventBody Body) {
@@ -185,24 +176,6 @@
     std::visit([this](auto &Body) { perform(Body); }, Action);
 }
 
-void Daemon::armTimer() {
-  TimePoint Due = Exiting ? TimePoint::max() : Decisions.nextWake();
-  if (Due == ArmedFor)
-    return;
-  ArmedFor = Due;
-  if (Due == TimePoint::max()) {
-    WakeTimer.cancel();
-    return;
-  }
-  WakeTimer.expires_at(Due);
-  WakeTimer.async_wait([this](const error_code &Error) {
-    if (Error)
-      return;
-    ArmedFor = TimePoint::max();
-    submit(TimerFired{});
-  });
-}
-
 // Effects.
 
 void Daemon::perform(ReplyCaller &Action) {
@@ -240,7 +213,7 @@
 
 void Daemon::perform(ResetAllPeers &) {
   Peers.resetAll();
-  std::erase_if(Waiting, [](const EventBody &Body) {
+  Waiting.drop([](const EventBody &Body) {
     return std::holds_alternative<PeerReceived>(Body);
   });
 }
--- a/src/shell/Daemon.h
+++ b/src/shell/Daemon.h
@@ -4,6 +4,7 @@
 #define FIGSAIL_DAEMON_H
 
 #include "BackendClient.h"
+#include "EventLoop.h"
 #include "HttpFrontend.h"
 #include "LogClient.h"
 #include "Metrics.h"
@@ -15,7 +16,6 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/steady_timer.hpp>
-#include <deque>
 #include <memory>
 #include <optional>
 #include <random>
@@ -58,7 +58,6 @@
   // Events.
   void submit(EventBody Body);
   void apply(EventBody Body);
-  void armTimer();
 
   // Effects.
   void perform(ReplyCaller &Action);
@@ -89,13 +88,11 @@
   LogClient Log;
   OperatorServer Operators;
   boost::asio::signal_set Signals;
-  boost::asio::steady_timer WakeTimer;
+  WakeTimer Waker;
   boost::asio::steady_timer ExitTimer;
-  TimePoint ArmedFor = TimePoint::max(); ///< When WakeTimer expires.
-  std::deque<EventBody> Waiting;         ///< Events not applied yet.
-  bool Applying = false;
-  bool Stopping = false; ///< A stop was requested.
-  bool Exiting = false;  ///< The reducer has ended the process.
+  EventQueue<EventBody> Waiting; ///< Events not applied yet.
+  bool Stopping = false;         ///< A stop was requested.
+  bool Exiting = false;          ///< The reducer has ended the process.
   std::unordered_map<CallerId, TimePoint> CallStarts;
   std::unordered_map<RunId, TimePoint> RunStarts;
 };
--- a/src/shell/SidecarDaemon.cpp
+++ b/src/shell/SidecarDaemon.cpp
@@ -96,8 +96,9 @@
       MetricsService(
           Context,
           [this](const auto &, const auto &Reply) { metricsRequest(Reply); }),
-      Signals(Context, SIGTERM, SIGINT, SIGHUP), WakeTimer(Context),
-      LogTimer(Context), SettingsTimer(Context), ExitTimer(Context) {}
+      Signals(Context, SIGTERM, SIGINT, SIGHUP),
+      Waker(Context, [this] { submit(TimerFired{}); }), LogTimer(Context),
+      SettingsTimer(Context), ExitTimer(Context) {}
 
 SidecarDaemon::~SidecarDaemon() = default;
 
@@ -295,17 +296,11 @@
 // Events.
 
 void SidecarDaemon::submit(SidecarEventBody Body) {
-  Waiting.push_back(std::move(Body));
-  if (Applying)
-    return;
-  Applying = true;
-  while (!Waiting.empty()) {
-    SidecarEventBody Next = std::move(Waiting.front());
-    Waiting.pop_front();
+  bool Emptied = Waiting.submit(std::move(Body), [this](SidecarEventBody Next) {
     apply(std::move(Next));
-  }
-  Applying = false;
-  armTimer();
+  });
+  if (Emptied)
+    Waker.arm(Exiting ? TimePoint::max() : Decisions.nextWake());
 }
 
 void SidecarDaemon::apply(SidecarEventBody Body) {
@@ -316,24 +311,6 @@
     std::visit([this](auto &Body) { perform(Body); }, Action);
 }
 
-void SidecarDaemon::armTimer() {
-  TimePoint Due = Exiting ? TimePoint::max() : Decisions.nextWake();
-  if (Due == ArmedFor)
-    return;
-  ArmedFor = Due;
-  if (Due == TimePoint::max()) {
-    WakeTimer.cancel();
-    return;
-  }
-  WakeTimer.expires_at(Due);
-  WakeTimer.async_wait([this](const error_code &Error) {
-    if (Error)
-      return;
-    ArmedFor = TimePoint::max();
-    submit(TimerFired{});
-  });
-}
-
 // Effects.
 
 void SidecarDaemon::perform(ReplyCaller &Action) {
--- a/src/shell/SidecarDaemon.h
+++ b/src/shell/SidecarDaemon.h
@@ -6,6 +6,7 @@
 
 #include "BackendClient.h"
 #include "DecisionLog.h"
+#include "EventLoop.h"
 #include "HttpFrontend.h"
 #include "HttpService.h"
 #include "Metrics.h"
@@ -16,7 +17,6 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/steady_timer.hpp>
-#include <deque>
 #include <functional>
 #include <optional>
 #include <random>
@@ -74,7 +74,6 @@
   // Events.
   void submit(SidecarEventBody Body);
   void apply(SidecarEventBody Body);
-  void armTimer();
 
   // Effects.
   void perform(ReplyCaller &Action);
@@ -111,13 +110,11 @@
   HttpService Readiness;
   HttpService MetricsService;
   boost::asio::signal_set Signals;
-  boost::asio::steady_timer WakeTimer;
+  WakeTimer Waker;
   boost::asio::steady_timer LogTimer;
   boost::asio::steady_timer SettingsTimer;
   boost::asio::steady_timer ExitTimer;
-  TimePoint ArmedFor = TimePoint::max();
-  std::deque<SidecarEventBody> Waiting;
-  bool Applying = false;
+  EventQueue<SidecarEventBody> Waiting; ///< Events not applied yet.
   bool Ready = false;
   bool Exiting = false;
   ReportId LastReport = 0;
--- a/src/sidecar/CallRouter.cpp
+++ b/src/sidecar/CallRouter.cpp
@@ -2,6 +2,8 @@
 
 #include "CallRouter.h"
 
+#include "DecisionText.h"
+
 #include <algorithm>
 #include <array>
 #include <cstdio>
@@ -536,20 +538,17 @@
                         const HttpResponse &Response, std::string_view Reason) {
   LogLevel Level = Reason == "answered" ? LogLevel::Info : LogLevel::Warning;
   Decision Line{Level, "call-ended", {}};
-  auto Took = std::chrono::duration_cast<std::chrono::milliseconds>(
-      Step.Now - Current.Arrived);
   Line.Fields = {{"id", Current.ClientId},
                  {"route", Current.Route->Name},
                  {"service", Current.Service},
-                 {"call", std::to_string(Current.Id.Ingress) + "-" +
-                              std::to_string(Current.Id.Sequence)},
+                 {"call", callText(Current.Id)},
                  {"peer", Current.Executor.Host},
                  {"instance", Current.Instance},
                  {"servers", std::to_string(Current.Servers)},
                  {"refusals", std::to_string(Current.Refusals)},
                  {"status", std::to_string(Response.Status)},
                  {"outcome", std::string(Reason)},
-                 {"ms", std::to_string(Took.count())}};
+                 {"ms", millisText(Step.Now - Current.Arrived)}};
   Step.Out.emplace_back(std::move(Line));
 }
 
--- a/src/sidecar/Instance.cpp
+++ b/src/sidecar/Instance.cpp
@@ -62,7 +62,7 @@
 bool InstanceDirectory::merge(const Announcement &Said) {
   auto Known = Hosts.find(Said.Host);
   if (Known != Hosts.end()) {
-    if (Said.Order <= Known->second.Order)
+    if (!(Known->second.Order < Said.Order))
       return false;
     unlist(Known->second);
   }
--- a/src/sidecar/Instance.h
+++ b/src/sidecar/Instance.h
@@ -9,6 +9,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <tuple>
 #include <vector>
 
 namespace figsail {
@@ -28,7 +29,12 @@
   Incarnation Inc = 0;          ///< Of the daemon; breaks ties.
   std::uint64_t Counter = 0;    ///< Within the incarnation.
 
-  auto operator<=>(const AnnouncementOrder &) const = default;
+  bool operator==(const AnnouncementOrder &) const = default;
+  // clang-tidy 14 reports false errors in a defaulted <=>.
+  bool operator<(const AnnouncementOrder &Other) const {
+    return std::tie(Generation, Inc, Counter) <
+           std::tie(Other.Generation, Other.Inc, Other.Counter);
+  }
 };
 
 /// What a daemon announces of itself and of its backend server.
--- a/src/sidecar/ServerGate.cpp
+++ b/src/sidecar/ServerGate.cpp
@@ -2,6 +2,7 @@
 
 #include "ServerGate.h"
 
+#include "DecisionText.h"
 #include "RequestIdentity.h"
 
 #include <algorithm>
@@ -47,15 +48,6 @@
 /// Memory for the bodies of waiting and running calls.
 static constexpr std::size_t MaxCalls = 512;
 
-static std::string callText(const CallId &Call) {
-  return std::to_string(Call.Ingress) + "-" + std::to_string(Call.Sequence);
-}
-
-static std::string millisText(Duration Time) {
-  return std::to_string(
-      std::chrono::duration_cast<std::chrono::milliseconds>(Time).count());
-}
-
 // Limits.
 
 ServerGate::ServerGate(const SidecarSettings &Settings)
