--- a/tests/PlatformTest.cpp
+++ b/tests/PlatformTest.cpp
@@ -111,7 +111,7 @@
 
 TEST(PlatformReports, RefusesWhatNamesNoServer) {
   auto Status = [](std::string_view Method, std::string_view Target,
-                   std::string Body) {
+                   const std::string &Body) {
     Report Read = platform::Reports().decode(Method, Target, Body);
     const auto *Bad = std::get_if<BadReport>(&Read);
     return Bad ? Bad->Status : 0;
@@ -135,7 +135,7 @@
 }
 
 TEST(PlatformReports, ReadsALeaveWithAndWithoutABody) {
-  auto Born = [](std::string Body) {
+  auto Born = [](const std::string &Body) {
     Report Read =
         platform::Reports().decode("DELETE", "/v1/instances/i-1", Body);
     return std::get<ServerLeaves>(Read).BornMillis;
--- a/tests/TopicsTest.cpp
+++ b/tests/TopicsTest.cpp
@@ -31,7 +31,7 @@
 // Another writer's bytes must not stop the daemon or name a server.
 TEST(Announcement, IsNotReadFromForeignBytes) {
   std::string Good = encodeAnnouncement(announcement("10.0.0.2:7000"));
-  for (std::string Bad :
+  for (const std::string &Bad :
        {std::string(), std::string("{}"), std::string("[1]"),
         std::string("\xff\xfe"), Good.substr(0, Good.size() - 5),
         std::string(R"({"host":1,"state":9})")})
