Fix: HEAD on a route of GET; a settings file for figsaild

Cause: RouteIndex chose by the exact method, so HEAD on a route declared for GET got 404. The variable FIGSAIL_SETTINGS was refused as an unknown setting, because figsaild had no settings file.

Ruled out: a HEAD route made at declaration time (it would show up in listings and conflict with a declared one). A HEAD route that is declared still goes first, and a GET route goes before one of any method.

Conclusion: flags go before variables, and these before the file.

--- a/src/core/RouteIndex.cpp
+++ b/src/core/RouteIndex.cpp
@@ -60,6 +60,9 @@
 RouteIndex::RoutePtr RouteIndex::select(const MethodMap &Methods,
                                         std::string_view Method) {
   auto Found = Methods.find(Method);
+  // HEAD asks for the fields of the answer that GET would have.
+  if (Found == Methods.end() && Method == "HEAD")
+    Found = Methods.find(std::string_view("GET"));
   if (Found == Methods.end())
     Found = Methods.find(std::string_view());
   return Found == Methods.end() ? nullptr : Found->second;
--- a/src/shell/ProcessSettings.cpp
+++ b/src/shell/ProcessSettings.cpp
@@ -7,6 +7,8 @@
 #include <algorithm>
 #include <boost/algorithm/string.hpp>
 #include <boost/program_options.hpp>
+#include <filesystem>
+#include <fstream>
 #include <map>
 #include <sstream>
 #include <unistd.h>
@@ -16,6 +18,8 @@
 namespace po = boost::program_options;
 
 static constexpr std::string_view VariablePrefix = "FIGSAIL_";
+/// The option that names a file of settings.
+static constexpr std::string_view FileOption = "settings";
 
 namespace {
 
@@ -119,8 +123,13 @@
 static po::options_description describeOptions() {
   po::options_description Options(
       "figsaild: load balancer daemon beside one backend server.\n"
-      "Each setting --name can also be given as the variable FIGSAIL_NAME");
+      "Each setting --name can also be given as the variable FIGSAIL_NAME, or\n"
+      "as a line name = value of the file that --settings names. Flags go\n"
+      "before variables, and these before the file");
   Options.add_options()("help", "print this text");
+  Options.add_options()(std::string(FileOption).c_str(),
+                        po::value<std::string>()->value_name("FILE"),
+                        "file of settings, one name = value a line");
   for (const ProcessSettingRow &Entry : SettingTable)
     Options.add_options()(std::string(Entry.Row.Name).c_str(),
                           po::value<std::string>()->value_name("VALUE"),
@@ -130,6 +139,8 @@
 
 /// Returns the name of the setting. Throws po::error when there is none.
 static std::string settingOfVariable(const std::string &Variable) {
+  if (variableName(FileOption) == Variable)
+    return std::string(FileOption);
   for (const ProcessSettingRow &Entry : SettingTable)
     if (variableName(Entry.Row.Name) == Variable)
       return std::string(Entry.Row.Name);
@@ -149,6 +160,24 @@
   return Parsed;
 }
 
+/// Reads the lines of a file. Throws po::error when it cannot be read or holds
+/// anything else than settings.
+static po::parsed_options parseFile(const po::options_description &Options,
+                                    const std::string &Path) {
+  std::ifstream File(Path);
+  if (!File || !std::filesystem::is_regular_file(Path))
+    throw po::error("the settings file \"" + Path + "\" cannot be read");
+  try {
+    po::parsed_options Parsed = po::parse_config_file(File, Options);
+    for (const auto &Option : Parsed.options)
+      if (Option.string_key == FileOption || Option.string_key == "help")
+        throw po::error(Option.string_key + " is not allowed in a file");
+    return Parsed;
+  } catch (const po::error &Error) {
+    throw po::error("settings file \"" + Path + "\": " + Error.what());
+  }
+}
+
 /// Throws po::error when the value is missing or out of bounds.
 static void storeSetting(ProcessSettings &Settings,
                          const ProcessSettingRow &Entry,
@@ -200,6 +229,10 @@
     return HelpRequested{Text.str()};
   }
   po::store(parseVariables(Options, Variables), Values);
+  if (Values.contains(std::string(FileOption)))
+    po::store(
+        parseFile(Options, Values[std::string(FileOption)].as<std::string>()),
+        Values);
   ProcessSettings Settings;
   for (const ProcessSettingRow &Entry : SettingTable)
     storeSetting(Settings, Entry, Values);
--- a/tests/ConfigurationTest.cpp
+++ b/tests/ConfigurationTest.cpp
@@ -141,11 +141,34 @@
   EXPECT_TRUE(Tree.inService("e", "10.0.0.2:9"));
 }
 
+// HEAD on a route of GET was answered 404.
+TEST(Configuration, HeadFindsTheRouteOfGet) {
+  Configuration Tree = makeTree(
+      {edit("/w", NodeKind::Workspace), edit("/w/s", NodeKind::Service),
+       route("/w/s/read", "/read", "GET"), route("/w/s/any", "/any", ""),
+       route("/w/s/write", "/write", "POST")});
+  auto Found = Tree.findRoute("HEAD", "/read");
+  ASSERT_TRUE(Found);
+  EXPECT_EQ(Found->Policy.Route, "/w/s/read");
+  EXPECT_TRUE(Tree.findRoute("HEAD", "/any"));
+  EXPECT_FALSE(Tree.findRoute("HEAD", "/write"));
+}
+
+/// Returns how well a route's method fits: 0 not at all, 1 any method, 2 the
+/// GET route of a HEAD, 3 the method itself.
+static int methodRank(const std::string &Wanted, const std::string &Method) {
+  if (Wanted == Method)
+    return 3;
+  if (Method == "HEAD" && Wanted == "GET")
+    return 2;
+  return Wanted.empty() ? 1 : 0;
+}
+
 /// Chooses a route by a scan over all of them.
 static std::string scan(const Configuration &Tree, const std::string &Method,
                         const std::string &Path) {
   std::string Best;
-  std::tuple<std::size_t, bool, bool> BestRank;
+  std::tuple<std::size_t, bool, int> BestRank;
   for (const auto &[Name, Node] : Tree.nodes()) {
     if (Node.Kind != NodeKind::Route)
       continue;
@@ -154,10 +177,10 @@
     bool Prefix = Match.ends_with('*');
     if (Prefix)
       Match.pop_back();
-    if (!(Prefix ? Path.starts_with(Match) : Path == Match) ||
-        (!Wanted.empty() && Wanted != Method))
+    int Fit = methodRank(Wanted, Method);
+    if (Fit == 0 || !(Prefix ? Path.starts_with(Match) : Path == Match))
       continue;
-    std::tuple Rank(Match.size(), !Prefix, !Wanted.empty());
+    std::tuple Rank(Match.size(), !Prefix, Fit);
     if (!Best.empty() && Rank <= BestRank)
       continue;
     Best = Name;
@@ -176,7 +199,7 @@
   auto Match = rc::gen::map(
       rc::gen::pair(Path, rc::gen::arbitrary<bool>()),
       [](const auto &Pair) { return Pair.first + (Pair.second ? "*" : ""); });
-  auto Method = rc::gen::element<std::string>("", "GET", "POST");
+  auto Method = rc::gen::element<std::string>("", "GET", "POST", "HEAD");
   Configuration Tree = makeTree(
       {edit("/w", NodeKind::Workspace), edit("/w/s", NodeKind::Service)});
   int Count = *rc::gen::inRange(1, 30);
@@ -192,7 +215,8 @@
   }
   for (int I = 0; I < 20; ++I) {
     std::string Asked = *Path;
-    std::string Verb = *rc::gen::element<std::string>("GET", "POST", "PUT");
+    std::string Verb =
+        *rc::gen::element<std::string>("GET", "POST", "PUT", "HEAD");
     auto Found = Tree.findRoute(Verb, Asked);
     RC_ASSERT((Found ? Found->Policy.Route : "") == scan(Tree, Verb, Asked));
   }
--- a/tests/ProcessSettingsTest.cpp
+++ b/tests/ProcessSettingsTest.cpp
@@ -3,7 +3,11 @@
 
 #include "ProcessSettings.h"
 
+#include <cstdlib>
+#include <filesystem>
+#include <fstream>
 #include <gtest/gtest.h>
+#include <unistd.h>
 
 using namespace figsail;
 
@@ -44,6 +48,22 @@
   return Text.find(Part) != std::string::npos;
 }
 
+/// A file of settings that is removed at the end.
+struct SettingsFile {
+  explicit SettingsFile(const std::string &Text) {
+    std::string Name = testing::TempDir() + "figsail-settings-XXXXXX";
+    int Descriptor = mkstemp(Name.data());
+    Path = Name;
+    std::ofstream(Path) << Text;
+    close(Descriptor);
+  }
+  SettingsFile(const SettingsFile &) = delete;
+  SettingsFile &operator=(const SettingsFile &) = delete;
+  ~SettingsFile() { std::filesystem::remove(Path); }
+
+  std::string Path;
+};
+
 } // namespace
 
 // Guards against a table that sets records free to outgrow the memory budget
@@ -104,6 +124,38 @@
   EXPECT_EQ(Self.Slots, 7U);
 }
 
+// The variable FIGSAIL_SETTINGS stopped the daemon as an unknown setting.
+TEST(ProcessSettings, AFileIsReadAfterFlagsAndVariables) {
+  SettingsFile File("region = kagoshima\nbackend-slots = 7\n"
+                    "# a comment\nbackend-connections=90\n");
+  Environment Variables{{"FIGSAIL_SETTINGS", File.Path},
+                        {"FIGSAIL_BACKEND_SLOTS", "8"}};
+  auto Result = readSettings(complete(), Variables);
+  const auto *Settings = std::get_if<ProcessSettings>(&Result);
+  ASSERT_TRUE(Settings);
+  EXPECT_EQ(Settings->Node.Self.Region, "fukuoka");
+  EXPECT_EQ(Settings->Node.Self.Slots, 8U);
+  EXPECT_EQ(Settings->BackendConnections, 90U);
+}
+
+TEST(ProcessSettings, ErrorsInAFileNameTheFile) {
+  for (const char *Text :
+       {"drain-limt = 5s\n", "backend-slots\n", "settings = other\n",
+        "help = 1\n", "[part]\nregion = a\n", "SelfNode:\n  Role: x\n"}) {
+    SettingsFile File(Text);
+    EXPECT_TRUE(
+        mentions(errorOf(completeWith("--settings=" + File.Path)), File.Path))
+        << Text;
+  }
+  SettingsFile File("backend-slots = 0\n");
+  EXPECT_TRUE(mentions(errorOf(completeWith("--settings=" + File.Path)),
+                       "backend-slots"));
+  EXPECT_TRUE(mentions(errorOf(completeWith("--settings=/nowhere/at/all")),
+                       "/nowhere"));
+  EXPECT_TRUE(
+      mentions(errorOf(completeWith("--settings=/")), "cannot be read"));
+}
+
 // A misspelt name would silently leave the default in force.
 TEST(ProcessSettings, UnknownNamesAreErrors) {
   EXPECT_TRUE(mentions(errorOf(completeWith("--drain-limt=5s")), "drain-limt"));
