Add: requests that crash their servers are refused

CrashWatch counts a broken run as a crash only when the server itself is gone shortly after (next connection refused, or another incarnation). The suspicion goes to the daemons of the service's other servers; a suspect runs where no other one runs; after two crashes it is refused for good. Execute carries the fingerprint (caller, host, method, path, body).

ServerGate.cpp was split on the way: runs and replies in ServerGateRuns.cpp, kept replies in EndedReplies.

Before: AQuarantinedRequestIsRefusedWithoutFurtherTries sent the call to the next server; the others did not compile. After: 58 tests of gate and sidecar pass.

--- a/include/figsail/PeerMessages.h
+++ b/include/figsail/PeerMessages.h
@@ -63,7 +63,8 @@
   CallPolicy Policy;
   std::int64_t BudgetMicros =
       0; ///< Time left until the deadline, from receipt.
-  std::uint64_t Fingerprint = 0;   ///< Hash of route, method, target and body.
+  std::uint64_t Fingerprint =
+      0; ///< Equal for repeats of one request by any client.
   std::optional<GrantToken> Grant; ///< Set for keyed requests.
   HttpRequest Request;
   std::string Instance; ///< Backend server that the ingress knows of.
--- a/src/sidecar/CallRouter.cpp
+++ b/src/sidecar/CallRouter.cpp
@@ -4,6 +4,8 @@
 
 #include "DecisionText.h"
 
+#include "figsail/Epoch.h"
+
 #include <algorithm>
 #include <array>
 #include <cstdio>
@@ -41,8 +43,9 @@
 static constexpr double OwnFaultShare = 0.5;
 
 CallRouter::CallRouter(const SidecarSettings &Settings)
-    : Self{Settings.Host, Settings.Inc}, Here{Settings.Region,
-                                              Settings.FailureDomain},
+    : Self{Settings.Host, Settings.Inc},
+      CallingService(Settings.Service), Here{Settings.Region,
+                                             Settings.FailureDomain},
       Bounds(Settings.Bounds),
       Selector(Settings.Host, Here, makeShortestExpectedTime()),
       Link(Settings.RegionLinkBytes) {
@@ -116,6 +119,13 @@
   New.ClientId = std::move(Arrived.Id);
   New.Request = std::move(Arrived.Request);
   New.Service = Splits.next(*Route);
+  // Callers are told apart by the service beside them.
+  New.Fingerprint = hashText(CallingService);
+  for (std::string_view Part :
+       {std::string_view(Arrived.Host), std::string_view(New.Request.Method),
+        std::string_view(New.Request.Target),
+        std::string_view(New.Request.Body)})
+    New.Fingerprint = hashText(Part, New.Fingerprint);
   New.Arrived = Step.Now;
   // A client that has waited elsewhere before says so by a shorter patience.
   Duration Spent = std::max(Duration(0), Route->Timeout - Limit);
@@ -219,6 +229,7 @@
   Message.Policy.Idempotent = Current.Route->Idempotent;
   Message.Policy.Priority = Current.Route->Priority;
   Message.BudgetMicros = (Current.Deadline - Step.Now).count();
+  Message.Fingerprint = Current.Fingerprint;
   Message.TargetMicros = (Current.Target - Step.Now).count();
   Message.Instance = Current.Instance;
   // A refusal from another region costs a round trip, and so does the next try.
@@ -334,6 +345,8 @@
                      std::max(1U, Message.Load.Limit);
   if (Message.Kind == ErrorKind::ServerSlow)
     Current->Slow.push_back(From.Host);
+  if (Message.Kind == ErrorKind::Quarantined)
+    return fail(Step, *Current, Message.Kind);
   if (Message.Kind != ErrorKind::ServerRefused) {
     ++Current->Refusals;
     return advance(Step, *Current);
@@ -519,6 +532,9 @@
 HttpResponse CallRouter::refusal(const RouterStep &Step, ErrorKind Kind,
                                  TimePoint Deadline, Duration BusyFor) const {
   HttpResponse Response = errorResponse(Kind);
+  // To return soon with such a request is of no use.
+  if (Kind == ErrorKind::Quarantined)
+    return Response;
   std::erase_if(Response.Headers,
                 [](const auto &Field) { return Field.first == "Retry-After"; });
   if (Response.Status != 503 && Response.Status != 429)
--- a/src/sidecar/CallRouter.h
+++ b/src/sidecar/CallRouter.h
@@ -79,6 +79,7 @@
     HttpRequest Request;
     RoutePtr Route;
     std::string Service;
+    std::uint64_t Fingerprint = 0; ///< Hash of caller, host, path and body.
     TimePoint Arrived;
     TimePoint Deadline;
     TimePoint Target;
@@ -132,6 +133,7 @@
               const HttpResponse &Response, std::string_view Reason);
 
   PeerRef Self;
+  std::string CallingService; ///< Of the backend server beside this daemon.
   Locality Here;
   SidecarBounds Bounds;
   Balancer Selector;
--- /dev/null
+++ b/src/sidecar/CrashWatch.cpp
@@ -0,0 +1,41 @@
+// CrashWatch.cpp - Recognizes requests that crash the backend server.
+
+#include "CrashWatch.h"
+
+#include <utility>
+
+namespace figsail {
+
+/// A crash is noticed when the next connection is refused, at the latest when
+/// the server is back, which takes some seconds.
+static constexpr Duration CrashWindow = std::chrono::seconds(8);
+/// More than a server runs at once.
+static constexpr std::size_t MaxBrokenRuns = 256;
+
+void CrashWatch::broke(TimePoint Now, std::uint64_t Fingerprint,
+                       TimePoint Started, bool Alone) {
+  if (Broken.size() >= MaxBrokenRuns)
+    Broken.pop_front();
+  Broken.push_back({Now, Fingerprint, Started, Alone});
+}
+
+void CrashWatch::serverLost(TimePoint Now) {
+  for (const BrokenRun &Run : std::exchange(Broken, {})) {
+    if (Run.At + CrashWindow < Now)
+      continue;
+    if (auto Report =
+            Suspects.crashed(Run.At, Run.Fingerprint, Run.Started, Run.Alone))
+      Reports.push_back(*Report);
+  }
+}
+
+void CrashWatch::succeeded(TimePoint Now, std::uint64_t Fingerprint) {
+  if (auto Report = Suspects.succeeded(Now, Fingerprint))
+    Reports.push_back(*Report);
+}
+
+std::vector<SuspectReport> CrashWatch::takeReports() {
+  return std::exchange(Reports, {});
+}
+
+} // namespace figsail
--- a/src/sidecar/LocalServer.h
+++ b/src/sidecar/LocalServer.h
@@ -33,6 +33,8 @@
 
   InstanceState state() const { return State; }
   const std::string &instance() const { return Instance; }
+  /// Returns when the present incarnation started, Unix milliseconds.
+  std::int64_t bornMillis() const { return BornMillis; }
   const std::string &service() const { return Service; }
   std::uint32_t slots() const { return Slots; }
   bool cold(TimePoint Now) const { return Now < ColdUntil; }
--- a/src/sidecar/ServerGate.cpp
+++ b/src/sidecar/ServerGate.cpp
@@ -3,7 +3,6 @@
 #include "ServerGate.h"
 
 #include "DecisionText.h"
-#include "RequestIdentity.h"
 
 #include <algorithm>
 
@@ -41,10 +40,6 @@
 /// Heartbeats missed before the server counts as gone. Single ones arrive
 /// seconds late.
 static constexpr int MissedHeartbeats = 4;
-/// Final replies are kept this long, for an ingress whose link broke.
-static constexpr Duration ReplyLifetime = 10s;
-static constexpr std::size_t MaxReplyBytes = std::size_t{8} * 1024 * 1024;
-static constexpr std::size_t ReplyOverhead = 200; ///< Bytes kept besides.
 /// Memory for the bodies of waiting and running calls.
 static constexpr std::size_t MaxCalls = 512;
 
@@ -204,11 +199,22 @@
   return std::nullopt;
 }
 
+/// A suspect runs only where no other one is running, so that a crash tells
+/// which one caused it.
+std::optional<ErrorKind>
+ServerGate::checkSuspicion(TimePoint Now, const Execute &Message) const {
+  Suspicion Doubt = Crashes.check(Now, Message.Fingerprint);
+  if (Doubt == Suspicion::Blocked)
+    return ErrorKind::Quarantined;
+  if (Doubt == Suspicion::Suspect && SuspectsRunning > 0)
+    return ErrorKind::Overloaded;
+  return std::nullopt;
+}
+
 void ServerGate::execute(GateStep &Step, const PeerRef &From, Execute Message) {
   CallId Id = Message.Call;
-  auto Ended = Replies.find(Id);
-  if (Ended != Replies.end()) {
-    Step.Out.emplace_back(SendPeer{From.Host, Ended->second});
+  if (const PeerMessage *Reply = Ended.find(Id)) {
+    Step.Out.emplace_back(SendPeer{From.Host, *Reply});
     return;
   }
   if (Calls.contains(Id))
@@ -220,6 +226,8 @@
   Call.Target = Step.Now + Duration(Message.TargetMicros);
   Call.Message = std::move(Message);
   std::optional<ErrorKind> Reason = checkGate(Call.Message);
+  if (!Reason)
+    Reason = checkSuspicion(Step.Now, Call.Message);
   if (!Reason)
     Reason = checkRoom(Step.Now, Call);
   if (Reason)
@@ -232,235 +240,16 @@
     Step.Out.emplace_back(SendPeer{From.Host, Received{Id}});
 }
 
-// Replies.
-
-void ServerGate::reply(GateStep &Step, const PeerRef &To, const CallId &Call,
-                       PeerMessage Message) {
-  std::size_t Bytes = ReplyOverhead;
-  if (const auto *Whole = std::get_if<Answer>(&Message))
-    Bytes += messageSize(Whole->Response.Headers, Whole->Response.Body);
-  if (Replies.emplace(Call, Message).second) {
-    ReplyOrder.push_back({Step.Now, Call, Bytes});
-    ReplyBytes += Bytes;
-  }
-  while (!ReplyOrder.empty() &&
-         (ReplyBytes > MaxReplyBytes ||
-          ReplyOrder.front().At + ReplyLifetime < Step.Now)) {
-    ReplyBytes -= ReplyOrder.front().Bytes;
-    Replies.erase(ReplyOrder.front().Call);
-    ReplyOrder.pop_front();
-  }
-  Step.Out.emplace_back(SendPeer{To.Host, std::move(Message)});
-}
-
-void ServerGate::refuse(GateStep &Step, const AdmittedCall &Call,
-                        ErrorKind Kind) {
-  Step.Out.emplace_back(Count{Counter::RunsRefused});
-  Decision Line{LogLevel::Info, "gate-refused", {}};
-  Line.Fields = {{"call", callText(Call.Message.Call)},
-                 {"route", Call.Message.Policy.Route},
-                 {"instance", Call.Message.Instance},
-                 {"reason", std::string(errorEntry(Kind).Name)},
-                 {"running", std::to_string(running())},
-                 {"waiting", std::to_string(Waiting)},
-                 {"slots", std::to_string(usableSlots())},
-                 {"run_ms", millisText(expectedRun(Call.Message.Policy.Route))},
-                 {"target_left_ms", millisText(Call.Target - Step.Now)}};
-  Step.Out.emplace_back(std::move(Line));
-  reply(Step, Call.From, Call.Message.Call,
-        Refused{Call.Message.Call, Kind, load(Step.Now)});
-}
-
-void ServerGate::refuseWaiting(GateStep &Step, ErrorKind Kind) {
-  std::vector<CallId> Refusing;
-  for (const auto &[Id, Call] : Calls)
-    if (Call.Run == 0)
-      Refusing.push_back(Id);
-  for (const CallId &Id : Refusing) {
-    auto Ended = Calls.extract(Id);
-    --Waiting;
-    refuse(Step, Ended.mapped(), Kind);
-  }
-}
-
-/// Refuses what can no longer make its target because more urgent calls took
-/// its place.
-void ServerGate::refuseLate(GateStep &Step) {
-  if (Waiting == 0)
-    return;
-  std::vector<CallId> Late;
-  for (const auto &[Id, Call] : Calls) {
-    Duration Run = expectedRun(Call.Message.Policy.Route);
-    TimePoint Latest = std::min(Call.Target, Call.Deadline) - Run / 2;
-    if (Call.Run == 0 && Step.Now > Latest)
-      Late.push_back(Id);
-  }
-  for (const CallId &Id : Late) {
-    auto Ended = Calls.extract(Id);
-    --Waiting;
-    refuse(Step, Ended.mapped(), ErrorKind::Overloaded);
-  }
-}
-
-// Runs.
-
-bool ServerGate::mayStart(TimePoint Now) {
-  if (running() >= usableSlots())
-    return false;
-  return !Server.cold(Now) || ColdTokens.take(Now);
-}
-
-void ServerGate::pump(GateStep &Step) {
-  while (Waiting > 0) {
-    AdmittedCall *Next = nullptr;
-    for (auto &[Id, Call] : Calls) {
-      if (Call.Run != 0)
-        continue;
-      if (Next == nullptr || goesBefore(Step.Now, Call, *Next))
-        Next = &Call;
-    }
-    if (!mayStart(Step.Now))
-      return;
-    start(Step, *Next);
-  }
-}
-
-void ServerGate::start(GateStep &Step, AdmittedCall &Call) {
-  Call.Message.Instance = Server.instance();
-  Call.Run = ++LastRun;
-  Call.Started = Step.Now;
-  --Waiting;
-  Runs.emplace(Call.Run, Call.Message.Call);
-  Step.Out.emplace_back(Count{Counter::RunsStarted});
-  Step.Out.emplace_back(RunServer{
-      Call.Run, std::move(Call.Message.Request), Call.Message.Instance,
-      Call.Deadline - Step.Now, Call.Message.Policy.Idempotent});
-}
-
-void ServerGate::serverDone(GateStep &Step, ServerDone Done) {
-  auto Found = Runs.find(Done.Run);
-  if (Found == Runs.end())
-    return;
-  auto Ended = Calls.extract(Found->second);
-  Runs.erase(Found);
-  if (Done.Note.Load)
-    noteLoad(Step.Now, *Done.Note.Load);
-  AdmittedCall &Call = Ended.mapped();
-  if (auto *Response = std::get_if<HttpResponse>(&Done.Result))
-    finish(Step, Call, std::move(*Response), Done.Note);
-  else
-    finish(Step, Call, std::get<BackendError>(Done.Result));
-  refuseLate(Step);
-  pump(Step);
-}
-
-void ServerGate::learn(const AdmittedCall &Call, TimePoint Now, bool Success) {
-  Unreachable = false;
-  // Fast failures would make the server look fast.
-  if (!Success)
-    return;
-  auto Took = static_cast<double>((Now - Call.Started).count());
-  Times.add(Call.Message.Policy.Route,
-            Duration(static_cast<Duration::rep>(Took / Slowdown)));
-}
-
-void ServerGate::finish(GateStep &Step, const AdmittedCall &Call,
-                        HttpResponse Response, const ServerNote &Note) {
-  const CallId &Id = Call.Message.Call;
-  if (Note.NotExecuted || Note.OtherInstance) {
-    Decision Line{LogLevel::Warning, "server-refused", {}};
-    Line.Fields = {{"call", callText(Id)},
-                   {"instance", Call.Message.Instance},
-                   {"status", std::to_string(Response.Status)},
-                   {"other_instance", Note.OtherInstance ? "yes" : "no"}};
-    Step.Out.emplace_back(std::move(Line));
-    return reply(Step, Call.From, Id,
-                 Refused{Id, ErrorKind::ServerRefused, load(Step.Now)});
-  }
-  learn(Call, Step.Now, Response.Status < 500);
-  reply(Step, Call.From, Id, Answer{Id, std::move(Response), load(Step.Now)});
-}
-
-static std::string_view backendErrorName(BackendError Error) {
-  switch (Error) {
-  case BackendError::NotSent:
-    return "not-sent";
-  case BackendError::Broken:
-    return "broken";
-  case BackendError::Malformed:
-    return "malformed";
-  case BackendError::TimedOut:
-    return "timed-out";
-  case BackendError::Cancelled:
-    return "cancelled";
-  }
-  return "unknown";
-}
-
-void ServerGate::finish(GateStep &Step, const AdmittedCall &Call,
-                        BackendError Error) {
-  const CallId &Id = Call.Message.Call;
-  Decision Line{LogLevel::Warning, "run-failed", {}};
-  Line.Fields = {{"call", callText(Id)},
-                 {"route", Call.Message.Policy.Route},
-                 {"instance", Call.Message.Instance},
-                 {"error", std::string(backendErrorName(Error))},
-                 {"after_ms", millisText(Step.Now - Call.Started)}};
-  Step.Out.emplace_back(std::move(Line));
-  if (Error == BackendError::NotSent) {
-    Unreachable = Step.Now < Call.Deadline;
-    return reply(Step, Call.From, Id,
-                 Refused{Id, ErrorKind::NoBackendServer, load(Step.Now)});
-  }
-  Step.Out.emplace_back(Count{Counter::RunsFailed});
-  ErrorKind Kind = Error == BackendError::TimedOut ? ErrorKind::DeadlineUnknown
-                                                   : ErrorKind::BackendFailed;
-  reply(Step, Call.From, Id, Failed{Id, Kind, load(Step.Now)});
-}
-
-void ServerGate::cancel(GateStep &Step, const CallId &Call) {
-  auto Found = Calls.find(Call);
-  if (Found == Calls.end())
-    return;
-  AdmittedCall &Known = Found->second;
-  if (Known.Run == 0) {
-    auto Ended = Calls.extract(Found);
-    --Waiting;
-    return refuse(Step, Ended.mapped(), ErrorKind::Cancelled);
-  }
-  // A run that must not be repeated is followed to its end.
-  if (!Known.Message.Policy.Idempotent || Known.Cancelled)
-    return;
-  Known.Cancelled = true;
-  Step.Out.emplace_back(CancelRun{Known.Run});
-}
-
-void ServerGate::await(GateStep &Step, const PeerRef &From,
-                       const Await &Message) {
-  const CallId &Id = Message.Call;
-  auto Ended = Replies.find(Id);
-  if (Ended != Replies.end()) {
-    Step.Out.emplace_back(SendPeer{From.Host, Ended->second});
-    return;
-  }
-  if (Calls.contains(Id)) {
-    Step.Out.emplace_back(SendPeer{From.Host, Received{Id}});
-    return;
-  }
-  if (Message.Target != Self.Inc) {
-    Step.Out.emplace_back(SendPeer{
-        From.Host, Failed{Id, ErrorKind::OutcomeUnknown, load(Step.Now)}});
-    return;
-  }
-  // Kept, so that a request that arrives after the question does not run.
-  reply(Step, From, Id, Refused{Id, ErrorKind::NeverStarted, load(Step.Now)});
-}
-
 // The server's own reports.
 
 ReportVerdict ServerGate::heartbeat(GateStep &Step,
                                     const ServerHeartbeat &Said) {
+  std::string Before = Server.instance();
+  std::int64_t BornBefore = Server.bornMillis();
   ReportVerdict Verdict = Server.heartbeat(Step.Now, Said);
+  if (!Before.empty() &&
+      (Server.instance() != Before || Server.bornMillis() != BornBefore))
+    loseServer(Step.Now);
   if (Verdict == ReportVerdict::Changed || Verdict == ReportVerdict::Unchanged)
     Unreachable = false;
   if (Server.state() != InstanceState::Ready)
--- a/src/sidecar/ServerGate.h
+++ b/src/sidecar/ServerGate.h
@@ -3,6 +3,8 @@
 #ifndef FIGSAIL_SIDECAR_SERVERGATE_H
 #define FIGSAIL_SIDECAR_SERVERGATE_H
 
+#include "CrashWatch.h"
+#include "EndedReplies.h"
 #include "LocalServer.h"
 #include "RunTimes.h"
 #include "SidecarEvents.h"
@@ -10,7 +12,6 @@
 
 #include "figsail/TokenBucket.h"
 
-#include <deque>
 #include <map>
 #include <string>
 #include <unordered_map>
@@ -69,6 +70,12 @@
   /// Returns the ingresses to tell of the load, when the speed of the server
   /// has changed since they were last told; otherwise nothing.
   std::vector<HostId> takeListeners(TimePoint Now);
+  /// The daemon of another server of the service suspects a request.
+  void suspected(TimePoint Now, const SuspectReport &Report) {
+    Crashes.merge(Now, Report);
+  }
+  /// Returns suspicions to tell the daemons of the service's other servers.
+  std::vector<SuspectReport> takeSuspicions() { return Crashes.takeReports(); }
 
 private:
   struct AdmittedCall {
@@ -79,12 +86,17 @@
     RunId Run = 0;    ///< 0 while it waits.
     TimePoint Started;
     bool Cancelled = false;
+    bool Suspect = false;       ///< It may have crashed a server before.
+    bool BesideSuspect = false; ///< Another suspect ran when it started.
   };
   using CallMap = std::map<CallId, AdmittedCall>;
 
+  void limitColdRate();
   std::optional<ErrorKind> checkGate(const Execute &Message) const;
   std::optional<ErrorKind> checkRoom(TimePoint Now,
                                      const AdmittedCall &Call) const;
+  std::optional<ErrorKind> checkSuspicion(TimePoint Now,
+                                          const Execute &Message) const;
   bool betterElsewhere(TimePoint Now, const AdmittedCall &Call) const;
   std::uint32_t usableSlots() const;
   std::size_t running() const { return Runs.size(); }
@@ -105,6 +117,7 @@
               const ServerNote &Note);
   void finish(GateStep &Step, const AdmittedCall &Call, BackendError Error);
   void learn(const AdmittedCall &Call, TimePoint Now, bool Success);
+  void loseServer(TimePoint Now);
   void noteLoad(TimePoint Now, const ServerLoad &Load);
 
   PeerRef Self;
@@ -112,8 +125,6 @@
   SidecarBounds Bounds;
   LocalServer Server;
   std::string HealthTarget = "/health";
-  void limitColdRate();
-
   double ColdPerSecond = 1;
   mutable TokenBucket ColdTokens;
   double Slowdown = 1;     ///< Newest factor that the server reported.
@@ -131,15 +142,9 @@
   bool Probing = false;     ///< A probe is under way.
   TimePoint ProbedAt;
 
-  /// Final replies, kept for Await.
-  struct EndedCall {
-    TimePoint At;
-    CallId Call;
-    std::size_t Bytes = 0;
-  };
-  std::map<CallId, PeerMessage> Replies;
-  std::deque<EndedCall> ReplyOrder;
-  std::size_t ReplyBytes = 0;
+  EndedReplies Ended; ///< For Await.
+  CrashWatch Crashes;
+  std::size_t SuspectsRunning = 0;
 };
 
 } // namespace figsail
--- /dev/null
+++ b/src/sidecar/ServerGateRuns.cpp
@@ -0,0 +1,237 @@
+// ServerGateRuns.cpp - Runs at the backend server, and the replies to
+// ingresses.
+
+#include "ServerGate.h"
+
+#include "DecisionText.h"
+#include "RequestIdentity.h"
+
+namespace figsail {
+
+// Replies.
+
+void ServerGate::reply(GateStep &Step, const PeerRef &To, const CallId &Call,
+                       PeerMessage Message) {
+  Ended.add(Step.Now, Call, Message);
+  Step.Out.emplace_back(SendPeer{To.Host, std::move(Message)});
+}
+
+void ServerGate::refuse(GateStep &Step, const AdmittedCall &Call,
+                        ErrorKind Kind) {
+  Step.Out.emplace_back(Count{Counter::RunsRefused});
+  Decision Line{LogLevel::Info, "gate-refused", {}};
+  Line.Fields = {{"call", callText(Call.Message.Call)},
+                 {"route", Call.Message.Policy.Route},
+                 {"instance", Call.Message.Instance},
+                 {"reason", std::string(errorEntry(Kind).Name)},
+                 {"running", std::to_string(running())},
+                 {"waiting", std::to_string(Waiting)},
+                 {"slots", std::to_string(usableSlots())},
+                 {"run_ms", millisText(expectedRun(Call.Message.Policy.Route))},
+                 {"target_left_ms", millisText(Call.Target - Step.Now)}};
+  Step.Out.emplace_back(std::move(Line));
+  reply(Step, Call.From, Call.Message.Call,
+        Refused{Call.Message.Call, Kind, load(Step.Now)});
+}
+
+void ServerGate::refuseWaiting(GateStep &Step, ErrorKind Kind) {
+  std::vector<CallId> Refusing;
+  for (const auto &[Id, Call] : Calls)
+    if (Call.Run == 0)
+      Refusing.push_back(Id);
+  for (const CallId &Id : Refusing) {
+    auto Refused = Calls.extract(Id);
+    --Waiting;
+    refuse(Step, Refused.mapped(), Kind);
+  }
+}
+
+/// Refuses what can no longer make its target because more urgent calls took
+/// its place.
+void ServerGate::refuseLate(GateStep &Step) {
+  if (Waiting == 0)
+    return;
+  std::vector<CallId> Late;
+  for (const auto &[Id, Call] : Calls) {
+    Duration Run = expectedRun(Call.Message.Policy.Route);
+    TimePoint Latest = std::min(Call.Target, Call.Deadline) - Run / 2;
+    if (Call.Run == 0 && Step.Now > Latest)
+      Late.push_back(Id);
+  }
+  for (const CallId &Id : Late) {
+    auto Refused = Calls.extract(Id);
+    --Waiting;
+    refuse(Step, Refused.mapped(), ErrorKind::Overloaded);
+  }
+}
+
+// Runs.
+
+bool ServerGate::mayStart(TimePoint Now) {
+  if (running() >= usableSlots())
+    return false;
+  return !Server.cold(Now) || ColdTokens.take(Now);
+}
+
+void ServerGate::pump(GateStep &Step) {
+  while (Waiting > 0) {
+    AdmittedCall *Next = nullptr;
+    for (auto &[Id, Call] : Calls) {
+      if (Call.Run != 0)
+        continue;
+      if (Next == nullptr || goesBefore(Step.Now, Call, *Next))
+        Next = &Call;
+    }
+    if (!mayStart(Step.Now))
+      return;
+    start(Step, *Next);
+  }
+}
+
+void ServerGate::start(GateStep &Step, AdmittedCall &Call) {
+  Call.Message.Instance = Server.instance();
+  Call.Run = ++LastRun;
+  Call.Started = Step.Now;
+  Call.BesideSuspect = SuspectsRunning > 0;
+  Call.Suspect =
+      Crashes.check(Step.Now, Call.Message.Fingerprint) == Suspicion::Suspect;
+  if (Call.Suspect)
+    ++SuspectsRunning;
+  --Waiting;
+  Runs.emplace(Call.Run, Call.Message.Call);
+  Step.Out.emplace_back(Count{Counter::RunsStarted});
+  Step.Out.emplace_back(RunServer{
+      Call.Run, std::move(Call.Message.Request), Call.Message.Instance,
+      Call.Deadline - Step.Now, Call.Message.Policy.Idempotent});
+}
+
+void ServerGate::serverDone(GateStep &Step, ServerDone Done) {
+  auto Found = Runs.find(Done.Run);
+  if (Found == Runs.end())
+    return;
+  auto Finished = Calls.extract(Found->second);
+  Runs.erase(Found);
+  if (Done.Note.Load)
+    noteLoad(Step.Now, *Done.Note.Load);
+  AdmittedCall &Call = Finished.mapped();
+  if (Call.Suspect)
+    --SuspectsRunning;
+  if (auto *Response = std::get_if<HttpResponse>(&Done.Result))
+    finish(Step, Call, std::move(*Response), Done.Note);
+  else
+    finish(Step, Call, std::get<BackendError>(Done.Result));
+  refuseLate(Step);
+  pump(Step);
+}
+
+void ServerGate::learn(const AdmittedCall &Call, TimePoint Now, bool Success) {
+  Unreachable = false;
+  // Fast failures would make the server look fast.
+  if (!Success)
+    return;
+  auto Took = static_cast<double>((Now - Call.Started).count());
+  Times.add(Call.Message.Policy.Route,
+            Duration(static_cast<Duration::rep>(Took / Slowdown)));
+}
+
+void ServerGate::finish(GateStep &Step, const AdmittedCall &Call,
+                        HttpResponse Response, const ServerNote &Note) {
+  const CallId &Id = Call.Message.Call;
+  if (Note.NotExecuted || Note.OtherInstance) {
+    Decision Line{LogLevel::Warning, "server-refused", {}};
+    Line.Fields = {{"call", callText(Id)},
+                   {"instance", Call.Message.Instance},
+                   {"status", std::to_string(Response.Status)},
+                   {"other_instance", Note.OtherInstance ? "yes" : "no"}};
+    Step.Out.emplace_back(std::move(Line));
+    return reply(Step, Call.From, Id,
+                 Refused{Id, ErrorKind::ServerRefused, load(Step.Now)});
+  }
+  Crashes.succeeded(Step.Now, Call.Message.Fingerprint);
+  learn(Call, Step.Now, Response.Status < 500);
+  reply(Step, Call.From, Id, Answer{Id, std::move(Response), load(Step.Now)});
+}
+
+/// The server does not take connections, or another incarnation has its place.
+void ServerGate::loseServer(TimePoint Now) { Crashes.serverLost(Now); }
+
+static std::string_view backendErrorName(BackendError Error) {
+  switch (Error) {
+  case BackendError::NotSent:
+    return "not-sent";
+  case BackendError::Broken:
+    return "broken";
+  case BackendError::Malformed:
+    return "malformed";
+  case BackendError::TimedOut:
+    return "timed-out";
+  case BackendError::Cancelled:
+    return "cancelled";
+  }
+  return "unknown";
+}
+
+void ServerGate::finish(GateStep &Step, const AdmittedCall &Call,
+                        BackendError Error) {
+  const CallId &Id = Call.Message.Call;
+  Decision Line{LogLevel::Warning, "run-failed", {}};
+  Line.Fields = {{"call", callText(Id)},
+                 {"route", Call.Message.Policy.Route},
+                 {"instance", Call.Message.Instance},
+                 {"error", std::string(backendErrorName(Error))},
+                 {"after_ms", millisText(Step.Now - Call.Started)}};
+  Step.Out.emplace_back(std::move(Line));
+  if (Error == BackendError::NotSent) {
+    Unreachable = Step.Now < Call.Deadline;
+    if (Unreachable)
+      loseServer(Step.Now);
+    return reply(Step, Call.From, Id,
+                 Refused{Id, ErrorKind::NoBackendServer, load(Step.Now)});
+  }
+  if (Error == BackendError::Broken && !Call.Cancelled)
+    Crashes.broke(Step.Now, Call.Message.Fingerprint, Call.Started,
+                  !Call.BesideSuspect);
+  Step.Out.emplace_back(Count{Counter::RunsFailed});
+  ErrorKind Kind = Error == BackendError::TimedOut ? ErrorKind::DeadlineUnknown
+                                                   : ErrorKind::BackendFailed;
+  reply(Step, Call.From, Id, Failed{Id, Kind, load(Step.Now)});
+}
+
+void ServerGate::cancel(GateStep &Step, const CallId &Call) {
+  auto Found = Calls.find(Call);
+  if (Found == Calls.end())
+    return;
+  AdmittedCall &Known = Found->second;
+  if (Known.Run == 0) {
+    auto Withdrawn = Calls.extract(Found);
+    --Waiting;
+    return refuse(Step, Withdrawn.mapped(), ErrorKind::Cancelled);
+  }
+  // A run that must not be repeated is followed to its end.
+  if (!Known.Message.Policy.Idempotent || Known.Cancelled)
+    return;
+  Known.Cancelled = true;
+  Step.Out.emplace_back(CancelRun{Known.Run});
+}
+
+void ServerGate::await(GateStep &Step, const PeerRef &From,
+                       const Await &Message) {
+  const CallId &Id = Message.Call;
+  if (const PeerMessage *Reply = Ended.find(Id)) {
+    Step.Out.emplace_back(SendPeer{From.Host, *Reply});
+    return;
+  }
+  if (Calls.contains(Id)) {
+    Step.Out.emplace_back(SendPeer{From.Host, Received{Id}});
+    return;
+  }
+  if (Message.Target != Self.Inc) {
+    Step.Out.emplace_back(SendPeer{
+        From.Host, Failed{Id, ErrorKind::OutcomeUnknown, load(Step.Now)}});
+    return;
+  }
+  // Kept, so that a request that arrives after the question does not run.
+  reply(Step, From, Id, Refused{Id, ErrorKind::NeverStarted, load(Step.Now)});
+}
+
+} // namespace figsail
--- a/src/sidecar/Sidecar.cpp
+++ b/src/sidecar/Sidecar.cpp
@@ -34,6 +34,7 @@
   std::visit([&](auto &Body) { on(S, Body); }, Input.Body);
   tellSubscribers(S, Before);
   tellLoad(S);
+  tellSuspicions(S);
   sendAnnouncement(S);
   updateReadiness(S);
   continueStop(S);
@@ -65,6 +66,25 @@
   }
 }
 
+/// Tells the daemons of the service's other servers which requests may crash
+/// them: the next repeat of such a request may come to any of them.
+void Sidecar::tellSuspicions(Step &S) {
+  for (const SuspectReport &Report : Gate.takeSuspicions()) {
+    Decision Line{LogLevel::Warning,
+                  Report.Crashes > 0 ? "request-suspected" : "request-cleared",
+                  {}};
+    Line.Fields = {{"fingerprint", std::to_string(Report.Fingerprint)},
+                   {"crashes", std::to_string(Report.Crashes)},
+                   {"instance", Gate.server().instance()}};
+    S.Out.emplace_back(std::move(Line));
+    S.Out.emplace_back(Count{Counter::Suspects});
+    for (const auto &[Host, Who] : Directory.all())
+      if (Host != Settings.Host && Who.Service == Gate.server().service() &&
+          Who.State != InstanceState::Absent)
+        S.Out.emplace_back(SendPeer{Host, Report});
+  }
+}
+
 RouterStep Sidecar::routerStep(Step &S) {
   return {S.Now, S.Seed, Config.get(), Directory, Evacuated, Peers, S.Out};
 }
@@ -128,6 +148,8 @@
     Gate.await(AtGate, From, *Body);
   else if (auto *Body = std::get_if<Heartbeat>(&Message))
     Router.loadReported(S.Now, From.Host, Body->Load);
+  else if (auto *Body = std::get_if<SuspectReport>(&Message))
+    Gate.suspected(S.Now, *Body);
   else if (auto *Body = std::get_if<TopicSubscribe>(&Message))
     subscribe(S, From, *Body);
   else if (auto *Body = std::get_if<TopicUpdate>(&Message))
--- a/src/sidecar/Sidecar.h
+++ b/src/sidecar/Sidecar.h
@@ -87,6 +87,7 @@
   void followTopics(Step &S);
 
   void tellLoad(Step &S);
+  void tellSuspicions(Step &S);
   RouterStep routerStep(Step &S);
   void reported(Step &S, ReportId Report, ReportVerdict Verdict,
                 const std::string &Instance);
--- a/tests/ServerGateTest.cpp
+++ b/tests/ServerGateTest.cpp
@@ -356,3 +356,82 @@
 }
 
 } // namespace
+
+// Guards against one request that takes down a service server by server: it
+// crashes each one that runs it, and is sent again.
+struct GateCrash : Gate {
+  /// Runs a call of one content. Returns its run, or 0 when it was refused.
+  RunId run(std::uint64_t Fingerprint) {
+    Execute Message = call();
+    Message.Fingerprint = Fingerprint;
+    Last = execute(Message);
+    auto Started = effects<RunServer>(Last);
+    return Started.empty() ? 0 : Started[0].Run;
+  }
+  void broken(RunId Run) {
+    ServerDone Broken;
+    Broken.Result = BackendError::Broken;
+    done(Run, Broken);
+  }
+  /// The server refuses the next connection, and is back a second later.
+  void serverCrashes() {
+    ServerDone Refused;
+    Refused.Result = BackendError::NotSent;
+    done(run(99), Refused);
+    Now += 1s;
+    ServerHeartbeat Back = heartbeat(1, "i-1", Born += 1000);
+    step([&](GateStep &Step) { Under.heartbeat(Step, Back); });
+  }
+  SidecarEffects Last;
+  std::int64_t Born = 1000;
+};
+
+TEST_F(GateCrash, ARequestThatCrashedTheServerTwiceIsNotRunAgain) {
+  for (int I = 0; I < 2; ++I) {
+    RunId Killer = run(7);
+    ASSERT_NE(Killer, 0U);
+    broken(Killer);
+    serverCrashes();
+  }
+  auto Reports = Under.takeSuspicions();
+  ASSERT_EQ(Reports.size(), 2U);
+  EXPECT_EQ(Reports[1].Fingerprint, 7U);
+  EXPECT_EQ(Reports[1].Crashes, 2U);
+  EXPECT_EQ(run(7), 0U);
+  EXPECT_EQ(refusals(Last).at(0).Kind, ErrorKind::Quarantined);
+  EXPECT_NE(run(8), 0U) << "others run";
+}
+
+TEST_F(GateCrash, ABrokenConnectionOfALivingServerProvesNothing) {
+  for (int I = 0; I < 5; ++I) {
+    broken(run(7));
+    Now += 100ms;
+  }
+  EXPECT_TRUE(Under.takeSuspicions().empty());
+  Now += 10s;
+  serverCrashes();
+  EXPECT_TRUE(Under.takeSuspicions().empty()) << "too long after";
+}
+
+TEST_F(GateCrash, WhatSucceedsIsClearedAndSuspectsDoNotRunTogether) {
+  RunId One = run(7);
+  RunId Two = run(8);
+  broken(One);
+  broken(Two);
+  serverCrashes();
+  EXPECT_EQ(Under.takeSuspicions().size(), 2U);
+  One = run(7);
+  ASSERT_NE(One, 0U);
+  EXPECT_EQ(run(8), 0U) << "a crash would not tell which one caused it";
+  done(One);
+  auto Cleared = Under.takeSuspicions();
+  ASSERT_EQ(Cleared.size(), 1U);
+  EXPECT_EQ(Cleared[0].Crashes, 0U);
+  EXPECT_NE(run(8), 0U);
+}
+
+TEST_F(GateCrash, WhatOtherDaemonsSawCounts) {
+  Under.suspected(Now, SuspectReport{7, 2, true});
+  EXPECT_EQ(run(7), 0U);
+  EXPECT_EQ(refusals(Last).at(0).Kind, ErrorKind::Quarantined);
+}
--- a/tests/SidecarTest.cpp
+++ b/tests/SidecarTest.cpp
@@ -491,3 +491,43 @@
 }
 
 } // namespace
+
+// Requests that crash servers.
+
+// A repeat may come to any daemon of the service, so all of them must know, and
+// its client must not be told to return at once.
+TEST_F(SidecarTest, SuspicionsReachTheServersOfTheService) {
+  learn();
+  member(announcement("other", "payment"));
+  apply(heartbeat(1));
+  Execute Killer;
+  Killer.Call = {77, 1};
+  Killer.Policy.Service = "booking";
+  Killer.BudgetMicros = Duration(1s).count();
+  Killer.TargetMicros = Duration(300ms).count();
+  Killer.Fingerprint = 7;
+  auto Started = effects<RunServer>(reply("a", Killer));
+  ASSERT_EQ(Started.size(), 1U);
+  apply(ServerDone{Started[0].Run, BackendError::Broken, {}});
+  auto Reports = messages<SuspectReport>(apply(heartbeat(1, "i-2", 2000)));
+  ASSERT_EQ(Reports.size(), 3U) << "a, b and c, but not the one of payment";
+  EXPECT_EQ(Reports[0].second.Fingerprint, 7U);
+}
+
+TEST_F(SidecarTest, AQuarantinedRequestIsRefusedWithoutFurtherTries) {
+  learn();
+  auto [Host, Sent] = sent(request(1));
+  auto Out = reply(Host, Refused{Sent.Call, ErrorKind::Quarantined, {}});
+  EXPECT_TRUE(messages<Execute>(Out).empty());
+  ASSERT_TRUE(answer(Out));
+  EXPECT_EQ(answer(Out)->Status, 503U);
+  EXPECT_GE(retryAfter(*answer(Out)), 60);
+}
+
+TEST_F(SidecarTest, TheSameRequestHasTheSameFingerprint) {
+  learn();
+  auto First = sent(request(1)).second.Fingerprint;
+  EXPECT_EQ(sent(request(2)).second.Fingerprint, First);
+  EXPECT_NE(sent(request(3, "/book/2")).second.Fingerprint, First);
+  EXPECT_NE(First, 0U) << "0 is never suspected";
+}
