Add: latency histograms and refusals by reason on the metrics address

Cause: the metrics had estimated quantiles only, which cannot be added up over daemons, and one counter for all refusals; the reason stood in logs alone.

Now: cumulative buckets with sum and count beside the estimates, and figsail_refusals_total by deciding daemon and reason, only reasons that occurred. Ruled out: one counter a route (unbounded names).

Before: Metrics.TextNamesRefusalsAndBuckets does not compile.

--- a/include/figsail/Events.h
+++ b/include/figsail/Events.h
@@ -210,6 +210,20 @@
   std::uint64_t By = 1;
 };
 
+/// Who ends a call with an answer of its own.
+enum class RefusedBy : std::uint8_t {
+  Ingress, ///< The daemon that the client is connected to.
+  Gate,    ///< The daemon beside the backend server.
+};
+inline constexpr std::size_t RefusedByCount =
+    static_cast<std::size_t>(RefusedBy::Gate) + 1;
+
+/// Count an answer that this daemon gives in place of a backend server.
+struct CountRefusal {
+  RefusedBy Who = RefusedBy::Ingress;
+  ErrorKind Why = ErrorKind::Internal;
+};
+
 /// End the process; all work is done.
 struct ExitProcess {};
 
--- a/src/shell/Metrics.cpp
+++ b/src/shell/Metrics.cpp
@@ -2,6 +2,9 @@
 
 #include "Metrics.h"
 
+#include <algorithm>
+#include <numeric>
+
 namespace figsail {
 
 namespace acc = boost::accumulators;
@@ -17,6 +20,19 @@
 static constexpr std::size_t MarkerP99 = 5;
 static constexpr std::size_t MarkerP999 = 7;
 
+void LatencyHistogram::add(Duration Sample) {
+  auto Bucket = std::ranges::lower_bound(Bounds, Sample) - Bounds.begin();
+  ++Buckets[static_cast<std::size_t>(Bucket)];
+  Sum += Sample;
+}
+
+std::uint64_t LatencyHistogram::upTo(std::size_t Bucket) const {
+  return std::accumulate(Buckets.begin(),
+                         Buckets.begin() + static_cast<std::ptrdiff_t>(Bucket) +
+                             1,
+                         std::uint64_t{0});
+}
+
 LatencySeries::Accumulator LatencySeries::makeAccumulator() {
   return Accumulator(acc::extended_p_square_probabilities = Probabilities);
 }
@@ -26,6 +42,7 @@
 
 void LatencySeries::add(Duration Sample) {
   auto Value = static_cast<double>(Sample.count());
+  Histogram.add(Sample);
   Total(Value);
   Window(Value);
   if (acc::count(Window) < WindowSamples)
--- a/src/shell/Metrics.h
+++ b/src/shell/Metrics.h
@@ -36,6 +36,29 @@
   Duration Max{0};
 };
 
+/// Counts samples by upper bounds, so that the figures of many daemons can be
+/// added up.
+class LatencyHistogram {
+public:
+  /// Upper bounds of the buckets; a last one takes what is longer.
+  static constexpr std::array<Duration, 14> Bounds{
+      Duration(500),       Duration(1'000),     Duration(2'000),
+      Duration(5'000),     Duration(10'000),    Duration(20'000),
+      Duration(50'000),    Duration(100'000),   Duration(200'000),
+      Duration(500'000),   Duration(1'000'000), Duration(2'000'000),
+      Duration(5'000'000), Duration(10'000'000)};
+
+  void add(Duration Sample);
+  /// Returns the number of samples up to the bound of a bucket; the bucket
+  /// after the last bound has all of them.
+  std::uint64_t upTo(std::size_t Bucket) const;
+  Duration sum() const { return Sum; }
+
+private:
+  std::array<std::uint64_t, Bounds.size() + 1> Buckets{};
+  Duration Sum{0};
+};
+
 /// One series of latencies. Memory is constant: quantiles are estimated by the
 /// extended P-square algorithm.
 class LatencySeries {
@@ -48,6 +71,7 @@
   /// Returns the summary of the last full window of samples. The total reacts
   /// slowly when a daemon has run for long.
   const LatencySummary &lastWindow() const { return LastWindow; }
+  const LatencyHistogram &histogram() const { return Histogram; }
 
 private:
   using Accumulator = boost::accumulators::accumulator_set<
@@ -59,6 +83,7 @@
   static Accumulator makeAccumulator();
   static LatencySummary summary(const Accumulator &Samples);
 
+  LatencyHistogram Histogram;
   Accumulator Total;
   Accumulator Window;
   LatencySummary LastWindow;
@@ -73,6 +98,14 @@
   std::uint64_t counter(Counter Which) const {
     return Counters[static_cast<std::size_t>(Which)];
   }
+  /// A refusal or failure that this daemon has decided.
+  void countRefusal(RefusedBy Who, ErrorKind Why) {
+    ++Refusals[static_cast<std::size_t>(Who)][static_cast<std::size_t>(Why)];
+  }
+  std::uint64_t refusals(RefusedBy Who, ErrorKind Why) const {
+    return Refusals[static_cast<std::size_t>(Who)]
+                   [static_cast<std::size_t>(Why)];
+  }
   void add(Latency Which, Duration Sample) {
     Series[static_cast<std::size_t>(Which)].add(Sample);
   }
@@ -82,6 +115,8 @@
 
 private:
   std::array<std::uint64_t, CounterCount> Counters{};
+  std::array<std::array<std::uint64_t, ErrorKindCount>, RefusedByCount>
+      Refusals{};
   std::array<LatencySeries, LatencyCount> Series;
 };
 
--- a/src/shell/MetricsText.cpp
+++ b/src/shell/MetricsText.cpp
@@ -11,31 +11,63 @@
     auto Which = static_cast<Counter>(I);
     line(counterName(Which), "_total", Measured.counter(Which));
   }
+  refusals(Measured, RefusedBy::Ingress, "ingress");
+  refusals(Measured, RefusedBy::Gate, "gate");
   for (std::size_t I = 0; I < LatencyCount; ++I) {
     auto Which = static_cast<Latency>(I);
-    LatencySummary Summary = Measured.series(Which).total();
-    auto Micros = [](Duration Time) {
-      return static_cast<std::uint64_t>(
-          std::max<Duration::rep>(0, Time.count()));
-    };
-    line(latencyName(Which), "_count", Summary.Count);
-    line(latencyName(Which), "_mean_us", Micros(Summary.Mean));
-    line(latencyName(Which), "_p50_us", Micros(Summary.P50));
-    line(latencyName(Which), "_p99_us", Micros(Summary.P99));
-    line(latencyName(Which), "_p999_us", Micros(Summary.P999));
-    line(latencyName(Which), "_max_us", Micros(Summary.Max));
+    histogram(latencyName(Which), Measured.series(Which));
+    quantiles(latencyName(Which), Measured.series(Which).total());
   }
 }
 
+static std::uint64_t micros(Duration Time) {
+  return static_cast<std::uint64_t>(std::max<Duration::rep>(0, Time.count()));
+}
+
+void MetricsText::refusals(const Metrics &Measured, RefusedBy Who,
+                           std::string_view Place) {
+  for (std::size_t I = 0; I < ErrorKindCount; ++I) {
+    auto Why = static_cast<ErrorKind>(I);
+    std::uint64_t Value = Measured.refusals(Who, Why);
+    if (Value == 0)
+      continue;
+    std::string Labels = "{by=\"" + std::string(Place) + "\",reason=\"" +
+                         std::string(errorEntry(Why).Name) + "\"}";
+    line("refusals", "_total", Value, Labels);
+  }
+}
+
+void MetricsText::histogram(std::string_view Name,
+                            const LatencySeries &Series) {
+  const LatencyHistogram &Samples = Series.histogram();
+  for (std::size_t I = 0; I <= LatencyHistogram::Bounds.size(); ++I) {
+    bool Last = I == LatencyHistogram::Bounds.size();
+    std::string Bound =
+        Last ? "+Inf" : std::to_string(LatencyHistogram::Bounds[I].count());
+    line(Name, "_us_bucket", Samples.upTo(I), "{le=\"" + Bound + "\"}");
+  }
+  line(Name, "_us_sum", micros(Samples.sum()));
+  line(Name, "_us_count", Samples.upTo(LatencyHistogram::Bounds.size()));
+}
+
+void MetricsText::quantiles(std::string_view Name,
+                            const LatencySummary &Summary) {
+  line(Name, "_mean_us", micros(Summary.Mean));
+  line(Name, "_p50_us", micros(Summary.P50));
+  line(Name, "_p99_us", micros(Summary.P99));
+  line(Name, "_p999_us", micros(Summary.P999));
+  line(Name, "_max_us", micros(Summary.Max));
+}
+
 void MetricsText::gauge(std::string_view Name, std::uint64_t Value) {
   line(Name, "", Value);
 }
 
 void MetricsText::line(std::string_view Name, std::string_view Suffix,
-                       std::uint64_t Value) {
+                       std::uint64_t Value, const std::string &Labels) {
   std::string Full = "figsail_" + std::string(Name) + std::string(Suffix);
   std::ranges::replace(Full, '-', '_');
-  Text += Full + " " + std::to_string(Value) + "\n";
+  Text += Full + Labels + " " + std::to_string(Value) + "\n";
 }
 
 } // namespace figsail
--- a/src/shell/MetricsText.h
+++ b/src/shell/MetricsText.h
@@ -1,4 +1,4 @@
-// MetricsText.h - Metrics as text, one "name value" a line.
+// MetricsText.h - Metrics as text, one "name{labels} value" a line.
 
 #ifndef FIGSAIL_METRICSTEXT_H
 #define FIGSAIL_METRICSTEXT_H
@@ -18,8 +18,11 @@
   std::string take() { return std::move(Text); }
 
 private:
-  void line(std::string_view Name, std::string_view Suffix,
-            std::uint64_t Value);
+  void refusals(const Metrics &Measured, RefusedBy Who, std::string_view Place);
+  void histogram(std::string_view Name, const LatencySeries &Series);
+  void quantiles(std::string_view Name, const LatencySummary &Summary);
+  void line(std::string_view Name, std::string_view Suffix, std::uint64_t Value,
+            const std::string &Labels = {});
 
   std::string Text;
 };
--- a/src/shell/SidecarDaemon.cpp
+++ b/src/shell/SidecarDaemon.cpp
@@ -383,6 +383,10 @@
   Measured.count(Action.Which, Action.By);
 }
 
+void SidecarDaemon::perform(CountRefusal &Action) {
+  Measured.countRefusal(Action.Who, Action.Why);
+}
+
 void SidecarDaemon::perform(ExitProcess &) {
   if (Exiting)
     return;
--- a/src/shell/SidecarDaemon.h
+++ b/src/shell/SidecarDaemon.h
@@ -91,6 +91,7 @@
   void perform(CloseClients &Action);
   void perform(Decision &Action);
   void perform(Count &Action);
+  void perform(CountRefusal &Action);
   void perform(ExitProcess &Action);
   void finishOutput(TimePoint Limit);
 
--- a/src/sidecar/CallRouter.cpp
+++ b/src/sidecar/CallRouter.cpp
@@ -108,6 +108,7 @@
                                    : "none"}};
     Step.Out.emplace_back(std::move(Line));
     Step.Out.emplace_back(Count{Counter::CallsRefused});
+    Step.Out.emplace_back(CountRefusal{RefusedBy::Ingress, Kind});
     Step.Out.emplace_back(ReplyCaller{
         Arrived.Caller, refusal(Step, Kind, Step.Now + Limit, Duration(0))});
     return;
@@ -515,6 +516,7 @@
   bool Known = errorEntry(Kind).Run == RunState::No;
   Step.Out.emplace_back(
       Count{Known ? Counter::CallsRefused : Counter::CallsUnknown});
+  Step.Out.emplace_back(CountRefusal{RefusedBy::Ingress, Kind});
   HttpResponse Response =
       refusal(Step, Kind, Current.Deadline, Current.BusyFor);
   logEnd(Step, Current, Response, errorEntry(Kind).Name);
--- a/src/sidecar/ServerGateRuns.cpp
+++ b/src/sidecar/ServerGateRuns.cpp
@@ -19,6 +19,7 @@
 void ServerGate::refuse(GateStep &Step, const AdmittedCall &Call,
                         ErrorKind Kind) {
   Step.Out.emplace_back(Count{Counter::RunsRefused});
+  Step.Out.emplace_back(CountRefusal{RefusedBy::Gate, Kind});
   Decision Line{LogLevel::Info, "gate-refused", {}};
   Line.Fields = {{"call", callText(Call.Message.Call)},
                  {"route", Call.Message.Policy.Route},
@@ -144,6 +145,8 @@
                    {"status", std::to_string(Response.Status)},
                    {"other_instance", Note.OtherInstance ? "yes" : "no"}};
     Step.Out.emplace_back(std::move(Line));
+    Step.Out.emplace_back(
+        CountRefusal{RefusedBy::Gate, ErrorKind::ServerRefused});
     return reply(Step, Call.From, Id,
                  Refused{Id, ErrorKind::ServerRefused, load(Step.Now)});
   }
@@ -185,6 +188,8 @@
     Unreachable = Step.Now < Call.Deadline;
     if (Unreachable)
       loseServer(Step.Now);
+    Step.Out.emplace_back(
+        CountRefusal{RefusedBy::Gate, ErrorKind::NoBackendServer});
     return reply(Step, Call.From, Id,
                  Refused{Id, ErrorKind::NoBackendServer, load(Step.Now)});
   }
--- a/src/sidecar/SidecarEvents.h
+++ b/src/sidecar/SidecarEvents.h
@@ -227,7 +227,7 @@
     std::variant<ReplyCaller, SendPeer, ResetPeer, RunServer, CancelRun,
                  ProbeServer, AnswerReport, ReadTopicSnapshot, ReadTopic,
                  Announce, SetClientLimits, SetReadiness, CloseClients,
-                 Decision, Count, ExitProcess>;
+                 Decision, Count, CountRefusal, ExitProcess>;
 using SidecarEffects = std::vector<SidecarEffect>;
 
 } // namespace figsail
--- a/tests/MetricsTest.cpp
+++ b/tests/MetricsTest.cpp
@@ -2,6 +2,7 @@
 // operators.
 
 #include "Metrics.h"
+#include "MetricsText.h"
 #include "Timeline.h"
 
 #include <algorithm>
@@ -9,6 +10,7 @@
 #include <random>
 
 using namespace figsail;
+using namespace std::chrono_literals;
 
 // The error of the estimator must stay small in the tail of a skewed
 // distribution.
@@ -55,6 +57,39 @@
   EXPECT_EQ(Summary.P999, Duration(500));
 }
 
+// Quantiles of many daemons cannot be added up; the buckets can.
+TEST(Metrics, AHistogramCountsUpToEachBound) {
+  LatencySeries Series;
+  for (Duration Sample : {400us, 500us, 501us, 3000us, 60000000us})
+    Series.add(Sample);
+  const LatencyHistogram &Samples = Series.histogram();
+  EXPECT_EQ(Samples.upTo(0), 2U) << "a bound belongs to its bucket";
+  EXPECT_EQ(Samples.upTo(1), 3U);
+  EXPECT_EQ(Samples.upTo(LatencyHistogram::Bounds.size() - 1), 4U);
+  EXPECT_EQ(Samples.upTo(LatencyHistogram::Bounds.size()), 5U);
+  EXPECT_EQ(Samples.sum(), 60004401us);
+}
+
+// An operator must see why calls are refused without reading logs, and by whom.
+TEST(Metrics, TextNamesRefusalsAndBuckets) {
+  Metrics Measured;
+  Measured.add(Latency::Calls, 3ms);
+  Measured.countRefusal(RefusedBy::Gate, ErrorKind::Overloaded);
+  Measured.countRefusal(RefusedBy::Gate, ErrorKind::Overloaded);
+  Measured.countRefusal(RefusedBy::Ingress, ErrorKind::NoRoute);
+  std::string Text = MetricsText(Measured).take();
+  for (const char *Line :
+       {"figsail_refusals_total{by=\"gate\",reason=\"overloaded\"} 2\n",
+        "figsail_refusals_total{by=\"ingress\",reason=\"no-route\"} 1\n",
+        "figsail_calls_us_bucket{le=\"2000\"} 0\n",
+        "figsail_calls_us_bucket{le=\"5000\"} 1\n",
+        "figsail_calls_us_bucket{le=\"+Inf\"} 1\n",
+        "figsail_calls_us_sum 3000\n", "figsail_calls_us_count 1\n"})
+    EXPECT_NE(Text.find(Line), std::string::npos) << Line << Text;
+  EXPECT_EQ(Text.find("backend-failed"), std::string::npos)
+      << "only reasons that occurred";
+}
+
 // A full ring must keep the latest entries and say how many it lost.
 TEST(Timeline, FullRingKeepsTheLatestEntries) {
   Timeline Events(3);
