Fix: connection limit of a service, memory of all bodies together

Cause: the operator's limit on connections to a server was read and not applied; a server with more than 128 used slots would have had calls queued unseen below the gate; bodies were bounded one by one (8 MiB), not together.

Now: the gate's slots stay below the service's limit (a probe takes one), and the ingress and the gate each hold at most 32 MiB of requests, then refuse.

Ruled out: a bound a client connection in the frontend (head and body are bounded there already; the sum is what fails a host).

--- a/src/shell/SidecarDaemon.cpp
+++ b/src/shell/SidecarDaemon.cpp
@@ -18,9 +18,10 @@
 /// Largest body of a client that is buffered. Bodies are held whole, and a host
 /// has a few hundred megabytes for all of them.
 static constexpr std::size_t MaxBufferedBody = std::size_t{8} * 1024 * 1024;
-/// Connections to the backend server; at most as many as it has slots are in
-/// use, so the bound only guards against leaks.
-static constexpr std::size_t MaxServerConnections = 128;
+/// Connections to the backend server. The gate admits at most 512 runs, and
+/// fewer when the service's limit is lower, so the bound only guards against
+/// leaks.
+static constexpr std::size_t MaxServerConnections = 1024;
 /// Connections to the backend server that were unused for longer are closed: it
 /// may have forgotten them.
 static constexpr Duration MaxServerIdle = 2s;
--- a/src/sidecar/CallRouter.cpp
+++ b/src/sidecar/CallRouter.cpp
@@ -28,6 +28,9 @@
 /// Refusals by daemons before the client is told: by then the views of load are
 /// of little use, and the client waits.
 static constexpr std::uint32_t MaxRefusals = 3;
+/// Bound on the requests that are held for repeats. Leaves room for as many at
+/// the gate on the smallest host (160 MB).
+static constexpr std::size_t MaxHeldBytes = std::size_t{32} * 1024 * 1024;
 /// Time limit of a call when neither client nor route says one.
 static constexpr Duration DefaultTimeout = 30s;
 /// Bounds of the time after which a refused client returns.
@@ -84,41 +87,54 @@
 
 void CallRouter::forget(Call &Current) {
   std::uint64_t Number = Current.Number;
+  HeldBytes -= Current.Bytes;
   WakeOrder.erase({Current.WakeAt, Number});
   ByAttempt.erase(Current.Id.Sequence);
   ByCaller.erase(Current.Caller);
   Calls.erase(Number);
 }
 
+/// Ends a request that does not become a call.
+void CallRouter::refuseArrival(RouterStep &Step, const ClientRequest &Arrived,
+                               ErrorKind Kind, TimePoint Deadline) {
+  Decision Line{LogLevel::Warning, "call-unrouted", {}};
+  Line.Fields = {
+      {"id", Arrived.Id},
+      {"host", Arrived.Host},
+      {"reason", std::string(errorEntry(Kind).Name)},
+      {"version", Step.Config ? std::to_string(Step.Config->Version) : "none"},
+      {"held_bytes", std::to_string(HeldBytes)}};
+  Step.Out.emplace_back(std::move(Line));
+  Step.Out.emplace_back(Count{Counter::CallsRefused});
+  Step.Out.emplace_back(CountRefusal{RefusedBy::Ingress, Kind});
+  Step.Out.emplace_back(
+      ReplyCaller{Arrived.Caller, refusal(Step, Kind, Deadline, Duration(0))});
+}
+
 void CallRouter::request(RouterStep &Step, ClientRequest Arrived) {
   Step.Out.emplace_back(Count{Counter::Calls});
   RoutePtr Route;
   if (Step.Config)
     Route = Step.Config->find(Arrived.Host, Arrived.Request.Target);
   Duration Limit = Arrived.Patience.value_or(DefaultTimeout);
-  if (!Route) {
-    ErrorKind Kind =
-        Step.Config ? ErrorKind::NoRoute : ErrorKind::NoBackendServer;
-    Decision Line{LogLevel::Warning, "call-unrouted", {}};
-    Line.Fields = {{"id", Arrived.Id},
-                   {"host", Arrived.Host},
-                   {"reason", std::string(errorEntry(Kind).Name)},
-                   {"version", Step.Config
-                                   ? std::to_string(Step.Config->Version)
-                                   : "none"}};
-    Step.Out.emplace_back(std::move(Line));
-    Step.Out.emplace_back(Count{Counter::CallsRefused});
-    Step.Out.emplace_back(CountRefusal{RefusedBy::Ingress, Kind});
-    Step.Out.emplace_back(ReplyCaller{
-        Arrived.Caller, refusal(Step, Kind, Step.Now + Limit, Duration(0))});
-    return;
-  }
+  if (!Route)
+    return refuseArrival(Step, Arrived,
+                         Step.Config ? ErrorKind::NoRoute
+                                     : ErrorKind::NoBackendServer,
+                         Step.Now + Limit);
+  std::size_t Bytes =
+      messageSize(Arrived.Request.Headers, Arrived.Request.Body);
+  if (HeldBytes + Bytes > MaxHeldBytes)
+    return refuseArrival(Step, Arrived, ErrorKind::Overloaded,
+                         Step.Now + Limit);
+  HeldBytes += Bytes;
   std::uint64_t Number = NextNumber++;
   Call &New = Calls[Number];
   New.Number = Number;
   New.Caller = Arrived.Caller;
   New.ClientId = std::move(Arrived.Id);
   New.Request = std::move(Arrived.Request);
+  New.Bytes = Bytes;
   New.Service = Splits.next(*Route);
   // Callers are told apart by the service beside them.
   New.Fingerprint = hashText(CallingService);
--- a/src/sidecar/CallRouter.h
+++ b/src/sidecar/CallRouter.h
@@ -77,6 +77,7 @@
     CallerId Caller = 0;
     std::string ClientId;
     HttpRequest Request;
+    std::size_t Bytes = 0; ///< Of the request.
     RoutePtr Route;
     std::string Service;
     std::uint64_t Fingerprint = 0; ///< Hash of caller, host, path and body.
@@ -103,6 +104,8 @@
                                        ///< server can be tried.
   };
 
+  void refuseArrival(RouterStep &Step, const ClientRequest &Arrived,
+                     ErrorKind Kind, TimePoint Deadline);
   Call *find(const CallId &Id, const PeerRef &From);
   Duration usualRun(const Call &Current, TimePoint Now,
                     const LoadReport &Load) const;
@@ -142,7 +145,8 @@
   std::size_t AllHosts = 1;
   std::size_t RegionHosts = 1;
   SplitSchedule Splits;
-  RunTimes Times; ///< From sending to the answer, at usual speed.
+  std::size_t HeldBytes = 0; ///< Of the requests of all calls.
+  RunTimes Times;            ///< From sending to the answer, at usual speed.
   std::uint64_t NextNumber = 1;
   std::uint64_t NextSequence = 1;
   std::unordered_map<std::uint64_t, Call> Calls;              ///< By number.
--- a/src/sidecar/ServerGate.cpp
+++ b/src/sidecar/ServerGate.cpp
@@ -3,6 +3,7 @@
 #include "ServerGate.h"
 
 #include "DecisionText.h"
+#include "RequestIdentity.h"
 
 #include <algorithm>
 
@@ -40,8 +41,10 @@
 /// Heartbeats missed before the server counts as gone. Single ones arrive
 /// seconds late.
 static constexpr int MissedHeartbeats = 4;
-/// Memory for the bodies of waiting and running calls.
+/// Bounds on waiting and running calls. The bytes leave room for as many at the
+/// ingress on the smallest host (160 MB).
 static constexpr std::size_t MaxCalls = 512;
+static constexpr std::size_t MaxHeldBytes = std::size_t{32} * 1024 * 1024;
 
 // Limits.
 
@@ -51,6 +54,7 @@
 
 void ServerGate::configure(const ServiceSettings &Service) {
   HealthTarget = Service.HealthTarget;
+  MaxConnections = Service.MaxConnections;
   if (Service.ColdPerSecond == ColdPerSecond)
     return;
   ColdPerSecond = Service.ColdPerSecond;
@@ -69,8 +73,11 @@
 }
 
 std::uint32_t ServerGate::usableSlots() const {
-  auto Usable = static_cast<std::uint32_t>(Server.slots() * UsableSlotShare);
-  return std::max(1U, Usable);
+  auto Usable = static_cast<std::size_t>(Server.slots() * UsableSlotShare);
+  // Each run takes a connection, and a probe one more.
+  if (MaxConnections > 1)
+    Usable = std::min(Usable, MaxConnections - 1);
+  return static_cast<std::uint32_t>(std::max<std::size_t>(1, Usable));
 }
 
 Duration ServerGate::expectedRun(const std::string &Route) const {
@@ -185,7 +192,7 @@
 /// when it is late already.
 std::optional<ErrorKind> ServerGate::checkRoom(TimePoint Now,
                                                const AdmittedCall &Call) const {
-  if (Calls.size() >= MaxCalls)
+  if (Calls.size() >= MaxCalls || HeldBytes + Call.Bytes > MaxHeldBytes)
     return ErrorKind::Overloaded;
   if (betterElsewhere(Now, Call))
     return ErrorKind::ServerSlow;
@@ -224,6 +231,7 @@
   Call.From = From;
   Call.Deadline = Step.Now + Duration(Message.BudgetMicros);
   Call.Target = Step.Now + Duration(Message.TargetMicros);
+  Call.Bytes = messageSize(Message.Request.Headers, Message.Request.Body);
   Call.Message = std::move(Message);
   std::optional<ErrorKind> Reason = checkGate(Call.Message);
   if (!Reason)
@@ -232,6 +240,7 @@
     Reason = checkRoom(Step.Now, Call);
   if (Reason)
     return refuse(Step, Call, *Reason);
+  HeldBytes += Call.Bytes;
   Calls.emplace(Id, std::move(Call));
   ++Waiting;
   pump(Step);
--- a/src/sidecar/ServerGate.h
+++ b/src/sidecar/ServerGate.h
@@ -82,14 +82,16 @@
     PeerRef From;
     Execute Message;
     TimePoint Deadline;
-    TimePoint Target; ///< When the target latency ends.
-    RunId Run = 0;    ///< 0 while it waits.
+    TimePoint Target;      ///< When the target latency ends.
+    std::size_t Bytes = 0; ///< Of the request.
+    RunId Run = 0;         ///< 0 while it waits.
     TimePoint Started;
     bool Cancelled = false;
     bool Suspect = false;       ///< It may have crashed a server before.
     bool BesideSuspect = false; ///< Another suspect ran when it started.
   };
   using CallMap = std::map<CallId, AdmittedCall>;
+  AdmittedCall remove(CallMap::iterator At);
 
   void limitColdRate();
   std::optional<ErrorKind> checkGate(const Execute &Message) const;
@@ -126,6 +128,7 @@
   LocalServer Server;
   std::string HealthTarget = "/health";
   double ColdPerSecond = 1;
+  std::size_t MaxConnections = 1; ///< That the server accepts.
   mutable TokenBucket ColdTokens;
   double Slowdown = 1;     ///< Newest factor that the server reported.
   double ToldSlowdown = 1; ///< Last told to the ingresses.
@@ -134,6 +137,7 @@
   RunTimes Times;
   CallMap Calls; ///< Waiting or running.
   std::size_t Waiting = 0;
+  std::size_t HeldBytes = 0; ///< Of the requests of all calls.
   std::unordered_map<RunId, CallId> Runs;
   RunId LastRun = 0;
   bool Evacuated = false;
--- a/src/sidecar/ServerGateRuns.cpp
+++ b/src/sidecar/ServerGateRuns.cpp
@@ -35,15 +35,22 @@
         Refused{Call.Message.Call, Kind, load(Step.Now)});
 }
 
+ServerGate::AdmittedCall ServerGate::remove(CallMap::iterator At) {
+  AdmittedCall Removed = std::move(At->second);
+  Calls.erase(At);
+  HeldBytes -= Removed.Bytes;
+  if (Removed.Run == 0)
+    --Waiting;
+  return Removed;
+}
+
 void ServerGate::refuseWaiting(GateStep &Step, ErrorKind Kind) {
   std::vector<CallId> Refusing;
   for (const auto &[Id, Call] : Calls)
     if (Call.Run == 0)
       Refusing.push_back(Id);
   for (const CallId &Id : Refusing) {
-    auto Refused = Calls.extract(Id);
-    --Waiting;
-    refuse(Step, Refused.mapped(), Kind);
+    refuse(Step, remove(Calls.find(Id)), Kind);
   }
 }
 
@@ -60,9 +67,7 @@
       Late.push_back(Id);
   }
   for (const CallId &Id : Late) {
-    auto Refused = Calls.extract(Id);
-    --Waiting;
-    refuse(Step, Refused.mapped(), ErrorKind::Overloaded);
+    refuse(Step, remove(Calls.find(Id)), ErrorKind::Overloaded);
   }
 }
 
@@ -110,11 +115,10 @@
   auto Found = Runs.find(Done.Run);
   if (Found == Runs.end())
     return;
-  auto Finished = Calls.extract(Found->second);
+  AdmittedCall Call = remove(Calls.find(Found->second));
   Runs.erase(Found);
   if (Done.Note.Load)
     noteLoad(Step.Now, *Done.Note.Load);
-  AdmittedCall &Call = Finished.mapped();
   if (Call.Suspect)
     --SuspectsRunning;
   if (auto *Response = std::get_if<HttpResponse>(&Done.Result))
@@ -208,9 +212,7 @@
     return;
   AdmittedCall &Known = Found->second;
   if (Known.Run == 0) {
-    auto Withdrawn = Calls.extract(Found);
-    --Waiting;
-    return refuse(Step, Withdrawn.mapped(), ErrorKind::Cancelled);
+    return refuse(Step, remove(Found), ErrorKind::Cancelled);
   }
   // A run that must not be repeated is followed to its end.
   if (!Known.Message.Policy.Idempotent || Known.Cancelled)
--- a/tests/ServerGateTest.cpp
+++ b/tests/ServerGateTest.cpp
@@ -16,6 +16,7 @@
   Gate() : Under(testSettings()) {
     ServiceSettings Service;
     Service.ColdPerSecond = 40;
+    Service.MaxConnections = 200;
     Under.configure(Service);
     beat(1);
   }
@@ -83,6 +84,32 @@
   EXPECT_EQ(Under.load(Now).Queued, 1U);
 }
 
+// A server resets connections beyond its limit, and what ran on them is lost.
+TEST_F(Gate, TheConnectionLimitOfTheServiceBoundsTheRuns) {
+  ServiceSettings Few;
+  Few.MaxConnections = 4;
+  Under.configure(Few);
+  EXPECT_EQ(fill().size(), 3U) << "a probe needs one too";
+}
+
+// Guards against a host that runs out of memory under large bodies.
+TEST_F(Gate, BodiesTogetherAreBounded) {
+  std::size_t Admitted = 0;
+  Execute Large = call();
+  for (; Admitted < 100; ++Admitted) {
+    Large.Call.Sequence = ++LastCall;
+    Large.Request.Body.assign(std::size_t{8} * 1024 * 1024, 'x');
+    auto Out = execute(Large);
+    if (!refusals(Out).empty())
+      break;
+  }
+  EXPECT_EQ(Admitted, 4U) << "32 MiB";
+  EXPECT_EQ(effects<RunServer>(execute(call())).size(), 1U) << "small ones run";
+  done(1);
+  Large.Call.Sequence = ++LastCall;
+  EXPECT_EQ(effects<RunServer>(execute(Large)).size(), 1U) << "room is freed";
+}
+
 // A request that may have reached the wrong service or region must be
 // refused before it is sent, since its ingress may know an older state.
 TEST_F(Gate, RefusesWhatIsMeantForAnother) {
--- a/tests/SidecarTest.cpp
+++ b/tests/SidecarTest.cpp
@@ -492,6 +492,29 @@
 
 } // namespace
 
+// Guards against an ingress that runs out of memory under large bodies.
+TEST_F(SidecarTest, RequestsHeldTogetherAreBounded) {
+  learn();
+  ClientRequest Large;
+  Large.Host = "desk.example";
+  Large.Patience = 1000ms;
+  Large.Request.Method = "POST";
+  Large.Request.Target = "/book/1";
+  CallerId Caller = 0;
+  while (Caller < 100) {
+    Large.Caller = ++Caller;
+    Large.Request.Body.assign(std::size_t{8} * 1024 * 1024, 'x');
+    if (auto Response = answer(apply(ClientRequest(Large)))) {
+      EXPECT_EQ(Response->Status, 503U);
+      break;
+    }
+  }
+  EXPECT_EQ(Caller, 5U) << "four fill 32 MiB";
+  apply(CallerGone{1});
+  Large.Caller = ++Caller;
+  EXPECT_FALSE(answer(apply(ClientRequest(Large)))) << "room is freed";
+}
+
 // Requests that crash servers.
 
 // A repeat may come to any daemon of the service, so all of them must know, and
