Add: hosts that are gone are dropped from the members' topic

Cause: nothing ended the announcement of a host that was replaced or lost power for good. It took a share of the retry slack, each daemon that had a link probed it once in 0.8 s, and the image of the topic took no new keys after 100,000 and never forgot a dropped one.

HostExpiry: a daemon that reads the store asks hosts silent for 2 minutes (32 at once, every 30 s) and drops one that stays silent for 10 minutes over 5 questions, if it hears from half of all. A host that lives reads its drop and announces itself again, so no agreement is needed. TopicImage keeps the newest 1000 dropped keys at most.

Ruled out: a time to live in each announcement (a write a host and period, the store is priced by calls); a lease in the store's groups (the same).

--- a/src/shell/SidecarDaemon.cpp
+++ b/src/shell/SidecarDaemon.cpp
@@ -363,6 +363,10 @@
   Platform.Store->append(Action.Said);
 }
 
+void SidecarDaemon::perform(DropHost &Action) {
+  Platform.Store->drop(Action.Host);
+}
+
 void SidecarDaemon::perform(SetClientLimits &Action) {
   ClientBounds.MaxHead = Action.Limits.HeadBytes;
   ClientBounds.HeadTimeout = Action.Limits.HeadTimeout;
--- a/src/shell/SidecarDaemon.h
+++ b/src/shell/SidecarDaemon.h
@@ -86,6 +86,7 @@
   void perform(ReadTopicSnapshot &Action);
   void perform(ReadTopic &Action);
   void perform(Announce &Action);
+  void perform(DropHost &Action);
   void perform(SetClientLimits &Action);
   void perform(SetReadiness &Action);
   void perform(CloseClients &Action);
--- a/src/shell/SidecarPlatform.h
+++ b/src/shell/SidecarPlatform.h
@@ -68,6 +68,8 @@
   virtual void readSnapshot(Topic Which) = 0;
   virtual void read(const ReadTopic &Wanted) = 0;
   virtual void append(const Announcement &Said) = 0;
+  /// Drops the announcement of a host; counts as an append.
+  virtual void drop(const HostId &Host) = 0;
   /// The store has another address from the next call on.
   virtual void moveTo(const std::string &Address) = 0;
 };
--- a/src/sidecar/Sidecar.cpp
+++ b/src/sidecar/Sidecar.cpp
@@ -47,6 +47,8 @@
     Due = std::min(Due, State.Follower.nextWake());
   Due = std::min(Due, Gate.nextWake(LastNow));
   Due = std::min(Due, Peers.nextWake());
+  if (complete() && Relay.readsStore(LastNow))
+    Due = std::min(Due, Expiry.nextWake());
   if (AnnounceNeeded && !Announcing && complete())
     Due = std::min(Due, AnnounceAt);
   if (Stopping && !ClientsClosed)
@@ -109,6 +111,7 @@
 
 void Sidecar::on(Step &S, PeerReceived &Body) {
   Peers.heard(Body.From.Host, S.Out);
+  Expiry.heard(S.Now, Body.From.Host);
   message(S, Body.From, Body.Message);
 }
 
@@ -116,6 +119,7 @@
 /// meets. One at a time, since the answer is the whole state.
 void Sidecar::on(Step &S, PeerConnected &Body) {
   Peers.heard(Body.Peer.Host, S.Out);
+  Expiry.heard(S.Now, Body.Peer.Host);
   bool StoreFails = std::ranges::any_of(
       Topics, [](const TopicState &State) { return State.Follower.failing(); });
   if (complete() || !StoreFails || S.Now < AskPeerAt)
@@ -239,8 +243,15 @@
   hostsChanged();
 }
 
-/// Appends the newest announcement, once the generation is known.
+/// Appends the newest announcement, once the generation is known; otherwise
+/// drops a host that is gone.
 void Sidecar::sendAnnouncement(Step &S) {
+  if (ToDrop && !AnnounceNeeded && !Announcing) {
+    Announcing = true;
+    S.Out.emplace_back(DropHost{*ToDrop});
+    ToDrop.reset();
+    return;
+  }
   bool Due = AnnounceNeeded && !Announcing && complete() && S.Now >= AnnounceAt;
   if (!Due)
     return;
@@ -355,6 +366,9 @@
   if (KnowsHosts)
     Relay.timer(S.Now, Directory, Peers, offsets(), S.Out);
   bool Reads = !KnowsHosts || Relay.readsStore(S.Now);
+  if (KnowsHosts && Reads)
+    if (auto Gone = Expiry.timer(S.Now, Settings.Host, Directory, S.Out))
+      ToDrop = Gone;
   for (TopicState &State : Topics) {
     State.Follower.activate(S.Now, Reads);
     State.Follower.timer(S.Now, State.Image.next(), S.Out);
@@ -431,6 +445,7 @@
     return announce(S);
   Directory.erase(Body.Host);
   Peers.forget(Body.Host);
+  Expiry.forget(Body.Host);
   hostsChanged();
 }
 
--- a/src/sidecar/Sidecar.h
+++ b/src/sidecar/Sidecar.h
@@ -5,6 +5,7 @@
 #define FIGSAIL_SIDECAR_SIDECAR_H
 
 #include "CallRouter.h"
+#include "HostExpiry.h"
 #include "Instance.h"
 #include "ServerGate.h"
 #include "SidecarEvents.h"
@@ -14,6 +15,7 @@
 #include "TopicRelay.h"
 
 #include <array>
+#include <optional>
 #include <set>
 #include <string>
 
@@ -106,6 +108,7 @@
   std::set<std::string> Evacuated; ///< Failure domains.
   InstanceDirectory Directory;
   PeerHealth Peers;
+  HostExpiry Expiry;
   CallRouter Router;
   ServerGate Gate;
   const RecordDecoder &Decoder;
@@ -116,6 +119,7 @@
   AnnouncementOrder Order;       ///< Of the next announcement.
   bool AnnounceNeeded = false;   ///< The store lacks the newest announcement.
   bool Announcing = false;       ///< An append is under way.
+  std::optional<HostId> ToDrop;  ///< Gone for good; still in the store.
   TimePoint AskPeerAt{};         ///< Not before.
   unsigned AnnounceFailures = 0; ///< In a row.
   TimePoint AnnounceAt{};        ///< Not before.
--- a/src/sidecar/SidecarEvents.h
+++ b/src/sidecar/SidecarEvents.h
@@ -136,7 +136,8 @@
   std::string Reason;
 };
 
-/// An announcement was appended, or not: then the outcome is not known.
+/// An announcement was appended or dropped, or not: then the outcome is not
+/// known.
 struct AnnouncementDone {
   bool Appended = false;
   std::string Reason; ///< Of a failure.
@@ -200,6 +201,11 @@
   Announcement Said;
 };
 
+/// Drop the announcement of a host that is gone. Ends like Announce.
+struct DropHost {
+  HostId Host;
+};
+
 /// The limits for clients have changed.
 struct SetClientLimits {
   ClientLimits Limits;
@@ -226,8 +232,8 @@
 using SidecarEffect =
     std::variant<ReplyCaller, SendPeer, ResetPeer, RunServer, CancelRun,
                  ProbeServer, AnswerReport, ReadTopicSnapshot, ReadTopic,
-                 Announce, SetClientLimits, SetReadiness, CloseClients,
-                 Decision, Count, CountRefusal, ExitProcess>;
+                 Announce, DropHost, SetClientLimits, SetReadiness,
+                 CloseClients, Decision, Count, CountRefusal, ExitProcess>;
 using SidecarEffects = std::vector<SidecarEffect>;
 
 } // namespace figsail
--- a/src/sidecar/TopicImage.cpp
+++ b/src/sidecar/TopicImage.cpp
@@ -10,9 +10,29 @@
 /// Keys kept; a topic that grows beyond it is not one of keyed state.
 static constexpr std::size_t MaxKeys = 100000;
 
+/// Dropped keys that are remembered for peers which ask for news. A peer that
+/// was away for more drops keeps some hosts that are gone for a while.
+static constexpr std::size_t MaxDropped = 1000;
+
+/// Forgets the oldest dropped keys, so that keys which come and go do not fill
+/// the image.
+void TopicImage::forgetDropped() {
+  std::vector<std::pair<Offset, std::string>> Dropped;
+  for (const auto &[Key, Record] : Newest)
+    if (!Record.Value)
+      Dropped.emplace_back(Record.At, Key);
+  if (Dropped.size() <= MaxDropped)
+    return;
+  std::ranges::sort(Dropped);
+  Dropped.resize(Dropped.size() - MaxDropped / 2);
+  for (const auto &[At, Key] : Dropped)
+    Newest.erase(Key);
+}
+
 std::vector<KeyedRecord> TopicImage::absorb(TopicPart Part) {
   std::ranges::stable_sort(Part.Records, {}, &KeyedRecord::At);
   std::vector<KeyedRecord> Taken;
+  bool AnyDropped = false;
   for (KeyedRecord &Record : Part.Records) {
     auto Known = Newest.find(Record.Key);
     if (Known != Newest.end() && Known->second.At >= Record.At)
@@ -20,9 +40,12 @@
     if (Known == Newest.end() && Newest.size() >= MaxKeys)
       continue;
     Newest.insert_or_assign(Record.Key, Record);
+    AnyDropped = AnyDropped || !Record.Value;
     Taken.push_back(std::move(Record));
   }
   Next = std::max(Next, Part.Next);
+  if (AnyDropped)
+    forgetDropped();
   return Taken;
 }
 
--- a/src/sidecar/TopicImage.h
+++ b/src/sidecar/TopicImage.h
@@ -26,6 +26,8 @@
   Offset next() const { return Next; }
 
 private:
+  void forgetDropped();
+
   std::map<std::string, KeyedRecord> Newest; ///< By key; also dropped ones.
   Offset Next = 0;
 };
--- a/tests/PlatformTest.cpp
+++ b/tests/PlatformTest.cpp
@@ -318,6 +318,13 @@
   EXPECT_NE(Bodies[1].find("10.0.0.1:7000"), std::string::npos);
 }
 
+TEST_F(StoreTest, ADroppedHostIsARecordWithoutAValue) {
+  answer(200, R"({"Offset":4,"EndOffset":5})");
+  Client->drop("10.0.0.1:7000");
+  EXPECT_TRUE(wait<AnnouncementDone>().Appended);
+  EXPECT_EQ(Bodies[0], std::string("\0\0\0\x0e\x0d", 5) + "10.0.0.1:7000");
+}
+
 // A connection attempt into a partition hangs, and the kernel repeats it only
 // after seconds: with the time of a held read for it, a daemon came back to the
 // store 6 s after the partition had ended.
--- a/tests/SidecarTest.cpp
+++ b/tests/SidecarTest.cpp
@@ -515,6 +515,32 @@
   EXPECT_FALSE(answer(apply(ClientRequest(Large)))) << "room is freed";
 }
 
+// Hosts that are gone.
+
+// A daemon that was dropped while it was cut off announces itself again.
+TEST_F(SidecarTest, ADroppedHostThatLivesAnnouncesItself) {
+  learn();
+  apply(heartbeat(1));
+  apply(AnnouncementDone{true, ""});
+  Decoder.Contents["10.0.0.1:7000@90"] = HostForgotten{"10.0.0.1:7000"};
+  auto Out = apply(
+      TopicRecords{Topic::Members, {{"10.0.0.1:7000", std::nullopt, 90}}, 91});
+  EXPECT_EQ(effects<Announce>(Out).size(), 1U);
+}
+
+TEST_F(SidecarTest, TheReaderDropsAHostThatIsGone) {
+  learn();
+  std::vector<HostId> Dropped;
+  for (int I = 0; I < 12 * 60 && Dropped.empty(); ++I) {
+    for (const char *Host : {"a", "b"})
+      reply(Host, ProbeReply{{"10.0.0.1:7000", 1}, true});
+    auto Out = tick(1s);
+    for (const DropHost &Action : effects<DropHost>(Out))
+      Dropped.push_back(Action.Host);
+  }
+  EXPECT_EQ(Dropped, std::vector<HostId>{"c"});
+}
+
 // Requests that crash servers.
 
 // A repeat may come to any daemon of the service, so all of them must know, and
--- a/tests/TopicsTest.cpp
+++ b/tests/TopicsTest.cpp
@@ -1,5 +1,6 @@
 // TopicsTest.cpp - Announcements, images of topics, and who reads the store.
 
+#include "HostExpiry.h"
 #include "Instance.h"
 #include "SidecarTestSupport.h"
 #include "TopicFollower.h"
@@ -8,6 +9,8 @@
 
 #include "figsail/Epoch.h"
 
+#include <algorithm>
+
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
@@ -104,6 +107,23 @@
   EXPECT_FALSE(Taken[0].Value);
 }
 
+// Hosts come and go at new addresses; the image took no new keys after 100,000
+// and never forgot one.
+TEST(TopicImage, DroppedKeysAreForgottenInTheEnd) {
+  TopicImage Image;
+  Offset At = 0;
+  for (int I = 0; I < 5000; ++I) {
+    std::string Key = "host" + std::to_string(I);
+    Image.absorb({At + 1, {record(Key, At)}});
+    Image.absorb({At + 2, {{Key, std::nullopt, At + 1}}});
+    At += 2;
+  }
+  auto Kept = Image.since(0).Records;
+  EXPECT_LE(Kept.size(), 1000U);
+  auto Newest = std::ranges::max_element(Kept, {}, &KeyedRecord::At);
+  EXPECT_EQ(Newest->At, At - 1) << "the newest ones stay for peers";
+}
+
 TEST(TopicImage, ASnapshotThatIsOlderDropsNothingNewer) {
   TopicImage Image;
   Image.absorb({8, {record("evacuate/a", 7)}});
@@ -232,6 +252,71 @@
   EXPECT_TRUE(Reader.subscribers(TestStart + 3s).empty());
 }
 
+// Hosts that are gone.
+
+/// A daemon that knows hosts a to d, over virtual time.
+struct Expiring : testing::Test {
+  Expiring() {
+    for (const char *Host : {"self", "a", "b", "c", "d"})
+      Directory.merge(announcement(Host));
+  }
+  /// Lets time pass; the hosts named answer. Returns the hosts to drop.
+  std::vector<HostId> pass(Duration Time, const std::vector<HostId> &Living) {
+    std::vector<HostId> Dropped;
+    for (TimePoint End = Now + Time; Now < End; Now += 30s) {
+      Asked.clear();
+      if (auto Gone = Under.timer(Now, "self", Directory, Asked))
+        Dropped.push_back(*Gone);
+      for (const HostId &Host : Living)
+        Under.heard(Now, Host);
+    }
+    return Dropped;
+  }
+  TimePoint Now = TestStart;
+  InstanceDirectory Directory;
+  SidecarEffects Asked; ///< By the last step.
+  HostExpiry Under;
+};
+
+// A host that was replaced stayed in the topic for ever: it took a share of
+// the retry budget and was probed more than once a second.
+TEST_F(Expiring, AHostThatStaysSilentIsDropped) {
+  EXPECT_TRUE(pass(9min, {"a", "b", "c"}).empty()) << "it may come back";
+  auto Dropped = pass(2min, {"a", "b", "c"});
+  ASSERT_FALSE(Dropped.empty());
+  EXPECT_EQ(Dropped[0], "d");
+}
+
+TEST_F(Expiring, AHostThatAnswersStays) {
+  pass(9min, {"a", "b", "c"});
+  Under.heard(Now, "d");
+  EXPECT_TRUE(pass(9min, {"a", "b", "c"}).empty());
+  EXPECT_EQ(messages<Probe>(Asked).size(), 1U) << "only the silent one";
+}
+
+// A daemon that is cut off would drop all others.
+TEST_F(Expiring, ADaemonThatIsCutOffDropsNobody) {
+  EXPECT_TRUE(pass(1h, {"a"}).empty());
+}
+
+// Without questions silence means only that there was nothing to say.
+TEST_F(Expiring, NobodyIsDroppedUnasked) {
+  Under.timer(Now, "self", Directory, Asked);
+  Now += 1h;
+  for (const char *Host : {"a", "b", "c"})
+    Under.heard(Now, Host);
+  EXPECT_FALSE(Under.timer(Now, "self", Directory, Asked));
+  EXPECT_EQ(messages<Probe>(Asked).size(), 1U);
+}
+
+// The questions of one step must not open links to all of a large system.
+TEST_F(Expiring, FewHostsAreAskedAtOnce) {
+  for (int I = 0; I < 500; ++I)
+    Directory.merge(announcement("h" + std::to_string(I)));
+  pass(5min, {});
+  EXPECT_EQ(messages<Probe>(Asked).size(), 32U);
+}
+
 // Reachability.
 
 TEST(PeerHealth, ProbesOnNewLinksUntilSomethingIsHeard) {
