Fix: requests whose callers have left are not handled

Cause: the frontend sees the end of a connection only with its next read, after the request before it was dispatched.

Now a whole request is dropped when the connection has already ended, where callers close only when they no longer wait (one look into the socket a request). figsaild, which serves half-closed callers, is unchanged.

Before: StrictFrontendTest.ARequestWhoseCallerHasLeftIsNotHandled fails, 3 of 3 runs (2 requests handled, 1 expected). After: passes 3 of 3. Ruled out: starting the next read before dispatching (asio completes it only after the present handler).

--- a/src/shell/FrontendConnection.cpp
+++ b/src/shell/FrontendConnection.cpp
@@ -222,7 +222,22 @@
     refuse(ErrorKind::HeadTooLarge);
 }
 
+/// Returns whether the caller has closed the connection behind its request. A
+/// daemon that was held up reads requests that nobody waits for any more.
+bool FrontendConnection::callerLeft() {
+  if (Owner->settings().ServeHalfClosed)
+    return false;
+  char Next = 0;
+  beast::error_code Error;
+  Socket.receive(asio::buffer(&Next, 1), tcp::socket::message_peek, Error);
+  return Error && Error != asio::error::would_block;
+}
+
 void FrontendConnection::requestComplete() {
+  if (callerLeft()) {
+    close();
+    return;
+  }
   auto &Whole = Message->get();
   HttpRequest Request;
   Request.Method = std::string(Whole.method_string());
--- a/src/shell/FrontendConnection.h
+++ b/src/shell/FrontendConnection.h
@@ -77,6 +77,7 @@
   void startBody(std::size_t MaxBody);
   void processBody();
   void requestComplete();
+  bool callerLeft();
   void endOfInput();
   void sendContinue();
   void refuse(ErrorKind Kind, std::string_view Detail = {});
--- a/tests/HttpFrontendTest.cpp
+++ b/tests/HttpFrontendTest.cpp
@@ -223,6 +223,48 @@
   EXPECT_TRUE(Client.ended());
 }
 
+namespace {
+
+/// Callers close a connection only when they no longer wait.
+class StrictFrontendTest : public HttpFrontendTest {
+protected:
+  StrictFrontendTest() : HttpFrontendTest(strict()) {}
+  static FrontendSettings strict() {
+    FrontendSettings Settings;
+    Settings.ServeHalfClosed = false;
+    return Settings;
+  }
+};
+
+} // namespace
+
+// A daemon that was held up for seconds ran requests for callers that had left
+// long before (GONE in a sweep at 300 hosts).
+TEST_F(StrictFrontendTest, ARequestWhoseCallerHasLeftIsNotHandled) {
+  for (bool Reset : {false, true}) {
+    std::size_t Before = Loop.on([&] { return Handler.Requests; });
+    // Within the loop, so that the request and the end arrive together.
+    Loop.on([&] {
+      RawConnection Client(Port);
+      Client.send("GET /gone HTTP/1.1\r\nHost: h\r\n\r\n");
+      if (Reset)
+        Client.reset();
+    });
+    RawConnection Next(Port);
+    Next.send("GET /next HTTP/1.1\r\nHost: h\r\n\r\n");
+    EXPECT_EQ(Next.response().body(), "GET /next ");
+    EXPECT_EQ(Loop.on([&] { return Handler.Requests; }), Before + 1);
+  }
+}
+
+TEST_F(StrictFrontendTest, APipelinedRequestIsHandled) {
+  RawConnection Client(Port);
+  Client.send("GET /a HTTP/1.1\r\nHost: h\r\n\r\n"
+              "GET /b HTTP/1.1\r\nHost: h\r\n\r\n");
+  EXPECT_EQ(Client.response().body(), "GET /a ");
+  EXPECT_EQ(Client.response().body(), "GET /b ");
+}
+
 TEST_F(HttpFrontendTest, TruncatedRequestIsRefused) {
   for (const char *Sent :
        {"GET / HTTP/1.1\r\nHo", "POST / HTTP/1.1\r\nHost: h\r\n"
