Change: fewer links and probes in large systems

Beyond 128 hosts links go to the servers of services that this daemon's clients use; the speed is asked for often only within 300 ms of a call, the time in which it changes.

Before: Gate.ProbesTwiceASecondWithoutCalls fails (run); InALargeSystemLinksAreOpenedToUsedServicesOnly does not hold by the old rule. After: both pass. Ruled out: a fixed set of servers for each ingress (the expected-time choice needs all of them when their speeds differ).

--- a/src/sidecar/CallRouter.cpp
+++ b/src/sidecar/CallRouter.cpp
@@ -136,6 +136,7 @@
   New.Request = std::move(Arrived.Request);
   New.Bytes = Bytes;
   New.Service = Splits.next(*Route);
+  UsedServices.insert(New.Service);
   // Callers are told apart by the service beside them.
   New.Fingerprint = hashText(CallingService);
   for (std::string_view Part :
--- a/src/sidecar/CallRouter.h
+++ b/src/sidecar/CallRouter.h
@@ -68,6 +68,10 @@
 
   void timer(RouterStep &Step);
   TimePoint nextWake() const;
+  /// Returns whether a request for the service has arrived.
+  bool uses(const std::string &Service) const {
+    return UsedServices.contains(Service);
+  }
   std::size_t underWay() const { return Calls.size(); }
 
 private:
@@ -145,6 +149,7 @@
   std::size_t AllHosts = 1;
   std::size_t RegionHosts = 1;
   SplitSchedule Splits;
+  std::set<std::string> UsedServices;
   std::size_t HeldBytes = 0; ///< Of the requests of all calls.
   RunTimes Times;            ///< From sending to the answer, at usual speed.
   std::uint64_t NextNumber = 1;
--- a/src/sidecar/ServerGate.cpp
+++ b/src/sidecar/ServerGate.cpp
@@ -32,6 +32,9 @@
 /// Probe interval while calls come but no response tells the load. The speed of
 /// a server changes every few hundred milliseconds.
 static constexpr Duration LoadProbeInterval = 100ms;
+/// Without calls for so long the speed is not asked for so often: it will have
+/// changed before the next call.
+static constexpr Duration LoadProbeTime = 300ms;
 /// Ingresses are told when the speed has changed by this factor.
 static constexpr double TellFactor = 1.4;
 /// Ingresses that have sent nothing for so long are not told.
@@ -227,6 +230,7 @@
   if (Calls.contains(Id))
     return;
   Ingresses[From.Host] = Step.Now;
+  CalledAt = Step.Now;
   AdmittedCall Call;
   Call.From = From;
   Call.Deadline = Step.Now + Duration(Message.BudgetMicros);
@@ -336,7 +340,8 @@
     return ProbedAt + UnreachableProbe;
   TimePoint ForLoad = std::max(ProbedAt, LoadAt) + LoadProbeInterval;
   TimePoint ForCold = ProbedAt + ProbeInterval;
-  return Ingresses.empty() ? ForCold : std::min(ForLoad, ForCold);
+  bool Wanted = ForLoad <= CalledAt + LoadProbeTime;
+  return Wanted ? std::min(ForLoad, ForCold) : ForCold;
 }
 
 } // namespace figsail
--- a/src/sidecar/ServerGate.h
+++ b/src/sidecar/ServerGate.h
@@ -133,6 +133,7 @@
   double Slowdown = 1;     ///< Newest factor that the server reported.
   double ToldSlowdown = 1; ///< Last told to the ingresses.
   TimePoint LoadAt;        ///< When the server last told its load.
+  TimePoint CalledAt;      ///< When a call last arrived.
   std::map<HostId, TimePoint> Ingresses; ///< To when they sent a call last.
   RunTimes Times;
   CallMap Calls; ///< Waiting or running.
--- a/src/sidecar/Sidecar.cpp
+++ b/src/sidecar/Sidecar.cpp
@@ -16,6 +16,10 @@
 static constexpr Duration ClientsLeaveTime = 2300ms;
 /// Time between questions to peers while the store is away at the start.
 static constexpr Duration AskPeerInterval = 300ms;
+/// Up to so many hosts, links are opened to all of them; beyond, to those of
+/// services that this daemon's clients use. A host has some thousand
+/// descriptors, and each link costs both sides memory.
+static constexpr std::size_t MaxEagerHosts = 128;
 /// Time before the process would be killed that is kept for the last answers to
 /// be written.
 static constexpr Duration StopReserve = 500ms;
@@ -437,7 +441,9 @@
   Router.hostChanged(Body.Host);
   hostsChanged();
   // Opens a link before the first request needs it.
-  if (Body.State == InstanceState::Ready)
+  bool Wanted =
+      Directory.all().size() <= MaxEagerHosts || Router.uses(Body.Service);
+  if (Body.State == InstanceState::Ready && Wanted)
     S.Out.emplace_back(
         SendPeer{Body.Host, Probe{PeerRef{Body.Host, Body.Order.Inc}}});
 }
--- a/tests/ServerGateTest.cpp
+++ b/tests/ServerGateTest.cpp
@@ -392,6 +392,23 @@
   EXPECT_GE(Probes, 4U);
 }
 
+// At 300 hosts with little traffic each there were four probes a request.
+TEST_F(Gate, ProbesTwiceASecondWithoutCalls) {
+  execute(call());
+  Now += 500ms;
+  std::size_t Probes = 0;
+  for (int Millis = 0; Millis < 2000; ++Millis) {
+    Now += 1ms;
+    auto Out = step([&](GateStep &Step) { Under.timer(Step); });
+    for ([[maybe_unused]] const auto &Sent : effects<ProbeServer>(Out)) {
+      ++Probes;
+      step([&](GateStep &Step) { Under.probed(Step, ServerProbed{}); });
+    }
+  }
+  EXPECT_LE(Probes, 5U);
+  EXPECT_GE(Probes, 3U);
+}
+
 } // namespace
 
 // Guards against one request that takes down a service server by server: it
--- a/tests/SidecarTest.cpp
+++ b/tests/SidecarTest.cpp
@@ -528,6 +528,19 @@
   EXPECT_NE(sent(Out).first, Host);
 }
 
+// Links to all of 7,600 hosts would take more descriptors than a host has.
+TEST_F(SidecarTest, InALargeSystemLinksAreOpenedToUsedServicesOnly) {
+  learn();
+  EXPECT_EQ(messages<Probe>(member(announcement("few", "payment"))).size(), 1U);
+  for (int I = 0; I < 200; ++I)
+    member(announcement("h" + std::to_string(I), "payment"));
+  EXPECT_TRUE(messages<Probe>(member(announcement("new", "booking"))).empty());
+  request(1);
+  EXPECT_EQ(messages<Probe>(member(announcement("next", "booking"))).size(),
+            1U);
+  EXPECT_TRUE(messages<Probe>(member(announcement("last", "payment"))).empty());
+}
+
 // Hosts that are gone.
 
 // A daemon that was dropped while it was cut off announces itself again.
