Fix: servers out of service while their daemons restart

Restarts 1.3 s apart took both remaining servers of a service out.

Now the server serves until the client connections close (others are told after 1.6 s, the news takes up to 0.5 s), and a daemon that starts asks the server that its predecessor announced (Ready or Paused, never one that had left) by a health probe; the same instance, well, is admitted to.

Ruled out: to acknowledge nothing and wait (a heartbeat interval lost at each start); to trust the announcement without a probe (the server may have left or its address may be used by another).

--- a/src/sidecar/Instance.cpp
+++ b/src/sidecar/Instance.cpp
@@ -51,7 +51,7 @@
     return std::nullopt;
   try {
     Announcement Said = readRecord(Value.as_object());
-    if (Said.Host.empty() || Said.State > InstanceState::Draining)
+    if (Said.Host.empty() || Said.State > InstanceState::Paused)
       return std::nullopt;
     return Said;
   } catch (const std::exception &) {
--- a/src/sidecar/Instance.h
+++ b/src/sidecar/Instance.h
@@ -19,6 +19,7 @@
   Absent,   ///< No backend server is known beside the daemon.
   Ready,    ///< Takes requests.
   Draining, ///< Announced that it leaves; gets nothing new.
+  Paused,   ///< Its daemon stops; the server stays.
 };
 
 /// Orders what is said about one host. A daemon that restarts takes the next
--- a/src/sidecar/LocalServer.cpp
+++ b/src/sidecar/LocalServer.cpp
@@ -8,7 +8,8 @@
                                      const ServerHeartbeat &Said) {
   if (Said.Instance.empty() || Said.Service.empty() || Said.Slots == 0)
     return ReportVerdict::Invalid;
-  bool SameLife = Said.BornMillis == BornMillis && Said.Instance == Instance;
+  bool SameBirth = Said.BornMillis == BornMillis || BornMillis == 0;
+  bool SameLife = SameBirth && Said.Instance == Instance;
   bool LeftUnheard = Instance.empty() && Said.Instance == LeftInstance;
   if (Said.BornMillis < BornMillis || (SameLife && Left) || LeftUnheard)
     return ReportVerdict::Stale;
@@ -47,6 +48,16 @@
   return Changed ? ReportVerdict::Changed : ReportVerdict::Unchanged;
 }
 
+void LocalServer::recover(TimePoint Now, const KnownServer &Known) {
+  if (!Instance.empty() || Known.Instance == LeftInstance)
+    return;
+  Instance = Known.Instance;
+  Service = Known.Service;
+  Slots = Known.Slots;
+  State = InstanceState::Ready;
+  HeardAt = Now;
+}
+
 void LocalServer::coldFor(TimePoint Now, Duration Left) {
   ColdUntil = Now + Left;
 }
--- a/src/sidecar/LocalServer.h
+++ b/src/sidecar/LocalServer.h
@@ -19,12 +19,22 @@
   Invalid,   ///< Names no usable backend server.
 };
 
+/// A backend server as an earlier daemon of the host announced it.
+struct KnownServer {
+  std::string Instance;
+  std::string Service;
+  std::uint32_t Slots = 0;
+};
+
 /// Follows heartbeats and leaves of one backend server. Incarnations are
 /// ordered by their start, heartbeats of one incarnation by their sequence.
 class LocalServer {
 public:
   ReportVerdict heartbeat(TimePoint Now, const ServerHeartbeat &Said);
   ReportVerdict leaves(const ServerLeaves &Said);
+  /// A daemon that has just started found a server that its predecessor knew,
+  /// well and under the same name. Heartbeats go before that.
+  void recover(TimePoint Now, const KnownServer &Known);
   /// The health endpoint says how long the server stays cold.
   void coldFor(TimePoint Now, Duration Left);
   /// Forgets a server that has been silent for too long. Returns whether one
@@ -46,7 +56,7 @@
   std::string Instance;
   std::string Service;
   std::uint32_t Slots = 0;
-  std::int64_t BornMillis = 0;
+  std::int64_t BornMillis = 0; ///< 0: not known yet.
   std::uint64_t Sequence = 0;
   bool Left = false;        ///< The incarnation BornMillis has left for good.
   std::string LeftInstance; ///< Left before any heartbeat of it was heard.
--- a/src/sidecar/ServerGate.cpp
+++ b/src/sidecar/ServerGate.cpp
@@ -39,6 +39,9 @@
 static constexpr double TellFactor = 1.4;
 /// Ingresses that have sent nothing for so long are not told.
 static constexpr Duration IngressLifetime = 3s;
+/// How long a server that an earlier daemon knew is asked for: until its next
+/// heartbeat, which may be one interval late.
+static constexpr Duration ExpectTime = 3s;
 /// A probe without an end by then counts as lost.
 static constexpr Duration ProbeLimit = 2s;
 /// Heartbeats missed before the server counts as gone. Single ones arrive
@@ -56,6 +59,7 @@
       Bounds(Settings.Bounds), ColdTokens(1, 1) {}
 
 void ServerGate::configure(const ServiceSettings &Service) {
+  Configured = true;
   HealthTarget = Service.HealthTarget;
   MaxConnections = Service.MaxConnections;
   if (Service.ColdPerSecond == ColdPerSecond)
@@ -260,7 +264,8 @@
   std::string Before = Server.instance();
   std::int64_t BornBefore = Server.bornMillis();
   ReportVerdict Verdict = Server.heartbeat(Step.Now, Said);
-  if (!Before.empty() &&
+  Expected.reset();
+  if (!Before.empty() && BornBefore != 0 &&
       (Server.instance() != Before || Server.bornMillis() != BornBefore))
     loseServer(Step.Now);
   if (Verdict == ReportVerdict::Changed || Verdict == ReportVerdict::Unchanged)
@@ -288,8 +293,26 @@
   ProbedAt = TimePoint{};
 }
 
+void ServerGate::expect(TimePoint Now, KnownServer Known) {
+  if (!Server.instance().empty())
+    return;
+  Expected = std::move(Known);
+  ExpectedUntil = Now + ExpectTime;
+  ProbedAt = TimePoint{};
+}
+
+/// A server that leaves does not say that it is well.
+void ServerGate::recoverServer(TimePoint Now, const ServerProbed &Probe) {
+  if (!Expected || Probe.Instance.empty())
+    return;
+  if (Probe.Healthy && Probe.Instance == Expected->Instance)
+    Server.recover(Now, *Expected);
+  Expected.reset();
+}
+
 void ServerGate::probed(GateStep &Step, const ServerProbed &Probe) {
   Probing = false;
+  recoverServer(Step.Now, Probe);
   if (Probe.Load)
     noteLoad(Step.Now, *Probe.Load);
   bool Same = !Probe.Instance.empty() && Probe.Instance == Server.instance();
@@ -312,7 +335,11 @@
   }
   refuseLate(Step);
   pump(Step);
-  if (Server.state() != InstanceState::Ready || Step.Now < nextProbe())
+  if (Expected && Step.Now >= ExpectedUntil)
+    Expected.reset();
+  bool Asks =
+      Server.state() == InstanceState::Ready || (Expected && Configured);
+  if (!Asks || Step.Now < nextProbe())
     return;
   Probing = true;
   ProbedAt = Step.Now;
@@ -327,7 +354,7 @@
   if (Waiting > 0)
     return Now + WaitingCheck;
   if (Server.state() == InstanceState::Absent)
-    return TimePoint::max();
+    return Expected && Configured ? nextProbe() : TimePoint::max();
   if (Server.state() == InstanceState::Draining)
     return Server.heardAt() + Bounds.HeartbeatInterval * MissedHeartbeats;
   return nextProbe();
--- a/src/sidecar/ServerGate.h
+++ b/src/sidecar/ServerGate.h
@@ -50,6 +50,10 @@
   ReportVerdict heartbeat(GateStep &Step, const ServerHeartbeat &Said);
   ReportVerdict leaves(GateStep &Step, const ServerLeaves &Said);
 
+  /// An earlier daemon of this host knew that server. It is asked whether it is
+  /// still there, so that calls need not wait for its next heartbeat.
+  void expect(TimePoint Now, KnownServer Known);
+
   /// Sets the settings of the server's service.
   void configure(const ServiceSettings &Service);
   /// The operator's bounds have changed.
@@ -94,6 +98,7 @@
   AdmittedCall remove(CallMap::iterator At);
 
   void limitColdRate();
+  void recoverServer(TimePoint Now, const ServerProbed &Probe);
   std::optional<ErrorKind> checkGate(const Execute &Message) const;
   std::optional<ErrorKind> checkRoom(TimePoint Now,
                                      const AdmittedCall &Call) const;
@@ -127,6 +132,9 @@
   SidecarBounds Bounds;
   LocalServer Server;
   std::string HealthTarget = "/health";
+  bool Configured = false; ///< HealthTarget is known.
+  std::optional<KnownServer> Expected;
+  TimePoint ExpectedUntil;
   double ColdPerSecond = 1;
   std::size_t MaxConnections = 1; ///< That the server accepts.
   mutable TokenBucket ColdTokens;
--- a/src/sidecar/Sidecar.cpp
+++ b/src/sidecar/Sidecar.cpp
@@ -14,6 +14,9 @@
 /// asks for readiness once a second and needs two misses to send clients
 /// elsewhere.
 static constexpr Duration ClientsLeaveTime = 2300ms;
+/// Time from the stop request until others are told to leave the server alone.
+/// It serves until client connections close; the news takes some 500 ms.
+static constexpr Duration PauseDelay = 1600ms;
 /// Time between questions to peers while the store is away at the start.
 static constexpr Duration AskPeerInterval = 300ms;
 /// Up to so many hosts, links are opened to all of them; beyond, to those of
@@ -55,6 +58,8 @@
     Due = std::min(Due, Expiry.nextWake());
   if (AnnounceNeeded && !Announcing && complete())
     Due = std::min(Due, AnnounceAt);
+  if (Stopping && !PauseAnnounced)
+    Due = std::min(Due, StopBegan + PauseDelay);
   if (Stopping && !ClientsClosed)
     Due = std::min(Due, StopBegan + ClientsLeaveTime);
   if (Stopping)
@@ -177,7 +182,14 @@
 
 void Sidecar::on(Step &S, ServerProbed &Body) {
   GateStep Step{S.Now, S.Out};
+  InstanceState Before = Gate.server().state();
   Gate.probed(Step, Body);
+  if (Gate.server().state() == Before)
+    return;
+  Decision Line{LogLevel::Info, "server-recovered", {}};
+  Line.Fields = {{"instance", Gate.server().instance()}};
+  S.Out.emplace_back(std::move(Line));
+  announce(S);
 }
 
 void Sidecar::on(Step &S, ServerHeartbeat &Body) {
@@ -201,8 +213,8 @@
     return;
   static constexpr std::array<std::string_view, 4> Verdicts{
       "unchanged", "changed", "stale", "invalid"};
-  static constexpr std::array<std::string_view, 3> States{"absent", "ready",
-                                                          "draining"};
+  static constexpr std::array<std::string_view, 4> States{"absent", "ready",
+                                                          "draining", "paused"};
   Decision Line{LogLevel::Info, "server-report", {}};
   Line.Fields = {
       {"instance", Instance},
@@ -217,7 +229,9 @@
 void Sidecar::configureServer() {
   if (!Config)
     return;
-  if (const ServiceSettings *Found = Config->service(Gate.server().service()))
+  const std::string &Known = Gate.server().service();
+  if (const ServiceSettings *Found =
+          Config->service(Known.empty() ? Settings.Service : Known))
     Gate.configure(*Found);
 }
 
@@ -230,8 +244,8 @@
   Said.Region = Settings.Region;
   Said.FailureDomain = Settings.FailureDomain;
   Said.State = Gate.server().state();
-  if (Stopping && Said.State == InstanceState::Ready)
-    Said.State = InstanceState::Draining;
+  if (PauseAnnounced && Said.State == InstanceState::Ready)
+    Said.State = InstanceState::Paused;
   Said.Instance = Gate.server().instance();
   Said.Service = Gate.server().service();
   Said.Slots = Gate.server().slots();
@@ -434,6 +448,10 @@
       return;
     if (Body.Order.Generation >= Order.Generation)
       Order.Generation = Body.Order.Generation + 1;
+    bool Served = Body.State == InstanceState::Ready ||
+                  Body.State == InstanceState::Paused;
+    if (Served && Body.Service == Settings.Service)
+      Gate.expect(S.Now, {Body.Instance, Body.Service, Body.Slots});
     return announce(S);
   }
   if (!Directory.merge(Body))
@@ -491,17 +509,23 @@
     return;
   Stopping = true;
   StopBegan = S.Now;
-  Gate.stop();
-  announce(S);
 }
 
-/// Clients stay until the platform has had time to send them elsewhere; then
-/// their connections close, and the process ends when nothing is under way.
+/// Clients stay until the platform has had time to send them elsewhere, and so
+/// long the server works on: a rolling restart would otherwise take two servers
+/// of a service out at once. Then the client connections close, and the process
+/// ends when nothing is under way.
 void Sidecar::continueStop(Step &S) {
   if (!Stopping)
     return;
+  if (!PauseAnnounced && S.Now - StopBegan >= PauseDelay) {
+    PauseAnnounced = true;
+    announce(S);
+    sendAnnouncement(S);
+  }
   if (!ClientsClosed && S.Now - StopBegan >= ClientsLeaveTime) {
     ClientsClosed = true;
+    Gate.stop();
     S.Out.emplace_back(CloseClients{});
   }
   bool Idle = ClientsClosed && Router.underWay() == 0 && Gate.idle();
--- a/src/sidecar/Sidecar.h
+++ b/src/sidecar/Sidecar.h
@@ -129,6 +129,7 @@
   bool Stopping = false;
   bool ClientsClosed = false;
   TimePoint StopBegan;
+  bool PauseAnnounced = false; ///< Others are told to leave the server alone.
 };
 
 } // namespace figsail
