--- a/src/shell/ProcessSettings.h
+++ b/src/shell/ProcessSettings.h
@@ -1,4 +1,5 @@
-// ProcessSettings.h - Settings of figsaild from flags, the environment and a file.
+// ProcessSettings.h - Settings of figsaild from flags, the environment and a
+// file.
 
 #ifndef FIGSAIL_PROCESSSETTINGS_H
 #define FIGSAIL_PROCESSSETTINGS_H
@@ -38,10 +39,10 @@
 /// Names and values of environment variables.
 using Environment = std::vector<std::pair<std::string, std::string>>;
 
-/// Reads the settings. --name precedes the variable FIGSAIL_NAME, which precedes
-/// the file that --settings names. Unknown names, also in the file and of
-/// variables that start with FIGSAIL_, values out of bounds and contradictions
-/// are errors.
+/// Reads the settings. --name precedes the variable FIGSAIL_NAME, which
+/// precedes the file that --settings names. Unknown names, also in the file and
+/// of variables that start with FIGSAIL_, values out of bounds and
+/// contradictions are errors.
 SettingsResult readSettings(const std::vector<std::string> &Arguments,
                             const Environment &Variables);
 
--- a/tests/ServerGateTest.cpp
+++ b/tests/ServerGateTest.cpp
@@ -74,6 +74,22 @@
     }
   }
 
+  /// Lets time pass, with a call at each interval. Returns the probes.
+  std::size_t probesIn(Duration Time, Duration CallInterval) {
+    std::size_t Probes = 0;
+    for (Duration Passed{0}; Passed < Time; Passed += 1ms) {
+      Now += 1ms;
+      if (Passed % CallInterval == 0ms && CallInterval < Time)
+        execute(call());
+      auto Out = step([&](GateStep &Step) { Under.timer(Step); });
+      for ([[maybe_unused]] const auto &Sent : effects<ProbeServer>(Out)) {
+        ++Probes;
+        step([&](GateStep &Step) { Under.probed(Step, ServerProbed{}); });
+      }
+    }
+    return Probes;
+  }
+
   TimePoint Now = TestStart;
   std::uint64_t LastCall = 0;
   ServerGate Under;
@@ -403,17 +419,7 @@
 }
 
 TEST_F(Gate, ProbesAtMostTenTimesASecond) {
-  std::size_t Probes = 0;
-  for (int Millis = 0; Millis < 2000; ++Millis) {
-    Now += 1ms;
-    if (Millis % 100 == 0)
-      execute(call());
-    auto Out = step([&](GateStep &Step) { Under.timer(Step); });
-    for ([[maybe_unused]] const auto &Sent : effects<ProbeServer>(Out)) {
-      ++Probes;
-      step([&](GateStep &Step) { Under.probed(Step, ServerProbed{}); });
-    }
-  }
+  std::size_t Probes = probesIn(2s, 100ms);
   EXPECT_LE(Probes, 21U);
   EXPECT_GE(Probes, 4U);
 }
@@ -422,15 +428,7 @@
 TEST_F(Gate, ProbesTwiceASecondWithoutCalls) {
   execute(call());
   Now += 500ms;
-  std::size_t Probes = 0;
-  for (int Millis = 0; Millis < 2000; ++Millis) {
-    Now += 1ms;
-    auto Out = step([&](GateStep &Step) { Under.timer(Step); });
-    for ([[maybe_unused]] const auto &Sent : effects<ProbeServer>(Out)) {
-      ++Probes;
-      step([&](GateStep &Step) { Under.probed(Step, ServerProbed{}); });
-    }
-  }
+  std::size_t Probes = probesIn(2s, Duration::max());
   EXPECT_LE(Probes, 5U);
   EXPECT_GE(Probes, 3U);
 }
