Fix: suspects of the same content may run together

Cause: after a crash each request that was in flight is a suspect until one of its content succeeds, and the gate ran one suspect at a time. A request that many clients send at the same moment would have been refused for the time of one run after every crash. Two runs of the same content tell the crash's cause as well as one, so only suspects of other content exclude each other.

--- a/src/sidecar/ServerGate.cpp
+++ b/src/sidecar/ServerGate.cpp
@@ -213,14 +213,18 @@
   return std::nullopt;
 }
 
-/// A suspect runs only where no other one is running, so that a crash tells
-/// which one caused it.
+bool ServerGate::otherSuspectRuns(std::uint64_t Fingerprint) const {
+  return SuspectRuns.size() > (SuspectRuns.contains(Fingerprint) ? 1U : 0U);
+}
+
+/// A suspect runs only where none of other content is running, so that a crash
+/// tells which one caused it.
 std::optional<ErrorKind>
 ServerGate::checkSuspicion(TimePoint Now, const Execute &Message) const {
   Suspicion Doubt = Crashes.check(Now, Message.Fingerprint);
   if (Doubt == Suspicion::Blocked)
     return ErrorKind::Quarantined;
-  if (Doubt == Suspicion::Suspect && SuspectsRunning > 0)
+  if (Doubt == Suspicion::Suspect && otherSuspectRuns(Message.Fingerprint))
     return ErrorKind::Overloaded;
   return std::nullopt;
 }
--- a/src/sidecar/ServerGate.h
+++ b/src/sidecar/ServerGate.h
@@ -93,7 +93,7 @@
     TimePoint Started;
     bool Cancelled = false;
     bool Suspect = false;       ///< It may have crashed a server before.
-    bool BesideSuspect = false; ///< Another suspect ran when it started.
+    bool BesideSuspect = false; ///< One of other content ran when it started.
   };
   using CallMap = std::map<CallId, AdmittedCall>;
   AdmittedCall remove(CallMap::iterator At);
@@ -103,6 +103,7 @@
   std::optional<ErrorKind> checkGate(const Execute &Message) const;
   std::optional<ErrorKind> checkRoom(TimePoint Now,
                                      const AdmittedCall &Call) const;
+  bool otherSuspectRuns(std::uint64_t Fingerprint) const;
   std::optional<ErrorKind> checkSuspicion(TimePoint Now,
                                           const Execute &Message) const;
   bool betterElsewhere(TimePoint Now, const AdmittedCall &Call) const;
@@ -159,7 +160,7 @@
 
   EndedReplies Ended; ///< For Await.
   CrashWatch Crashes;
-  std::size_t SuspectsRunning = 0;
+  std::map<std::uint64_t, std::size_t> SuspectRuns; ///< By fingerprint.
 };
 
 } // namespace figsail
--- a/src/sidecar/ServerGateRuns.cpp
+++ b/src/sidecar/ServerGateRuns.cpp
@@ -98,11 +98,11 @@
   Call.Message.Instance = Server.instance();
   Call.Run = ++LastRun;
   Call.Started = Step.Now;
-  Call.BesideSuspect = SuspectsRunning > 0;
+  Call.BesideSuspect = otherSuspectRuns(Call.Message.Fingerprint);
   Call.Suspect =
       Crashes.check(Step.Now, Call.Message.Fingerprint) == Suspicion::Suspect;
   if (Call.Suspect)
-    ++SuspectsRunning;
+    ++SuspectRuns[Call.Message.Fingerprint];
   --Waiting;
   Runs.emplace(Call.Run, Call.Message.Call);
   Step.Out.emplace_back(Count{Counter::RunsStarted});
@@ -119,8 +119,8 @@
   Runs.erase(Found);
   if (Done.Note.Load)
     noteLoad(Step.Now, *Done.Note.Load);
-  if (Call.Suspect)
-    --SuspectsRunning;
+  if (Call.Suspect && --SuspectRuns[Call.Message.Fingerprint] == 0)
+    SuspectRuns.erase(Call.Message.Fingerprint);
   if (auto *Response = std::get_if<HttpResponse>(&Done.Result))
     finish(Step, Call, std::move(*Response), Done.Note);
   else
--- a/tests/ServerGateTest.cpp
+++ b/tests/ServerGateTest.cpp
@@ -508,6 +508,23 @@
   EXPECT_NE(run(8), 0U);
 }
 
+// A request that many clients send at the same moment is in flight at any
+// crash; it must not be refused for the time until one of them succeeds.
+TEST_F(GateCrash, SuspectsOfTheSameContentRunTogether) {
+  broken(run(7));
+  serverCrashes();
+  RunId One = run(7);
+  RunId Two = run(7);
+  ASSERT_NE(Two, 0U);
+  EXPECT_NE(run(8), 0U) << "8 is no suspect";
+  broken(One);
+  broken(Two);
+  serverCrashes();
+  auto Reports = Under.takeSuspicions();
+  ASSERT_FALSE(Reports.empty());
+  EXPECT_EQ(Reports.back().Crashes, 2U) << "one crash, not two";
+}
+
 TEST_F(GateCrash, WhatOtherDaemonsSawCounts) {
   Under.suspected(Now, SuspectReport{7, 2, true});
   EXPECT_EQ(run(7), 0U);
