--- /dev/null
+++ b/bench/WaitingBench.cpp
@@ -0,0 +1,333 @@
+// WaitingBench.cpp - Compares policies for waiting at one backend server, in
+// virtual time: simple queues and the real ServerGate.
+
+#include "ServerGate.h"
+
+#include <algorithm>
+#include <cstdio>
+#include <deque>
+#include <map>
+#include <memory>
+#include <random>
+#include <vector>
+
+using namespace figsail;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr std::uint32_t Slots = 10;
+constexpr double MeanRunMicros = 60000;
+constexpr double KneeShare = 0.8; ///< Of the slots; beyond it runs slow down.
+constexpr double KneeSlowdown = 1.5;
+constexpr double SlowFactor = 3;    ///< Of a slow server.
+constexpr double UrgentShare = 0.3; ///< Of the calls.
+constexpr Duration Deadline = 1s;
+constexpr std::size_t QueueBound = 20; ///< Waiting calls of bounded queues.
+constexpr TimePoint Begin{1000s};
+constexpr TimePoint TroubleFrom = Begin + 4s;
+constexpr TimePoint TroubleUntil = Begin + 8s;
+constexpr TimePoint End = Begin + 12s;
+
+struct BenchCall {
+  std::uint64_t Id = 0;
+  bool Urgent = false;
+  TimePoint Arrived;
+  Duration target() const { return Urgent ? 250ms : 300ms; }
+  bool operator<(const BenchCall &Other) const {
+    return Arrived + target() < Other.Arrived + Other.target();
+  }
+};
+
+/// What a policy decides in one step.
+struct Decisions {
+  std::vector<std::uint64_t> Starts;
+  std::vector<std::uint64_t> Refusals;
+};
+
+/// Decides which calls run, wait or are refused.
+class WaitingPolicy {
+public:
+  virtual ~WaitingPolicy() = default;
+  virtual void arrive(TimePoint Now, const BenchCall &Call, Decisions &Out) = 0;
+  virtual void ended(TimePoint Now, std::uint64_t Id, double Slowdown,
+                     Decisions &Out) = 0;
+  virtual void tick(TimePoint Now, Decisions &Out) = 0;
+};
+
+/// A queue that is served in the order of arrival or of targets.
+class QueuePolicy : public WaitingPolicy {
+public:
+  QueuePolicy(std::size_t Bound, bool ByTarget)
+      : Bound(Bound), ByTarget(ByTarget) {}
+
+  void arrive(TimePoint, const BenchCall &Call, Decisions &Out) override {
+    if (Queue.size() >= Bound) {
+      Out.Refusals.push_back(Call.Id);
+      return;
+    }
+    auto At = Queue.end();
+    if (ByTarget)
+      At = std::upper_bound(Queue.begin(), Queue.end(), Call);
+    Queue.insert(At, Call);
+    pump(Out);
+  }
+  void ended(TimePoint, std::uint64_t, double, Decisions &Out) override {
+    --Running;
+    pump(Out);
+  }
+  /// Calls whose deadline has passed are given up.
+  void tick(TimePoint Now, Decisions &Out) override {
+    for (const BenchCall &Call : Queue)
+      if (Call.Arrived + Deadline <= Now)
+        Out.Refusals.push_back(Call.Id);
+    std::erase_if(Queue, [&](const BenchCall &Call) {
+      return Call.Arrived + Deadline <= Now;
+    });
+  }
+
+private:
+  void pump(Decisions &Out) {
+    while (Running < Slots && !Queue.empty()) {
+      Out.Starts.push_back(Queue.front().Id);
+      Queue.pop_front();
+      ++Running;
+    }
+  }
+
+  std::size_t Bound;
+  bool ByTarget;
+  std::uint32_t Running = 0;
+  std::deque<BenchCall> Queue;
+};
+
+SidecarSettings gateSettings() {
+  SidecarSettings Settings;
+  Settings.Host = "server";
+  Settings.Inc = 1;
+  return Settings;
+}
+
+/// The gate of the sidecar.
+class GatePolicy : public WaitingPolicy {
+public:
+  GatePolicy() : Gate(gateSettings()) {
+    ServiceSettings Service;
+    Service.MaxConnections = 100;
+    Gate.configure(Service);
+  }
+
+  void arrive(TimePoint Now, const BenchCall &Call, Decisions &Out) override {
+    Execute Message;
+    Message.Call = {9, Call.Id};
+    Message.Request.Target = std::to_string(Call.Id);
+    Message.Policy.Route = "route";
+    Message.Policy.Service = "service";
+    Message.Policy.Priority = Call.Urgent ? 0 : 1;
+    Message.BudgetMicros = Duration(Deadline).count();
+    Message.TargetMicros = Call.target().count();
+    step(Now, Out, [&](GateStep &Step) {
+      Gate.execute(Step, {"ingress", 9}, std::move(Message));
+    });
+  }
+  void ended(TimePoint Now, std::uint64_t Id, double Slowdown,
+             Decisions &Out) override {
+    ServerDone Done{RunOf.at(Id), HttpResponse{200, {}, {}}, {}};
+    Done.Note.Load = ServerLoad{0, 0, Slots, Slowdown};
+    step(Now, Out, [&](GateStep &Step) { Gate.serverDone(Step, Done); });
+  }
+  /// The server reports itself; its daemon asks for its speed.
+  void tick(TimePoint Now, Decisions &Out) override {
+    step(Now, Out, [&](GateStep &Step) {
+      ServerHeartbeat Beat;
+      Beat.Instance = "i";
+      Beat.Service = "service";
+      Beat.Slots = Slots;
+      Beat.Sequence = ++Beats;
+      Beat.BornMillis = 1;
+      Gate.heartbeat(Step, Beat);
+      Gate.timer(Step);
+    });
+  }
+
+private:
+  template <class Action> void step(TimePoint Now, Decisions &Out, Action Do) {
+    SidecarEffects Effects;
+    GateStep Step{Now, Effects};
+    Do(Step);
+    for (const SidecarEffect &Each : Effects) {
+      if (const auto *Run = std::get_if<RunServer>(&Each)) {
+        Out.Starts.push_back(std::stoull(Run->Request.Target));
+        RunOf[Out.Starts.back()] = Run->Run;
+      }
+      if (const auto *Sent = std::get_if<SendPeer>(&Each))
+        if (const auto *No = std::get_if<Refused>(&Sent->Message))
+          Out.Refusals.push_back(No->Call.Sequence);
+    }
+  }
+
+  ServerGate Gate;
+  std::uint64_t Beats = 0;
+  std::map<std::uint64_t, RunId> RunOf; ///< By call.
+};
+
+/// What became of the calls of one kind.
+struct Tally {
+  std::size_t Calls = 0, InTime = 0, Late = 0, Refused = 0;
+  Duration UntilRefused{0}; ///< Summed up.
+
+  double share(std::size_t Count) const {
+    return 100.0 * static_cast<double>(Count) /
+           static_cast<double>(std::max<std::size_t>(1, Calls));
+  }
+  double refusalMillis() const {
+    return static_cast<double>(UntilRefused.count()) / 1000 /
+           static_cast<double>(std::max<std::size_t>(1, Refused));
+  }
+};
+
+/// One load over time: calls over what the server can do, and its speed.
+struct Load {
+  const char *Name;
+  double Offered;        ///< Share of the capacity.
+  double TroubleOffered; ///< The same during the trouble.
+  bool SlowServer;       ///< During the trouble.
+};
+
+class Simulation {
+public:
+  Simulation(const Load &Kind, WaitingPolicy &Policy, std::uint64_t Seed)
+      : Kind(Kind), Policy(Policy), Random(Seed) {}
+
+  void run() {
+    for (Now = Begin; Now < End + Deadline; Now += 1ms) {
+      Decisions Out;
+      Policy.tick(Now, Out);
+      take(Out);
+      endRuns();
+      if (Now < End)
+        arrivals();
+    }
+  }
+
+  Tally Urgent, Usual; ///< Of calls that arrived during the trouble.
+
+private:
+  bool trouble() const { return Now >= TroubleFrom && Now < TroubleUntil; }
+  double slowdown() const {
+    return Kind.SlowServer && trouble() ? SlowFactor : 1;
+  }
+
+  void arrivals() {
+    double Share = trouble() ? Kind.TroubleOffered : Kind.Offered;
+    double EachMilli = Share * Slots * 1000 / MeanRunMicros;
+    std::poisson_distribution<int> Count(EachMilli);
+    std::bernoulli_distribution IsUrgent(UrgentShare);
+    for (int I = Count(Random); I > 0; --I) {
+      BenchCall Call{++LastCall, IsUrgent(Random), Now};
+      Calls[Call.Id] = Call;
+      if (Tally *Each = tallyOf(Call))
+        ++Each->Calls;
+      Decisions Out;
+      Policy.arrive(Now, Call, Out);
+      take(Out);
+    }
+  }
+
+  void endRuns() {
+    while (!Runs.empty() && Runs.begin()->first <= Now) {
+      std::uint64_t Id = Runs.begin()->second;
+      Runs.erase(Runs.begin());
+      const BenchCall &Call = Calls.at(Id);
+      if (Tally *Each = tallyOf(Call))
+        ++(Now - Call.Arrived <= Call.target() ? Each->InTime : Each->Late);
+      Decisions Out;
+      Policy.ended(Now, Id, slowdown(), Out);
+      take(Out);
+    }
+  }
+
+  void take(const Decisions &Out) {
+    std::lognormal_distribution<double> Work(-0.045, 0.3);
+    for (std::uint64_t Id : Out.Starts) {
+      double Micros = MeanRunMicros * Work(Random) * slowdown();
+      if (static_cast<double>(Runs.size()) >= KneeShare * Slots)
+        Micros *= KneeSlowdown;
+      Runs.emplace(Now + Duration(static_cast<std::int64_t>(Micros)), Id);
+    }
+    for (std::uint64_t Id : Out.Refusals) {
+      const BenchCall &Call = Calls.at(Id);
+      if (Tally *Each = tallyOf(Call)) {
+        ++Each->Refused;
+        Each->UntilRefused += Now - Call.Arrived;
+      }
+    }
+  }
+
+  Tally *tallyOf(const BenchCall &Call) {
+    bool Counts = Call.Arrived >= TroubleFrom && Call.Arrived < TroubleUntil;
+    return Counts ? (Call.Urgent ? &Urgent : &Usual) : nullptr;
+  }
+
+  const Load &Kind;
+  WaitingPolicy &Policy;
+  TimePoint Now;
+  std::mt19937_64 Random;
+  std::uint64_t LastCall = 0;
+  std::map<std::uint64_t, BenchCall> Calls;
+  std::multimap<TimePoint, std::uint64_t> Runs; ///< End to call.
+};
+
+constexpr Load Loads[] = {{"70% of the slots", 0.7, 0.7, false},
+                          {"burst of 200%", 0.7, 2.0, false},
+                          {"server three times slower", 0.7, 0.7, true}};
+
+struct NamedPolicy {
+  const char *Name;
+  std::unique_ptr<WaitingPolicy> (*Make)();
+};
+
+const NamedPolicy Policies[] = {
+    {"first come, no bound",
+     []() -> std::unique_ptr<WaitingPolicy> {
+       return std::make_unique<QueuePolicy>(~std::size_t{0}, false);
+     }},
+    {"first come, 20 wait",
+     []() -> std::unique_ptr<WaitingPolicy> {
+       return std::make_unique<QueuePolicy>(QueueBound, false);
+     }},
+    {"nearest target, 20 wait",
+     []() -> std::unique_ptr<WaitingPolicy> {
+       return std::make_unique<QueuePolicy>(QueueBound, true);
+     }},
+    {"gate",
+     []() -> std::unique_ptr<WaitingPolicy> {
+       return std::make_unique<GatePolicy>();
+     }},
+};
+
+void print(const Load &Kind, const char *Policy, const char *Class,
+           const Tally &Each) {
+  std::printf("| %s | %s | %s | %.1f | %.1f | %.1f | %.0f |\n", Kind.Name,
+              Policy, Class, Each.share(Each.InTime), Each.share(Each.Late),
+              Each.share(Each.Refused), Each.refusalMillis());
+}
+
+} // namespace
+
+// The optional argument is the seed.
+int main(int Count, char **Arguments) {
+  std::uint64_t Seed = Count > 1 ? std::stoull(Arguments[1]) : 20261204;
+  std::printf(
+      "| load | policy | calls | in time %% | late %% | refused %% | ms "
+      "until refused |\n|---|---|---|---|---|---|---|\n");
+  for (const Load &Kind : Loads)
+    for (const NamedPolicy &Named : Policies) {
+      auto Policy = Named.Make();
+      Simulation Run(Kind, *Policy, Seed);
+      Run.run();
+      print(Kind, Named.Name, "urgent", Run.Urgent);
+      print(Kind, Named.Name, "usual", Run.Usual);
+    }
+  return 0;
+}
