--- /dev/null
+++ b/tests/SidecarProcessTest.cpp
@@ -0,0 +1,248 @@
+// SidecarProcessTest.cpp - The built figsail-sidecar as a process, between
+// stand-ins for the store, the backend server and a client.
+
+#include "Endpoint.h"
+#include "HttpTestSupport.h"
+#include "LoopbackAddress.h"
+#include "StoreStandin.h"
+
+#include <csignal>
+#include <fcntl.h>
+#include <filesystem>
+#include <fstream>
+#include <gtest/gtest.h>
+#include <spawn.h>
+#include <sstream>
+#include <sys/wait.h>
+
+using namespace figsail;
+using namespace figsail::test;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr unsigned StorePort = 24;
+constexpr unsigned ServerPort = 23;
+constexpr unsigned ControlPort = 22;
+constexpr unsigned ReadyPort = 21;
+constexpr unsigned ClientPort = 20;
+constexpr unsigned MetricsPort = 1;
+
+/// A test that waits for longer has failed; no figure is judged by it.
+constexpr auto Patience = 60s;
+
+const std::string Config =
+    R"({"Version":"00000001","Routes":[)"
+    R"({"Name":"r","Host":"desk.example","PathPrefix":"/x/",)"
+    R"("Kind":"idempotent","TimeoutMs":5000,"TargetLatencyMs":1000,)"
+    R"("Priority":0,"Service":"desk","Attempts":2}],)"
+    R"("Services":[{"Name":"desk","HealthPath":"/well","ConnectionLimit":50,)"
+    R"("ColdPerS":40.0}],)"
+    R"("Limits":{"HeaderBytes":16384,"BodyBytes":1048576,)"
+    R"("HeaderTimeoutMs":3000,"IdleTimeoutMs":15000}})";
+
+std::string settingsText(double RetryRatio) {
+  std::string Ip = loopbackAddress(0);
+  Ip.resize(Ip.find(':'));
+  std::ostringstream Text;
+  Text << "SelfNode:\n  IpAddress: \"" << Ip << "\"\n  Zone: a\n  Region: r\n"
+       << "  Limits: { FileDescriptors: 1024 }\n"
+       << "  ApplicationAddress: \"" << loopbackAddress(ServerPort)
+       << "\"\n  Service: desk\nNetwork:\n  ListenAddresses:\n    Outbound: \""
+       << loopbackAddress(ClientPort) << "\"\n    Ready: \""
+       << loopbackAddress(ReadyPort) << "\"\n    Control: \""
+       << loopbackAddress(ControlPort)
+       << "\"\n  InternalPortRange: [20000, 20010]\n  Zones: { a: r }\n"
+       << "Platform:\n  HeartbeatIntervalMs: 1500\n  Platform:\n"
+       << "    Address: \"" << loopbackAddress(StorePort) << "\"\n"
+       << "Terms:\n  Bounds:\n    RetryBudgetRatio: " << RetryRatio
+       << "\n    RetryBudgetSlack: 64\n    BudgetWindowS: 10\n"
+       << "    ColdOverage: 1.5\n    ColdSlack: 5\n    GracePeriodS: 6\n";
+  return Text.str();
+}
+
+class SidecarProcessTest : public testing::Test {
+protected:
+  SidecarProcessTest() {
+    Directory = testing::TempDir() + "figsail-sidecar-XXXXXX";
+    EXPECT_NE(mkdtemp(Directory.data()), nullptr);
+    writeSettings(settingsText(0.2));
+    Loop.on([&] {
+      Store.emplace(Loop.Context);
+      Store->put("keyed.op", "config", Config);
+      Store->listen(*parseEndpoint(loopbackAddress(StorePort)));
+      Server.emplace(Loop.Context,
+                     [this](const auto &Asked, const auto &Reply) {
+                       serve(Asked, Reply);
+                     });
+      Server->listen(*parseEndpoint(loopbackAddress(ServerPort)));
+    });
+    start();
+  }
+  ~SidecarProcessTest() override {
+    if (Child != 0)
+      stop(SIGKILL);
+    Loop.on([&] {
+      Store.reset();
+      Server.reset();
+    });
+    std::filesystem::remove_all(Directory);
+  }
+
+  void writeSettings(const std::string &Text) {
+    std::ofstream(Directory + "/settings.yaml") << Text;
+  }
+
+  void start() {
+    std::string Program = FIGSAIL_BIN_DIR "/figsail-sidecar";
+    std::string Settings = "--settings=" + Directory + "/settings.yaml";
+    std::vector<char *> Arguments{Program.data(), Settings.data(), nullptr};
+    std::string Output = Directory + "/log";
+    posix_spawn_file_actions_t Files;
+    posix_spawn_file_actions_init(&Files);
+    posix_spawn_file_actions_addopen(&Files, STDOUT_FILENO, Output.c_str(),
+                                     O_WRONLY | O_CREAT | O_APPEND, 0600);
+    ASSERT_EQ(posix_spawn(&Child, Program.c_str(), &Files, nullptr,
+                          Arguments.data(), environ),
+              0);
+    posix_spawn_file_actions_destroy(&Files);
+  }
+
+  /// Sends a signal and waits for the end. Returns the wait status.
+  int stop(int Signal) {
+    kill(Child, Signal);
+    int Status = 0;
+    waitpid(Child, &Status, 0);
+    Child = 0;
+    return Status;
+  }
+
+  template <class Condition> bool awaits(Condition Holds) {
+    auto Limit = std::chrono::steady_clock::now() + Patience;
+    while (std::chrono::steady_clock::now() < Limit) {
+      if (Holds())
+        return true;
+      std::this_thread::sleep_for(10ms);
+    }
+    return false;
+  }
+
+  /// Returns how often the log holds a line of that kind with that text.
+  std::size_t lines(const std::string &What, const std::string &Text = "") {
+    std::ifstream Log(Directory + "/log");
+    std::size_t Count = 0;
+    for (std::string Line; std::getline(Log, Line);)
+      if (Line.find("\"what\":\"" + What + "\"") != std::string::npos &&
+          Line.find(Text) != std::string::npos)
+        ++Count;
+    return Count;
+  }
+
+  /// Sends a request. Status 0: no connection.
+  static Response send(unsigned Port, const std::string &Method,
+                       const std::string &Target, const std::string &Body) {
+    try {
+      boost::asio::io_context Blocking;
+      tcp::socket Socket(Blocking);
+      Socket.connect(*parseEndpoint(loopbackAddress(Port)));
+      RawConnection Client(std::move(Socket));
+      Client.send(Method + " " + Target +
+                  " HTTP/1.1\r\nHost: desk.example\r\n"
+                  "Figsail-Attempt-Id: a1\r\nContent-Length: " +
+                  std::to_string(Body.size()) + "\r\n\r\n" + Body);
+      return Client.response();
+    } catch (const boost::system::system_error &) {
+      Response None;
+      None.result(0U);
+      return None;
+    }
+  }
+  bool ready() {
+    return send(ReadyPort, "GET", "/v1/readiness", "").result_int() == 200;
+  }
+  Response call() { return send(ClientPort, "GET", "/x/1", ""); }
+  unsigned beat() {
+    std::string Body = R"({"Service":"desk","Address":")" +
+                       loopbackAddress(ServerPort) +
+                       R"(","Zone":"a","Version":"v","Slots":10,)"
+                       R"("State":"ready","ColdRemainingMs":0,"Sequence":)" +
+                       std::to_string(++Beats) + R"(,"born":1000})";
+    return send(ControlPort, "PUT", "/v1/instances/i-1", Body).result_int();
+  }
+
+  void serve(const HttpService::Request &Asked,
+             const HttpService::Reply &Reply) {
+    auto Answer = makeResponse(http::status::ok, "ran", "text/plain");
+    Answer.set("Figsail-Instance-Id", "i-1");
+    Answer.set("Figsail-Server-Seal", "seal");
+    Answer.set("Figsail-Attempt-Id", Asked["Figsail-Attempt-Id"]);
+    Reply(std::move(Answer));
+  }
+
+  std::string Directory;
+  pid_t Child = 0;
+  int Beats = 0;
+  LoopThread Loop;
+  std::optional<StoreStandin> Store;
+  std::optional<HttpService> Server;
+};
+
+} // namespace
+
+TEST_F(SidecarProcessTest, ServesCallsAndStopsInOrder) {
+  ASSERT_TRUE(awaits([&] { return ready(); }));
+  EXPECT_EQ(call().result_int(), 503U) << "no server has reported itself";
+  EXPECT_EQ(beat(), 200U);
+  Response Got = call();
+  EXPECT_EQ(Got.result_int(), 200U);
+  EXPECT_EQ(Got.body(), "ran");
+  EXPECT_EQ(Got["Figsail-Server-Seal"], "seal");
+  std::string Metrics = send(MetricsPort, "GET", "/metrics", "").body();
+  EXPECT_NE(Metrics.find("figsail_calls_answered_total 1\n"), std::string::npos)
+      << Metrics;
+  int Status = stop(SIGTERM);
+  EXPECT_TRUE(WIFEXITED(Status) && WEXITSTATUS(Status) == 0) << Status;
+  EXPECT_EQ(lines("stopped"), 1U);
+}
+
+// A settings file that is being written, or wrong, must not change or end a
+// daemon that serves.
+TEST_F(SidecarProcessTest, ReloadsSettingsWithAndWithoutASignal) {
+  ASSERT_TRUE(awaits([&] { return ready(); }));
+  EXPECT_EQ(beat(), 200U);
+  writeSettings(settingsText(0.3));
+  kill(Child, SIGHUP);
+  EXPECT_TRUE(awaits([&] { return lines("reload", "changed") > 0; }));
+  writeSettings("SelfNode: 7\n");
+  kill(Child, SIGHUP);
+  EXPECT_TRUE(awaits([&] { return lines("settings-unusable") > 0; }));
+  EXPECT_EQ(call().result_int(), 200U);
+  std::size_t Before = lines("reload", "\"bounds\":\"changed\"");
+  writeSettings(settingsText(0.4));
+  EXPECT_TRUE(awaits([&] {
+    return lines("reload", "\"bounds\":\"changed\"") > Before;
+  })) << "without a signal";
+}
+
+// After a kill the server was idle until its next heartbeat.
+TEST_F(SidecarProcessTest, ARestartedDaemonServesWithoutAHeartbeat) {
+  ASSERT_TRUE(awaits([&] { return ready(); }));
+  EXPECT_EQ(beat(), 200U);
+  EXPECT_EQ(call().result_int(), 200U);
+  ASSERT_TRUE(awaits([&] {
+    return Loop.on([&] { return Store->holds("\"instance\":\"i-1\""); });
+  })) << "it is announced";
+  stop(SIGKILL);
+  start();
+  EXPECT_TRUE(awaits([&] { return call().result_int() == 200; }));
+  EXPECT_TRUE(awaits([&] { return lines("server-recovered") == 1; }));
+}
+
+TEST_F(SidecarProcessTest, ServesWhileTheStoreIsAway) {
+  ASSERT_TRUE(awaits([&] { return ready(); }));
+  EXPECT_EQ(beat(), 200U);
+  Loop.on([&] { Store->stop(); });
+  EXPECT_TRUE(awaits([&] { return lines("store-lost") > 0; }));
+  EXPECT_EQ(call().result_int(), 200U);
+  EXPECT_TRUE(ready());
+}
--- /dev/null
+++ b/tests/StoreStandin.h
@@ -0,0 +1,145 @@
+// StoreStandin.h - The platform's metadata store for tests: keyed topics of one
+// partition, in memory.
+
+#ifndef FIGSAIL_TESTS_STORESTANDIN_H
+#define FIGSAIL_TESTS_STORESTANDIN_H
+
+#include "HttpService.h"
+#include "StoreClient.h"
+
+#include <algorithm>
+#include <boost/archive/iterators/base64_from_binary.hpp>
+#include <boost/archive/iterators/transform_width.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/endian/conversion.hpp>
+#include <boost/json.hpp>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace figsail::test {
+
+/// Used from its event loop only.
+class StoreStandin {
+public:
+  explicit StoreStandin(boost::asio::io_context &Context)
+      : Context(Context),
+        Server(Context, [this](const auto &Asked, const auto &Reply) {
+          handle(Asked, Reply);
+        }) {}
+
+  void listen(const boost::asio::ip::tcp::endpoint &Where) {
+    Server.listen(Where);
+  }
+  void stop() { Server.stop(); }
+  /// Appends a record, as the operator does.
+  void put(const std::string &Topic, const std::string &Key,
+           const std::string &Value) {
+    Topics[Topic].push_back(platform::encodeKeyedRecord(Key, Value));
+  }
+
+  /// Returns whether a record holds the text.
+  bool holds(std::string_view Text) const {
+    return std::ranges::any_of(Topics, [&](const auto &Entry) {
+      return std::ranges::any_of(Entry.second, [&](const std::string &Record) {
+        return Record.find(Text) != std::string::npos;
+      });
+    });
+  }
+
+private:
+  using Request = HttpService::Request;
+  using Reply = HttpService::Reply;
+
+  static std::string parameter(std::string_view Target, std::string Name) {
+    Name += '=';
+    std::size_t At = Target.find(Name);
+    if (At == std::string_view::npos)
+      return {};
+    std::string_view Rest = Target.substr(At + Name.size());
+    return std::string(Rest.substr(0, Rest.find('&')));
+  }
+
+  static std::string base64(const std::string &Text) {
+    using namespace boost::archive::iterators;
+    using Encoder =
+        base64_from_binary<transform_width<std::string::const_iterator, 6, 8>>;
+    return {Encoder(Text.begin()), Encoder(Text.end())};
+  }
+
+  static void
+  answer(const Reply &Reply, std::string Body,
+         boost::beast::http::status Status = boost::beast::http::status::ok) {
+    Reply(makeResponse(Status, std::move(Body), "application/json"));
+  }
+
+  void handle(const Request &Asked, const Reply &Reply) {
+    std::string Target(Asked.target());
+    std::string Topic = parameter(Target, "Topic");
+    if (Target.starts_with("/v1/log-append"))
+      return append(Topic, Asked.body(), Reply);
+    if (!Topics.contains(Topic))
+      return answer(Reply, "{}", boost::beast::http::status::not_found);
+    if (Target.starts_with("/v1/log-newest"))
+      return newest(Topic, Reply);
+    std::size_t From = std::stoull(parameter(Target, "From"));
+    if (From < Topics[Topic].size())
+      return records(Topic, From, Reply);
+    // A held read.
+    auto Timer = std::make_shared<boost::asio::steady_timer>(Context);
+    Timer->expires_after(
+        std::chrono::milliseconds(std::stoull(parameter(Target, "WaitMs"))));
+    Timer->async_wait([this, Topic, From, Reply, Timer](const auto &Error) {
+      if (!Error)
+        records(Topic, From, Reply);
+    });
+  }
+
+  void append(const std::string &Topic, const std::string &Body,
+              const Reply &Reply) {
+    Topics[Topic].push_back(Body);
+    std::size_t End = Topics[Topic].size();
+    answer(Reply, R"({"Offset":)" + std::to_string(End - 1) +
+                      R"(,"EndOffset":)" + std::to_string(End) + "}");
+  }
+
+  void newest(const std::string &Topic, const Reply &Reply) {
+    const std::vector<std::string> &Log = Topics[Topic];
+    std::map<std::string, boost::json::object> ByKey;
+    for (std::size_t At = 0; At < Log.size(); ++At) {
+      auto KeyLength = static_cast<unsigned char>(Log[At][4]);
+      std::string Key = Log[At].substr(5, KeyLength);
+      std::string Value = Log[At].substr(5 + KeyLength);
+      ByKey.erase(Key);
+      if (!Value.empty())
+        ByKey[Key] = {{"Key", Key}, {"Value", base64(Value)}, {"Offset", At}};
+    }
+    boost::json::array Items;
+    for (auto &[Key, Item] : ByKey)
+      Items.emplace_back(std::move(Item));
+    boost::json::object Page{{"items", std::move(Items)},
+                             {"HasMore", false},
+                             {"EndOffset", Log.size()}};
+    answer(Reply, boost::json::serialize(Page));
+  }
+
+  void records(const std::string &Topic, std::size_t From, const Reply &Reply) {
+    const std::vector<std::string> &Log = Topics[Topic];
+    std::string Page(16, '\0');
+    boost::endian::store_big_u64(reinterpret_cast<unsigned char *>(Page.data()),
+                                 Log.size());
+    for (std::size_t At = From; At < Log.size(); ++At)
+      Page += Log[At];
+    answer(Reply, std::move(Page));
+  }
+
+  boost::asio::io_context &Context;
+  std::map<std::string, std::vector<std::string>> Topics; ///< Encoded records.
+  HttpService Server;
+};
+
+} // namespace figsail::test
+
+#endif // FIGSAIL_TESTS_STORESTANDIN_H
