Fix: a lost message left a daemon with an old configuration

When an earlier message was lost with its link, the next news, also of the other topic, moved the receiver's offset past the lost record, and it was never asked for.

Now news carry the records taken and no offset to read on from; only the answer to a question, which covers everything from the offset asked for, moves it. News also no longer count as the whole topics for a daemon that starts.

Ruled out: an offset per part on the wire (changes the protocol version, the same effect); to tell from the offset of the last question (bursts would repeat each other).

--- a/src/sidecar/Sidecar.cpp
+++ b/src/sidecar/Sidecar.cpp
@@ -5,6 +5,8 @@
 
 #include <algorithm>
 #include <array>
+#include <iterator>
+#include <utility>
 
 namespace figsail {
 
@@ -37,9 +39,8 @@
   SidecarEffects Out;
   LastNow = Input.Now;
   Step S{Input.Now, Input.Seed, Out};
-  std::vector<Offset> Before = offsets();
   std::visit([&](auto &Body) { on(S, Body); }, Input.Body);
-  tellSubscribers(S, Before);
+  tellSubscribers(S);
   tellLoad(S);
   tellSuspicions(S);
   sendAnnouncement(S);
@@ -321,6 +322,8 @@
 
 void Sidecar::takeAll(Step &S, Topic Which,
                       const std::vector<KeyedRecord> &Records) {
+  std::ranges::copy(Records,
+                    std::back_inserter(News[static_cast<std::size_t>(Which)]));
   for (const KeyedRecord &Record : Records) {
     TopicContent Content = Decoder.decode(Which, Record);
     std::visit([&](auto &Body) { take(S, Record.At, Body); }, Content);
@@ -342,13 +345,18 @@
 
 // Sharing reads.
 
-TopicUpdate Sidecar::updateSince(TimePoint Now,
-                                 const std::vector<Offset> &From) const {
+TopicUpdate Sidecar::emptyUpdate(TimePoint Now) const {
   TopicUpdate Update;
   Update.Complete = complete();
   bool Reads = std::ranges::all_of(
       Topics, [](const TopicState &State) { return State.Follower.live(); });
   Update.Live = Update.Complete && (Reads || Relay.fed(Now));
+  return Update;
+}
+
+TopicUpdate Sidecar::updateSince(TimePoint Now,
+                                 const std::vector<Offset> &From) const {
+  TopicUpdate Update = emptyUpdate(Now);
   for (std::size_t I = 0; I < TopicCount; ++I)
     Update.Parts.push_back(
         Topics[I].Image.since(I < From.size() ? From[I] : 0));
@@ -373,12 +381,19 @@
 }
 
 /// Tells news to those who asked for it, whether they came from the store or
-/// from another daemon.
-void Sidecar::tellSubscribers(Step &S, const std::vector<Offset> &Before) {
-  if (offsets() == Before)
+/// from another daemon. The news do not say where to read on: an earlier
+/// message may have been lost, and only the answer to a question covers all
+/// records from the offset asked for.
+void Sidecar::tellSubscribers(Step &S) {
+  auto Taken = std::exchange(News, {});
+  if (std::ranges::all_of(Taken, [](const auto &Part) { return Part.empty(); }))
     return;
+  TopicUpdate Update = emptyUpdate(S.Now);
+  Update.Complete = false; // A daemon that starts needs the whole topics.
+  for (std::vector<KeyedRecord> &Part : Taken)
+    Update.Parts.push_back({0, std::move(Part)});
   for (const HostId &Host : Relay.subscribers(S.Now))
-    S.Out.emplace_back(SendPeer{Host, updateSince(S.Now, Before)});
+    S.Out.emplace_back(SendPeer{Host, Update});
 }
 
 void Sidecar::followTopics(Step &S) {
--- a/src/sidecar/Sidecar.h
+++ b/src/sidecar/Sidecar.h
@@ -82,8 +82,9 @@
   void takeAll(Step &S, Topic Which, const std::vector<KeyedRecord> &Records);
   void subscribe(Step &S, const PeerRef &From, const TopicSubscribe &Message);
   void update(Step &S, const PeerRef &From, TopicUpdate &Message);
+  TopicUpdate emptyUpdate(TimePoint Now) const;
   TopicUpdate updateSince(TimePoint Now, const std::vector<Offset> &From) const;
-  void tellSubscribers(Step &S, const std::vector<Offset> &Before);
+  void tellSubscribers(Step &S);
   std::vector<Offset> offsets() const;
   bool complete() const;
   void followTopics(Step &S);
@@ -115,6 +116,8 @@
   std::array<TopicState, TopicCount> Topics{TopicState(Topic::Operator),
                                             TopicState(Topic::Members)};
   TopicRelay Relay;
+  std::array<std::vector<KeyedRecord>, TopicCount>
+      News; ///< Taken in this event, by topic.
 
   AnnouncementOrder Order;       ///< Of the next announcement.
   bool AnnounceNeeded = false;   ///< The store lacks the newest announcement.
--- a/tests/SidecarLifeTest.cpp
+++ b/tests/SidecarLifeTest.cpp
@@ -76,7 +76,21 @@
   EXPECT_EQ(Told[0].second.Parts[0].Records.size(), 1U);
 }
 
-// The end.
+// News after a lost message moved the offset past the lost record, which was
+// then never asked for: a daemon kept an old configuration (CONFIG in a sweep).
+TEST_F(SidecarTest, NewsAfterALostMessageLeaveNoGap) {
+  learn();
+  reply("a", TopicSubscribe{{0, 0}});
+  operatorRecord("config", 30, config(20)); // The message to a is lost.
+  auto Told = messages<TopicUpdate>(member(announcement("d")));
+  ASSERT_EQ(Told.size(), 1U);
+  TopicImage Image;
+  Image.absorb({2, {}});
+  Image.absorb(Told[0].second.Parts[0]);
+  EXPECT_EQ(Image.next(), 2) << "the configuration is asked for again";
+}
+
+// Restart and stop.
 
 // A daemon that restarted waited up to 1.5 s for a heartbeat, with its server
 // idle. In incident inc-45af two of two servers were out at once that way.
