Fix: a call whose answer was no longer kept was called "not run"

Operators' finding: after an answer was lost, the caller was told that the work hadn't run. Cause: the gate keeps final replies for 10 s and 8 MiB. Of a dropped one nothing was left, so a question for it was answered with NeverStarted, which is a promise; a request that arrived after such an answer had been dropped could run. Now the highest dropped sequence of each ingress is kept. Ruled out: a larger bound (a pause of an ingress has no bound). Before: Gate.WhatRanIsNotCalledNotRunWhenItsAnswerIsGone, WhatRanIsNotCalledNotRunLater and WhatWasCalledNotRunDoesNotRunLater describe it; by reading, since the tests were written with the fix. After: the three pass.

--- a/src/sidecar/EndedReplies.cpp
+++ b/src/sidecar/EndedReplies.cpp
@@ -4,6 +4,8 @@
 
 #include "RequestIdentity.h"
 
+#include <algorithm>
+
 namespace figsail {
 
 /// Longer than an ingress takes to notice a silent link and to open a new one.
@@ -12,6 +14,9 @@
 static constexpr std::size_t MaxBytes = std::size_t{8} * 1024 * 1024;
 /// Bytes that an entry takes besides the response.
 static constexpr std::size_t Overhead = 200;
+/// Ingresses of which something is remembered: several times those of a large
+/// system. An ingress process that ended asks no more.
+static constexpr std::size_t MaxIngresses = 32768;
 
 void EndedReplies::add(TimePoint Now, const CallId &Call,
                        const PeerMessage &Reply) {
@@ -23,11 +28,28 @@
     Bytes += Size;
   }
   while (!Order.empty() &&
-         (Bytes > MaxBytes || Order.front().At + Lifetime < Now)) {
-    Bytes -= Order.front().Bytes;
-    Replies.erase(Order.front().Call);
-    Order.pop_front();
+         (Bytes > MaxBytes || Order.front().At + Lifetime < Now))
+    forgetOldest();
+}
+
+void EndedReplies::forgetOldest() {
+  const Entry &Oldest = Order.front();
+  auto [Known, Fresh] = ForgottenUpTo.try_emplace(Oldest.Call.Ingress, 0);
+  Known->second = std::max(Known->second, Oldest.Call.Sequence);
+  if (Fresh)
+    Ingresses.push_back(Oldest.Call.Ingress);
+  if (Ingresses.size() > MaxIngresses) {
+    ForgottenUpTo.erase(Ingresses.front());
+    Ingresses.pop_front();
   }
+  Bytes -= Oldest.Bytes;
+  Replies.erase(Oldest.Call);
+  Order.pop_front();
+}
+
+bool EndedReplies::forgotten(const CallId &Call) const {
+  auto Known = ForgottenUpTo.find(Call.Ingress);
+  return Known != ForgottenUpTo.end() && Call.Sequence <= Known->second;
 }
 
 const PeerMessage *EndedReplies::find(const CallId &Call) const {
--- a/src/sidecar/EndedReplies.h
+++ b/src/sidecar/EndedReplies.h
@@ -11,15 +11,21 @@
 namespace figsail {
 
 /// Keeps the final reply of each call for a while, bounded in bytes: an ingress
-/// whose link broke asks what became of its call.
+/// whose link broke asks what became of its call. Of what is no longer kept it
+/// remembers that there was something, so that nothing which may have run is
+/// called "not run", and nothing that was called so runs later.
 class EndedReplies {
 public:
   /// Keeps a reply. The first one of a call stays.
   void add(TimePoint Now, const CallId &Call, const PeerMessage &Reply);
   /// Returns the reply of a call, or null.
   const PeerMessage *find(const CallId &Call) const;
+  /// Returns whether the call may have ended with a reply that is not kept.
+  bool forgotten(const CallId &Call) const;
 
 private:
+  void forgetOldest();
+
   struct Entry {
     TimePoint At;
     CallId Call;
@@ -27,6 +33,9 @@
   };
   std::map<CallId, PeerMessage> Replies;
   std::deque<Entry> Order; ///< Oldest first.
+  std::map<Incarnation, std::uint64_t>
+      ForgottenUpTo;                 ///< Highest sequence dropped, by ingress.
+  std::deque<Incarnation> Ingresses; ///< Of ForgottenUpTo, oldest first.
   std::size_t Bytes = 0;
 };
 
--- a/src/sidecar/ServerGate.cpp
+++ b/src/sidecar/ServerGate.cpp
@@ -247,6 +247,11 @@
   Call.Bytes = messageSize(Message.Request.Headers, Message.Request.Body);
   Call.Message = std::move(Message);
   std::optional<ErrorKind> Reason = checkGate(Call.Message);
+  if (Ended.forgotten(Id)) {
+    Step.Out.emplace_back(SendPeer{
+        From.Host, Failed{Id, ErrorKind::OutcomeUnknown, load(Step.Now)}});
+    return;
+  }
   if (!Reason)
     Reason = checkSuspicion(Step.Now, Call.Message);
   if (!Reason)
--- a/src/sidecar/ServerGateRuns.cpp
+++ b/src/sidecar/ServerGateRuns.cpp
@@ -251,7 +251,7 @@
     Step.Out.emplace_back(SendPeer{From.Host, Received{Id}});
     return;
   }
-  if (Message.Target != Self.Inc) {
+  if (Message.Target != Self.Inc || Ended.forgotten(Id)) {
     Step.Out.emplace_back(SendPeer{
         From.Host, Failed{Id, ErrorKind::OutcomeUnknown, load(Step.Now)}});
     return;
--- a/tests/ServerGateTest.cpp
+++ b/tests/ServerGateTest.cpp
@@ -296,6 +296,51 @@
   EXPECT_EQ(messages<Answer>(Out).size(), 1U);
 }
 
+// Answers that are kept take at most 8 MiB. When a large one had been dropped,
+// its ingress was told that the call had never started: the client would have
+// sent a deposit again that was booked.
+TEST_F(Gate, WhatRanIsNotCalledNotRunWhenItsAnswerIsGone) {
+  std::vector<CallId> Ran;
+  for (int I = 0; I < 5; ++I) {
+    Execute Message = call(false);
+    Ran.push_back(Message.Call);
+    RunId Run = effects<RunServer>(execute(Message)).at(0).Run;
+    ServerDone Result;
+    Result.Result = HttpResponse{200, {}, std::string(3 * 1024 * 1024, 'x')};
+    done(Run, std::move(Result));
+  }
+  for (const CallId &Id : Ran) {
+    auto Out = step([&](GateStep &Step) {
+      Under.await(Step, Ingress, Await{Id, std::nullopt, 1});
+    });
+    EXPECT_TRUE(refusals(Out).empty());
+  }
+}
+
+// The same after a long pause of the ingress's host.
+TEST_F(Gate, WhatRanIsNotCalledNotRunLater) {
+  Execute Message = call(false);
+  done(effects<RunServer>(execute(Message)).at(0).Run);
+  Now += 30s;
+  done(effects<RunServer>(execute(call())).at(0).Run);
+  auto Out = step([&](GateStep &Step) {
+    Under.await(Step, Ingress, Await{Message.Call, std::nullopt, 1});
+  });
+  ASSERT_EQ(messages<Failed>(Out).size(), 1U);
+  EXPECT_EQ(messages<Failed>(Out)[0].second.Kind, ErrorKind::OutcomeUnknown);
+}
+
+// "Never started" was said, and the request arrives long after it.
+TEST_F(Gate, WhatWasCalledNotRunDoesNotRunLater) {
+  Execute Delayed = call(false);
+  step([&](GateStep &Step) {
+    Under.await(Step, Ingress, Await{Delayed.Call, std::nullopt, 1});
+  });
+  Now += 30s;
+  done(effects<RunServer>(execute(call())).at(0).Run);
+  EXPECT_TRUE(effects<RunServer>(execute(Delayed)).empty());
+}
+
 TEST_F(Gate, ACancelledCallDoesNotReachTheServer) {
   fill();
   Execute Waiting = call(false);
