Fix: a planned stop cut off requests that were being read

Operators' finding: during a planned stop, requests that had just been accepted were cut off without an answer. Cause: with nothing under way, CloseClients and ExitProcess came in one step, and from then on the shell drops events; a request of which the first bytes had arrived was read and never answered. A connection opened in the last milliseconds was closed before its first byte. Now the process ends after the frontend has reported that no connection has a request left (ClientsGone), within the same limit, and a fresh connection has 300 ms for its first byte. SidecarTest.AStopIsGraceful is unchanged. New: SidecarTest.AStopWaitsForRequestsThatAreBeingRead, SidecarProcessTest.AStopAnswersWhatItHasBegunToRead.

--- a/src/shell/FrontendConnection.cpp
+++ b/src/shell/FrontendConnection.cpp
@@ -17,6 +17,10 @@
 // resets the connection, which can destroy the answer on its way.
 static constexpr std::chrono::seconds LingerTimeout{2};
 
+// How long a connection that was just opened may take for the first byte of its
+// request when the daemon stops.
+static constexpr std::chrono::milliseconds FirstByteTimeout{300};
+
 FrontendConnection::FrontendConnection(tcp::socket Socket,
                                        std::shared_ptr<ConnectionOwner> Owner)
     : Socket(std::move(Socket)), Timer(this->Socket.get_executor()),
@@ -50,13 +54,17 @@
     return;
   beast::error_code Error;
   bool Waiting = Socket.available(Error) > 0;
-  if (Error || (!Waiting && Received.empty())) {
+  bool Begun = Waiting || !Received.empty();
+  if (Error || (!Begun && !Fresh)) {
     close();
     return;
   }
   // Counts as busy from now on, so that the request is answered before exit.
   Present = Phase::Head;
-  arm(Owner->settings().HeadTimeout);
+  if (Begun)
+    arm(Owner->settings().HeadTimeout);
+  else
+    arm(FirstByteTimeout);
 }
 
 void FrontendConnection::close() {
@@ -397,6 +405,11 @@
     return;
   }
   Received.append(Inbox.data(), Bytes);
+  if (Fresh && Bytes > 0) {
+    Fresh = false;
+    if (Present == Phase::Head)
+      arm(Owner->settings().HeadTimeout);
+  }
   process();
 }
 
@@ -427,7 +440,10 @@
   switch (Present) {
   case Phase::Head:
   case Phase::Body:
-    refuse(ErrorKind::RequestTimeout);
+    if (Fresh)
+      close();
+    else
+      refuse(ErrorKind::RequestTimeout);
     return;
   case Phase::Idle:
   case Phase::Writing:
--- a/src/shell/FrontendConnection.h
+++ b/src/shell/FrontendConnection.h
@@ -46,7 +46,8 @@
   void start();
   /// Answers the request that was dispatched last.
   void answer(HttpResponse Response);
-  /// Closes unless a request is under way or bytes of one wait to be read.
+  /// Closes unless a request is under way, bytes of one wait to be read, or the
+  /// connection was just opened: then its first request is on the way.
   void drain();
   void close();
 
@@ -111,6 +112,7 @@
   bool Reading = false;     ///< A read is pending.
   bool Watching = false;    ///< A wait for a reset is pending.
   bool InputEnded = false;  ///< The caller closed its sending half.
+  bool Fresh = true;        ///< No byte of a request has arrived yet.
 };
 
 } // namespace figsail
--- a/src/shell/SidecarDaemon.cpp
+++ b/src/shell/SidecarDaemon.cpp
@@ -380,7 +380,23 @@
   perform(Line);
 }
 
-void SidecarDaemon::perform(CloseClients &) { Frontend.drain(); }
+void SidecarDaemon::perform(CloseClients &) {
+  Frontend.drain();
+  awaitClients();
+}
+
+/// Reports when the last request that was begun has its answer.
+void SidecarDaemon::awaitClients() {
+  ExitTimer.expires_after(OutputPoll);
+  ExitTimer.async_wait([this](const error_code &Error) {
+    if (Error)
+      return;
+    if (Frontend.busyConnections() == 0)
+      submit(ClientsGone{});
+    else
+      awaitClients();
+  });
+}
 
 void SidecarDaemon::perform(Decision &Action) { Log.write(now(), Action); }
 
--- a/src/shell/SidecarDaemon.h
+++ b/src/shell/SidecarDaemon.h
@@ -94,6 +94,7 @@
   void perform(Count &Action);
   void perform(CountRefusal &Action);
   void perform(ExitProcess &Action);
+  void awaitClients();
   void finishOutput(TimePoint Limit);
 
   boost::asio::io_context &Context;
--- a/src/sidecar/Sidecar.cpp
+++ b/src/sidecar/Sidecar.cpp
@@ -122,6 +122,8 @@
 void Sidecar::on(Step &S, PeerReceived &Body) {
   Peers.heard(Body.From.Host, S.Out);
   Expiry.heard(S.Now, Body.From.Host);
+void Sidecar::on(Step &, ClientsGone &) { ClientsLeft = true; }
+
   message(S, Body.From, Body.Message);
 }
 
@@ -529,7 +531,8 @@
 /// Clients stay until the platform has had time to send them elsewhere, and so
 /// long the server works on: a rolling restart would otherwise take two servers
 /// of a service out at once. Then the client connections close, and the process
-/// ends when nothing is under way.
+/// ends when nothing is under way. A request of which the first bytes have
+/// arrived is under way, though only the frontend knows of it.
 void Sidecar::continueStop(Step &S) {
   if (!Stopping)
     return;
@@ -543,10 +546,12 @@
     Gate.stop();
     S.Out.emplace_back(CloseClients{});
   }
-  bool Idle = ClientsClosed && Router.underWay() == 0 && Gate.idle();
+  bool Idle = ClientsLeft && Router.underWay() == 0 && Gate.idle();
   bool OutOfTime = S.Now - StopBegan >= Settings.Bounds.StopLimit - StopReserve;
   if (Idle || OutOfTime)
     S.Out.emplace_back(ExitProcess{});
 }
 
 } // namespace figsail
+    Decision Line{LogLevel::Info, "clients-closing", {}};
+    S.Out.emplace_back(std::move(Line));
--- a/src/sidecar/Sidecar.h
+++ b/src/sidecar/Sidecar.h
@@ -50,6 +50,7 @@
   void on(Step &S, ClientRequest &Body);
   void on(Step &S, CallerGone &Body);
   void on(Step &S, PeerReceived &Body);
+  void on(Step &S, ClientsGone &Body);
   void on(Step &S, PeerConnected &Body);
   void on(Step &S, PeerLost &Body);
   void on(Step &S, ServerDone &Body);
@@ -130,7 +131,8 @@
   TimePoint LastNow; ///< Of the last event.
   bool Ready = false;
   bool Stopping = false;
-  bool ClientsClosed = false;
+  bool ClientsClosed = false; ///< They are told to go.
+  bool ClientsLeft = false;   ///< They have gone.
   TimePoint StopBegan;
   bool PauseAnnounced = false; ///< Others are told to leave the server alone.
 };
--- a/src/sidecar/SidecarEvents.h
+++ b/src/sidecar/SidecarEvents.h
@@ -149,11 +149,14 @@
 };
 
 using SidecarEventBody =
-    std::variant<BoundsChanged, ClientRequest, CallerGone, PeerReceived,
-                 PeerConnected, PeerLost, ServerDone, ServerProbed,
-                 ServerHeartbeat, ServerLeaves, TopicSnapshot, TopicRecords,
-                 TopicTruncated, TopicFailed, AnnouncementDone, TimerFired,
-                 StopRequested>;
+    std::variant<BoundsChanged, ClientRequest, CallerGone, ClientsGone,
+                 PeerReceived, PeerConnected, PeerLost, ServerDone,
+                 ServerProbed, ServerHeartbeat, ServerLeaves, TopicSnapshot,
+                 TopicRecords, TopicTruncated, TopicFailed, AnnouncementDone,
+                 TimerFired, StopRequested>;
+
+/// After CloseClients: no client connection has a request left to answer.
+struct ClientsGone {};
 
 /// One event with the inputs that the reducer may not fetch itself.
 struct SidecarEvent {
@@ -224,6 +227,7 @@
 
 /// A line of the structured log: one decision.
 struct Decision {
+/// Ends in ClientsGone.
   LogLevel Level = LogLevel::Info;
   std::string_view What; ///< Kind of decision, a literal.
   std::vector<std::pair<std::string_view, std::string>> Fields;
--- a/tests/SidecarLifeTest.cpp
+++ b/tests/SidecarLifeTest.cpp
@@ -188,6 +188,25 @@
   EXPECT_EQ(effects<ExitProcess>(Out).size(), 1U) << "before it is killed";
 }
 
+// With nothing under way the process ended in the moment in which it closed its
+// clients' connections: a request of which the first bytes had arrived was read
+// and never answered.
+TEST_F(SidecarTest, AStopWaitsForRequestsThatAreBeingRead) {
+  learn();
+  apply(heartbeat(1));
+  apply(AnnouncementDone{true, ""});
+  apply(StopRequested{});
+  tick(1600ms);
+  auto Out = tick(800ms);
+  EXPECT_EQ(effects<CloseClients>(Out).size(), 1U);
+  EXPECT_TRUE(effects<ExitProcess>(Out).empty());
+  auto [Host, Call] = sent(request(1));
+  Out = reply(Host, Answer{Call.Call, {200, {}, ""}, {}});
+  EXPECT_EQ(answer(Out)->Status, 200U);
+  EXPECT_TRUE(effects<ExitProcess>(Out).empty());
+  EXPECT_EQ(effects<ExitProcess>(apply(ClientsGone{})).size(), 1U);
+}
+
 // Links to all of 7,600 hosts would take more descriptors than a host has.
 TEST_F(SidecarTest, InALargeSystemLinksAreOpenedToUsedServicesOnly) {
   learn();
--- a/tests/SidecarProcessTest.cpp
+++ b/tests/SidecarProcessTest.cpp
@@ -205,6 +205,26 @@
   EXPECT_EQ(lines("stopped"), 1U);
 }
 
+// Requests that had just been accepted were cut off without an answer.
+TEST_F(SidecarProcessTest, AStopAnswersWhatItHasBegunToRead) {
+  ASSERT_TRUE(awaits([&] { return ready(); }));
+  EXPECT_EQ(beat(), 200U);
+  boost::asio::io_context Blocking;
+  tcp::socket Socket(Blocking);
+  Socket.connect(*parseEndpoint(loopbackAddress(ClientPort)));
+  RawConnection Client(std::move(Socket));
+  Client.send("GET /x/1 HTTP/1.1\r\nHost: desk.example\r\n");
+  kill(Child, SIGTERM);
+  EXPECT_TRUE(awaits([&] { return lines("clients-closing") > 0; }));
+  Client.send("Figsail-Attempt-Id: a1\r\n\r\n");
+  // Its own server takes nothing more, so "not run" is the answer here.
+  EXPECT_EQ(Client.response().result_int(), 503U);
+  int Status = 0;
+  waitpid(Child, &Status, 0);
+  Child = 0;
+  EXPECT_TRUE(WIFEXITED(Status) && WEXITSTATUS(Status) == 0) << Status;
+}
+
 // A settings file that is being written, or wrong, must not change or end a
 // daemon that serves.
 TEST_F(SidecarProcessTest, ReloadsSettingsWithAndWithoutASignal) {
