Fix: bytes without end from a server cost bounded memory and time

Cause: a head was bounded (64 KiB) and a body (8 MiB), but not the bodies of all runs together (a server has up to 512 runs, a host 160 MB), not interim answers, not answers to other requests, and not what the parser leaves in the buffer. Now: 32 MiB for all bodies being read, 16 skipped answers, 128 KiB unparsed; beyond them the run is malformed and its connection closes. BackendClientTest: nine endless streams, answers to others without end, endless bodies together; the next call gets its own answer.

--- a/src/shell/BackendClient.cpp
+++ b/src/shell/BackendClient.cpp
@@ -59,7 +59,9 @@
   State(asio::io_context &Context, BackendHandler &Handler,
         BackendSettings Settings)
       : Context(Context), Handler(Handler), Settings(std::move(Settings)),
-        Endpoint(parseEndpoint(this->Settings.Address)) {}
+        Endpoint(parseEndpoint(this->Settings.Address)),
+        Memory(std::make_shared<ResponseMemory>(
+            this->Settings.MaxResponseMemory)) {}
 
   CallPtr begin(HttpRequest Request, Duration Budget) {
     auto Call = std::make_shared<BackendCall>(Context);
@@ -130,7 +132,7 @@
       Settings.Fields->setDeadline(*Call->Message, Left);
     Call->Exchange = std::make_shared<BackendExchange>(
         std::move(Socket), Call->Message, Settings.MaxResponse,
-        *Settings.Fields,
+        *Settings.Fields, Memory,
         [Self = shared_from_this(), Weak = std::weak_ptr<BackendCall>(Call)](
             BackendExchange::Result Outcome, bool Reusable) {
           if (CallPtr Call = Weak.lock())
@@ -280,6 +282,7 @@
   BackendHandler &Handler;
   BackendSettings Settings;
   std::optional<tcp::endpoint> Endpoint;
+  std::shared_ptr<ResponseMemory> Memory;
   std::vector<IdleConnection>
       Idle;                    ///< Unused connections, last used at the back.
   std::deque<CallPtr> Waiting; ///< Calls for which no connection is free.
--- a/src/shell/BackendClient.h
+++ b/src/shell/BackendClient.h
@@ -28,6 +28,8 @@
   std::size_t MaxConnections = 250;     ///< Connections open at once.
   std::size_t MaxResponse =
       std::size_t{8} * 1024 * 1024; ///< Bytes of a response body.
+  std::size_t MaxResponseMemory =
+      std::size_t{32} * 1024 * 1024; ///< Bytes of all bodies being read.
   Duration ProbeTimeout{std::chrono::seconds(1)};
   bool SendDeadline = true; ///< Tell the backend server the remaining time.
   std::shared_ptr<const BackendFields> Fields =
--- a/src/shell/BackendExchange.cpp
+++ b/src/shell/BackendExchange.cpp
@@ -17,6 +17,13 @@
 // Bytes of a response head. Larger ones are malformed.
 static constexpr std::uint32_t MaxResponseHead = 64 * 1024;
 
+// Bytes that are read and not yet taken by the parser: a head, or the line
+// before a chunk.
+static constexpr std::size_t MaxUnparsed = std::size_t{128} * 1024;
+
+// Interim answers, and answers to other requests, before the wanted one.
+static constexpr unsigned MaxSkipped = 16;
+
 static constexpr std::string_view DeadlineField = "Figsail-Deadline-Ms";
 
 BackendExchange::Message backendMessage(HttpRequest Request,
@@ -52,9 +59,14 @@
 BackendExchange::BackendExchange(std::shared_ptr<asio::ip::tcp::socket> Socket,
                                  std::shared_ptr<const Message> Request,
                                  std::size_t MaxResponse,
-                                 const BackendFields &Fields, EndHandler OnEnd)
+                                 const BackendFields &Fields,
+                                 std::shared_ptr<ResponseMemory> Memory,
+                                 EndHandler OnEnd)
     : Socket(std::move(Socket)), Request(std::move(Request)),
-      MaxResponse(MaxResponse), Fields(Fields), OnEnd(std::move(OnEnd)) {}
+      MaxResponse(MaxResponse), Fields(Fields), Memory(std::move(Memory)),
+      OnEnd(std::move(OnEnd)), Buffer(MaxUnparsed) {}
+
+BackendExchange::~BackendExchange() { Memory->release(Charged); }
 
 void BackendExchange::start() {
   http::async_write(
@@ -78,6 +90,14 @@
     end(BackendError::NotSent, false);
 }
 
+/// Reads on behind an answer that is not the wanted one.
+void BackendExchange::skipAnswer() {
+  if (++Skipped > MaxSkipped)
+    end(BackendError::Malformed, false);
+  else
+    readHead();
+}
+
 void BackendExchange::readHead() {
   Response.emplace();
   Response->header_limit(MaxResponseHead);
@@ -100,7 +120,7 @@
   const auto &Head = Response->get();
   bool Interim = Head.result_int() < 200;
   if (Interim && Head.result() != http::status::switching_protocols) {
-    readHead();
+    skipAnswer();
     return;
   }
   bool BadCoding =
@@ -114,8 +134,23 @@
   readBody();
 }
 
+/// Takes memory for what the body has grown by.
+bool BackendExchange::chargeBody() {
+  std::size_t Size = Response->get().body().size();
+  if (Size <= Charged)
+    return true;
+  if (!Memory->take(Size - Charged))
+    return false;
+  Charged = Size;
+  return true;
+}
+
 void BackendExchange::readBody() {
-  http::async_read(
+  if (Response->is_done()) {
+    bodyRead({});
+    return;
+  }
+  http::async_read_some(
       *Socket, Buffer, *Response,
       [Self = shared_from_this()](beast::error_code Error, std::size_t) {
         Self->bodyRead(Error);
@@ -148,12 +183,20 @@
     readFailed();
     return;
   }
+  if (!chargeBody()) {
+    end(BackendError::Malformed, false);
+    return;
+  }
+  if (!Response->is_done()) {
+    readBody();
+    return;
+  }
   HttpResponse Whole = takeResponse();
   switch (Fields.match(*Request, Whole)) {
   case ResponseMatch::Own:
     break;
   case ResponseMatch::Foreign:
-    readHead();
+    skipAnswer();
     return;
   case ResponseMatch::Unusable:
     end(BackendError::Malformed, false);
--- a/src/shell/BackendExchange.h
+++ b/src/shell/BackendExchange.h
@@ -19,6 +19,25 @@
 
 namespace figsail {
 
+/// Memory for the response bodies of all exchanges of a client. A server in
+/// trouble may send a body without end on each of its connections.
+class ResponseMemory {
+public:
+  explicit ResponseMemory(std::size_t Limit) : Limit(Limit) {}
+  /// Returns whether there is room for so many bytes more, and takes them then.
+  bool take(std::size_t Bytes) {
+    if (Used + Bytes > Limit)
+      return false;
+    Used += Bytes;
+    return true;
+  }
+  void release(std::size_t Bytes) { Used -= Bytes; }
+
+private:
+  std::size_t Limit; ///< Bytes.
+  std::size_t Used = 0;
+};
+
 /// Writes a request and reads its response. Ends once, unless it is abandoned.
 class BackendExchange : public std::enable_shared_from_this<BackendExchange> {
 public:
@@ -32,7 +51,8 @@
   BackendExchange(std::shared_ptr<boost::asio::ip::tcp::socket> Socket,
                   std::shared_ptr<const Message> Request,
                   std::size_t MaxResponse, const BackendFields &Fields,
-                  EndHandler OnEnd);
+                  std::shared_ptr<ResponseMemory> Memory, EndHandler OnEnd);
+  ~BackendExchange();
 
   /// Starts to write and to read.
   void start();
@@ -47,6 +67,8 @@
   void headRead(boost::beast::error_code Error);
   void readBody();
   void bodyRead(boost::beast::error_code Error);
+  bool chargeBody();
+  void skipAnswer();
   HttpResponse takeResponse();
   void writeDone(boost::beast::error_code Error, std::size_t Bytes);
   void readFailed();
@@ -56,7 +78,10 @@
   std::shared_ptr<const Message> Request;
   std::size_t MaxResponse; ///< Bytes of the response body.
   const BackendFields &Fields;
-  EndHandler OnEnd; ///< Null after the end.
+  std::shared_ptr<ResponseMemory> Memory;
+  std::size_t Charged = 0; ///< Bytes taken of Memory.
+  unsigned Skipped = 0;    ///< Answers that were not the wanted one.
+  EndHandler OnEnd;        ///< Null after the end.
   boost::beast::flat_buffer Buffer;
   std::optional<Parser> Response;
   HeaderList Headers;   ///< Fields of the response head, without trailers.
--- a/tests/BackendClientTest.cpp
+++ b/tests/BackendClientTest.cpp
@@ -403,6 +403,93 @@
   EXPECT_EQ(errorOf(await(1)), BackendError::Malformed);
 }
 
+/// Answers the first connection with a head and then the same bytes until the
+/// client closes; the others with Ok.
+ScriptedServer::Script endless(std::string Head, std::string Bytes,
+                               std::atomic<std::size_t> &Sent) {
+  return [=, &Sent](RawConnection &Peer, std::size_t Number) {
+    Peer.request();
+    if (Number > 0) {
+      Peer.send(Ok);
+      Peer.ended();
+      return;
+    }
+    Peer.send(Head);
+    for (;;) {
+      Peer.send(Bytes);
+      Sent += Bytes.size();
+    }
+  };
+}
+
+// A server in trouble sends bytes that are no answer until its caller closes.
+// The caller must get its end without waiting for the deadline, and the next
+// one a right answer.
+TEST_F(BackendClientTest, BytesWithoutEndCostBoundedTimeAndMemory) {
+  struct Case {
+    std::string What;
+    std::string Head;
+    std::string Bytes;
+  };
+  const std::string Block(8192, 'x');
+  const std::vector<Case> Cases{
+      {"garbage", "", Block},
+      {"a head", "HTTP/1.1 200 OK\r\nX-A: ", Block},
+      {"fields", "HTTP/1.1 200 OK\r\n", "X-A: b\r\n"},
+      {"interim answers", "", "HTTP/1.1 100 Continue\r\n\r\n"},
+      {"a body without a length", "HTTP/1.1 200 OK\r\n\r\n", Block},
+      {"chunks", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+       "2000\r\n" + Block + "\r\n"},
+      {"a chunk extension",
+       "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1;", Block},
+      {"a trailer",
+       "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\nX-A: ",
+       Block},
+      {"empty lines", "", "\r\n\r\n"}};
+  for (const Case &Each : Cases) {
+    std::atomic<std::size_t> Sent = 0;
+    ScriptedServer Server(Client, endless(Each.Head, Each.Bytes, Sent));
+    connectTo(Server.port());
+    EXPECT_EQ(errorOf(run(1)), BackendError::Malformed) << Each.What;
+    EXPECT_LT(Sent, std::size_t{32} * 1024 * 1024) << Each.What;
+    EXPECT_EQ(bodyOf(run(2)), "ok") << Each.What;
+    Ends.clear();
+  }
+}
+
+TEST_F(BackendClientTest, AnswersToOthersWithoutEndAreGivenUp) {
+  std::atomic<std::size_t> Sent = 0;
+  ScriptedServer Server(Client, endless("", numbered("6", "foreign"), Sent));
+  BackendSettings Settings;
+  Settings.Fields = std::make_shared<NumberedFields>();
+  connectTo(Server.port(), Settings);
+  start(1, seconds(30), {"GET", "/x", {{"X-Id", "7"}}, {}});
+  EXPECT_EQ(errorOf(await(1)), BackendError::Malformed);
+}
+
+// Ten endless bodies of 8 MiB each would take half of a host's memory.
+TEST_F(BackendClientTest, EndlessBodiesShareOneBound) {
+  ScriptedServer Server(Client, [](RawConnection &Peer, std::size_t) {
+    Peer.request();
+    Peer.send("HTTP/1.1 200 OK\r\n\r\n" + std::string(30000, 'x'));
+    Peer.ended(); // Holds the connection open.
+  });
+  BackendSettings Settings;
+  Settings.MaxResponseMemory = 100000;
+  connectTo(Server.port(), Settings);
+  for (RunId Run = 1; Run <= 4; ++Run)
+    start(Run);
+  while (Ends.empty()) {
+    Context.restart();
+    Context.run_one();
+  }
+  EXPECT_EQ(Ends.size(), 1U) << "the one that found no room";
+  EXPECT_EQ(errorOf(Ends.begin()->second), BackendError::Malformed);
+  for (RunId Run = 1; Run <= 4; ++Run)
+    Client->cancel(Run);
+  poll();
+}
+
 TEST_F(BackendClientTest, TimeoutAndCancelCloseTheConnection) {
   std::promise<void> Arrived;
   std::promise<void> Ended[2];
