Fix: the retry budget was broken where calls have calls and unused where needed

Cause: each ingress held 0.75 of the ratio of its own requests and a share of the slack over all hosts. Calls that a repeated run makes count as repeats at the service that is called, and were not charged; calls sent to a silent daemon needed a token that a daemon of 92 hosts did not have. Now the budget is held at the gate beside the server: an Execute says that it is a repeat, the gate admits repeats up to the ratio of the first arrivals it saw and its share of the slack, and refuses the others before they reach the server. Calls of repeated runs are charged first. Which run made a call is not known; each bears the part of the runs at its server that are repeats, times the part of the route's requests that are calls (CallOrigins: calls meet more runs than requests of clients do).

--- a/include/figsail/PeerMessages.h
+++ b/include/figsail/PeerMessages.h
@@ -15,7 +15,7 @@
 namespace figsail {
 
 /// Version of the peer protocol; links between different versions are refused.
-inline constexpr std::uint32_t PeerProtocolVersion = 2;
+inline constexpr std::uint32_t PeerProtocolVersion = 3;
 
 /// Permission to run one attempt of one keyed request on one executor.
 struct GrantToken {
@@ -72,10 +72,13 @@
       0; ///< Time left until the route's target latency; may be negative.
   bool MayGoElsewhere =
       false; ///< Another server can take it if this one is slow now.
+  float RepeatShare = 0; ///< 1 for a repeat of a call that may have reached a
+                         ///< server. Else the part of the caller's runs that
+                         ///< were repeats themselves.
 
   template <class Archive> void serialize(Archive &Ar) {
     Ar(Call, Target, Policy, BudgetMicros, Fingerprint, Grant, Request,
-       Instance, TargetMicros, MayGoElsewhere);
+       Instance, TargetMicros, MayGoElsewhere, RepeatShare);
   }
 };
 
--- a/src/sidecar/CallRouter.cpp
+++ b/src/sidecar/CallRouter.cpp
@@ -39,9 +39,6 @@
 /// A client is told to return within this share of its time, since clients
 /// give up on later ones.
 static constexpr double MaxReturnShare = 1.0 / 3;
-/// Share of the operator's retry ratio and slack that is used. The rest covers
-/// calls that a repeated run makes, which other daemons send.
-static constexpr double RetryShare = 0.75;
 /// A server that fails within this share of the usual run is itself at fault.
 static constexpr double OwnFaultShare = 0.5;
 
@@ -49,23 +46,8 @@
     : Self{Settings.Host, Settings.Inc},
       CallingService(Settings.Service), Here{Settings.Region,
                                              Settings.FailureDomain},
-      Bounds(Settings.Bounds),
       Selector(Settings.Host, Here, makeShortestExpectedTime()),
-      Link(Settings.RegionLinkBytes) {
-  setHostCounts(1, 1);
-}
-
-void CallRouter::setHostCounts(std::size_t All, std::size_t InRegion) {
-  AllHosts = All;
-  RegionHosts = InRegion;
-  Link.share(InRegion);
-  double Slack = Bounds.RetrySlack * RetryShare /
-                 static_cast<double>(std::max<std::size_t>(1, All));
-  double Window = std::chrono::duration<double>(Bounds.RetryWindow).count();
-  // Half of the slack comes as the burst, half over the window.
-  Budget.configure(RetryLimits{Bounds.RetryRatio * RetryShare,
-                               Slack / 2 / Window, std::max(1.0, Slack / 2)});
-}
+      Link(Settings.RegionLinkBytes) {}
 
 // Calls.
 
@@ -157,7 +139,8 @@
   New.Deadline = Step.Now + std::min(Limit, Route->Timeout);
   New.Route = std::move(Route);
   ByCaller[New.Caller] = Number;
-  Budget.called(Step.Now, New.Service);
+  New.RepeatShare = static_cast<float>(
+      Step.RepeatShare * Origins.arrived(Step.Now, New.Route->Name));
   advance(Step, New);
 }
 
@@ -256,6 +239,9 @@
   Message.Fingerprint = Current.Fingerprint;
   Message.TargetMicros = (Current.Target - Step.Now).count();
   Message.Instance = Current.Instance;
+  Message.RepeatShare = Current.Servers > 0 ? 1 : Current.RepeatShare;
+  if (Current.Servers > 0)
+    Step.Out.emplace_back(Count{Counter::Retries});
   // A refusal from another region costs a round trip, and so does the next try.
   Duration Detour =
       To.Region == Here.Region ? Duration(0) : 2 * Here.RegionRoundTrip;
@@ -371,12 +357,14 @@
     Current->Slow.push_back(From.Host);
   if (Message.Kind == ErrorKind::Quarantined)
     return fail(Step, *Current, Message.Kind);
+  if (Message.Kind == ErrorKind::RetryBudgetSpent)
+    Step.Out.emplace_back(Count{Counter::RetriesDenied});
   if (Message.Kind != ErrorKind::ServerRefused) {
     ++Current->Refusals;
     return advance(Step, *Current);
   }
   ++Current->Servers;
-  if (!mayRepeat(Step, *Current))
+  if (!mayRepeat(*Current))
     return fail(Step, *Current, Message.Kind);
   advance(Step, *Current);
 }
@@ -399,22 +387,16 @@
   retryAfterRun(Step, *Current, Message.Kind);
 }
 
-bool CallRouter::mayRepeat(RouterStep &Step, const Call &Current) {
-  if (Current.Servers >= Current.Route->MaxServers)
-    return false;
-  if (Budget.take(Step.Now, Current.Service)) {
-    Step.Out.emplace_back(Count{Counter::Retries});
-    return true;
-  }
-  Step.Out.emplace_back(Count{Counter::RetriesDenied});
-  return false;
+/// The gate beside the next server holds the retry budget.
+bool CallRouter::mayRepeat(const Call &Current) {
+  return Current.Servers < Current.Route->MaxServers;
 }
 
 /// Tries another server after one that may have run the call.
 void CallRouter::retryAfterRun(RouterStep &Step, Call &Current, ErrorKind Why) {
   Current.Tried.push_back(Current.Executor.Host);
   Current.LastError = Why;
-  if (Step.Now < Current.Deadline && mayRepeat(Step, Current))
+  if (Step.Now < Current.Deadline && mayRepeat(Current))
     return advance(Step, Current);
   if (Current.Spare)
     return deliver(Step, Current, std::move(*Current.Spare));
--- a/src/sidecar/CallRouter.h
+++ b/src/sidecar/CallRouter.h
@@ -3,6 +3,7 @@
 #ifndef FIGSAIL_SIDECAR_CALLROUTER_H
 #define FIGSAIL_SIDECAR_CALLROUTER_H
 
+#include "CallOrigins.h"
 #include "Instance.h"
 #include "PeerHealth.h"
 #include "RunTimes.h"
@@ -12,7 +13,6 @@
 
 #include "RegionLink.h"
 #include "RequestIdentity.h"
-#include "RetryBudget.h"
 
 #include "figsail/Balancer.h"
 
@@ -32,6 +32,9 @@
   const InstanceDirectory &Directory;
   const std::set<std::string> &Evacuated; ///< Failure domains.
   PeerHealth &Peers;
+  /// Part of the runs at the own server that are repeats: a request that
+  /// arrives now may be a call of one of them.
+  float RepeatShare;
   SidecarEffects &Out;
 };
 
@@ -55,17 +58,16 @@
     Selector.reported(Now, Host, Load);
   }
 
-  /// The operator's bounds have changed.
-  void configure(const SidecarBounds &Changed) {
-    Bounds = Changed;
-    setHostCounts(AllHosts, RegionHosts);
-  }
-  /// The number of hosts has changed, over which the retry budget and the link
-  /// between regions are divided.
-  void setHostCounts(std::size_t All, std::size_t InRegion);
+  /// The number of hosts has changed, over which the link between regions is
+  /// divided.
+  void setRegionHosts(std::size_t Count) { Link.share(Count); }
   /// A host has another backend server or daemon; old reports are forgotten.
   void hostChanged(const HostId &Host) { Selector.forget(Host); }
 
+  /// The number of runs at the own server may have changed.
+  void serverRuns(TimePoint Now, std::size_t Count) {
+    Origins.runs(Now, Count);
+  }
   void timer(RouterStep &Step);
   TimePoint nextWake() const;
   /// Returns whether a request for the service has arrived.
@@ -94,6 +96,7 @@
     std::string Instance;
     std::vector<HostId> Tried;
     std::uint32_t Servers = 0;  ///< Backend servers that it may have reached.
+    float RepeatShare = 0;      ///< Of the run that may have made it.
     bool MayHaveRun = false;    ///< One of them may have run it.
     std::uint32_t Refusals = 0; ///< By daemons; nothing reached a server.
     std::vector<HostId> Slow;   ///< Refused because they were slow then.
@@ -128,7 +131,7 @@
   void checkSilence(RouterStep &Step, Call &Current);
   void executorLost(RouterStep &Step, Call &Current, bool Unsent);
   void retryAfterRun(RouterStep &Step, Call &Current, ErrorKind Why);
-  bool mayRepeat(RouterStep &Step, const Call &Current);
+  static bool mayRepeat(const Call &Current);
   void deadlinePassed(RouterStep &Step, Call &Current);
   void settle(RouterStep &Step, Call &Current, bool Success,
               const LoadReport *Load);
@@ -142,12 +145,9 @@
   PeerRef Self;
   std::string CallingService; ///< Of the backend server beside this daemon.
   Locality Here;
-  SidecarBounds Bounds;
   Balancer Selector;
-  RetryBudget Budget;
   RegionLink Link;
-  std::size_t AllHosts = 1;
-  std::size_t RegionHosts = 1;
+  CallOrigins Origins;
   SplitSchedule Splits;
   std::set<std::string> UsedServices;
   std::size_t HeldBytes = 0; ///< Of the requests of all calls.
--- a/src/sidecar/Instance.cpp
+++ b/src/sidecar/Instance.cpp
@@ -110,6 +110,14 @@
   return Found == ByService.end() ? None : Found->second;
 }
 
+std::size_t InstanceDirectory::serversOf(const std::string &Service) const {
+  auto Count = std::ranges::count_if(Hosts, [&](const auto &Entry) {
+    return Entry.second.State != InstanceState::Absent &&
+           Entry.second.Service == Service;
+  });
+  return static_cast<std::size_t>(Count);
+}
+
 std::size_t InstanceDirectory::hostsIn(const std::string &Region) const {
   auto Count = std::ranges::count_if(
       Hosts, [&](const auto &Entry) { return Entry.second.Region == Region; });
--- a/src/sidecar/Instance.h
+++ b/src/sidecar/Instance.h
@@ -69,6 +69,8 @@
   /// balancer.
   const std::vector<Member> &ready(const std::string &Service) const;
   const std::map<HostId, Announcement> &all() const { return Hosts; }
+  /// Returns the number of hosts with a server of the service.
+  std::size_t serversOf(const std::string &Service) const;
   /// Returns the number of hosts of a region; at least 1.
   std::size_t hostsIn(const std::string &Region) const;
 
--- a/src/sidecar/ServerGate.cpp
+++ b/src/sidecar/ServerGate.cpp
@@ -56,7 +56,7 @@
 
 ServerGate::ServerGate(const SidecarSettings &Settings)
     : Self{Settings.Host, Settings.Inc}, Region(Settings.Region),
-      Bounds(Settings.Bounds), ColdTokens(1, 1) {}
+      Bounds(Settings.Bounds), ColdTokens(1, 1), Repeats(Settings.Bounds) {}
 
 void ServerGate::configure(const ServiceSettings &Service) {
   Configured = true;
@@ -71,6 +71,7 @@
 void ServerGate::configure(const SidecarBounds &Changed) {
   Bounds = Changed;
   limitColdRate();
+  Repeats.configure(Changed);
 }
 
 void ServerGate::limitColdRate() {
@@ -92,6 +93,15 @@
   return Duration(static_cast<Duration::rep>(Usual * Slowdown));
 }
 
+float ServerGate::repeatShare() const {
+  if (Runs.empty())
+    return 0;
+  float Sum = 0;
+  for (const auto &[Run, Id] : Runs)
+    Sum += Calls.at(Id).Message.RepeatShare;
+  return Sum / static_cast<float>(Runs.size());
+}
+
 LoadReport ServerGate::load(TimePoint Now) const {
   LoadReport Report;
   bool Open = Server.state() == InstanceState::Ready && !Evacuated &&
@@ -237,6 +247,11 @@
   }
   if (Calls.contains(Id))
     return;
+  if (Ended.forgotten(Id)) {
+    Step.Out.emplace_back(SendPeer{
+        From.Host, Failed{Id, ErrorKind::OutcomeUnknown, load(Step.Now)}});
+    return;
+  }
   Ingresses[From.Host] = Step.Now;
   CalledAt = Step.Now;
   AdmittedCall Call;
@@ -247,15 +262,12 @@
   Call.Bytes = messageSize(Message.Request.Headers, Message.Request.Body);
   Call.Message = std::move(Message);
   std::optional<ErrorKind> Reason = checkGate(Call.Message);
-  if (Ended.forgotten(Id)) {
-    Step.Out.emplace_back(SendPeer{
-        From.Host, Failed{Id, ErrorKind::OutcomeUnknown, load(Step.Now)}});
-    return;
-  }
   if (!Reason)
     Reason = checkSuspicion(Step.Now, Call.Message);
   if (!Reason)
     Reason = checkRoom(Step.Now, Call);
+  if (!Reason && repeats(Call) && !Repeats.takeRepeat(Step.Now))
+    Reason = ErrorKind::RetryBudgetSpent;
   if (Reason)
     return refuse(Step, Call, *Reason);
   HeldBytes += Call.Bytes;
--- a/src/sidecar/ServerGate.h
+++ b/src/sidecar/ServerGate.h
@@ -6,6 +6,7 @@
 #include "CrashWatch.h"
 #include "EndedReplies.h"
 #include "LocalServer.h"
+#include "RepeatBudget.h"
 #include "RunTimes.h"
 #include "SidecarEvents.h"
 #include "SidecarSettings.h"
@@ -58,6 +59,10 @@
   void configure(const ServiceSettings &Service);
   /// The operator's bounds have changed.
   void configure(const SidecarBounds &Changed);
+  /// The number of ready servers of the service has changed.
+  void setServerCount(TimePoint Now, std::size_t Count) {
+    Repeats.setServers(Now, Count);
+  }
   /// The failure domain is taken out of service or back. Taking it back counts
   /// the server as cold until it says otherwise.
   void evacuate(GateStep &Step, bool Evacuated);
@@ -68,6 +73,11 @@
   TimePoint nextWake(TimePoint Now) const;
 
   const LocalServer &server() const { return Server; }
+  /// Returns the part of the runs under way, from 0 to 1, that are repeats or
+  /// were made by repeats. Calls that the server makes now come from these
+  /// runs; from which one is not known.
+  float repeatShare() const;
+  std::size_t runs() const { return Runs.size(); }
   /// Returns whether no call waits or runs.
   bool idle() const { return Calls.empty(); }
   LoadReport load(TimePoint Now) const;
@@ -126,6 +136,9 @@
               const ServerNote &Note);
   void finish(GateStep &Step, const AdmittedCall &Call, BackendError Error);
   void logLate(GateStep &Step, const AdmittedCall &Call) const;
+  static bool repeats(const AdmittedCall &Call) {
+    return Call.Message.RepeatShare >= 1;
+  }
   void learn(const AdmittedCall &Call, TimePoint Now, bool Success);
   void noteLoad(TimePoint Now, const ServerLoad &Load);
 
@@ -140,6 +153,7 @@
   double ColdPerSecond = 1;
   std::size_t MaxConnections = 1; ///< That the server accepts.
   mutable TokenBucket ColdTokens;
+  RepeatBudget Repeats;
   double Slowdown = 1;     ///< Newest factor that the server reported.
   double ToldSlowdown = 1; ///< Last told to the ingresses.
   TimePoint LoadAt;        ///< When the server last told its load.
--- a/src/sidecar/ServerGateRuns.cpp
+++ b/src/sidecar/ServerGateRuns.cpp
@@ -39,8 +39,11 @@
   AdmittedCall Removed = std::move(At->second);
   Calls.erase(At);
   HeldBytes -= Removed.Bytes;
-  if (Removed.Run == 0)
-    --Waiting;
+  if (Removed.Run != 0)
+    return Removed;
+  --Waiting;
+  if (repeats(Removed))
+    Repeats.giveBack();
   return Removed;
 }
 
@@ -104,6 +107,8 @@
   if (Call.Suspect)
     ++SuspectRuns[Call.Message.Fingerprint];
   --Waiting;
+  if (!repeats(Call))
+    Repeats.arrived(Step.Now, Call.Message.RepeatShare);
   Runs.emplace(Call.Run, Call.Message.Call);
   Step.Out.emplace_back(Count{Counter::RunsStarted});
   Step.Out.emplace_back(RunServer{
--- a/src/sidecar/Sidecar.cpp
+++ b/src/sidecar/Sidecar.cpp
@@ -45,6 +45,7 @@
   tellSuspicions(S);
   sendAnnouncement(S);
   updateReadiness(S);
+  Router.serverRuns(S.Now, Gate.runs());
   continueStop(S);
   return Out;
 }
@@ -98,14 +99,14 @@
 }
 
 RouterStep Sidecar::routerStep(Step &S) {
-  return {S.Now, S.Seed, Config.get(), Directory, Evacuated, Peers, S.Out};
+  return {S.Now,     S.Seed, Config.get(),       Directory,
+          Evacuated, Peers,  Gate.repeatShare(), S.Out};
 }
 
 // Clients and peers.
 
 void Sidecar::on(Step &, BoundsChanged &Body) {
   Settings.Bounds = Body.Bounds;
-  Router.configure(Body.Bounds);
   Gate.configure(Body.Bounds);
 }
 
@@ -493,8 +494,8 @@
 }
 
 void Sidecar::hostsChanged() {
-  Router.setHostCounts(Directory.all().size(),
-                       Directory.hostsIn(Settings.Region));
+  Router.setRegionHosts(Directory.hostsIn(Settings.Region));
+  Gate.setServerCount(LastNow, Directory.serversOf(Settings.Service));
 }
 
 // Time and the end.
--- a/tests/ServerGateTest.cpp
+++ b/tests/ServerGateTest.cpp
@@ -399,6 +399,78 @@
   EXPECT_EQ(Under.server().state(), InstanceState::Absent);
 }
 
+// Repeats.
+
+/// The same call once more, after a server that may have run it.
+Execute repeatOf(Execute Message) {
+  Message.RepeatShare = 1;
+  return Message;
+}
+
+// The sum over all servers must stay within the operator's ratio and slack, and
+// the budget must be there when it is needed.
+TEST_F(Gate, RepeatsStayWithinTheServersShareOfTheBudget) {
+  constexpr int Servers = 3;
+  constexpr int Calls = 200;
+  Under.setServerCount(Now, Servers);
+  int Repeats = 0;
+  for (int I = 0; I < Calls; ++I) {
+    Now += 20ms;
+    done(effects<RunServer>(execute(call())).at(0).Run);
+    auto Out = execute(repeatOf(call()));
+    auto Started = effects<RunServer>(Out);
+    if (Started.empty()) {
+      EXPECT_EQ(refusals(Out).at(0).Kind, ErrorKind::RetryBudgetSpent);
+      continue;
+    }
+    ++Repeats;
+    done(Started[0].Run);
+  }
+  EXPECT_LE(Repeats, 0.2 * Calls + 64.0 / Servers);
+  EXPECT_GE(Repeats, 0.2 * Calls);
+}
+
+// A daemon that is killed again and again must not get its slack anew each
+// time.
+TEST_F(Gate, AStartBringsNoRepeats) {
+  Under.setServerCount(Now, 3);
+  EXPECT_EQ(refusals(execute(repeatOf(call()))).size(), 1U);
+}
+
+TEST_F(Gate, ARepeatThatIsCancelledWhileItWaitsCostsNothing) {
+  Under.setServerCount(Now, 20); // A share of 3.2, of which 1.6 at once.
+  Now += 10s;
+  std::vector<RunId> Runs = fill();
+  Execute Waits = repeatOf(call());
+  EXPECT_TRUE(refusals(execute(Waits)).empty());
+  step([&](GateStep &Step) { Under.cancel(Step, Waits.Call); });
+  for (RunId Run : Runs)
+    done(Run);
+  EXPECT_FALSE(effects<RunServer>(execute(repeatOf(call()))).empty());
+}
+
+// Calls of a repeated run count as repeats where they arrive. Which run made a
+// call is not known, so each bears its part.
+TEST_F(Gate, CallsOfRepeatedRunsAreChargedToTheBudget) {
+  Under.setServerCount(Now, 1);
+  Now += 10s;
+  for (int I = 0; I < 200; ++I) {
+    Execute FromRepeats = call();
+    FromRepeats.RepeatShare = 0.5F;
+    done(effects<RunServer>(execute(FromRepeats)).at(0).Run);
+  }
+  EXPECT_EQ(refusals(execute(repeatOf(call()))).size(), 1U);
+}
+
+TEST_F(Gate, TellsWhichPartOfItsRunsAreRepeats) {
+  Under.setServerCount(Now, 1);
+  Now += 10s;
+  EXPECT_EQ(Under.repeatShare(), 0);
+  execute(call());
+  execute(repeatOf(call()));
+  EXPECT_FLOAT_EQ(Under.repeatShare(), 0.5F);
+}
+
 // Load pattern: a server slows down to a quarter for some hundred
 // milliseconds.
 TEST_F(Gate, IngressesAreToldWhenTheSpeedChanges) {
