Add: a store that comes back from an older copy

Cause: the header that tells of it was read nowhere. Records written after the return have lower offsets than those that were read, and were ignored for good; own announcements were gone. Every answer now carries the number of the store's history. With a new one the topics are read anew and the own announcement is written again; reads that began before are discarded; daemons that read through others hear of it from them, and none listens to one that missed it. What is known stays in force until the store holds something not older: by version, by the order of announcements, else by the offset, since both logs are the same up to the end of the copy. Dropped keys are found by reading the log back. Ruled out: era in the upper bits of offsets alone (an evacuation taken back would return, a lost one would end). Not solved: a daemon that starts in that moment and meets no peer knows only the older copy, until the operator writes again. A host that was dropped from the members' topic and is in the copy is known again to daemons that start then.

--- a/include/figsail/Events.h
+++ b/include/figsail/Events.h
@@ -202,6 +202,7 @@
   Quarantined,
   WrongRegion,
   StaleMessages,
+  StoreHistories,
 };
 
 /// Advance a counter.
@@ -241,7 +242,7 @@
 std::string_view counterName(Counter Which);
 
 inline constexpr std::size_t CounterCount =
-    static_cast<std::size_t>(Counter::StaleMessages) + 1;
+    static_cast<std::size_t>(Counter::StoreHistories) + 1;
 
 } // namespace figsail
 
--- a/include/figsail/PeerMessages.h
+++ b/include/figsail/PeerMessages.h
@@ -294,6 +294,11 @@
   }
 };
 
+/// Number of the store's history. It rises when the store comes back from an
+/// older copy of itself: acknowledged records are gone then, and their offsets
+/// are given out again. 0: not known.
+using StoreHistory = std::uint64_t;
+
 /// Topics of a keyed log that daemons follow.
 enum class Topic : std::uint8_t {
   Operator, ///< Configuration and evacuations; only the operator writes.
@@ -305,7 +310,7 @@
 struct KeyedRecord {
   std::string Key;
   std::optional<std::string> Value; ///< Nothing: the key was dropped.
-  Offset At = NoOffset;
+  Offset At = NoOffset; ///< NoOffset: known from an earlier history only.
 
   bool operator==(const KeyedRecord &) const = default;
   template <class Archive> void serialize(Archive &Ar) { Ar(Key, Value, At); }
@@ -322,7 +327,8 @@
 /// what comes after it.
 struct TopicSubscribe {
   std::vector<Offset> From; ///< By topic.
-  template <class Archive> void serialize(Archive &Ar) { Ar(From); }
+  StoreHistory History = 0; ///< That the offsets belong to.
+  template <class Archive> void serialize(Archive &Ar) { Ar(From, History); }
 };
 
 /// Answer to TopicSubscribe, and news.
@@ -331,8 +337,9 @@
                      ///< source says so.
   bool Complete = false;        ///< The sender has read every topic.
   std::vector<TopicPart> Parts; ///< By topic.
+  StoreHistory History = 0;     ///< That the offsets belong to.
   template <class Archive> void serialize(Archive &Ar) {
-    Ar(Live, Complete, Parts);
+    Ar(Live, Complete, Parts, History);
   }
 };
 
--- a/src/sidecar/Sidecar.cpp
+++ b/src/sidecar/Sidecar.cpp
@@ -31,7 +31,9 @@
 
 Sidecar::Sidecar(SidecarSettings Given, const RecordDecoder &Decoder)
     : Settings(std::move(Given)), Router(Settings), Gate(Settings),
-      Decoder(Decoder), Relay(Settings.Host, Settings.FailureDomain) {
+      Decoder(Decoder), Topics{{{Topic::Operator, Decoder},
+                                {Topic::Members, Decoder}}},
+      Relay(Settings.Host, Settings.FailureDomain) {
   Order.Inc = Settings.Inc;
 }
 
@@ -43,9 +45,9 @@
   tellSubscribers(S);
   tellLoad(S);
   tellSuspicions(S);
+  Router.serverRuns(S.Now, Gate.runs());
   sendAnnouncement(S);
   updateReadiness(S);
-  Router.serverRuns(S.Now, Gate.runs());
   continueStop(S);
   return Out;
 }
@@ -120,11 +122,11 @@
   Router.callerGone(Step, Body.Caller);
 }
 
+void Sidecar::on(Step &, ClientsGone &) { ClientsLeft = true; }
+
 void Sidecar::on(Step &S, PeerReceived &Body) {
   Peers.heard(Body.From.Host, S.Out);
   Expiry.heard(S.Now, Body.From.Host);
-void Sidecar::on(Step &, ClientsGone &) { ClientsLeft = true; }
-
   message(S, Body.From, Body.Message);
 }
 
@@ -138,7 +140,7 @@
   if (complete() || !StoreFails || S.Now < AskPeerAt)
     return;
   AskPeerAt = S.Now + AskPeerInterval;
-  S.Out.emplace_back(SendPeer{Body.Peer.Host, TopicSubscribe{offsets()}});
+  S.Out.emplace_back(SendPeer{Body.Peer.Host, question()});
 }
 
 void Sidecar::on(Step &S, PeerLost &Body) {
@@ -284,7 +286,8 @@
 
 void Sidecar::on(Step &S, AnnouncementDone &Body) {
   Announcing = false;
-  if (Body.Appended) {
+  // An announcement that another history has taken is gone.
+  if (Body.Appended && !isOutdated(S, Body.History)) {
     AnnounceFailures = 0;
     return;
   }
@@ -300,8 +303,46 @@
 
 // The store.
 
+/// Every answer of the store names its history.
+///
+/// Load pattern: the store is away for a moment and comes back from a copy some
+/// seconds old. Offsets that were read name other records then, and what this
+/// daemon announced may be gone. Whoever hears of it first tells the others.
+void Sidecar::enterHistory(Step &S, StoreHistory Seen) {
+  bool First =
+      History == 0 && std::ranges::all_of(Topics, [](const auto &State) {
+        return State.Image.next() == 0;
+      });
+  StoreHistory Before = std::exchange(History, Seen);
+  if (First)
+    return;
+  Decision Line{LogLevel::Warning, "store-history-changed", {}};
+  Line.Fields = {{"before", std::to_string(Before)},
+                 {"now", std::to_string(Seen)}};
+  S.Out.emplace_back(std::move(Line));
+  S.Out.emplace_back(Count{Counter::StoreHistories});
+  for (TopicState &State : Topics) {
+    State.Image.restart();
+    State.Follower.restart(S.Now);
+  }
+  announce(S);
+}
+
+/// Returns whether an answer comes from a history that has ended. A newer one
+/// is entered.
+bool Sidecar::isOutdated(Step &S, StoreHistory Seen) {
+  if (Seen > History)
+    enterHistory(S, Seen);
+  return Seen != 0 && Seen < History;
+}
+
 void Sidecar::on(Step &S, TopicSnapshot &Body) {
   TopicState &State = stateOf(Body.Which);
+  if (isOutdated(S, Body.History)) {
+    State.Follower.restart(S.Now);
+    State.Follower.discardsRead(S.Now, S.Out);
+    return;
+  }
   takeAll(S, Body.Which,
           State.Image.absorbAll({Body.Next, std::move(Body.Records)}));
   State.Follower.readDone(S.Now, State.Image.next(), false, S.Out);
@@ -309,6 +350,9 @@
 
 void Sidecar::on(Step &S, TopicRecords &Body) {
   TopicState &State = stateOf(Body.Which);
+  isOutdated(S, Body.History);
+  if (State.Follower.discardsRead(S.Now, S.Out))
+    return;
   bool Any = !Body.Records.empty();
   takeAll(S, Body.Which,
           State.Image.absorb({Body.Next, std::move(Body.Records)}));
@@ -316,10 +360,18 @@
 }
 
 void Sidecar::on(Step &S, TopicTruncated &Body) {
-  stateOf(Body.Which).Follower.truncated(S.Out);
+  TopicState &State = stateOf(Body.Which);
+  isOutdated(S, Body.History);
+  if (State.Follower.discardsRead(S.Now, S.Out))
+    return;
+  if (!State.Image.readsBack())
+    return State.Follower.truncated(S.Out);
+  takeAll(S, Body.Which, State.Image.skipTo(Body.First));
+  State.Follower.readDone(S.Now, State.Image.next(), false, S.Out);
 }
 
 void Sidecar::on(Step &S, TopicFailed &Body) {
+  isOutdated(S, Body.History);
   stateOf(Body.Which).Follower.failed(S.Now, S.Seed, Body.Reason, S.Out);
 }
 
@@ -333,11 +385,12 @@
   }
 }
 
-std::vector<Offset> Sidecar::offsets() const {
-  std::vector<Offset> Result;
+TopicSubscribe Sidecar::question() const {
+  TopicSubscribe Question;
   for (const TopicState &State : Topics)
-    Result.push_back(State.Image.next());
-  return Result;
+    Question.From.push_back(State.Image.next());
+  Question.History = History;
+  return Question;
 }
 
 bool Sidecar::complete() const {
@@ -350,6 +403,7 @@
 
 TopicUpdate Sidecar::emptyUpdate(TimePoint Now) const {
   TopicUpdate Update;
+  Update.History = History;
   Update.Complete = complete();
   bool Reads = std::ranges::all_of(
       Topics, [](const TopicState &State) { return State.Follower.live(); });
@@ -369,10 +423,18 @@
 void Sidecar::subscribe(Step &S, const PeerRef &From,
                         const TopicSubscribe &Message) {
   Relay.subscribed(S.Now, From.Host);
-  S.Out.emplace_back(SendPeer{From.Host, updateSince(S.Now, Message.From)});
+  isOutdated(S, Message.History);
+  // Offsets of another history say nothing of what the asker knows.
+  std::vector<Offset> Known;
+  if (Message.History == History)
+    Known = Message.From;
+  S.Out.emplace_back(SendPeer{From.Host, updateSince(S.Now, Known)});
 }
 
 void Sidecar::update(Step &S, const PeerRef &From, TopicUpdate &Message) {
+  // A source that has not heard of the new history is not relied upon.
+  if (isOutdated(S, Message.History))
+    return;
   Relay.updated(S.Now, From.Host, Message);
   std::size_t Count = std::min(Message.Parts.size(), TopicCount);
   for (std::size_t I = 0; I < Count; ++I) {
@@ -402,7 +464,7 @@
 void Sidecar::followTopics(Step &S) {
   bool KnowsHosts = stateOf(Topic::Members).Follower.complete();
   if (KnowsHosts)
-    Relay.timer(S.Now, Directory, Peers, offsets(), S.Out);
+    Relay.timer(S.Now, Directory, Peers, question(), S.Out);
   bool Reads = !KnowsHosts || Relay.readsStore(S.Now);
   if (KnowsHosts && Reads)
     if (auto Gone = Expiry.timer(S.Now, Settings.Host, Directory, S.Out))
@@ -421,10 +483,10 @@
   S.Out.emplace_back(std::move(Line));
 }
 
-/// A configuration never goes back: neither in the order of the store nor in
-/// its version.
+/// A configuration never goes back. Versions decide, not offsets: those start
+/// over when the store comes back from an older copy.
 void Sidecar::take(Step &S, Offset At, ConfigPtr &Body) {
-  bool Newer = At > ConfigAt && (!Config || Body->Version > Config->Version);
+  bool Newer = !Config || Body->Version > Config->Version;
   Decision Line{Newer ? LogLevel::Info : LogLevel::Warning,
                 Newer ? "config-in-force" : "config-ignored",
                 {}};
@@ -435,7 +497,6 @@
   if (!Newer)
     return;
   Config = Body;
-  ConfigAt = At;
   configureServer();
   S.Out.emplace_back(SetClientLimits{Config->Limits});
 }
@@ -545,6 +606,8 @@
   if (!ClientsClosed && S.Now - StopBegan >= ClientsLeaveTime) {
     ClientsClosed = true;
     Gate.stop();
+    Decision Line{LogLevel::Info, "clients-closing", {}};
+    S.Out.emplace_back(std::move(Line));
     S.Out.emplace_back(CloseClients{});
   }
   bool Idle = ClientsLeft && Router.underWay() == 0 && Gate.idle();
@@ -554,5 +617,3 @@
 }
 
 } // namespace figsail
-    Decision Line{LogLevel::Info, "clients-closing", {}};
-    S.Out.emplace_back(std::move(Line));
--- a/src/sidecar/Sidecar.h
+++ b/src/sidecar/Sidecar.h
@@ -5,6 +5,7 @@
 #define FIGSAIL_SIDECAR_SIDECAR_H
 
 #include "CallRouter.h"
+#include "ContentOrder.h"
 #include "HostExpiry.h"
 #include "Instance.h"
 #include "ServerGate.h"
@@ -49,8 +50,8 @@
   void on(Step &S, BoundsChanged &Body);
   void on(Step &S, ClientRequest &Body);
   void on(Step &S, CallerGone &Body);
-  void on(Step &S, PeerReceived &Body);
   void on(Step &S, ClientsGone &Body);
+  void on(Step &S, PeerReceived &Body);
   void on(Step &S, PeerConnected &Body);
   void on(Step &S, PeerLost &Body);
   void on(Step &S, ServerDone &Body);
@@ -73,8 +74,12 @@
   void take(Step &S, Offset At, HostForgotten &Body);
   /// The state of one topic.
   struct TopicState {
-    explicit TopicState(Topic Which) : Follower(Which) {}
+    TopicState(Topic Which, const RecordDecoder &Decoder)
+        : Follower(Which), Order(Which, Decoder), Image(&Order) {}
+    TopicState(const TopicState &) = delete;
+    TopicState &operator=(const TopicState &) = delete;
     TopicFollower Follower;
+    ContentOrder Order;
     TopicImage Image;
   };
   TopicState &stateOf(Topic Which) {
@@ -86,7 +91,9 @@
   TopicUpdate emptyUpdate(TimePoint Now) const;
   TopicUpdate updateSince(TimePoint Now, const std::vector<Offset> &From) const;
   void tellSubscribers(Step &S);
-  std::vector<Offset> offsets() const;
+  TopicSubscribe question() const;
+  bool isOutdated(Step &S, StoreHistory Seen);
+  void enterHistory(Step &S, StoreHistory Seen);
   bool complete() const;
   void followTopics(Step &S);
 
@@ -105,8 +112,7 @@
   void continueStop(Step &S);
 
   SidecarSettings Settings;
-  ConfigPtr Config; ///< Null until one was read.
-  Offset ConfigAt = NoOffset;
+  ConfigPtr Config;                ///< Null until one was read.
   std::set<std::string> Evacuated; ///< Failure domains.
   InstanceDirectory Directory;
   PeerHealth Peers;
@@ -114,8 +120,8 @@
   CallRouter Router;
   ServerGate Gate;
   const RecordDecoder &Decoder;
-  std::array<TopicState, TopicCount> Topics{TopicState(Topic::Operator),
-                                            TopicState(Topic::Members)};
+  std::array<TopicState, TopicCount> Topics;
+  StoreHistory History = 0; ///< That the images belong to.
   TopicRelay Relay;
   std::array<std::vector<KeyedRecord>, TopicCount>
       News; ///< Taken in this event, by topic.
--- a/src/sidecar/SidecarEvents.h
+++ b/src/sidecar/SidecarEvents.h
@@ -116,6 +116,7 @@
   Topic Which = Topic::Operator;
   std::vector<KeyedRecord> Records;
   Offset Next = 0; ///< Read on from here; earlier records are covered.
+  StoreHistory History = 0;
 };
 
 /// Records of a topic were read, possibly none.
@@ -123,24 +124,30 @@
   Topic Which = Topic::Operator;
   std::vector<KeyedRecord> Records;
   Offset Next = 0;
+  StoreHistory History = 0;
 };
 
-/// The wanted records of a topic are no longer kept.
+/// The wanted records of a topic are not there: no longer kept, or beyond the
+/// end.
 struct TopicTruncated {
   Topic Which = Topic::Operator;
+  Offset First = 0; ///< The first record that is kept.
+  StoreHistory History = 0;
 };
 
 /// A read of a topic has failed.
 struct TopicFailed {
   Topic Which = Topic::Operator;
   std::string Reason;
+  StoreHistory History = 0; ///< 0: no answer.
 };
 
 /// An announcement was appended or dropped, or not: then the outcome is not
 /// known.
 struct AnnouncementDone {
   bool Appended = false;
-  std::string Reason; ///< Of a failure.
+  std::string Reason;       ///< Of a failure.
+  StoreHistory History = 0; ///< 0: no answer.
 };
 
 /// The bounds of the process settings have changed.
@@ -148,6 +155,9 @@
   SidecarBounds Bounds;
 };
 
+/// After CloseClients: no client connection has a request left to answer.
+struct ClientsGone {};
+
 using SidecarEventBody =
     std::variant<BoundsChanged, ClientRequest, CallerGone, ClientsGone,
                  PeerReceived, PeerConnected, PeerLost, ServerDone,
@@ -155,9 +165,6 @@
                  TopicRecords, TopicTruncated, TopicFailed, AnnouncementDone,
                  TimerFired, StopRequested>;
 
-/// After CloseClients: no client connection has a request left to answer.
-struct ClientsGone {};
-
 /// One event with the inputs that the reducer may not fetch itself.
 struct SidecarEvent {
   TimePoint Now;
@@ -220,6 +227,7 @@
 };
 
 /// Take no new client connections; close each one after its present request.
+/// Ends in ClientsGone.
 struct CloseClients {};
 
 /// How important a log line is when lines have to be left out.
@@ -227,7 +235,6 @@
 
 /// A line of the structured log: one decision.
 struct Decision {
-/// Ends in ClientsGone.
   LogLevel Level = LogLevel::Info;
   std::string_view What; ///< Kind of decision, a literal.
   std::vector<std::pair<std::string_view, std::string>> Fields;
--- a/src/sidecar/TopicFollower.cpp
+++ b/src/sidecar/TopicFollower.cpp
@@ -3,6 +3,7 @@
 #include "TopicFollower.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace figsail {
 
@@ -63,6 +64,7 @@
   }
   bool First = !Complete;
   Reached = true;
+  Outdated = false;
   Failures = 0;
   Complete = true;
   NeedsSnapshot = false;
@@ -84,9 +86,27 @@
   read(0, Out);
 }
 
+void TopicFollower::restart(TimePoint Now) {
+  NeedsSnapshot = true;
+  Outdated = Reading;
+  if (Active && !Reading)
+    ReadAt = Now;
+}
+
+bool TopicFollower::discardsRead(TimePoint Now, SidecarEffects &Out) {
+  if (!std::exchange(Outdated, false))
+    return false;
+  Reading = false;
+  if (Active)
+    ReadAt = Now;
+  timer(Now, 0, Out);
+  return true;
+}
+
 void TopicFollower::failed(TimePoint Now, std::uint64_t Seed,
                            const std::string &Reason, SidecarEffects &Out) {
   Reading = false;
+  Outdated = false;
   if (Failures == 0) {
     Decision Line{LogLevel::Warning, "store-lost", {}};
     Line.Fields = {{"topic", std::string(topicName(Which))},
--- a/src/sidecar/TopicFollower.h
+++ b/src/sidecar/TopicFollower.h
@@ -21,6 +21,12 @@
   void readDone(TimePoint Now, Offset Next, bool Records, SidecarEffects &Out);
   /// The wanted records are gone; starts over from a snapshot.
   void truncated(SidecarEffects &Out);
+  /// The store has another history; starts over from a snapshot. What a read
+  /// under way returns has offsets of either history.
+  void restart(TimePoint Now);
+  /// Returns whether the read that has just ended began in another history. It
+  /// is repeated.
+  bool discardsRead(TimePoint Now, SidecarEffects &Out);
   /// A read has failed; the next one waits. Logs the loss of the store once.
   void failed(TimePoint Now, std::uint64_t Seed, const std::string &Reason,
               SidecarEffects &Out);
@@ -35,7 +41,9 @@
   /// Another daemon has told the whole topic.
   void completed() { Complete = true; }
   /// Returns whether the store is read here, and the last read ended well.
-  bool live() const { return Active && Complete && Failures == 0; }
+  bool live() const {
+    return Active && Complete && !NeedsSnapshot && Failures == 0;
+  }
   /// Returns whether the last read of the store has failed.
   bool failing() const { return Failures > 0; }
 
@@ -45,6 +53,7 @@
   Topic Which;
   bool Active = true;
   bool Reading = false;
+  bool Outdated = false; ///< The read under way began in another history.
   bool Complete = false;
   bool NeedsSnapshot = true;
   unsigned Failures = 0; ///< In a row.
--- a/src/sidecar/TopicRelay.cpp
+++ b/src/sidecar/TopicRelay.cpp
@@ -50,7 +50,7 @@
 }
 
 void TopicRelay::timer(TimePoint Now, const InstanceDirectory &Directory,
-                       const PeerHealth &Peers, const std::vector<Offset> &From,
+                       const PeerHealth &Peers, const TopicSubscribe &Question,
                        SidecarEffects &Out) {
   if (Now < AskAt)
     return;
@@ -65,7 +65,7 @@
     Out.emplace_back(std::move(Line));
   }
   if (Source != Self)
-    Out.emplace_back(SendPeer{Source, TopicSubscribe{From}});
+    Out.emplace_back(SendPeer{Source, Question});
 }
 
 void TopicRelay::updated(TimePoint Now, const HostId &From,
--- a/src/sidecar/TopicRelay.h
+++ b/src/sidecar/TopicRelay.h
@@ -28,9 +28,9 @@
   TopicRelay(HostId Self, std::string FailureDomain)
       : Self(std::move(Self)), FailureDomain(std::move(FailureDomain)) {}
 
-  /// Chooses the source anew and asks it. From: what to ask for, by topic.
+  /// Chooses the source anew and asks it.
   void timer(TimePoint Now, const InstanceDirectory &Directory,
-             const PeerHealth &Peers, const std::vector<Offset> &From,
+             const PeerHealth &Peers, const TopicSubscribe &Question,
              SidecarEffects &Out);
   TimePoint nextWake() const { return AskAt; }
 
--- a/tests/PlatformTest.cpp
+++ b/tests/PlatformTest.cpp
@@ -305,6 +305,46 @@
   EXPECT_EQ(wait<TopicFailed>().Which, Topic::Operator);
 }
 
+// Without the number of the history, a store that has come back from an older
+// copy looks like one that has nothing new.
+TEST_F(StoreTest, EveryAnswerTellsTheHistory) {
+  auto answerOf = [this](unsigned Status, std::string Body) {
+    answer(Status, std::move(Body));
+    Answers.back().set("Store-Era", "7");
+  };
+  answerOf(410, R"({"FirstOffset":7})");
+  Client->read({Topic::Operator, 3, 1s});
+  auto Truncated = wait<TopicTruncated>();
+  EXPECT_EQ(Truncated.History, 7U);
+  EXPECT_EQ(Truncated.First, 7);
+  answerOf(503, "");
+  Client->read({Topic::Operator, 3, 1s});
+  EXPECT_EQ(wait<TopicFailed>().History, 7U);
+  answerOf(200, pageOf(""));
+  Client->read({Topic::Operator, 3, 1s});
+  EXPECT_EQ(wait<TopicRecords>().History, 7U);
+  answerOf(404, "");
+  Client->readSnapshot(Topic::Members);
+  EXPECT_EQ(wait<TopicSnapshot>().History, 7U);
+  answerOf(200, R"({"Offset":4,"EndOffset":5})");
+  Client->append(Announcement{});
+  EXPECT_EQ(wait<AnnouncementDone>().History, 7U);
+  answerOf(410, "not json");
+  Client->read({Topic::Operator, 3, 1s});
+  EXPECT_EQ(wait<TopicTruncated>().First, 0);
+}
+
+// Pages of two histories do not make a list of all keys.
+TEST_F(StoreTest, AListAcrossTwoHistoriesIsReadAgain) {
+  answer(200, R"({"items":[{"Key":"a/1","Value":"djE=","Offset":3}],)"
+              R"("HasMore":true,"EndOffset":9})");
+  Answers.back().set("Store-Era", "1");
+  answer(200, R"({"items":[],"HasMore":false,"EndOffset":7})");
+  Answers.back().set("Store-Era", "2");
+  Client->readSnapshot(Topic::Members);
+  EXPECT_EQ(wait<TopicFailed>().History, 2U);
+}
+
 // The outcome of an append without an answer is not known; it must not count
 // as done.
 TEST_F(StoreTest, AnAppendWithoutAnAnswerIsNotDone) {
--- a/tests/SidecarProcessTest.cpp
+++ b/tests/SidecarProcessTest.cpp
@@ -258,6 +258,43 @@
   EXPECT_TRUE(awaits([&] { return lines("server-recovered") == 1; }));
 }
 
+/// The configuration with another version and target of the health probe.
+std::string configVersion(const std::string &Digits, const std::string &Well) {
+  std::string Text = Config;
+  Text.replace(Text.find("00000001"), 8, Digits);
+  Text.replace(Text.find("/well"), 5, Well);
+  return Text;
+}
+
+// Offsets that the daemon had read hid what was written after the store had
+// come back: it kept its configuration for good and was known to nobody.
+TEST_F(SidecarProcessTest, FollowsAStoreThatComesBackOlder) {
+  ASSERT_TRUE(awaits([&] { return ready(); }));
+  EXPECT_EQ(beat(), 200U);
+  for (int Version = 2; Version <= 5; ++Version)
+    Loop.on([&] {
+      Store->put("keyed.op", "config",
+                 configVersion("0000000" + std::to_string(Version), "/old"));
+    });
+  ASSERT_TRUE(awaits(
+      [&] { return lines("config-in-force", "\"version\":\"5\"") == 1; }));
+  ASSERT_TRUE(awaits([&] {
+    return Loop.on([&] { return Store->holds("\"instance\":\"i-1\""); });
+  }));
+  Loop.on([&] { Store->fallBack(3); });
+  EXPECT_TRUE(awaits([&] { return lines("store-history-changed") == 1; }));
+  EXPECT_TRUE(awaits([&] {
+    return Loop.on([&] { return Store->holds("\"instance\":\"i-1\""); });
+  })) << "its own announcement is written again";
+  EXPECT_EQ(call().result_int(), 200U);
+  Loop.on([&] {
+    Store->put("keyed.op", "config", configVersion("00000006", "/new"));
+  });
+  EXPECT_TRUE(awaits(
+      [&] { return lines("config-in-force", "\"version\":\"6\"") == 1; }));
+  EXPECT_EQ(lines("config-in-force"), 6U) << "none came into force twice";
+}
+
 TEST_F(SidecarProcessTest, ServesWhileTheStoreIsAway) {
   ASSERT_TRUE(awaits([&] { return ready(); }));
   EXPECT_EQ(beat(), 200U);
--- a/tests/StoreStandin.h
+++ b/tests/StoreStandin.h
@@ -14,9 +14,11 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/endian/conversion.hpp>
 #include <boost/json.hpp>
+#include <functional>
 #include <map>
 #include <memory>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace figsail::test {
@@ -40,6 +42,16 @@
     Topics[Topic].push_back(platform::encodeKeyedRecord(Key, Value));
   }
 
+  /// The store comes back from an older copy that lacks the last records of
+  /// each topic; their offsets are given out again.
+  void fallBack(std::size_t Lost) {
+    for (auto &[Name, Log] : Topics)
+      Log.resize(Log.size() - std::min(Lost, Log.size()));
+    ++Era;
+    for (auto &Held : std::exchange(HeldReads, {}))
+      Held();
+  }
+
   /// Returns whether a record holds the text.
   bool holds(std::string_view Text) const {
     return std::ranges::any_of(Topics, [&](const auto &Entry) {
@@ -69,10 +81,12 @@
     return {Encoder(Text.begin()), Encoder(Text.end())};
   }
 
-  static void
+  void
   answer(const Reply &Reply, std::string Body,
          boost::beast::http::status Status = boost::beast::http::status::ok) {
-    Reply(makeResponse(Status, std::move(Body), "application/json"));
+    auto Response = makeResponse(Status, std::move(Body), "application/json");
+    Response.set("Store-Era", std::to_string(Era));
+    Reply(std::move(Response));
   }
 
   void handle(const Request &Asked, const Reply &Reply) {
@@ -85,15 +99,15 @@
     if (Target.starts_with("/v1/log-newest"))
       return newest(Topic, Reply);
     std::size_t From = std::stoull(parameter(Target, "From"));
-    if (From < Topics[Topic].size())
+    if (From != Topics[Topic].size())
       return records(Topic, From, Reply);
     // A held read.
     auto Timer = std::make_shared<boost::asio::steady_timer>(Context);
+    HeldReads.emplace_back([Timer] { Timer->expires_after({}); });
     Timer->expires_after(
         std::chrono::milliseconds(std::stoull(parameter(Target, "WaitMs"))));
-    Timer->async_wait([this, Topic, From, Reply, Timer](const auto &Error) {
-      if (!Error)
-        records(Topic, From, Reply);
+    Timer->async_wait([this, Topic, From, Reply, Timer](const auto &) {
+      records(Topic, From, Reply);
     });
   }
 
@@ -127,6 +141,9 @@
 
   void records(const std::string &Topic, std::size_t From, const Reply &Reply) {
     const std::vector<std::string> &Log = Topics[Topic];
+    if (From > Log.size())
+      return answer(Reply, R"({"FirstOffset":0})",
+                    boost::beast::http::status::gone);
     std::string Page(16, '\0');
     boost::endian::store_big_u64(reinterpret_cast<unsigned char *>(Page.data()),
                                  Log.size());
@@ -137,6 +154,8 @@
 
   boost::asio::io_context &Context;
   std::map<std::string, std::vector<std::string>> Topics; ///< Encoded records.
+  std::uint64_t Era = 1;
+  std::vector<std::function<void()>> HeldReads; ///< Ends those under way.
   HttpService Server;
 };
 
--- a/tests/TopicsTest.cpp
+++ b/tests/TopicsTest.cpp
@@ -202,7 +202,7 @@
   }
   void tick(TopicRelay &Relay, TimePoint Now) {
     Out.clear();
-    Relay.timer(Now, Directory, Peers, {0, 0}, Out);
+    Relay.timer(Now, Directory, Peers, {{0, 0}, 0}, Out);
   }
   InstanceDirectory Directory;
   PeerHealth Peers;
