Add: links between regions are compressed, and their bytes are counted

Names, field names and 8-byte lengths repeat in each frame. Now a link whose ends are in different regions is one zstd stream, flushed at each frame so that none waits; 16 KiB of window, some 200 kB for both ends. Tests: LinkCompressionTest, PeerTransportTest.LinksBetweenRegionsAreCompressed, ACompressedLinkClosesInOrder, ADamagedCompressedStreamBreaksTheLink.

--- a/src/shell/MetricsText.cpp
+++ b/src/shell/MetricsText.cpp
@@ -63,6 +63,13 @@
   line(Name, "", Value);
 }
 
+void MetricsText::traffic(const RegionTraffic &Sum) {
+  std::string Labels = "{message=\"" + std::string(Sum.Message) + "\"}";
+  line("region_messages", "_total", Sum.Count, Labels);
+  line("region_raw_bytes", "_total", Sum.RawBytes, Labels);
+  line("region_sent_bytes", "_total", Sum.SentBytes, Labels);
+}
+
 void MetricsText::line(std::string_view Name, std::string_view Suffix,
                        std::uint64_t Value, const std::string &Labels) {
   std::string Full = "figsail_" + std::string(Name) + std::string(Suffix);
--- a/src/shell/MetricsText.h
+++ b/src/shell/MetricsText.h
@@ -4,6 +4,7 @@
 #define FIGSAIL_METRICSTEXT_H
 
 #include "Metrics.h"
+#include "PeerTransport.h"
 
 #include <string>
 #include <string_view>
@@ -15,6 +16,8 @@
 public:
   explicit MetricsText(const Metrics &Measured);
   void gauge(std::string_view Name, std::uint64_t Value);
+  /// Adds what messages of one type have cost between regions.
+  void traffic(const RegionTraffic &Sum);
   std::string take() { return std::move(Text); }
 
 private:
--- a/src/shell/PeerCodec.cpp
+++ b/src/shell/PeerCodec.cpp
@@ -55,7 +55,7 @@
 
 void appendHello(std::string &Out, std::uint64_t Lamport,
                  const Hello &Greeting) {
-  appendPayload(Out, Lamport, Greeting.Version, Greeting.Who);
+  appendPayload(Out, Lamport, Greeting.Version, Greeting.Who, Greeting.Region);
 }
 
 void appendClose(std::string &Out, std::uint64_t Lamport) {
@@ -125,7 +125,7 @@
     Archive(Greeting.Version);
     if (Greeting.Version != PeerProtocolVersion)
       return Greeting;
-    Archive(Greeting.Who);
+    Archive(Greeting.Who, Greeting.Region);
     if (Archive.remaining() != 0)
       return std::nullopt;
     return Greeting;
--- a/src/shell/PeerCodec.h
+++ b/src/shell/PeerCodec.h
@@ -16,6 +16,7 @@
   std::uint32_t Version =
       PeerProtocolVersion; ///< First field in every version.
   PeerRef Who;             ///< Not set when the version is another one.
+  std::string Region{};    ///< Of Who. Empty: not known.
 
   bool operator==(const Hello &) const = default;
 };
--- a/src/shell/PeerLink.cpp
+++ b/src/shell/PeerLink.cpp
@@ -9,6 +9,7 @@
 #include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
 #include <iterator>
+#include <utility>
 
 namespace figsail {
 
@@ -80,8 +81,9 @@
   Socket.non_blocking(true, Error);
   if (Error)
     return end(LinkEnd::Broken);
-  appendHello(Pending, Common->Clock.tick(),
-              Hello{PeerProtocolVersion, Common->Self});
+  appendHello(
+      Pending, Common->Clock.tick(),
+      Hello{PeerProtocolVersion, Common->Self, Common->Settings.Region});
   flush();
   waitReadable();
 }
@@ -100,7 +102,9 @@
   if (State != Phase::Open || busy())
     return;
   State = Phase::Closing;
-  appendClose(Pending, Common->Clock.tick());
+  Frame.clear();
+  appendClose(Frame, Common->Clock.tick());
+  encode(Pending, Frame);
   CloseWritten = true;
   LastUsed = std::chrono::steady_clock::now();
   flush();
@@ -203,20 +207,46 @@
   std::size_t Start = WriteBuffer.size();
   PeerMessage &Message = Queue.front();
   QueuedBytes -= estimateSize(Message);
-  appendFrame(WriteBuffer, Common->Clock.tick(), Message);
-  std::size_t Payload = WriteBuffer.size() - Start - FrameHeaderBytes;
+  Frame.clear();
+  appendFrame(Frame, Common->Clock.tick(), Message);
+  std::size_t Payload = Frame.size() - FrameHeaderBytes;
   if (Payload <= Common->Settings.MaxFrame) {
+    encode(WriteBuffer, Frame);
+    if (Compressor) {
+      RegionTraffic &Sum = Common->Traffic[Message.index()];
+      Sum.Message = messageName(Message);
+      ++Sum.Count;
+      Sum.RawBytes += Frame.size();
+      Sum.SentBytes += WriteBuffer.size() - Start;
+    }
     Batch.push_back({Start, std::move(Message)});
   } else {
     // The peer would break the link, and the messages behind would be lost.
-    WriteBuffer.resize(Start);
     logError("peer", std::string(messageName(Message)) + " of " +
                          std::to_string(Payload) + " bytes to " + Peer.Host +
                          " exceeds the frame limit and was dropped");
   }
+  recycle(Frame);
   Queue.pop_front();
 }
 
+/// Between regions bytes are scarce. Each side knows both regions from the two
+/// Hellos, so both change at the same place: behind the Hello.
+void PeerLink::startCompression(const std::string &PeerRegion) {
+  const std::string &Own = Common->Settings.Region;
+  if (Own.empty() || PeerRegion.empty() || Own == PeerRegion)
+    return;
+  Compressor.emplace();
+  Decompressor.emplace();
+}
+
+void PeerLink::encode(std::string &Out, std::string_view Whole) {
+  if (Compressor)
+    Compressor->append(Out, Whole);
+  else
+    Out.append(Whole);
+}
+
 void PeerLink::written(const error_code &Error, std::size_t Bytes) {
   Writing = false;
   Common->BytesSent += Bytes;
@@ -261,11 +291,29 @@
     return waitReadable();
   if (Error)
     return end(State == Phase::Closing ? LinkEnd::Orderly : LinkEnd::Broken);
-  consume({Common->Scratch.data(), Bytes});
+  arrived({Common->Scratch.data(), Bytes});
   if (State != Phase::Ended)
     waitReadable();
 }
 
+void PeerLink::arrived(std::string_view Data) {
+  if (Decompressor)
+    return decode(Data);
+  consume(Data);
+  // What followed the Hello is compressed.
+  if (Decompressor && !Partial.empty())
+    decode(std::exchange(Partial, {}));
+}
+
+void PeerLink::decode(std::string_view Data) {
+  bool Sound = Decompressor->feed(Data, [this](std::string_view Plain) {
+    consume(Plain);
+    return State != Phase::Ended;
+  });
+  if (!Sound)
+    fail("the compressed stream is damaged");
+}
+
 void PeerLink::consume(std::string_view Data) {
   if (Partial.empty()) {
     Data.remove_prefix(consumeFrames(Data));
@@ -283,7 +331,8 @@
 /// Handles all whole frames and returns their size.
 std::size_t PeerLink::consumeFrames(std::string_view Data) {
   std::size_t Used = 0;
-  while (State != Phase::Ended) {
+  bool Plain = !Decompressor;
+  while (State != Phase::Ended && Plain == !Decompressor) {
     std::string_view Rest = Data.substr(Used);
     if (Rest.size() < FrameHeaderBytes)
       break;
@@ -325,6 +374,7 @@
   if (!acceptable(*Greeting))
     return;
   Peer = Greeting->Who;
+  startCompression(Greeting->Region);
   State = Phase::Open;
   Deadline.cancel();
   LastUsed = std::chrono::steady_clock::now();
--- a/src/shell/PeerLink.h
+++ b/src/shell/PeerLink.h
@@ -3,6 +3,7 @@
 #ifndef FIGSAIL_PEERLINK_H
 #define FIGSAIL_PEERLINK_H
 
+#include "LinkCompression.h"
 #include "PeerTransport.h"
 
 #include <boost/asio/ip/tcp.hpp>
@@ -54,6 +55,8 @@
       std::size_t(256) * 1024); ///< Read buffer; used by one link at once.
   std::uint64_t BytesSent = 0;
   std::uint64_t BytesReceived = 0;
+  std::vector<RegionTraffic> Traffic = std::vector<RegionTraffic>(
+      std::variant_size_v<PeerMessage>); ///< By type.
 };
 
 /// One link. Opens with a Hello in each direction, then carries messages.
@@ -107,6 +110,10 @@
   void takeQueued(std::vector<PeerMessage> &Out);
   void waitReadable();
   void readAvailable();
+  void startCompression(const std::string &PeerRegion);
+  void encode(std::string &Out, std::string_view Frame);
+  void arrived(std::string_view Data);
+  void decode(std::string_view Data);
   void consume(std::string_view Data);
   std::size_t consumeFrames(std::string_view Data);
   void frame(std::uint64_t Lamport, std::string_view Payload);
@@ -135,7 +142,10 @@
   std::deque<PeerMessage> Control; ///< Queued, sent first.
   std::deque<PeerMessage> Calls;   ///< Queued.
   std::size_t QueuedBytes = 0;     ///< Estimate over both queues.
-  std::string Partial;             ///< Start of a frame not yet complete.
+  std::string Frame;               ///< Scratch, while a frame is encoded.
+  std::optional<LinkCompressor> Compressor;     ///< Set between regions.
+  std::optional<LinkDecompressor> Decompressor; ///< The same.
+  std::string Partial; ///< Start of a frame not yet complete.
   std::chrono::steady_clock::time_point LastUsed;
 };
 
--- a/src/shell/PeerTransport.cpp
+++ b/src/shell/PeerTransport.cpp
@@ -325,6 +325,14 @@
   return Impl->Common->BytesSent;
 }
 
+std::vector<RegionTraffic> PeerTransport::regionTraffic() const {
+  std::vector<RegionTraffic> Sent;
+  for (const RegionTraffic &Sum : Impl->Common->Traffic)
+    if (Sum.Count > 0)
+      Sent.push_back(Sum);
+  return Sent;
+}
+
 std::uint64_t PeerTransport::bytesReceived() const {
   return Impl->Common->BytesReceived;
 }
--- a/src/shell/PeerTransport.h
+++ b/src/shell/PeerTransport.h
@@ -10,6 +10,8 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
+#include <vector>
 
 namespace figsail {
 
@@ -36,6 +38,8 @@
 
 /// Settings of the links.
 struct PeerSettings {
+  std::string Region{}; ///< Of this daemon. Links to another region are
+                        ///< compressed.
   std::size_t MaxFrame =
       std::size_t(16) * 1024 * 1024; ///< Bytes; larger frames break the link.
   std::size_t MaxQueuedBytes =
@@ -49,6 +53,14 @@
   Duration UnacknowledgedLimit{std::chrono::seconds(15)};
 };
 
+/// What messages of one type have cost on links to other regions.
+struct RegionTraffic {
+  std::string_view Message; ///< Name of the type.
+  std::uint64_t Count = 0;
+  std::uint64_t RawBytes = 0;  ///< Before compression.
+  std::uint64_t SentBytes = 0; ///< As sent, without TCP/IP headers.
+};
+
 /// All peer links of one daemon: at most one outgoing link for each host, plus
 /// accepted ones. A reply uses the link on which the peer was heard last.
 /// Control messages are sent ahead of queued calls.
@@ -75,6 +87,8 @@
   /// Returns the bytes sent and received on links, without TCP/IP headers.
   std::uint64_t bytesSent() const;
   std::uint64_t bytesReceived() const;
+  /// Returns the bytes sent to other regions, by message type.
+  std::vector<RegionTraffic> regionTraffic() const;
   std::size_t linkCount() const;
 
 private:
--- a/src/shell/SidecarDaemon.cpp
+++ b/src/shell/SidecarDaemon.cpp
@@ -44,8 +44,9 @@
       std::chrono::steady_clock::now());
 }
 
-static PeerSettings peerSettings() {
+static PeerSettings peerSettings(const std::string &Region) {
   PeerSettings Settings;
+  Settings.Region = Region;
   Settings.UnacknowledgedLimit = UnacknowledgedLimit;
   Settings.IdleTimeout = PeerIdleTimeout;
   return Settings;
@@ -81,7 +82,7 @@
       Decisions(Configuration.Settings, *Platform.Records),
       Peers(Context, *this,
             PeerRef{Configuration.Settings.Host, Configuration.Settings.Inc},
-            Clock, peerSettings()),
+            Clock, peerSettings(Configuration.Settings.Region)),
       ClientBounds(frontendSettings(Configuration)),
       Frontend(Context, *this, ClientBounds),
       Backend(Context, static_cast<BackendHandler &>(*this),
@@ -227,6 +228,8 @@
   Text.gauge("peer_links", Peers.linkCount());
   Text.gauge("peer_bytes_sent", Peers.bytesSent());
   Text.gauge("peer_bytes_received", Peers.bytesReceived());
+  for (const RegionTraffic &Sum : Peers.regionTraffic())
+    Text.traffic(Sum);
   Text.gauge("log_lines_left_out", Log.leftOut() + droppedLogLines());
   Text.gauge("known_hosts", Decisions.directory().all().size());
   Reply(makeResponse(http::status::ok, Text.take(), "text/plain"));
--- a/tests/PeerTransportTest.cpp
+++ b/tests/PeerTransportTest.cpp
@@ -333,6 +333,64 @@
   EXPECT_EQ(A.Transport.linkCount(), 0U);
 }
 
+// The link between two regions is narrow and its bytes have a price.
+TEST_F(PeerTransportTest, LinksBetweenRegionsAreCompressed) {
+  PeerSettings East;
+  East.Region = "east";
+  PeerSettings West;
+  West.Region = "west";
+  Peer A(Loop, HostA, 11, East);
+  Peer B(Loop, HostB, 22, West);
+  B.listen();
+  constexpr std::uint64_t Calls = 50;
+  for (std::uint64_t I = 1; I <= Calls; ++I) {
+    A.Transport.send(HostB, call(I, 1000));
+    runUntil([&] { return B.Received.size() == I; });
+    B.Transport.send(HostA, call(I, 1000));
+    runUntil([&] { return A.Received.size() == I; });
+    EXPECT_EQ(sequenceOf(A.Received.back().Message), I);
+  }
+  EXPECT_LT(A.Transport.bytesSent(), Calls * 200);
+  auto Traffic = A.Transport.regionTraffic();
+  ASSERT_EQ(Traffic.size(), 1U);
+  EXPECT_EQ(Traffic[0].Message, "Execute");
+  EXPECT_EQ(Traffic[0].Count, Calls);
+  EXPECT_GT(Traffic[0].RawBytes, Calls * 1000);
+  EXPECT_LE(Traffic[0].SentBytes, A.Transport.bytesSent());
+}
+
+// The close frame is part of the compressed stream too: as plain bytes it would
+// break the link, and with it what is under way in the other direction.
+TEST_F(PeerTransportTest, ACompressedLinkClosesInOrder) {
+  PeerSettings East;
+  East.Region = "east";
+  PeerSettings West;
+  West.Region = "west";
+  Peer A(Loop, HostA, 11, East);
+  Peer B(Loop, HostB, 22, West);
+  B.listen();
+  A.Transport.send(HostB, call(1));
+  runUntil([&] { return B.Received.size() == 1; });
+  A.Transport.close();
+  runUntil([&] { return B.Transport.linkCount() == 0; });
+  EXPECT_TRUE(B.Lost.empty());
+}
+
+TEST_F(PeerTransportTest, ADamagedCompressedStreamBreaksTheLink) {
+  PeerSettings East;
+  East.Region = "east";
+  Peer A(Loop, HostA, 11, East);
+  A.listen();
+  RawPeer B(Loop);
+  B.connect(HostA);
+  std::string Bytes;
+  appendHello(Bytes, 1, {PeerProtocolVersion, {HostB, 22}, "west"});
+  appendFrame(Bytes, 1, call(1)); // Not compressed.
+  B.send(Bytes);
+  runUntil([&] { return !A.Lost.empty(); });
+  EXPECT_TRUE(A.Received.empty());
+}
+
 // Another protocol version may give the same bytes another meaning.
 TEST_F(PeerTransportTest, OtherProtocolVersionIsRefused) {
   tcp::acceptor Acceptor(Loop, *parseEndpoint(HostB));
