Add: a call waits for the end of a short slow stretch of its server

Hypothesis: late calls are runs that start while the server is slow; a stretch lasts 150 ms, a run keeps the speed with which it starts, so waiting 100 ms beats a run five times as long. Change: the gate learns how long slow stretches last (SpeedWatch). Tests: SlowGate.

--- a/src/sidecar/ServerGate.cpp
+++ b/src/sidecar/ServerGate.cpp
@@ -14,8 +14,6 @@
 /// Share of the slots that is used. A backend server slows down when nearly all
 /// of its slots are taken, so the last ones cost more than they bring.
 static constexpr double UsableSlotShare = 0.8;
-/// A server counts as slow from this factor on its usual duration.
-static constexpr double SlowFactor = 1.5;
 /// Shares of the overage that the operator allows on the rate of a cold server:
 /// for the steady rate, and for what may come at once. Together below 1, since
 /// both may fall into the same second.
@@ -32,6 +30,8 @@
 /// Probe interval while calls come but no response tells the load. The speed of
 /// a server changes every few hundred milliseconds.
 static constexpr Duration LoadProbeInterval = 100ms;
+/// Probe interval while calls wait for a slow server to become faster.
+static constexpr Duration HeldProbeInterval = 30ms;
 /// Without calls for so long the speed is not asked for so often: it will have
 /// changed before the next call.
 static constexpr Duration LoadProbeTime = 300ms;
@@ -88,9 +88,10 @@
   return static_cast<std::uint32_t>(std::max<std::size_t>(1, Usable));
 }
 
-Duration ServerGate::expectedRun(const std::string &Route) const {
+Duration ServerGate::expectedRun(const std::string &Route,
+                                 double Factor) const {
   auto Usual = static_cast<double>(Times.expected(Route).count());
-  return Duration(static_cast<Duration::rep>(Usual * Slowdown));
+  return Duration(static_cast<Duration::rep>(Usual * Factor));
 }
 
 float ServerGate::repeatShare() const {
@@ -118,20 +119,20 @@
   Report.Queued = static_cast<std::uint32_t>(Waiting);
   Report.UsualTime = Times.overall();
   Report.ServiceTime = Duration(static_cast<Duration::rep>(
-      static_cast<double>(Times.overall().count()) * Slowdown));
+      static_cast<double>(Times.overall().count()) * Speed.factor()));
   return Report;
 }
 
 void ServerGate::noteLoad(TimePoint Now, const ServerLoad &Load) {
-  Slowdown = Load.SlowdownFactor;
+  Speed.note(Now, Load.SlowdownFactor);
   LoadAt = Now;
 }
 
 std::vector<HostId> ServerGate::takeListeners(TimePoint Now) {
-  double Change = Slowdown / ToldSlowdown;
+  double Change = Speed.factor() / ToldSlowdown;
   if (Change < TellFactor && Change > 1 / TellFactor)
     return {};
-  ToldSlowdown = Slowdown;
+  ToldSlowdown = Speed.factor();
   std::erase_if(Ingresses, [&](const auto &Entry) {
     return Entry.second + IngressLifetime < Now;
   });
@@ -171,18 +172,19 @@
   return One.Target < Other.Target;
 }
 
-/// Returns how long a call waits behind those that go before it.
-Duration ServerGate::expectedWait(TimePoint Now,
-                                  const AdmittedCall &Call) const {
+/// Returns how long a call waits behind those that go before it, at a speed of
+/// the server.
+Duration ServerGate::expectedWait(TimePoint Now, const AdmittedCall &Call,
+                                  double Factor) const {
   Duration Ahead{0};
   for (const auto &[Id, Other] : Calls)
     if (Other.Run == 0 && Id != Call.Message.Call &&
         goesBefore(Now, Other, Call))
-      Ahead += expectedRun(Other.Message.Policy.Route);
+      Ahead += expectedRun(Other.Message.Policy.Route, Factor);
   std::uint32_t Slots = usableSlots();
   // A full server frees its next slot after about one run over its slots.
   if (running() >= Slots)
-    Ahead += expectedRun(Call.Message.Policy.Route);
+    Ahead += expectedRun(Call.Message.Policy.Route, Factor);
   Duration Wait = Ahead / Slots;
   if (!Server.cold(Now))
     return Wait;
@@ -198,13 +200,29 @@
 /// what would be late here and would not be at the usual speed.
 bool ServerGate::betterElsewhere(TimePoint Now,
                                  const AdmittedCall &Call) const {
-  if (!Call.Message.MayGoElsewhere || Slowdown < SlowFactor)
+  if (!Call.Message.MayGoElsewhere || !Speed.slow())
     return false;
   Duration Usual = Times.expected(Call.Message.Policy.Route);
   Duration Left = Call.Target - Now;
   return Usual <= Left && expectedRun(Call.Message.Policy.Route) > Left;
 }
 
+/// Returns until when a call may wait for the server to become faster. Nothing
+/// when it is in time at the present speed, or late anyway.
+std::optional<TimePoint> ServerGate::holdUntil(TimePoint Now,
+                                               const AdmittedCall &Call) const {
+  auto Rest = Speed.expectedLeft(Now);
+  if (!Rest || Server.cold(Now))
+    return std::nullopt;
+  Duration Left = std::min(Call.Target, Call.Deadline) - Now;
+  Duration Usual = expectedRun(Call.Message.Policy.Route, 1);
+  bool InTime = expectedRun(Call.Message.Policy.Route) <= Left;
+  bool Late = *Rest + expectedWait(Now, Call, 1) + Usual > Left;
+  if (InTime || Late)
+    return std::nullopt;
+  return Now + Left - Usual;
+}
+
 /// With a free slot everything that can make its deadline is admitted, also
 /// when it is late already.
 std::optional<ErrorKind> ServerGate::checkRoom(TimePoint Now,
@@ -214,7 +232,9 @@
   if (betterElsewhere(Now, Call))
     return ErrorKind::ServerSlow;
   Duration Run = expectedRun(Call.Message.Policy.Route);
-  Duration Wait = expectedWait(Now, Call);
+  if (holdUntil(Now, Call))
+    return std::nullopt;
+  Duration Wait = expectedWait(Now, Call, Speed.factor());
   if (Wait == Duration(0))
     return Now >= Call.Deadline ? std::optional(ErrorKind::Overloaded)
                                 : std::nullopt;
@@ -271,6 +291,7 @@
   if (Reason)
     return refuse(Step, Call, *Reason);
   HeldBytes += Call.Bytes;
+  Call.HoldUntil = holdUntil(Step.Now, Call).value_or(TimePoint{});
   Calls.emplace(Id, std::move(Call));
   ++Waiting;
   pump(Step);
@@ -390,6 +411,8 @@
   TimePoint ForLoad = std::max(ProbedAt, LoadAt) + LoadProbeInterval;
   TimePoint ForCold = ProbedAt + ProbeInterval;
   bool Wanted = ForLoad <= CalledAt + LoadProbeTime;
+  if (Speed.slow() && Waiting > 0)
+    return std::max(ProbedAt, LoadAt) + HeldProbeInterval;
   return Wanted ? std::min(ForLoad, ForCold) : ForCold;
 }
 
--- a/src/sidecar/ServerGate.h
+++ b/src/sidecar/ServerGate.h
@@ -10,6 +10,7 @@
 #include "RunTimes.h"
 #include "SidecarEvents.h"
 #include "SidecarSettings.h"
+#include "SpeedWatch.h"
 
 #include "figsail/TokenBucket.h"
 
@@ -35,6 +36,10 @@
 /// make its target behind those that go first is therefore refused on arrival,
 /// and one that loses its place to more urgent ones is refused when its target
 /// can no longer be made.
+///
+/// Load pattern: a server that is slow for a moment. A call that would be late
+/// at the present speed and in time after the slow stretch is held for so long;
+/// meanwhile its slot is free, and a slow run would have kept it for long.
 class ServerGate {
 public:
   ServerGate(const SidecarSettings &Settings);
@@ -101,6 +106,8 @@
     std::size_t Bytes = 0; ///< Of the request.
     RunId Run = 0;         ///< 0 while it waits.
     TimePoint Started;
+    TimePoint HoldUntil;    ///< Waits so long for the server to be faster.
+    double StartFactor = 1; ///< Of the server when the run started.
     bool Cancelled = false;
     bool Suspect = false;       ///< It may have crashed a server before.
     bool BesideSuspect = false; ///< One of other content ran when it started.
@@ -119,8 +126,17 @@
   bool betterElsewhere(TimePoint Now, const AdmittedCall &Call) const;
   std::uint32_t usableSlots() const;
   std::size_t running() const { return Runs.size(); }
-  Duration expectedRun(const std::string &Route) const;
-  Duration expectedWait(TimePoint Now, const AdmittedCall &Call) const;
+  Duration expectedRun(const std::string &Route, double Factor) const;
+  Duration expectedRun(const std::string &Route) const {
+    return expectedRun(Route, Speed.factor());
+  }
+  Duration expectedWait(TimePoint Now, const AdmittedCall &Call,
+                        double Factor) const;
+  std::optional<TimePoint> holdUntil(TimePoint Now,
+                                     const AdmittedCall &Call) const;
+  bool isHeld(TimePoint Now, const AdmittedCall &Call) const {
+    return Speed.slow() && Now < Call.HoldUntil;
+  }
   bool goesBefore(TimePoint Now, const AdmittedCall &One,
                   const AdmittedCall &Other) const;
   bool mayStart(TimePoint Now);
@@ -154,7 +170,7 @@
   std::size_t MaxConnections = 1; ///< That the server accepts.
   mutable TokenBucket ColdTokens;
   RepeatBudget Repeats;
-  double Slowdown = 1;     ///< Newest factor that the server reported.
+  SpeedWatch Speed;        ///< As the server reports it.
   double ToldSlowdown = 1; ///< Last told to the ingresses.
   TimePoint LoadAt;        ///< When the server last told its load.
   TimePoint CalledAt;      ///< When a call last arrived.
--- a/src/sidecar/ServerGateRuns.cpp
+++ b/src/sidecar/ServerGateRuns.cpp
@@ -8,6 +8,9 @@
 
 namespace figsail {
 
+/// Time after its hold in which a call is started, not refused as late.
+static constexpr Duration HoldGrace = std::chrono::milliseconds(20);
+
 // Replies.
 
 void ServerGate::reply(GateStep &Step, const PeerRef &To, const CallId &Call,
@@ -66,7 +69,8 @@
   for (const auto &[Id, Call] : Calls) {
     Duration Run = expectedRun(Call.Message.Policy.Route);
     TimePoint Latest = std::min(Call.Target, Call.Deadline) - Run / 2;
-    if (Call.Run == 0 && Step.Now > Latest)
+    bool MayStart = Step.Now < Call.HoldUntil + HoldGrace;
+    if (Call.Run == 0 && Step.Now > Latest && !MayStart)
       Late.push_back(Id);
   }
   for (const CallId &Id : Late) {
@@ -86,12 +90,12 @@
   while (Waiting > 0) {
     AdmittedCall *Next = nullptr;
     for (auto &[Id, Call] : Calls) {
-      if (Call.Run != 0)
+      if (Call.Run != 0 || isHeld(Step.Now, Call))
         continue;
       if (Next == nullptr || goesBefore(Step.Now, Call, *Next))
         Next = &Call;
     }
-    if (!mayStart(Step.Now))
+    if (Next == nullptr || !mayStart(Step.Now))
       return;
     start(Step, *Next);
   }
@@ -101,6 +105,7 @@
   Call.Message.Instance = Server.instance();
   Call.Run = ++LastRun;
   Call.Started = Step.Now;
+  Call.StartFactor = Speed.factor();
   Call.BesideSuspect = otherSuspectRuns(Call.Message.Fingerprint);
   Call.Suspect =
       Crashes.check(Step.Now, Call.Message.Fingerprint) == Suspicion::Suspect;
@@ -141,7 +146,7 @@
     return;
   auto Took = static_cast<double>((Now - Call.Started).count());
   Times.add(Call.Message.Policy.Route,
-            Duration(static_cast<Duration::rep>(Took / Slowdown)));
+            Duration(static_cast<Duration::rep>(Took / Speed.factor())));
 }
 
 void ServerGate::finish(GateStep &Step, const AdmittedCall &Call,
@@ -177,7 +182,8 @@
                  {"waited_ms", millisText(Call.Started - Call.Arrived)},
                  {"run_ms", millisText(Step.Now - Call.Started)},
                  {"target_ms", millisText(Call.Target - Call.Arrived)},
-                 {"slowdown", std::to_string(Slowdown)}};
+                 {"start_factor", std::to_string(Call.StartFactor)},
+                 {"factor", std::to_string(Speed.factor())}};
   Step.Out.emplace_back(std::move(Line));
 }
 
--- a/tests/ServerGateTest.cpp
+++ b/tests/ServerGateTest.cpp
@@ -508,6 +508,84 @@
       << "it is late in any case";
 }
 
+/// The server reports its speed.
+struct SlowGate : Gate {
+  void speed(double Factor) {
+    ServerProbed Probe;
+    Probe.Load = ServerLoad{0, 0, 10, Factor};
+    LastStep = step([&](GateStep &Step) { Under.probed(Step, Probe); });
+  }
+  /// Some slow stretches of 100 ms, and a run of 70 ms.
+  void learn() {
+    for (int I = 0; I < 5; ++I) {
+      speed(5);
+      Now += 100ms;
+      speed(1);
+      Now += 300ms;
+    }
+    RunId Run = effects<RunServer>(execute(call())).at(0).Run;
+    Now += 70ms;
+    done(Run);
+  }
+  SidecarEffects tick(Duration After) {
+    Now += After;
+    return step([&](GateStep &Step) { Under.timer(Step); });
+  }
+  SidecarEffects LastStep;
+};
+
+// Load pattern: a server that is slow for 100 ms. A run that starts then takes
+// 350 ms and is late; one that starts after it takes 70 ms.
+TEST_F(SlowGate, HoldsACallThatIsInTimeAfterTheSlowStretch) {
+  learn();
+  speed(5);
+  Now += 10ms;
+  auto Out = execute(call());
+  EXPECT_TRUE(effects<RunServer>(Out).empty());
+  EXPECT_TRUE(refusals(Out).empty());
+  EXPECT_TRUE(effects<RunServer>(execute(call())).empty()) << "a second one";
+  EXPECT_TRUE(effects<RunServer>(tick(80ms)).empty());
+  speed(1);
+  EXPECT_EQ(effects<RunServer>(LastStep).size(), 2U);
+}
+
+TEST_F(SlowGate, StartsAHeldCallWhenWaitingNoLongerHelps) {
+  learn();
+  speed(5);
+  execute(call());
+  EXPECT_TRUE(effects<RunServer>(tick(200ms)).empty());
+  auto Out = tick(45ms); // 300 ms less the run.
+  EXPECT_EQ(effects<RunServer>(Out).size(), 1U) << "late, but not refused";
+}
+
+TEST_F(SlowGate, HoldsNothingThatIsInTimeOrLateAnyway) {
+  learn();
+  speed(3); // 210 ms.
+  EXPECT_EQ(effects<RunServer>(execute(call())).size(), 1U);
+  speed(5);
+  Execute Late = call();
+  Late.TargetMicros = Duration(100ms).count();
+  EXPECT_EQ(effects<RunServer>(execute(Late)).size(), 1U);
+}
+
+TEST_F(SlowGate, HoldsNothingWhileItDoesNotKnowHowLongStretchesLast) {
+  speed(5);
+  EXPECT_EQ(effects<RunServer>(execute(call())).size(), 1U);
+}
+
+// A server in trouble for seconds is not waited for.
+TEST_F(SlowGate, HoldsNothingInALongStretch) {
+  learn();
+  speed(5);
+  Now += 2s;
+  EXPECT_EQ(effects<RunServer>(execute(call())).size(), 1U);
+  speed(1);
+  Now += 300ms;
+  speed(5);
+  EXPECT_TRUE(effects<RunServer>(execute(call())).empty())
+      << "and what is known of short ones stays";
+}
+
 // Probes are bounded, whatever the load: the operator allows 60 a second.
 // On real logs a late answer could not be traced: whether it waited at the gate
 // or the server took long stood nowhere.
