Fix: run times were learned with the speed at the end of a run

Cause: a run keeps the speed with which it starts; its duration was divided by the factor that the answer reported.

--- a/src/sidecar/ServerGateRuns.cpp
+++ b/src/sidecar/ServerGateRuns.cpp
@@ -146,7 +146,7 @@
     return;
   auto Took = static_cast<double>((Now - Call.Started).count());
   Times.add(Call.Message.Policy.Route,
-            Duration(static_cast<Duration::rep>(Took / Speed.factor())));
+            Duration(static_cast<Duration::rep>(Took / Call.StartFactor)));
 }
 
 void ServerGate::finish(GateStep &Step, const AdmittedCall &Call,
