--- a/src/shell/LinkCompression.cpp
+++ b/src/shell/LinkCompression.cpp
@@ -28,12 +28,12 @@
 LinkCompressor::LinkCompressor() : Context(ZSTD_createCCtx()) {
   if (!Context)
     throw std::bad_alloc();
-  auto set = [this](ZSTD_cParameter Name, int Value) {
+  auto Set = [this](ZSTD_cParameter Name, int Value) {
     check(ZSTD_CCtx_setParameter(Context.get(), Name, Value));
   };
-  set(ZSTD_c_compressionLevel, Level);
-  set(ZSTD_c_windowLog, WindowLog);
-  set(ZSTD_c_hashLog, HashLog);
+  Set(ZSTD_c_compressionLevel, Level);
+  Set(ZSTD_c_windowLog, WindowLog);
+  Set(ZSTD_c_hashLog, HashLog);
 }
 
 void LinkCompressor::append(std::string &Out, std::string_view Frame) {
--- a/src/shell/PeerTransport.cpp
+++ b/src/shell/PeerTransport.cpp
@@ -37,8 +37,8 @@
                               public std::enable_shared_from_this<State> {
   State(asio::io_context &Loop, PeerHandler &Handler, PeerRef Self,
         LamportClock &Clock, PeerSettings Settings)
-      : Common(std::make_shared<LinkContext>(
-            LinkContext{Loop, std::move(Self), Clock, Settings, this})),
+      : Common(std::make_shared<LinkContext>(LinkContext{
+            Loop, std::move(Self), Clock, std::move(Settings), this})),
         Handler(Handler), Acceptor(Loop), AcceptTimer(Loop), IdleTimer(Loop) {}
 
   void linkOpened(const LinkRef &Link) override;
@@ -296,7 +296,7 @@
                              PeerRef Self, LamportClock &Clock,
                              PeerSettings Settings)
     : Impl(std::make_shared<State>(Context, Handler, std::move(Self), Clock,
-                                   Settings)) {
+                                   std::move(Settings))) {
   Impl->startIdleTimer();
 }
 
--- a/tests/PlatformTest.cpp
+++ b/tests/PlatformTest.cpp
@@ -308,28 +308,28 @@
 // Without the number of the history, a store that has come back from an older
 // copy looks like one that has nothing new.
 TEST_F(StoreTest, EveryAnswerTellsTheHistory) {
-  auto answerOf = [this](unsigned Status, std::string Body) {
+  auto AnswerOf = [this](unsigned Status, std::string Body) {
     answer(Status, std::move(Body));
     Answers.back().set("Store-Era", "7");
   };
-  answerOf(410, R"({"FirstOffset":7})");
+  AnswerOf(410, R"({"FirstOffset":7})");
   Client->read({Topic::Operator, 3, 1s});
   auto Truncated = wait<TopicTruncated>();
   EXPECT_EQ(Truncated.History, 7U);
   EXPECT_EQ(Truncated.First, 7);
-  answerOf(503, "");
+  AnswerOf(503, "");
   Client->read({Topic::Operator, 3, 1s});
   EXPECT_EQ(wait<TopicFailed>().History, 7U);
-  answerOf(200, pageOf(""));
+  AnswerOf(200, pageOf(""));
   Client->read({Topic::Operator, 3, 1s});
   EXPECT_EQ(wait<TopicRecords>().History, 7U);
-  answerOf(404, "");
+  AnswerOf(404, "");
   Client->readSnapshot(Topic::Members);
   EXPECT_EQ(wait<TopicSnapshot>().History, 7U);
-  answerOf(200, R"({"Offset":4,"EndOffset":5})");
+  AnswerOf(200, R"({"Offset":4,"EndOffset":5})");
   Client->append(Announcement{});
   EXPECT_EQ(wait<AnnouncementDone>().History, 7U);
-  answerOf(410, "not json");
+  AnswerOf(410, "not json");
   Client->read({Topic::Operator, 3, 1s});
   EXPECT_EQ(wait<TopicTruncated>().First, 0);
 }
--- a/tests/StoreHistoryTest.cpp
+++ b/tests/StoreHistoryTest.cpp
@@ -171,15 +171,15 @@
   std::uint64_t Known = 1;
   int Newest = 0;
   bool Listed = false;
-  auto write = [&](KeyedRecord Record) {
+  auto Write = [&](KeyedRecord Record) {
     Record.At = static_cast<Offset>(Log.size());
     Log.push_back(std::move(Record));
   };
-  auto writeState = [&] {
-    write(config(Version, 0));
-    write(Evacuated ? evacuated(0) : back(0));
+  auto WriteState = [&] {
+    Write(config(Version, 0));
+    Write(Evacuated ? evacuated(0) : back(0));
   };
-  auto read = [&] {
+  auto Read = [&] {
     if (Known != History) {
       Image.restart();
       Listed = false;
@@ -209,7 +209,7 @@
       Newest = Now;
     }
   };
-  writeState();
+  WriteState();
   auto Steps = *rc::gen::container<std::vector<int>>(rc::gen::inRange(0, 8));
   for (int Step : Steps) {
     if (Step == 0) {
@@ -218,20 +218,20 @@
       Log.resize(Log.size() - Lost);
       ++History;
       if (*rc::gen::arbitrary<bool>())
-        read();
-      writeState();
+        Read();
+      WriteState();
     } else if (Step < 3) {
-      write(config(++Version, 0));
+      Write(config(++Version, 0));
     } else if (Step < 5) {
       Evacuated = !Evacuated;
-      write(Evacuated ? evacuated(0) : back(0));
+      Write(Evacuated ? evacuated(0) : back(0));
     } else {
-      read();
+      Read();
     }
   }
   // What the operator has written last is written again in the end.
-  writeState();
-  read();
+  WriteState();
+  Read();
   std::map<std::string, std::optional<std::string>> Held;
   for (const KeyedRecord &Record : Image.since(0).Records)
     Held[Record.Key] = Record.Value;
