Fix: a held call was counted as in the way of calls that could start

Cause: the expected wait counted calls that are held for a faster moment, at the slow speed, though they start only after it: what was in time at the present speed was refused as overloaded, slots free. Test: SlowGate.AHeldCallIsInNobodysWay.

--- a/src/sidecar/ServerGate.cpp
+++ b/src/sidecar/ServerGate.cpp
@@ -177,10 +177,15 @@
 Duration ServerGate::expectedWait(TimePoint Now, const AdmittedCall &Call,
                                   double Factor) const {
   Duration Ahead{0};
-  for (const auto &[Id, Other] : Calls)
-    if (Other.Run == 0 && Id != Call.Message.Call &&
-        goesBefore(Now, Other, Call))
-      Ahead += expectedRun(Other.Message.Policy.Route, Factor);
+  for (const auto &[Id, Other] : Calls) {
+    if (Other.Run != 0 || Id == Call.Message.Call ||
+        !goesBefore(Now, Other, Call))
+      continue;
+    // A held call does not start at the present speed.
+    if (isHeld(Now, Other) && Factor == Speed.factor())
+      continue;
+    Ahead += expectedRun(Other.Message.Policy.Route, Factor);
+  }
   std::uint32_t Slots = usableSlots();
   // A full server frees its next slot after about one run over its slots.
   if (running() >= Slots)
--- a/tests/ServerGateTest.cpp
+++ b/tests/ServerGateTest.cpp
@@ -586,6 +586,18 @@
   EXPECT_EQ(effects<RunServer>(execute(Late)).size(), 1U);
 }
 
+// Held calls leave their slots free; what is in time at the present speed was
+// refused as if they took them.
+TEST_F(SlowGate, AHeldCallIsInNobodysWay) {
+  learn();
+  speed(5);
+  for (int I = 0; I < 6; ++I)
+    EXPECT_TRUE(effects<RunServer>(execute(call())).empty());
+  Execute Patient = call(true, 1);
+  Patient.TargetMicros = Duration(400ms).count();
+  EXPECT_EQ(effects<RunServer>(execute(Patient)).size(), 1U);
+}
+
 TEST_F(SlowGate, HoldsNothingWhileItDoesNotKnowHowLongStretchesLast) {
   speed(5);
   EXPECT_EQ(effects<RunServer>(execute(call())).size(), 1U);
