--- a/tests/BackendClientTest.cpp
+++ b/tests/BackendClientTest.cpp
@@ -405,7 +405,8 @@
 
 /// Answers the first connection with a head and then the same bytes until the
 /// client closes; the others with Ok.
-ScriptedServer::Script endless(std::string Head, std::string Bytes,
+ScriptedServer::Script endless(const std::string &Head,
+                               const std::string &Bytes,
                                std::atomic<std::size_t> &Sent) {
   return [=, &Sent](RawConnection &Peer, std::size_t Number) {
     Peer.request();
--- a/tests/PeerTransportTest.cpp
+++ b/tests/PeerTransportTest.cpp
@@ -30,7 +30,7 @@
   Peer(asio::io_context &Loop, HostId Host, Incarnation Inc,
        PeerSettings Settings = {})
       : Self{std::move(Host), Inc},
-        Transport(Loop, *this, Self, Clock, Settings) {}
+        Transport(Loop, *this, Self, Clock, std::move(Settings)) {}
 
   void listen() { ASSERT_EQ(Transport.listen(Self.Host), std::nullopt); }
   void peerReceived(PeerReceived Message) override {
--- /dev/null
+++ b/tests/ServerGateFixture.h
@@ -0,0 +1,100 @@
+// ServerGateFixture.h - A gate with a ready server, for its tests.
+
+#ifndef FIGSAIL_TESTS_SERVERGATEFIXTURE_H
+#define FIGSAIL_TESTS_SERVERGATEFIXTURE_H
+
+#include "ServerGate.h"
+#include "SidecarTestSupport.h"
+
+#include <gtest/gtest.h>
+
+namespace figsail::test {
+
+inline const PeerRef Ingress{"10.0.0.9:7000", 9};
+
+struct Gate : testing::Test {
+  Gate() : Under(testSettings()) {
+    ServiceSettings Service;
+    Service.ColdPerSecond = 40;
+    Service.MaxConnections = 200;
+    Under.configure(Service);
+    beat(1);
+  }
+
+  template <class Action> SidecarEffects step(Action Do) {
+    SidecarEffects Out;
+    GateStep Step{Now, Out};
+    Do(Step);
+    return Out;
+  }
+  SidecarEffects beat(std::uint64_t Sequence, Duration Cold = Duration(0)) {
+    ServerHeartbeat Said = heartbeat(Sequence);
+    Said.Cold = Cold;
+    return step([&](GateStep &Step) { Under.heartbeat(Step, Said); });
+  }
+  Execute call(bool Idempotent = true, std::uint32_t Priority = 0) {
+    Execute Message;
+    Message.Call = {9, ++LastCall};
+    Message.Policy.Route = "book";
+    Message.Policy.Service = "booking";
+    Message.Policy.Idempotent = Idempotent;
+    Message.Policy.Priority = Priority;
+    Message.BudgetMicros = Duration(1s).count();
+    Message.TargetMicros = Duration(300ms).count();
+    Message.Instance = "i-1";
+    return Message;
+  }
+  SidecarEffects execute(Execute Message) {
+    return step([&](GateStep &Step) {
+      Under.execute(Step, Ingress, std::move(Message));
+    });
+  }
+  SidecarEffects done(RunId Run, ServerDone Result = {}) {
+    Result.Run = Run;
+    if (!std::holds_alternative<BackendError>(Result.Result) &&
+        std::get<HttpResponse>(Result.Result).Status == 0)
+      std::get<HttpResponse>(Result.Result).Status = 200;
+    return step(
+        [&](GateStep &Step) { Under.serverDone(Step, std::move(Result)); });
+  }
+  std::vector<Refused> refusals(const SidecarEffects &Out) {
+    std::vector<Refused> Found;
+    for (auto &[Host, Message] : messages<Refused>(Out))
+      Found.push_back(Message);
+    return Found;
+  }
+  /// Sends calls until one waits. Returns the runs.
+  std::vector<RunId> fill() {
+    std::vector<RunId> Runs;
+    while (true) {
+      auto Started = effects<RunServer>(execute(call()));
+      if (Started.empty())
+        return Runs;
+      Runs.push_back(Started[0].Run);
+    }
+  }
+
+  /// Lets time pass, with a call at each interval. Returns the probes.
+  std::size_t probesIn(Duration Time, Duration CallInterval) {
+    std::size_t Probes = 0;
+    for (Duration Passed{0}; Passed < Time; Passed += 1ms) {
+      Now += 1ms;
+      if (Passed % CallInterval == 0ms && CallInterval < Time)
+        execute(call());
+      auto Out = step([&](GateStep &Step) { Under.timer(Step); });
+      for ([[maybe_unused]] const auto &Sent : effects<ProbeServer>(Out)) {
+        ++Probes;
+        step([&](GateStep &Step) { Under.probed(Step, ServerProbed{}); });
+      }
+    }
+    return Probes;
+  }
+
+  TimePoint Now = TestStart;
+  std::uint64_t LastCall = 0;
+  ServerGate Under;
+};
+
+} // namespace figsail::test
+
+#endif // FIGSAIL_TESTS_SERVERGATEFIXTURE_H
--- a/tests/SidecarCluster.h
+++ b/tests/SidecarCluster.h
@@ -258,8 +258,8 @@
   }
 
   void finish(const HostId &Name, RunId Run,
-              std::variant<HttpResponse, BackendError> Result,
-              ServerNote Note) {
+              const std::variant<HttpResponse, BackendError> &Result,
+              const ServerNote &Note) {
     if (Hosts.at(Name)->Beyond.erase(Run) == 0)
       return;
     after(Duration(0), [this, Name, Run, Result, Note] {
