--- a/tests/PeerTransportTest.cpp
+++ b/tests/PeerTransportTest.cpp
@@ -25,6 +25,12 @@
   return Body ? Body->Call.Sequence : 0;
 }
 
+PeerSettings inRegion(const std::string &Region) {
+  PeerSettings Settings;
+  Settings.Region = Region;
+  return Settings;
+}
+
 /// A daemon's end of the links, with what its handler was told.
 struct Peer : public PeerHandler {
   Peer(asio::io_context &Loop, HostId Host, Incarnation Inc,
@@ -335,12 +341,8 @@
 
 // The link between two regions is narrow and its bytes have a price.
 TEST_F(PeerTransportTest, LinksBetweenRegionsAreCompressed) {
-  PeerSettings East;
-  East.Region = "east";
-  PeerSettings West;
-  West.Region = "west";
-  Peer A(Loop, HostA, 11, East);
-  Peer B(Loop, HostB, 22, West);
+  Peer A(Loop, HostA, 11, inRegion("east"));
+  Peer B(Loop, HostB, 22, inRegion("west"));
   B.listen();
   constexpr std::uint64_t Calls = 50;
   for (std::uint64_t I = 1; I <= Calls; ++I) {
@@ -362,12 +364,8 @@
 // The close frame is part of the compressed stream too: as plain bytes it would
 // break the link, and with it what is under way in the other direction.
 TEST_F(PeerTransportTest, ACompressedLinkClosesInOrder) {
-  PeerSettings East;
-  East.Region = "east";
-  PeerSettings West;
-  West.Region = "west";
-  Peer A(Loop, HostA, 11, East);
-  Peer B(Loop, HostB, 22, West);
+  Peer A(Loop, HostA, 11, inRegion("east"));
+  Peer B(Loop, HostB, 22, inRegion("west"));
   B.listen();
   A.Transport.send(HostB, call(1));
   runUntil([&] { return B.Received.size() == 1; });
@@ -377,9 +375,7 @@
 }
 
 TEST_F(PeerTransportTest, ADamagedCompressedStreamBreaksTheLink) {
-  PeerSettings East;
-  East.Region = "east";
-  Peer A(Loop, HostA, 11, East);
+  Peer A(Loop, HostA, 11, inRegion("east"));
   A.listen();
   RawPeer B(Loop);
   B.connect(HostA);
