--- a/tests/PlatformTest.cpp
+++ b/tests/PlatformTest.cpp
@@ -46,7 +46,7 @@
 
 TEST(PlatformFields, IgnoresAnInvalidDeadline) {
   platform::HeaderFields Fields("till");
-  for (const char *Text : {"", "soon", "-5", "1e99", "800ms"})
+  for (const char *Text : {"", "soon", "-5", "1e99", "800ms", "nan", "inf"})
     EXPECT_FALSE(Fields
                      .decodeRequest(
                          1, request({{"Figsail-Deadline-Milliseconds", Text}}))
