Feature: log the request rate that a server names, and who heard it

A gate now logs server-limit (instance, per_second, before, source) when the limit of its server changes.

--- a/src/sidecar/ServerGate.cpp
+++ b/src/sidecar/ServerGate.cpp
@@ -130,6 +130,24 @@
   LastLoadAt = Now;
 }
 
+/// Applies what the server, in its present instance, says of the requests that
+/// it takes.
+void ServerGate::applyTerms(GateStep &Step, TimePoint SaidAt,
+                            const ServerTerms &Terms, TermsSource Source) {
+  std::optional<double> Before = RateLimit.perSecond();
+  if (!RateLimit.apply(Step.Now, SaidAt, Terms, Source))
+    return;
+  auto Text = [](const std::optional<double> &Limit) {
+    return Limit ? std::to_string(*Limit) : std::string("none");
+  };
+  Decision Line{LogLevel::Warning, "server-limit", {}};
+  Line.Fields = {{"instance", Server.instance()},
+                 {"per_second", Text(RateLimit.perSecond())},
+                 {"before", Text(Before)},
+                 {"source", std::string(termsSourceName(Source))}};
+  Step.Out.emplace_back(std::move(Line));
+}
+
 std::vector<HostId> ServerGate::takeLoadRecipients(TimePoint Now) {
   double Change = Slowdown.factor() / SentSlowdown;
   if (Change < NotifyFactor && Change > 1 / NotifyFactor)
@@ -393,6 +411,8 @@
     Unreachable = false;
   if (SameInstance && Probe.Cold)
     Server.setCold(Step.Now, *Probe.Cold);
+  if (SameInstance)
+    applyTerms(Step, Step.Now, Probe.Terms, TermsSource::Probe);
   startWaiting(Step);
 }
 
--- a/src/sidecar/ServerGate.h
+++ b/src/sidecar/ServerGate.h
@@ -7,6 +7,7 @@
 #include "LocalServer.h"
 #include "ReplyCache.h"
 #include "RunTimes.h"
+#include "ServerRateLimit.h"
 #include "ServerRetryBudget.h"
 #include "SidecarEvents.h"
 #include "SidecarSettings.h"
@@ -167,6 +168,8 @@
   }
   void recordRunTime(const AdmittedCall &Call, TimePoint Now, bool Success);
   void updateLoad(TimePoint Now, const ServerLoad &Load);
+  void applyTerms(GateStep &Step, TimePoint SaidAt, const ServerTerms &Terms,
+                  TermsSource Source);
 
   PeerRef Self;
   std::string Region;
@@ -179,6 +182,9 @@
   double ColdPerSecond = 1;
   std::size_t MaxConnections = 1; ///< Accepted by the server.
   mutable TokenBucket ColdTokens;
+  /// Of the server's own statements. Refilling it does not change what it
+  /// holds.
+  mutable ServerRateLimit RateLimit;
   ServerRetryBudget Retries;
   SlowdownTracker Slowdown; ///< From the server's load reports.
   double SentSlowdown = 1;  ///< Factor last sent to the ingresses.
--- a/src/sidecar/ServerGateRuns.cpp
+++ b/src/sidecar/ServerGateRuns.cpp
@@ -129,6 +129,11 @@
   Runs.erase(Found);
   if (Done.Metadata.Load)
     updateLoad(Step.Now, *Done.Metadata.Load);
+  bool FromServer = std::holds_alternative<HttpResponse>(Done.Result) &&
+                    !Done.Metadata.OtherInstance &&
+                    Call.Message.Instance == Server.instance();
+  if (FromServer)
+    applyTerms(Step, Step.Now, Done.Metadata.Terms, TermsSource::Run);
   if (Call.Suspect && --SuspectRuns[Call.Message.Fingerprint] == 0)
     SuspectRuns.erase(Call.Message.Fingerprint);
   if (auto *Response = std::get_if<HttpResponse>(&Done.Result))
--- a/src/sidecar/SidecarEvents.h
+++ b/src/sidecar/SidecarEvents.h
@@ -59,12 +59,21 @@
   double SlowdownFactor = 1; ///< Duration of a run now over the usual one.
 };
 
+/// What a backend server says in a response about the requests that it takes.
+struct ServerTerms {
+  /// Requests a second that it takes from all hosts together; none: any number.
+  std::optional<double> RateLimit;
+  bool RateLimitUnusable = false; ///< It names a limit that is no number.
+  bool Leaving = false;           ///< It leaves; it wants no new requests.
+};
+
 /// Statements of a backend server about a run, from the header fields and the
 /// status of its response.
 struct ResponseMetadata {
   bool NotExecuted = false;   ///< The server did not run the request.
   bool OtherInstance = false; ///< The address belongs to another server.
   std::optional<ServerLoad> Load;
+  ServerTerms Terms;
 };
 
 /// End of a run at the backend server.
@@ -80,6 +89,7 @@
   std::string Instance; ///< Empty without a response.
   std::optional<Duration> Cold;
   std::optional<ServerLoad> Load;
+  ServerTerms Terms;
 };
 
 /// The operator takes a failure domain out of service, or back into it.
--- a/tests/PlatformTest.cpp
+++ b/tests/PlatformTest.cpp
@@ -101,6 +101,26 @@
     R"("Slots":11,"State":"draining","ColdRemainingMs":1500,"Sequence":4,)"
     R"("born":1767225600000,"Later":"field"})";
 
+// Guards against a limit that is not held because its number was misread.
+TEST(PlatformFields, ReadsTheRateLimitOfRunsAndProbes) {
+  platform::HeaderFields Fields("desk");
+  auto Read = [&](const std::string &Text) {
+    return Fields.readMetadata({200, {{"Server-Limit", Text}}, ""}).Terms;
+  };
+  EXPECT_EQ(Read("4.8").RateLimit, 4.8);
+  EXPECT_EQ(Read("0").RateLimit, 0.0);
+  for (const char *Text : {"x", "-1", "nan", "inf", "1e999", "4,8", "4.8 "}) {
+    EXPECT_FALSE(Read(Text).RateLimit) << Text;
+    EXPECT_TRUE(Read(Text).RateLimitUnusable) << Text;
+  }
+  ServerTerms None = Fields.readMetadata({200, {}, ""}).Terms;
+  EXPECT_FALSE(None.RateLimit || None.RateLimitUnusable || None.Leaving);
+  ProbeDone Probe;
+  Probe.Headers = {{"server-limit", "2.5"}, {"Server-Leaving", "1"}};
+  EXPECT_EQ(Fields.readProbe(Probe).Terms.RateLimit, 2.5);
+  EXPECT_TRUE(Fields.readProbe(Probe).Terms.Leaving);
+}
+
 TEST(PlatformReports, ReadsAHeartbeat) {
   Report Read = platform::JsonReportCodec().decode("PUT", "/v1/instances/i-1",
                                                    ValidHeartbeat);
