Fix: a server got more requests than the limit that it had named

Cause (hypothesis 1): no daemon read the limit; a gate started what its slots allow. All calls of a server pass its gate, so the limit is held there, by a token bucket with a burst of half a second. A call that it would delay is refused at once if another server may take it; the ingress comes back to the server that starts it first, and else refuses with the time of the next start that is not yet promised to another client. Health probes are at most a quarter of the limit.

--- a/include/figsail/Balancer.h
+++ b/include/figsail/Balancer.h
@@ -104,7 +104,8 @@
   void callEnded(TimePoint Now, const HostId &Host, bool Success,
                  const LoadReport *Load);
   /// The host refused a call. It is avoided for about the time in which it
-  /// serves half of its queue. Called before callEnded() for the same call.
+  /// serves half of its queue, or until its rate limit lets a call start.
+  /// Called before callEnded() for the same call.
   void callRefused(TimePoint Now, const HostId &Host, const LoadReport &Load);
   /// The host reported its load outside of a reply.
   void loadReported(TimePoint Now, const HostId &Host, const LoadReport &Load);
--- a/include/figsail/ErrorKind.h
+++ b/include/figsail/ErrorKind.h
@@ -45,9 +45,10 @@
   Internal,
   ServerRefused,
   ServerSlow,
+  RateLimited,
 };
 inline constexpr std::size_t ErrorKindCount =
-    static_cast<std::size_t>(ErrorKind::ServerSlow) + 1;
+    static_cast<std::size_t>(ErrorKind::RateLimited) + 1;
 
 /// Tells whether the request ran on a backend server.
 enum class RunState : std::uint8_t { No, Unknown, Yes };
--- a/include/figsail/Types.h
+++ b/include/figsail/Types.h
@@ -112,13 +112,17 @@
   bool Draining = false;        ///< Accepts no new calls.
   Duration UsualServiceTime{0}; ///< ServiceTime without a current slow period
                                 ///< of the server; 0: not known.
+  Duration TimeToStart{0}; ///< Until the rate limit that the server has named
+                           ///< lets another call start.
 
   template <class Archive> void serialize(Archive &Ar) {
     auto Micros = ServiceTime.count();
     auto UsualMicros = UsualServiceTime.count();
-    Ar(Limit, Running, Queued, Micros, Draining, UsualMicros);
+    auto StartMicros = TimeToStart.count();
+    Ar(Limit, Running, Queued, Micros, Draining, UsualMicros, StartMicros);
     ServiceTime = Duration(Micros);
     UsualServiceTime = Duration(UsualMicros);
+    TimeToStart = Duration(StartMicros);
   }
 };
 
--- a/src/core/Balancer.cpp
+++ b/src/core/Balancer.cpp
@@ -179,8 +179,13 @@
   double QueueFactor = std::max(0.0, CurrentCalls + 1 - Limit) / Limit;
   double FullnessFactor = FullnessWeight * std::min(1.0, CurrentCalls / Limit);
   double FailureFactor = FailureWeight * failureRate(Now);
-  return Duration(static_cast<Duration::rep>(
-      Service * (1 + QueueFactor + FullnessFactor + FailureFactor)));
+  // Of a server whose rate limit is used up.
+  Duration LimitWait =
+      Reported ? std::max(Duration(0), Report.TimeToStart - (Now - ReportedAt))
+               : Duration(0);
+  return LimitWait +
+         Duration(static_cast<Duration::rep>(
+             Service * (1 + QueueFactor + FullnessFactor + FailureFactor)));
 }
 
 /// Stores a report. OwnCalls: calls of this ingress in the reported load.
@@ -397,7 +402,8 @@
   // The time in which half of the queue is served.
   Duration HalfQueueTime =
       Load.ServiceTime * (Load.Queued + 1) / (2 * std::max(1U, Load.Limit));
-  View.avoid(Now + std::clamp(HalfQueueTime, MinAvoidTime, MaxAvoidTime));
+  Duration AvoidTime = std::max(HalfQueueTime, Load.TimeToStart);
+  View.avoid(Now + std::clamp(AvoidTime, MinAvoidTime, MaxAvoidTime));
   if (Load.Draining)
     View.avoid(Now + ReportLifetime);
 }
--- a/src/core/ErrorTable.cpp
+++ b/src/core/ErrorTable.cpp
@@ -42,6 +42,7 @@
     {ErrorKind::Internal,               "internal",                500, RunState::Unknown, seconds(5),   "Internal error."},
     {ErrorKind::ServerRefused,          "server-refused",          503, RunState::No,      seconds(1),   "The backend server refused the request without running it."},
     {ErrorKind::ServerSlow,             "server-slow",             503, RunState::No,      seconds(1),   "The backend server is slow at this moment."},
+    {ErrorKind::RateLimited,            "rate-limited",            503, RunState::No,      seconds(1),   "The backend servers have named a rate limit, and it is used up."},
     // clang-format on
 }};
 
--- a/src/sidecar/CallRouter.cpp
+++ b/src/sidecar/CallRouter.cpp
@@ -28,6 +28,9 @@
 /// Refusals by daemons before the call fails. After so many, the load reports
 /// on which the choice rests are of little use, and the client is waiting.
 static constexpr std::uint32_t MaxRefusals = 3;
+/// Refusals by rate limits before the call fails. They cost little and are
+/// exact, so more of them are worth a try.
+static constexpr std::uint32_t MaxLimitRefusals = 6;
 /// Bound on the requests that are buffered for retries. The smallest host has
 /// 160 MB and also needs memory for as many requests at the gate.
 static constexpr std::size_t MaxBufferedBytes = std::size_t{32} * 1024 * 1024;
@@ -184,24 +187,30 @@
 void CallRouter::tryNextServer(RouterStep &Step, Call &Current) {
   if (Step.Now >= Current.Deadline)
     return deadlinePassed(Step, Current);
-  const Member *To =
-      Current.Refusals < MaxRefusals ? chooseServer(Step, Current) : nullptr;
+  bool MaySend = Current.Refusals < MaxRefusals &&
+                 Current.LimitRefusals < MaxLimitRefusals;
+  const Member *To = MaySend ? chooseServer(Step, Current) : nullptr;
   if (To)
     return sendExecute(Step, Current, *To, true);
-  if (const Member *Slow = chooseSlowServer(Step, Current))
-    return sendExecute(Step, Current, *Slow, false);
+  if (const Member *Fallback = chooseFallback(Step, Current))
+    return sendExecute(Step, Current, *Fallback, false);
   if (Current.FallbackResponse)
     return deliver(Step, Current, std::move(*Current.FallbackResponse));
   fail(Step, Current, Current.LastError);
 }
 
-/// Returns a server that refused the call only for its slow period, or null.
-const Member *CallRouter::chooseSlowServer(RouterStep &Step, Call &Current) {
-  while (!Current.SlowHosts.empty()) {
-    HostId Host = std::move(Current.SlowHosts.back());
-    Current.SlowHosts.pop_back();
+/// Returns the server that can start the call first among those that refused it
+/// in favour of another one, or null.
+const Member *CallRouter::chooseFallback(RouterStep &Step, Call &Current) {
+  while (!Current.Fallbacks.empty()) {
+    auto First = std::ranges::min_element(Current.Fallbacks, {},
+                                          &FallbackServer::StartAt);
+    FallbackServer Next = std::move(*First);
+    Current.Fallbacks.erase(First);
+    if (Next.StartAt > Current.Target)
+      continue;
     for (const Member &Server : Step.Directory.ready(Current.Service))
-      if (Server.Host == Host && !Step.Peers.isSuspected(Host) &&
+      if (Server.Host == Next.Host && !Step.Peers.isSuspected(Next.Host) &&
           !Step.Evacuated.contains(Server.FailureDomain))
         return &Server;
   }
@@ -257,6 +266,7 @@
   Message.HasAlternative = HasAlternative && InTime &&
                            Step.Directory.ready(Current.Service).size() >
                                Current.TriedHosts.size() + 1;
+  Current.HasAlternative = Message.HasAlternative;
   Message.ReceiptDelayMicros = receiptDelay(To.Region != OwnLocality.Region);
   Message.Request = Current.Request;
   Step.Out.emplace_back(SendPeer{To.Host, std::move(Message)});
@@ -369,24 +379,44 @@
   Current->LastError = errorEntry(Message.Kind).Status == 503
                            ? Message.Kind
                            : ErrorKind::NoBackendServer;
-  Current->BacklogTime = Message.Load.ServiceTime * (Message.Load.Queued + 1) /
-                         std::max(1U, Message.Load.Limit);
-  if (Message.Kind == ErrorKind::ServerSlow)
-    Current->SlowHosts.push_back(From.Host);
+  recordRefusal(Step.Now, *Current, Message);
   if (Message.Kind == ErrorKind::Quarantined)
     return fail(Step, *Current, Message.Kind);
   if (Message.Kind == ErrorKind::RetryBudgetSpent)
     Step.Out.emplace_back(Count{Counter::RetriesDenied});
-  if (Message.Kind != ErrorKind::ServerRefused) {
-    ++Current->Refusals;
+  if (Message.Kind != ErrorKind::ServerRefused)
     return tryNextServer(Step, *Current);
-  }
   ++Current->ServersReached;
   if (!mayRetry(*Current))
     return fail(Step, *Current, Message.Kind);
   tryNextServer(Step, *Current);
 }
 
+/// Counts a refusal, and keeps when the server can start a call.
+void CallRouter::recordRefusal(TimePoint Now, Call &Current,
+                               const Refused &Message) {
+  const LoadReport &Load = Message.Load;
+  bool Limited = Message.Kind == ErrorKind::RateLimited;
+  bool InFavourOfAnother = Current.HasAlternative &&
+                           (Limited || Message.Kind == ErrorKind::ServerSlow);
+  // In front: of two that can start it now, the later report is chosen.
+  if (InFavourOfAnother)
+    Current.Fallbacks.insert(Current.Fallbacks.begin(),
+                             {Current.Executor.Host,
+                              Limited ? Now + Load.TimeToStart : TimePoint{}});
+  if (Limited) {
+    bool First = Current.LimitRefusals++ == 0;
+    Current.BacklogTime = First
+                              ? Load.TimeToStart
+                              : std::min(Current.BacklogTime, Load.TimeToStart);
+    return;
+  }
+  Current.BacklogTime =
+      Load.ServiceTime * (Load.Queued + 1) / std::max(1U, Load.Limit);
+  if (Message.Kind != ErrorKind::ServerRefused)
+    ++Current.Refusals;
+}
+
 void CallRouter::failed(RouterStep &Step, const PeerRef &From,
                         const Failed &Message) {
   Call *Current = find(Message.Call, From);
--- a/src/sidecar/CallRouter.h
+++ b/src/sidecar/CallRouter.h
@@ -77,6 +77,11 @@
   std::size_t inFlight() const { return Calls.size(); }
 
 private:
+  /// A server that refused a call because another one would serve it earlier.
+  struct FallbackServer {
+    HostId Host;
+    TimePoint StartAt; ///< When it can start the call; 0: at any time.
+  };
   struct Call {
     std::uint64_t Number = 0;
     CallId Id; ///< Of the current attempt.
@@ -100,7 +105,10 @@
     float RetryFraction = 0;    ///< Probability that a retried run made it.
     bool MayHaveRun = false;    ///< A backend server may have run it.
     std::uint32_t Refusals = 0; ///< By daemons, before any server received it.
-    std::vector<HostId> SlowHosts; ///< Refused it during a slow period.
+    /// Refused only by a rate limit, not counted in Refusals.
+    std::uint32_t LimitRefusals = 0;
+    std::vector<FallbackServer> Fallbacks;
+    bool HasAlternative = false; ///< As sent with the current attempt.
     std::uint32_t UnansweredQueries = 0;
     bool Confirmed = false;
     bool QueryInFlight = false; ///< An Await was sent and not yet answered.
@@ -122,11 +130,13 @@
                              const LoadReport &Load) const;
   void recordRunTime(const Call &Current, TimePoint Now,
                      const LoadReport &Load);
+  static void recordRefusal(TimePoint Now, Call &Current,
+                            const Refused &Message);
   void scheduleWake(Call &Current, TimePoint At);
   void removeCall(Call &Current);
   const Member *chooseServer(RouterStep &Step, const Call &Current);
   void tryNextServer(RouterStep &Step, Call &Current);
-  const Member *chooseSlowServer(RouterStep &Step, Call &Current);
+  const Member *chooseFallback(RouterStep &Step, Call &Current);
   void sendExecute(RouterStep &Step, Call &Current, const Member &To,
                    bool HasAlternative);
   static Duration confirmTimeout(const Call &Current);
--- a/src/sidecar/ServerGate.cpp
+++ b/src/sidecar/ServerGate.cpp
@@ -122,6 +122,7 @@
   Report.UsualServiceTime = Times.overall();
   Report.ServiceTime = Duration(static_cast<Duration::rep>(
       static_cast<double>(Times.overall().count()) * Slowdown.factor()));
+  Report.TimeToStart = RateLimit.timeToStart(Now, Waiting);
   return Report;
 }
 
@@ -198,21 +199,24 @@
 Duration ServerGate::expectedWait(TimePoint Now, const AdmittedCall &Call,
                                   double Factor) const {
   Duration Ahead{0};
+  std::size_t CallsAhead = 0;
   for (const auto &[Id, Other] : Calls) {
     if (Other.Run != 0 || Id == Call.Message.Call ||
         !precedes(Now, Other, Call))
       continue;
+    ++CallsAhead;
     // A delayed call does not start at the present speed.
     if (isDelayed(Now, Other) && Factor == Slowdown.factor())
       continue;
     Ahead += expectedRun(Other.Message.Policy.Route, Factor);
   }
   std::uint32_t Slots = usableSlots();
+  Duration LimitWait = RateLimit.timeToStart(Now, CallsAhead);
   // With all slots taken, the next one is freed after about the duration of a
   // run divided by the number of slots.
   if (running() >= Slots)
     Ahead += expectedRun(Call.Message.Policy.Route, Factor);
-  Duration Wait = Ahead / Slots;
+  Duration Wait = std::max<Duration>(Ahead / Slots, LimitWait);
   if (!Server.cold(Now))
     return Wait;
   double Missing = static_cast<double>(Waiting) + 1 - ColdTokens.available(Now);
@@ -251,14 +255,19 @@
   return Now + Left - Usual;
 }
 
-/// Checks whether a call can be served in time. With a free slot every call
-/// that can meet its deadline is admitted, even after its target.
+/// Checks whether a call can be served in time. A call that the server's rate
+/// limit would delay is refused at once if another server can take it. With a
+/// free slot every call that can meet its deadline is admitted, even after its
+/// target.
 std::optional<ErrorKind>
 ServerGate::checkCapacity(TimePoint Now, const AdmittedCall &Call) const {
   if (Calls.size() >= MaxCalls || BufferedBytes + Call.Bytes > MaxBufferedBytes)
     return ErrorKind::Overloaded;
   if (isFasterElsewhere(Now, Call))
     return ErrorKind::ServerSlow;
+  bool Limited = RateLimit.timeToStart(Now, Waiting) > Duration(0);
+  if (Limited && Call.Message.HasAlternative)
+    return ErrorKind::RateLimited;
   Duration Run = expectedRun(Call.Message.Policy.Route);
   if (delayUntil(Now, Call))
     return std::nullopt;
@@ -267,7 +276,7 @@
     return Now >= Call.Deadline ? std::optional(ErrorKind::Overloaded)
                                 : std::nullopt;
   if (Now + Wait + Run > std::min(Call.Target, Call.Deadline))
-    return ErrorKind::Overloaded;
+    return Limited ? ErrorKind::RateLimited : ErrorKind::Overloaded;
   return std::nullopt;
 }
 
@@ -352,10 +361,12 @@
   std::int64_t PreviousStart = Server.startMillis();
   ReportVerdict Verdict = Server.heartbeat(Step.Now, Report);
   ExpectedServer.reset();
-  if (!PreviousInstance.empty() && PreviousStart != 0 &&
-      (Server.instance() != PreviousInstance ||
-       Server.startMillis() != PreviousStart))
+  bool SameInstance = Server.instance() == PreviousInstance &&
+                      Server.startMillis() == PreviousStart;
+  if (!SameInstance && !PreviousInstance.empty() && PreviousStart != 0) {
     Crashes.serverLost(Step.Now);
+    RateLimit.reset();
+  }
   if (Verdict == ReportVerdict::Changed || Verdict == ReportVerdict::Unchanged)
     Unreachable = false;
   if (Server.state() != InstanceState::Ready)
@@ -464,6 +475,8 @@
     return LastProbeAt + ProbeTimeout;
   if (Unreachable)
     return LastProbeAt + UnreachableProbeInterval;
+  if (RateLimit.perSecond())
+    return LastProbeAt + RateLimit.probeInterval();
   TimePoint ForLoad = std::max(LastProbeAt, LastLoadAt) + LoadProbeInterval;
   TimePoint ForCold = LastProbeAt + ProbeInterval;
   bool LoadWanted = ForLoad <= LastCallAt + LoadProbeDuration;
--- a/src/sidecar/ServerGateRuns.cpp
+++ b/src/sidecar/ServerGateRuns.cpp
@@ -33,9 +33,15 @@
                  {"slots", std::to_string(usableSlots())},
                  {"run_ms", millisText(expectedRun(Call.Message.Policy.Route))},
                  {"target_left_ms", millisText(Call.Target - Step.Now)}};
+  LoadReport Load = load(Step.Now);
+  // No other server is left: the client is told when to come back.
+  if (Kind == ErrorKind::RateLimited && !Call.Message.HasAlternative)
+    Load.TimeToStart = RateLimit.bookStart(Step.Now, Waiting);
+  if (Kind == ErrorKind::RateLimited)
+    Line.Fields.emplace_back("start_in_ms", millisText(Load.TimeToStart));
   Step.Out.emplace_back(std::move(Line));
   reply(Step, Call.From, Call.Message.Call,
-        Refused{Call.Message.Call, Kind, load(Step.Now)});
+        Refused{Call.Message.Call, Kind, Load});
 }
 
 ServerGate::AdmittedCall ServerGate::remove(CallMap::iterator At) {
@@ -74,16 +80,21 @@
       Late.push_back(Id);
   }
   for (const CallId &Id : Late) {
-    refuse(Step, remove(Calls.find(Id)), ErrorKind::Overloaded);
+    refuse(Step, remove(Calls.find(Id)),
+           RateLimit.perSecond() ? ErrorKind::RateLimited
+                                 : ErrorKind::Overloaded);
   }
 }
 
 // Runs.
 
 bool ServerGate::acquireStartPermit(TimePoint Now) {
-  if (running() >= usableSlots())
+  if (running() >= usableSlots() || !RateLimit.available(Now))
     return false;
-  return !Server.cold(Now) || ColdTokens.take(Now);
+  if (Server.cold(Now) && !ColdTokens.take(Now))
+    return false;
+  RateLimit.take(Now);
+  return true;
 }
 
 void ServerGate::startWaiting(GateStep &Step) {
--- a/tests/PeerCodecTest.cpp
+++ b/tests/PeerCodecTest.cpp
@@ -32,8 +32,13 @@
   return static_cast<RecordState>(*rc::gen::inRange<int>(0, 5));
 }
 LoadReport anyLoadReport() {
-  return {any<std::uint32_t>(), any<std::uint32_t>(), any<std::uint32_t>(),
-          Duration(any<std::int64_t>()), any<bool>()};
+  return {any<std::uint32_t>(),
+          any<std::uint32_t>(),
+          any<std::uint32_t>(),
+          Duration(any<std::int64_t>()),
+          any<bool>(),
+          Duration(any<std::int64_t>()),
+          Duration(any<std::int64_t>())};
 }
 GrantToken anyGrantToken() {
   return {{any<std::uint64_t>(), any<std::uint64_t>()},
--- a/tests/SidecarCluster.h
+++ b/tests/SidecarCluster.h
@@ -194,7 +194,7 @@
       answer(*Reply);
     else if (std::holds_alternative<ProbeServer>(Effect))
       schedule(std::chrono::milliseconds(1), [this, Name] {
-        apply(Name, ServerProbeResult{true, "i-" + Name, std::nullopt, {}});
+        apply(Name, ServerProbeResult{true, "i-" + Name, std::nullopt, {}, {}});
       });
     else if (auto *Cancelled = std::get_if<CancelRun>(&Effect))
       schedule(Duration(0), [this, Name, Run = Cancelled->Run] {
