--- a/src/sidecar/CallRouter.cpp
+++ b/src/sidecar/CallRouter.cpp
@@ -199,12 +199,12 @@
   fail(Step, Current, Current.LastError);
 }
 
-/// Returns the server that can start the call first among those that refused it
+/// Returns the server that would end the call first among those that refused it
 /// in favour of another one, or null.
 const Member *CallRouter::chooseFallback(RouterStep &Step, Call &Current) {
   while (!Current.Fallbacks.empty()) {
-    auto First = std::ranges::min_element(Current.Fallbacks, {},
-                                          &FallbackServer::StartAt);
+    auto First =
+        std::ranges::min_element(Current.Fallbacks, {}, &FallbackServer::EndAt);
     FallbackServer Next = std::move(*First);
     Current.Fallbacks.erase(First);
     if (Next.StartAt > Current.Target)
@@ -324,6 +324,14 @@
   retryAfterRun(Step, *Current, ErrorKind::BackendFailed);
 }
 
+/// Returns the present run time of a server over its usual one.
+static double slowdownFactor(const LoadReport &Load) {
+  if (Load.UsualServiceTime <= Duration(0) || Load.ServiceTime <= Duration(0))
+    return 1;
+  return static_cast<double>(Load.ServiceTime.count()) /
+         static_cast<double>(Load.UsualServiceTime.count());
+}
+
 /// Returns the duration that the current attempt would have had at the usual
 /// speed of its server.
 Duration CallRouter::timeAtUsualSpeed(const Call &Current, TimePoint Now,
@@ -331,12 +339,8 @@
   Duration Elapsed = Now - Current.SentAt;
   if (Current.Remote)
     Elapsed -= std::min(Elapsed, OwnLocality.RegionRoundTrip);
-  double Factor = 1;
-  if (Load.UsualServiceTime > Duration(0) && Load.ServiceTime > Duration(0))
-    Factor = static_cast<double>(Load.ServiceTime.count()) /
-             static_cast<double>(Load.UsualServiceTime.count());
   return Duration(static_cast<Duration::rep>(
-      static_cast<double>(Elapsed.count()) / Factor));
+      static_cast<double>(Elapsed.count()) / slowdownFactor(Load)));
 }
 
 void CallRouter::recordRunTime(const Call &Current, TimePoint Now,
@@ -392,18 +396,25 @@
   tryNextServer(Step, *Current);
 }
 
-/// Counts a refusal, and keeps when the server can start a call.
+/// Returns how long the call would run at the present speed of a server.
+Duration CallRouter::expectedRun(const Call &Current,
+                                 const LoadReport &Load) const {
+  auto Usual =
+      static_cast<double>(RouteTimes.expected(Current.Route->Name).count());
+  return Duration(static_cast<Duration::rep>(Usual * slowdownFactor(Load)));
+}
+
+/// Counts a refusal, and keeps when the server could have ended the call.
 void CallRouter::recordRefusal(TimePoint Now, Call &Current,
-                               const Refused &Message) {
+                               const Refused &Message) const {
   const LoadReport &Load = Message.Load;
   bool Limited = Message.Kind == ErrorKind::RateLimited;
   bool InFavourOfAnother = Current.HasAlternative &&
                            (Limited || Message.Kind == ErrorKind::ServerSlow);
-  // In front: of two that can start it now, the later report is chosen.
   if (InFavourOfAnother)
-    Current.Fallbacks.insert(Current.Fallbacks.begin(),
-                             {Current.Executor.Host,
-                              Limited ? Now + Load.TimeToStart : TimePoint{}});
+    Current.Fallbacks.push_back(
+        {Current.Executor.Host, Now + Load.TimeToStart,
+         Now + Load.TimeToStart + expectedRun(Current, Load)});
   if (Limited) {
     bool First = Current.LimitRefusals++ == 0;
     Current.BacklogTime = First
--- a/src/sidecar/CallRouter.h
+++ b/src/sidecar/CallRouter.h
@@ -80,7 +80,8 @@
   /// A server that refused a call because another one would serve it earlier.
   struct FallbackServer {
     HostId Host;
-    TimePoint StartAt; ///< When it can start the call; 0: at any time.
+    TimePoint StartAt; ///< When it can start the call.
+    TimePoint EndAt;   ///< When the call would end.
   };
   struct Call {
     std::uint64_t Number = 0;
@@ -130,8 +131,9 @@
                              const LoadReport &Load) const;
   void recordRunTime(const Call &Current, TimePoint Now,
                      const LoadReport &Load);
-  static void recordRefusal(TimePoint Now, Call &Current,
-                            const Refused &Message);
+  Duration expectedRun(const Call &Current, const LoadReport &Load) const;
+  void recordRefusal(TimePoint Now, Call &Current,
+                     const Refused &Message) const;
   void scheduleWake(Call &Current, TimePoint At);
   void removeCall(Call &Current);
   const Member *chooseServer(RouterStep &Step, const Call &Current);
