Fix: a restarted daemon forgot the limit that its server had named

The ingresses remember the newest statement of a server, keyed by instance and start, and send it along with calls; a gate that has not heard its server itself applies the newest of them. The store is not needed for it. Old statements can't replace newer ones, since a gate that has heard its server ignores those of ingresses.

--- a/include/figsail/Types.h
+++ b/include/figsail/Types.h
@@ -7,6 +7,7 @@
 #include <compare>
 #include <cstdint>
 #include <functional>
+#include <optional>
 #include <string>
 #include <tuple>
 #include <vector>
@@ -103,6 +104,24 @@
   template <class Archive> void serialize(Archive &Ar) { Ar(At, Data); }
 };
 
+/// The newest statement of a backend server about the requests that it takes.
+/// Daemons beside servers send it with their replies, ingresses send it back
+/// with their calls.
+struct ServerNotice {
+  std::string Instance;            ///< Id of the server.
+  std::int64_t StartMillis = 0;    ///< Its start, Unix time; 0: not known.
+  bool Leaving = false;            ///< It leaves; it wants no new requests.
+  std::optional<double> RateLimit; ///< Requests a second; none: any number.
+  Duration Age{0};                 ///< Since the server said it.
+
+  bool operator==(const ServerNotice &) const = default;
+  template <class Archive> void serialize(Archive &Ar) {
+    auto Micros = Age.count();
+    Ar(Instance, StartMillis, Leaving, RateLimit, Micros);
+    Age = Duration(Micros);
+  }
+};
+
 /// Load of a backend server, as reported by the daemon beside it.
 struct LoadReport {
   std::uint32_t Limit = 0;      ///< Current concurrency limit.
@@ -114,12 +133,14 @@
                                 ///< of the server; 0: not known.
   Duration TimeToStart{0}; ///< Until the rate limit that the server has named
                            ///< lets another call start.
+  std::optional<ServerNotice> Notice{}; ///< None: it takes any number of calls.
 
   template <class Archive> void serialize(Archive &Ar) {
     auto Micros = ServiceTime.count();
     auto UsualMicros = UsualServiceTime.count();
     auto StartMicros = TimeToStart.count();
-    Ar(Limit, Running, Queued, Micros, Draining, UsualMicros, StartMicros);
+    Ar(Limit, Running, Queued, Micros, Draining, UsualMicros, StartMicros,
+       Notice);
     ServiceTime = Duration(Micros);
     UsualServiceTime = Duration(UsualMicros);
     TimeToStart = Duration(StartMicros);
--- a/src/sidecar/CallRouter.cpp
+++ b/src/sidecar/CallRouter.cpp
@@ -268,6 +268,7 @@
                                Current.TriedHosts.size() + 1;
   Current.HasAlternative = Message.HasAlternative;
   Message.ReceiptDelayMicros = receiptDelay(To.Region != OwnLocality.Region);
+  Message.Notice = Notices.find(Step.Now, To.Host);
   Message.Request = Current.Request;
   Step.Out.emplace_back(SendPeer{To.Host, std::move(Message)});
   Current.Remote = To.Region != OwnLocality.Region;
@@ -301,6 +302,7 @@
 
 void CallRouter::answered(RouterStep &Step, const PeerRef &From,
                           Answer Message) {
+  Notices.received(Step.Now, From.Host, Message.Load.Notice, true);
   Call *Current = find(Message.Call, From);
   if (!Current) {
     Step.Out.emplace_back(Count{Counter::StaleMessages});
@@ -362,6 +364,7 @@
 
 void CallRouter::refused(RouterStep &Step, const PeerRef &From,
                          const Refused &Message) {
+  Notices.received(Step.Now, From.Host, Message.Load.Notice, false);
   Call *Current = find(Message.Call, From);
   if (!Current) {
     Step.Out.emplace_back(Count{Counter::StaleMessages});
@@ -430,6 +433,7 @@
 
 void CallRouter::failed(RouterStep &Step, const PeerRef &From,
                         const Failed &Message) {
+  Notices.received(Step.Now, From.Host, Message.Load.Notice, false);
   Call *Current = find(Message.Call, From);
   if (!Current) {
     Step.Out.emplace_back(Count{Counter::StaleMessages});
--- a/src/sidecar/CallRouter.h
+++ b/src/sidecar/CallRouter.h
@@ -7,6 +7,7 @@
 #include "NestedCallEstimator.h"
 #include "PeerHealth.h"
 #include "RunTimes.h"
+#include "ServerNotices.h"
 #include "ServiceConfig.h"
 #include "SidecarEvents.h"
 #include "SidecarSettings.h"
@@ -56,13 +57,17 @@
   void peerLost(RouterStep &Step, const PeerLost &Lost);
   /// A daemon has reported the load of its server outside a reply.
   void loadReported(TimePoint Now, const HostId &Host, const LoadReport &Load) {
+    Notices.received(Now, Host, Load.Notice, false);
     Selector.loadReported(Now, Host, Load);
   }
 
   /// Sets the number of hosts that share the link between regions.
   void setRegionHosts(std::size_t Count) { Link.setHostCount(Count); }
   /// A host has another backend server or daemon. Discards its load reports.
-  void hostChanged(const HostId &Host) { Selector.reset(Host); }
+  void hostChanged(const Announcement &Announced) {
+    Notices.announced(Announced);
+    Selector.reset(Announced.Host);
+  }
 
   /// Updates the number of runs at this host's server.
   void setServerRuns(TimePoint Now, std::size_t Count) {
@@ -162,6 +167,7 @@
   std::string CallingService; ///< Service of the backend server on this host.
   Locality OwnLocality;
   Balancer Selector;
+  ServerNotices Notices;
   RegionLink Link;
   NestedCallEstimator Origins;
   SplitSchedule Splits;
--- a/src/sidecar/Instance.cpp
+++ b/src/sidecar/Instance.cpp
@@ -19,6 +19,7 @@
   Record["domain"] = Announced.FailureDomain;
   Record["state"] = static_cast<std::uint64_t>(Announced.State);
   Record["instance"] = Announced.Instance;
+  Record["start"] = Announced.StartMillis;
   Record["service"] = Announced.Service;
   Record["slots"] = Announced.Slots;
   return json::serialize(Record);
@@ -38,6 +39,9 @@
   Announced.Region = stringField(Record, "region");
   Announced.FailureDomain = stringField(Record, "domain");
   Announced.Instance = stringField(Record, "instance");
+  // Records of an earlier version lack it.
+  if (const json::value *Start = Record.if_contains("start"))
+    Announced.StartMillis = Start->to_number<std::int64_t>();
   Announced.Service = stringField(Record, "service");
   Announced.Slots = Record.at("slots").to_number<std::uint32_t>();
   Announced.State =
--- a/src/sidecar/Instance.h
+++ b/src/sidecar/Instance.h
@@ -45,7 +45,8 @@
   std::string Region;
   std::string FailureDomain;
   InstanceState State = InstanceState::Absent;
-  std::string Instance; ///< Id of the backend server.
+  std::string Instance;         ///< Id of the backend server.
+  std::int64_t StartMillis = 0; ///< Its start, Unix time; 0: not known.
   std::string Service;
   std::uint32_t Slots = 0;
 };
--- a/src/sidecar/ServerGate.cpp
+++ b/src/sidecar/ServerGate.cpp
@@ -123,9 +123,34 @@
   Report.ServiceTime = Duration(static_cast<Duration::rep>(
       static_cast<double>(Times.overall().count()) * Slowdown.factor()));
   Report.TimeToStart = RateLimit.timeToStart(Now, Waiting);
+  Report.Notice = notice(Now);
   return Report;
 }
 
+std::optional<ServerNotice> ServerGate::notice(TimePoint Now) const {
+  if (!RateLimit.perSecond())
+    return std::nullopt;
+  ServerNotice Newest;
+  Newest.Instance = Server.instance();
+  Newest.StartMillis = Server.startMillis();
+  Newest.RateLimit = RateLimit.perSecond();
+  Newest.Age = Now - RateLimit.saidAt();
+  return Newest;
+}
+
+/// Applies what an ingress knows of the server. It matters to a daemon that has
+/// just started.
+void ServerGate::applyNotice(GateStep &Step, const ServerNotice &Notice) {
+  bool SameStart = Notice.StartMillis == Server.startMillis() ||
+                   Notice.StartMillis == 0 || Server.startMillis() == 0;
+  if (Notice.Instance != Server.instance() || !SameStart)
+    return;
+  ServerTerms Terms;
+  Terms.RateLimit = Notice.RateLimit;
+  Terms.Leaving = Notice.Leaving;
+  applyTerms(Step, Step.Now - Notice.Age, Terms, TermsSource::Peer);
+}
+
 void ServerGate::updateLoad(TimePoint Now, const ServerLoad &Load) {
   Slowdown.update(Now, Load.SlowdownFactor);
   LastLoadAt = Now;
@@ -194,15 +219,15 @@
   return One.Target < Other.Target;
 }
 
-/// Returns how long a call waits behind the calls that precede it, at the given
-/// slowdown factor.
+/// Returns how long a call waits behind the calls that it does not precede, at
+/// the given slowdown factor. Of two with the same target, the one that is here
+/// already goes first.
 Duration ServerGate::expectedWait(TimePoint Now, const AdmittedCall &Call,
                                   double Factor) const {
   Duration Ahead{0};
   std::size_t CallsAhead = 0;
   for (const auto &[Id, Other] : Calls) {
-    if (Other.Run != 0 || Id == Call.Message.Call ||
-        !precedes(Now, Other, Call))
+    if (Other.Run != 0 || Id == Call.Message.Call || precedes(Now, Call, Other))
       continue;
     ++CallsAhead;
     // A delayed call does not start at the present speed.
@@ -309,6 +334,8 @@
         From.Host, Failed{Id, ErrorKind::OutcomeUnknown, load(Step.Now)}});
     return;
   }
+  if (Message.Notice)
+    applyNotice(Step, *Message.Notice);
   Ingresses[From.Host] = Step.Now;
   LastCallAt = Step.Now;
   Duration Receipt{Message.ReceiptDelayMicros};
--- a/src/sidecar/ServerGate.h
+++ b/src/sidecar/ServerGate.h
@@ -168,6 +168,8 @@
   }
   void recordRunTime(const AdmittedCall &Call, TimePoint Now, bool Success);
   void updateLoad(TimePoint Now, const ServerLoad &Load);
+  std::optional<ServerNotice> notice(TimePoint Now) const;
+  void applyNotice(GateStep &Step, const ServerNotice &Notice);
   void applyTerms(GateStep &Step, TimePoint SaidAt, const ServerTerms &Terms,
                   TermsSource Source);
 
--- /dev/null
+++ b/src/sidecar/ServerNotices.cpp
@@ -0,0 +1,63 @@
+// ServerNotices.cpp - What backend servers have said of the requests that they
+// take, as an ingress remembers it.
+
+#include "ServerNotices.h"
+
+namespace figsail {
+
+void ServerNotices::received(TimePoint Now, const HostId &Host,
+                             const std::optional<ServerNotice> &Notice,
+                             bool FromServer) {
+  auto Known = Entries.find(Host);
+  if (!Notice) {
+    // Leaving is final for an instance.
+    if (FromServer && Known != Entries.end() && !Known->second.Notice.Leaving)
+      Entries.erase(Known);
+    return;
+  }
+  TimePoint SaidAt = Now - Notice->Age;
+  bool SameInstance = Known != Entries.end() &&
+                      Known->second.Notice.Instance == Notice->Instance &&
+                      Known->second.Notice.StartMillis == Notice->StartMillis;
+  if (!SameInstance) {
+    Entries[Host] = {*Notice, SaidAt};
+    return;
+  }
+  bool Leaving = Known->second.Notice.Leaving || Notice->Leaving;
+  if (SaidAt >= Known->second.SaidAt)
+    Known->second = {*Notice, SaidAt};
+  Known->second.Notice.Leaving = Leaving;
+}
+
+/// Returns whether a notice comes from the announced instance. A daemon that
+/// recovered its server does not know the server's start until its next report.
+bool ServerNotices::isOf(const ServerNotice &Notice,
+                         const Announcement &Announced) {
+  bool SameStart = Notice.StartMillis == Announced.StartMillis ||
+                   Notice.StartMillis == 0 || Announced.StartMillis == 0;
+  return SameStart && Notice.Instance == Announced.Instance;
+}
+
+void ServerNotices::announced(const Announcement &Announced) {
+  auto Known = Entries.find(Announced.Host);
+  if (Known != Entries.end() && !isOf(Known->second.Notice, Announced))
+    Entries.erase(Known);
+}
+
+std::optional<ServerNotice> ServerNotices::find(TimePoint Now,
+                                                const HostId &Host) const {
+  auto Known = Entries.find(Host);
+  if (Known == Entries.end())
+    return std::nullopt;
+  ServerNotice Notice = Known->second.Notice;
+  Notice.Age = Now - Known->second.SaidAt;
+  return Notice;
+}
+
+bool ServerNotices::isLeaving(const Announcement &Announced) const {
+  auto Known = Entries.find(Announced.Host);
+  return Known != Entries.end() && Known->second.Notice.Leaving &&
+         isOf(Known->second.Notice, Announced);
+}
+
+} // namespace figsail
--- a/src/sidecar/ServerRateLimit.cpp
+++ b/src/sidecar/ServerRateLimit.cpp
@@ -62,12 +62,16 @@
                             const ServerTerms &Terms, TermsSource Source) {
   if (Terms.RateLimitUnusable || StatementAt < SaidAt)
     return false;
+  // The age of a peer's knowledge lacks the time of its way here.
+  if (Source == TermsSource::Peer && Heard)
+    return false;
   if (Source == TermsSource::Probe && Terms.RateLimit)
     ProbesNameLimit = true;
   // Silence of a probe says nothing if this server's probes never name it.
   if (Source == TermsSource::Probe && !ProbesNameLimit)
     return false;
   SaidAt = StatementAt;
+  Heard = Heard || Source != TermsSource::Peer;
   if (Terms.RateLimit == Limit)
     return false;
   if (Terms.RateLimit)
--- a/src/sidecar/ServerRateLimit.h
+++ b/src/sidecar/ServerRateLimit.h
@@ -29,8 +29,8 @@
 class ServerRateLimit {
 public:
   /// Applies a statement of the server, made at SaidAt. Returns whether it
-  /// changes the limit. One that is older than the newest known is ignored, and
-  /// so is a limit that is no number.
+  /// changes the limit. Ignored are one that is older than the newest known, a
+  /// limit that is no number, and a peer's once the server itself was heard.
   bool apply(TimePoint Now, TimePoint SaidAt, const ServerTerms &Terms,
              TermsSource Source);
   /// Forgets all statements. Called for another instance of the server.
@@ -61,6 +61,7 @@
 
   std::optional<double> Limit;  ///< Requests a second, as the server named it.
   TimePoint SaidAt{};           ///< Time of the newest statement.
+  bool Heard = false;           ///< The server itself has said something.
   bool ProbesNameLimit = false; ///< The server names it in health responses.
   TokenBucket Tokens{1, 1};
   TimePoint BookedUntil{}; ///< Starts before are promised to clients.
--- a/src/sidecar/Sidecar.cpp
+++ b/src/sidecar/Sidecar.cpp
@@ -253,6 +253,7 @@
   if (PauseAnnounced && Own.State == InstanceState::Ready)
     Own.State = InstanceState::Paused;
   Own.Instance = Gate.server().instance();
+  Own.StartMillis = Gate.server().startMillis();
   Own.Service = Gate.server().service();
   Own.Slots = Gate.server().slots();
   return Own;
--- a/src/sidecar/SidecarTopics.cpp
+++ b/src/sidecar/SidecarTopics.cpp
@@ -251,7 +251,7 @@
   }
   if (!Directory.merge(Body))
     return;
-  Router.hostChanged(Body.Host);
+  Router.hostChanged(Body);
   updateHostCounts();
   // A probe opens a link before the first request needs it.
   bool Wanted = Directory.all().size() <= MaxEagerHosts ||
--- a/tests/PeerCodecTest.cpp
+++ b/tests/PeerCodecTest.cpp
@@ -31,6 +31,15 @@
 RecordState anyRecordState() {
   return static_cast<RecordState>(*rc::gen::inRange<int>(0, 5));
 }
+std::optional<ServerNotice> anyNotice() {
+  if (any<bool>())
+    return std::nullopt;
+  ServerNotice Notice{anyText(), any<std::int64_t>(), any<bool>(), std::nullopt,
+                      Duration(any<std::int64_t>())};
+  if (any<bool>())
+    Notice.RateLimit = any<std::uint32_t>() / 10.0;
+  return Notice;
+}
 LoadReport anyLoadReport() {
   return {any<std::uint32_t>(),
           any<std::uint32_t>(),
@@ -83,11 +92,19 @@
 PeerMessage anyMessage(std::size_t Index) {
   switch (Index) {
   case 0:
-    return Execute{anyCallId(),          any<std::uint64_t>(),
-                   anyCallPolicy(),      any<std::int64_t>(),
-                   any<std::uint64_t>(), anyOptionalGrant(),
-                   anyRequest(),         anyText(),
-                   any<std::int64_t>(),  any<bool>()};
+    return Execute{anyCallId(),
+                   any<std::uint64_t>(),
+                   anyCallPolicy(),
+                   any<std::int64_t>(),
+                   any<std::uint64_t>(),
+                   anyOptionalGrant(),
+                   anyRequest(),
+                   anyText(),
+                   any<std::int64_t>(),
+                   any<bool>(),
+                   0.5F,
+                   any<std::uint32_t>(),
+                   anyNotice()};
   case 1:
     return Received{anyCallId()};
   case 2:
