Fix: a server that says in an answer that it leaves got further requests

What servers saw: requests after they had named their leaving in an answer. The gate knew of it from heartbeats and leave reports only, which may be late, and the ingress that had passed the answer on knew nothing. Now the gate stops the admission with the first response of a run or a probe that names it, announces it, and keeps it for the incarnation whatever late report follows. Ingresses remember it by instance and start, exclude the server at once, and tell a daemon that has restarted.

Announcements now carry the start of the instance and whether it has left; records of earlier versions lack both and are read as before.

--- a/src/sidecar/CallRouter.cpp
+++ b/src/sidecar/CallRouter.cpp
@@ -169,7 +169,8 @@
   const std::vector<std::string> &Home = Current.Route->HomeRegions;
   for (const Member &Server : Step.Directory.ready(Current.Service)) {
     if (Step.Evacuated.contains(Server.FailureDomain) ||
-        Step.Peers.isSuspected(Server.Host))
+        Step.Peers.isSuspected(Server.Host) ||
+        Notices.isLeaving(Server.Host, Step.Directory))
       continue;
     if (!Home.empty() && std::ranges::find(Home, Server.Region) == Home.end())
       continue;
--- a/src/sidecar/Instance.cpp
+++ b/src/sidecar/Instance.cpp
@@ -22,6 +22,7 @@
   Record["start"] = Announced.StartMillis;
   Record["service"] = Announced.Service;
   Record["slots"] = Announced.Slots;
+  Record["left"] = Announced.Left;
   return json::serialize(Record);
 }
 
@@ -39,7 +40,9 @@
   Announced.Region = stringField(Record, "region");
   Announced.FailureDomain = stringField(Record, "domain");
   Announced.Instance = stringField(Record, "instance");
-  // Records of an earlier version lack it.
+  // Records of an earlier version lack the start and the leaving.
+  if (const json::value *Left = Record.if_contains("left"))
+    Announced.Left = Left->as_bool();
   if (const json::value *Start = Record.if_contains("start"))
     Announced.StartMillis = Start->to_number<std::int64_t>();
   Announced.Service = stringField(Record, "service");
--- a/src/sidecar/Instance.h
+++ b/src/sidecar/Instance.h
@@ -49,6 +49,7 @@
   std::int64_t StartMillis = 0; ///< Its start, Unix time; 0: not known.
   std::string Service;
   std::uint32_t Slots = 0;
+  bool Left = false; ///< The instance has left or is leaving for good.
 };
 
 /// Returns the announcement as a JSON record for the store.
--- a/src/sidecar/LocalServer.cpp
+++ b/src/sidecar/LocalServer.cpp
@@ -11,7 +11,8 @@
   bool SameStart = Report.StartMillis == StartMillis || StartMillis == 0;
   bool SameIncarnation = SameStart && Report.Instance == Instance;
   bool LeftBeforeHeartbeat =
-      Instance.empty() && Report.Instance == LeftInstance;
+      Instance.empty() && Report.Instance == LeftInstance &&
+      (LeftStartMillis == 0 || Report.StartMillis <= LeftStartMillis);
   if (Report.StartMillis < StartMillis || (SameIncarnation && LeftForGood) ||
       LeftBeforeHeartbeat)
     return ReportVerdict::Stale;
@@ -19,8 +20,10 @@
     return ReportVerdict::Stale;
   InstanceState Next =
       Report.Draining ? InstanceState::Draining : InstanceState::Ready;
+  if (!SameIncarnation)
+    Leaving = false;
   // Draining is final within one incarnation.
-  if (SameIncarnation && State == InstanceState::Draining)
+  if (SameIncarnation && (Leaving || State == InstanceState::Draining))
     Next = InstanceState::Draining;
   bool Changed = !SameIncarnation || Next != State ||
                  Report.Service != Service || Report.Slots != Slots;
@@ -44,7 +47,7 @@
   }
   if (Report.StartMillis != 0 && Report.StartMillis < StartMillis)
     return ReportVerdict::Stale;
-  bool Changed = State != InstanceState::Absent;
+  bool Changed = State != InstanceState::Absent || !LeftForGood;
   State = InstanceState::Absent;
   LeftForGood = true;
   return Changed ? ReportVerdict::Changed : ReportVerdict::Unchanged;
@@ -54,12 +57,36 @@
   if (!Instance.empty() || Announced.Instance == LeftInstance)
     return;
   Instance = Announced.Instance;
+  StartMillis = Announced.StartMillis;
   Service = Announced.Service;
   Slots = Announced.Slots;
   State = InstanceState::Ready;
   LastReportAt = Now;
 }
 
+bool LocalServer::setLeaving() {
+  if (Instance.empty() || leaving())
+    return false;
+  Leaving = true;
+  if (State == InstanceState::Ready)
+    State = InstanceState::Draining;
+  return true;
+}
+
+void LocalServer::rememberLeft(const std::string &Gone,
+                               std::int64_t GoneStart) {
+  bool Present = Gone == Instance && (GoneStart == 0 || StartMillis == 0 ||
+                                      GoneStart == StartMillis);
+  if (Present) {
+    setLeaving();
+    return;
+  }
+  if (!Instance.empty())
+    return;
+  LeftInstance = Gone;
+  LeftStartMillis = GoneStart;
+}
+
 void LocalServer::setCold(TimePoint Now, Duration Remaining) {
   ColdUntil = Now + Remaining;
 }
--- a/src/sidecar/LocalServer.h
+++ b/src/sidecar/LocalServer.h
@@ -22,6 +22,7 @@
 /// Backend server that a predecessor of this daemon announced.
 struct AnnouncedServer {
   std::string Instance;
+  std::int64_t StartMillis = 0; ///< 0: not known.
   std::string Service;
   std::uint32_t Slots = 0;
 };
@@ -36,6 +37,12 @@
   /// Restores the server that a predecessor of this daemon announced and a
   /// probe found healthy under the same instance id. Ignored after a heartbeat.
   void recover(TimePoint Now, const AnnouncedServer &Announced);
+  /// The server has said in a response that it leaves, which is final for its
+  /// incarnation. Returns whether that is new.
+  bool setLeaving();
+  /// A predecessor of this daemon knew that the server of this instance, or of
+  /// an earlier start, has left or is leaving. Late reports of it are ignored.
+  void rememberLeft(const std::string &Gone, std::int64_t GoneStart);
   /// Sets how much longer the server stays cold.
   void setCold(TimePoint Now, Duration Remaining);
   /// Marks the server absent if it has sent no report for Silence. Returns
@@ -48,6 +55,10 @@
   std::int64_t startMillis() const { return StartMillis; }
   const std::string &service() const { return Service; }
   std::uint32_t slots() const { return Slots; }
+  /// Returns whether the present incarnation has left or is leaving.
+  bool leaving() const {
+    return Leaving || LeftForGood || State == InstanceState::Draining;
+  }
   bool cold(TimePoint Now) const { return Now < ColdUntil; }
   /// Returns the time of the last heartbeat or recovery.
   TimePoint lastReportAt() const { return LastReportAt; }
@@ -60,7 +71,9 @@
   std::int64_t StartMillis = 0; ///< 0: not known yet.
   std::uint64_t Sequence = 0;
   bool LeftForGood = false; ///< The present incarnation has left for good.
+  bool Leaving = false;     ///< It has said in a response that it leaves.
   std::string LeftInstance; ///< Left before its first heartbeat here.
+  std::int64_t LeftStartMillis = 0; ///< Start of LeftInstance; 0: not known.
   TimePoint ColdUntil;
   TimePoint LastReportAt;
 };
--- a/src/sidecar/ServerGate.cpp
+++ b/src/sidecar/ServerGate.cpp
@@ -128,9 +128,10 @@
 }
 
 std::optional<ServerNotice> ServerGate::notice(TimePoint Now) const {
-  if (!RateLimit.perSecond())
+  if (!RateLimit.perSecond() && !Server.leaving())
     return std::nullopt;
   ServerNotice Newest;
+  Newest.Leaving = Server.leaving();
   Newest.Instance = Server.instance();
   Newest.StartMillis = Server.startMillis();
   Newest.RateLimit = RateLimit.perSecond();
@@ -160,6 +161,13 @@
 /// it takes.
 void ServerGate::applyTerms(GateStep &Step, TimePoint SaidAt,
                             const ServerTerms &Terms, TermsSource Source) {
+  if (Terms.Leaving && Server.setLeaving()) {
+    Decision Line{LogLevel::Warning, "server-leaving", {}};
+    Line.Fields = {{"instance", Server.instance()},
+                   {"source", std::string(termsSourceName(Source))}};
+    Step.Out.emplace_back(std::move(Line));
+    refuseWaiting(Step, ErrorKind::Draining);
+  }
   std::optional<double> Before = RateLimit.perSecond();
   if (!RateLimit.apply(Step.Now, SaidAt, Terms, Source))
     return;
@@ -427,13 +435,21 @@
   LastProbeAt = TimePoint{};
 }
 
+void ServerGate::rememberLeft(GateStep &Step, const std::string &Instance,
+                              std::int64_t StartMillis) {
+  Server.rememberLeft(Instance, StartMillis);
+  if (Server.state() == InstanceState::Draining)
+    refuseWaiting(Step, ErrorKind::Draining);
+}
+
 /// Restores the announced server if the probe found it healthy. A server that
 /// is leaving does not report itself as healthy.
 void ServerGate::recoverExpectedServer(TimePoint Now,
                                        const ServerProbeResult &Probe) {
   if (!ExpectedServer || Probe.Instance.empty())
     return;
-  if (Probe.Healthy && Probe.Instance == ExpectedServer->Instance)
+  bool Leaving = Probe.Terms.Leaving;
+  if (Probe.Healthy && !Leaving && Probe.Instance == ExpectedServer->Instance)
     Server.recover(Now, *ExpectedServer);
   ExpectedServer.reset();
 }
--- a/src/sidecar/ServerGate.h
+++ b/src/sidecar/ServerGate.h
@@ -63,6 +63,11 @@
   /// heartbeat.
   void expectServer(TimePoint Now, AnnouncedServer Announced);
 
+  /// Admits no calls to the server of an instance that has left, as a
+  /// predecessor of this daemon announced.
+  void rememberLeft(GateStep &Step, const std::string &Instance,
+                    std::int64_t StartMillis);
+
   /// Applies the settings of the server's service.
   void configure(const ServiceSettings &Service);
   /// Applies changed bounds of the operator.
--- a/src/sidecar/ServerNotices.cpp
+++ b/src/sidecar/ServerNotices.cpp
@@ -54,10 +54,13 @@
   return Notice;
 }
 
-bool ServerNotices::isLeaving(const Announcement &Announced) const {
-  auto Known = Entries.find(Announced.Host);
-  return Known != Entries.end() && Known->second.Notice.Leaving &&
-         isOf(Known->second.Notice, Announced);
+bool ServerNotices::isLeaving(const HostId &Host,
+                              const InstanceDirectory &Directory) const {
+  auto Known = Entries.find(Host);
+  if (Known == Entries.end() || !Known->second.Notice.Leaving)
+    return false;
+  const Announcement *Announced = Directory.find(Host);
+  return Announced && isOf(Known->second.Notice, *Announced);
 }
 
 } // namespace figsail
--- a/src/sidecar/Sidecar.cpp
+++ b/src/sidecar/Sidecar.cpp
@@ -151,7 +151,7 @@
   GateStep AtGate{S.Now, S.Out};
   RouterStep AtRouter = routerStep(S);
   if (auto *Body = std::get_if<Execute>(&Message))
-    Gate.execute(AtGate, From, std::move(*Body));
+    handleExecute(S, From, std::move(*Body));
   else if (auto *Body = std::get_if<Received>(&Message))
     Router.received(AtRouter, From, Body->Call);
   else if (auto *Body = std::get_if<Answer>(&Message))
@@ -178,11 +178,24 @@
     S.Out.emplace_back(Count{Counter::StaleMessages});
 }
 
+/// Passes a call to the gate. What its ingress knows of the server may change
+/// the server's state.
+void Sidecar::handleExecute(Step &S, const PeerRef &From, Execute Message) {
+  InstanceState Before = Gate.server().state();
+  GateStep AtGate{S.Now, S.Out};
+  Gate.execute(AtGate, From, std::move(Message));
+  if (Gate.server().state() != Before)
+    announce(S);
+}
+
 // The backend server.
 
 void Sidecar::on(Step &S, ServerRunResult &Body) {
   GateStep Step{S.Now, S.Out};
+  InstanceState Before = Gate.server().state();
   Gate.runEnded(Step, std::move(Body));
+  if (Gate.server().state() != Before)
+    announce(S);
 }
 
 void Sidecar::on(Step &S, ServerProbeResult &Body) {
@@ -191,9 +204,11 @@
   Gate.probeEnded(Step, Body);
   if (Gate.server().state() == Before)
     return;
-  Decision Line{LogLevel::Info, "server-recovered", {}};
-  Line.Fields = {{"instance", Gate.server().instance()}};
-  S.Out.emplace_back(std::move(Line));
+  if (Before == InstanceState::Absent) {
+    Decision Line{LogLevel::Info, "server-recovered", {}};
+    Line.Fields = {{"instance", Gate.server().instance()}};
+    S.Out.emplace_back(std::move(Line));
+  }
   announce(S);
 }
 
@@ -256,6 +271,7 @@
   Own.StartMillis = Gate.server().startMillis();
   Own.Service = Gate.server().service();
   Own.Slots = Gate.server().slots();
+  Own.Left = Gate.server().leaving();
   return Own;
 }
 
--- a/src/sidecar/Sidecar.h
+++ b/src/sidecar/Sidecar.h
@@ -68,12 +68,14 @@
   void on(Step &S, TimerFired &Body);
   void on(Step &S, StopRequested &Body);
 
+  void handleExecute(Step &S, const PeerRef &From, Execute Message);
   void handleMessage(Step &S, const PeerRef &From, PeerMessage &Message);
   void applyRecord(Step &S, Offset At, UnusableRecord &Body);
   void applyRecord(Step &S, Offset At, ConfigPtr &Body);
   void applyRecord(Step &S, Offset At, Evacuation &Body);
   void applyRecord(Step &S, Offset At, Announcement &Body);
   void applyRecord(Step &S, Offset At, HostRemoved &Body);
+  void rememberLeftServer(Step &S, const Announcement &Own);
   /// The state of one topic.
   struct TopicState {
     TopicState(Topic Which, const RecordDecoder &Decoder)
--- a/src/sidecar/SidecarTopics.cpp
+++ b/src/sidecar/SidecarTopics.cpp
@@ -235,6 +235,13 @@
   Gate.evacuate(Step, Evacuated.contains(Settings.FailureDomain));
 }
 
+/// A predecessor of this daemon knew that its server has left. Reports of that
+/// server may still arrive, seconds late.
+void Sidecar::rememberLeftServer(Step &S, const Announcement &Own) {
+  GateStep AtGate{S.Now, S.Out};
+  Gate.rememberLeft(AtGate, Own.Instance, Own.StartMillis);
+}
+
 void Sidecar::applyRecord(Step &S, Offset, Announcement &Body) {
   if (Body.Host == Settings.Host) {
     // The store's newest record of this host must be this daemon's own. An
@@ -246,7 +253,10 @@
     bool Served = Body.State == InstanceState::Ready ||
                   Body.State == InstanceState::Paused;
     if (Served && Body.Service == Settings.Service)
-      Gate.expectServer(S.Now, {Body.Instance, Body.Service, Body.Slots});
+      Gate.expectServer(
+          S.Now, {Body.Instance, Body.StartMillis, Body.Service, Body.Slots});
+    if (Body.Left)
+      rememberLeftServer(S, Body);
     return announce(S);
   }
   if (!Directory.merge(Body))
--- /dev/null
+++ b/tests/ServerLeavingTest.cpp
@@ -0,0 +1,165 @@
+// ServerLeavingTest.cpp - A backend server that leaves gets no new requests,
+// whoever hears of it first and whichever daemon restarts.
+
+#include "ServerGateFixture.h"
+#include "SidecarFixture.h"
+
+#include <gtest/gtest.h>
+
+using namespace figsail;
+using namespace figsail::test;
+
+namespace {
+
+ServerRunResult leavingResponse() {
+  ServerRunResult Result;
+  Result.Metadata.Terms.Leaving = true;
+  return Result;
+}
+
+// Guards against DRAIN of issue 23: requests reached a server that had said in
+// an answer that it leaves.
+TEST_F(ServerGateTest, AnAnswerThatNamesLeavingEndsTheAdmission) {
+  auto Runs = fill();
+  auto Out = endRun(Runs[0], leavingResponse());
+  EXPECT_TRUE(logged(Out, "server-leaving"));
+  EXPECT_TRUE(effects<StartRun>(Out).empty());
+  EXPECT_EQ(refusals(Out).size(), 1U) << "the waiting call goes elsewhere";
+  EXPECT_EQ(refusals(execute(call())).at(0).Kind, ErrorKind::Draining);
+  EXPECT_EQ(messages<Answer>(endRun(Runs[1])).size(), 1U)
+      << "what runs is answered";
+}
+
+TEST_F(ServerGateTest, AProbeThatNamesLeavingEndsTheAdmission) {
+  ServerProbeResult Probe;
+  Probe.Healthy = true;
+  Probe.Instance = "i-1";
+  Probe.Terms.Leaving = true;
+  step([&](GateStep &Step) { Gate.probeEnded(Step, Probe); });
+  EXPECT_EQ(refusals(execute(call())).at(0).Kind, ErrorKind::Draining);
+}
+
+// Guards against a heartbeat that was sent before the server began to leave and
+// arrives after it.
+TEST_F(ServerGateTest, ALateHeartbeatDoesNotBringALeavingServerBack) {
+  auto Runs = fill();
+  endRun(Runs[0], leavingResponse());
+  sendHeartbeat(2);
+  EXPECT_EQ(refusals(execute(call())).at(0).Kind, ErrorKind::Draining);
+  step(
+      [&](GateStep &Step) { Gate.heartbeat(Step, heartbeat(1, "i-1", 2000)); });
+  EXPECT_TRUE(refusals(execute(call())).empty())
+      << "a later start under the same id is another server";
+}
+
+// Guards against a restarted daemon that uses a server of which an ingress
+// knows that it leaves.
+TEST_F(ServerGateTest, AnIngressTellsANewDaemonThatTheServerLeaves) {
+  Execute Knowing = call();
+  Knowing.Notice = ServerNotice{"i-1", 1000, true, std::nullopt, 3s};
+  EXPECT_EQ(refusals(execute(Knowing)).at(0).Kind, ErrorKind::Draining);
+  EXPECT_EQ(refusals(execute(call())).at(0).Kind, ErrorKind::Draining);
+}
+
+TEST_F(ServerGateTest, ANoticeOnAFormerInstanceIsIgnored) {
+  for (ServerNotice Former : {ServerNotice{"i-0", 1000, true, {}, 3s},
+                              ServerNotice{"i-1", 900, true, {}, 3s}}) {
+    Execute Knowing = call();
+    Knowing.Notice = Former;
+    EXPECT_TRUE(refusals(execute(Knowing)).empty());
+  }
+}
+
+// Guards against an ingress that goes on sending to a server after it has
+// passed on an answer that names its leaving, while the store and so the
+// announcement of the leaving do not reach it.
+TEST_F(SidecarTest, AnIngressSendsNothingToAServerThatLeaves) {
+  loadTopics();
+  std::set<HostId> Hosts;
+  CallerId Caller = 0;
+  auto [First, Call] = sent(request(++Caller));
+  LoadReport Load;
+  Load.Notice = ServerNotice{"i-" + First, 0, true, {}, 0ms};
+  reply(First, Answer{Call.Call, {200, {}, ""}, Load});
+  for (int I = 0; I < 60; ++I) {
+    Now += 200ms;
+    auto [Host, Next] = sent(request(++Caller));
+    EXPECT_NE(Host, First);
+    reply(Host, Answer{Next.Call, {200, {}, ""}, {}});
+  }
+  Announcement Newer = announcement(First);
+  Newer.Instance = "i-new";
+  Newer.Order.Counter = 9;
+  memberRecord(Newer);
+  for (int I = 0; I < 60; ++I) {
+    auto [Host, Next] = sent(request(++Caller));
+    Hosts.insert(Host);
+  }
+  EXPECT_TRUE(Hosts.contains(First)) << "another instance may be used";
+}
+
+/// A daemon that starts while its predecessor's announcement is in the store.
+struct LeftServerTest : SidecarTest {
+  void start(InstanceState State) {
+    tick();
+    apply(TopicSnapshot{Topic::Operator, {}, 0});
+    operatorRecord("config", 1, config(5));
+    Announcement Own = announcement("10.0.0.1:7000");
+    Own.Instance = "i-1";
+    Own.StartMillis = 1000;
+    Own.State = State;
+    Own.Left = true;
+    Decoder.Contents["10.0.0.1:7000@5"] = Own;
+    apply(TopicSnapshot{Topic::Members, {{"10.0.0.1:7000", "x", 5}}, 6});
+    tick();
+  }
+  bool runs(const std::string &Instance) {
+    Execute Message;
+    Message.Call = {9, ++LastCall};
+    Message.Policy.Route = "book";
+    Message.Policy.Service = "booking";
+    Message.BudgetMicros = Duration(1s).count();
+    Message.TargetMicros = Duration(300ms).count();
+    Message.Instance = Instance;
+    return !effects<StartRun>(reply("a", Message)).empty();
+  }
+  std::uint64_t LastCall = 0;
+};
+
+// Guards against a server that has left and is in use again after a restart of
+// its daemon: a heartbeat arrives seconds late, and the new daemon knew nothing
+// of the leave that its predecessor had acknowledged.
+TEST_F(LeftServerTest, ALateHeartbeatAfterARestartBringsNoLeftServerBack) {
+  for (InstanceState State : {InstanceState::Draining, InstanceState::Absent}) {
+    Reducer.~Sidecar();
+    new (&Reducer) Sidecar(testSettings(), Decoder);
+    start(State);
+    apply(heartbeat(7));
+    EXPECT_FALSE(runs("i-1"));
+    apply(heartbeat(1, "i-1", 2000));
+    EXPECT_TRUE(runs("i-1")) << "started again under its id";
+  }
+}
+
+// The same when the heartbeat is there before the topics are.
+TEST_F(LeftServerTest, AHeartbeatBeforeTheTopicsBringsNoLeftServerBack) {
+  apply(heartbeat(7));
+  EXPECT_TRUE(runs("i-1"));
+  start(InstanceState::Absent);
+  EXPECT_FALSE(runs("i-1"));
+  apply(heartbeat(8));
+  EXPECT_FALSE(runs("i-1"));
+}
+
+TEST(Announcements, KeepStartAndLeaving) {
+  Announcement Sent;
+  Sent.Host = "a";
+  Sent.StartMillis = 1700000000123;
+  Sent.Left = true;
+  auto Read = decodeAnnouncement(encodeAnnouncement(Sent));
+  ASSERT_TRUE(Read);
+  EXPECT_EQ(Read->StartMillis, 1700000000123);
+  EXPECT_TRUE(Read->Left);
+}
+
+} // namespace
