Test: the limit and the leaving of a server through restarts of real processes; a red test mended

The backend stand-in names a limit and leaving on command; the metrics show server_limit_per_minute and server_leaving.

--- a/src/shell/SidecarDaemon.cpp
+++ b/src/shell/SidecarDaemon.cpp
@@ -233,6 +233,10 @@
     Text.crossRegionTraffic(Traffic);
   Text.gauge("log_lines_left_out", Log.suppressed() + droppedLogLines());
   Text.gauge("known_hosts", Reducer.directory().all().size());
+  Text.gauge("server_leaving", Reducer.server().leaving() ? 1 : 0);
+  if (std::optional<double> Limit = Reducer.serverRateLimit())
+    Text.gauge("server_limit_per_minute",
+               static_cast<std::uint64_t>(*Limit * 60));
   Reply(makeResponse(http::status::ok, Text.take(), "text/plain"));
 }
 
--- a/src/sidecar/ServerGate.h
+++ b/src/sidecar/ServerGate.h
@@ -86,6 +86,10 @@
   TimePoint nextWake(TimePoint Now) const;
 
   const LocalServer &server() const { return Server; }
+  /// Returns the requests a second that the server takes, if it names a limit.
+  const std::optional<double> &rateLimit() const {
+    return RateLimit.perSecond();
+  }
   /// Returns the fraction of the present runs, from 0 to 1, that are retries or
   /// were caused by retries. The calls that the server makes now come from
   /// these runs; which run makes a call is not known.
--- a/src/sidecar/Sidecar.h
+++ b/src/sidecar/Sidecar.h
@@ -36,6 +36,12 @@
   TimePoint nextWake() const;
 
   const InstanceDirectory &directory() const { return Directory; }
+  /// Returns the backend server on this host.
+  const LocalServer &server() const { return Gate.server(); }
+  /// Returns the requests a second that the server takes, if it names a limit.
+  const std::optional<double> &serverRateLimit() const {
+    return Gate.rateLimit();
+  }
   /// Returns the limits of the configuration in force.
   ClientLimits clientLimits() const {
     return Config ? Config->Limits : ClientLimits();
--- a/standins/BackendStandin.cpp
+++ b/standins/BackendStandin.cpp
@@ -132,7 +132,7 @@
     return;
   }
   if (FailFast) {
-    Frontend.reply(Caller, textResponse(500, "failing fast\n"));
+    replyNaming(Caller, textResponse(500, "failing fast\n"));
     return;
   }
   auto Active = std::make_shared<ActiveRequest>(Context);
@@ -212,7 +212,7 @@
   HttpResponse Response =
       textResponse(200, makeEchoBody(Id, Settings.ResponseBytes));
   Response.Headers.emplace_back("X-Request-Id", Id);
-  Frontend.reply(Finished->Caller, std::move(Response));
+  replyNaming(Finished->Caller, std::move(Response));
   startQueued();
 }
 
@@ -232,14 +232,23 @@
   --Running;
   Recorder.end(*Dropped->RecordIndex);
   if (Reply)
-    Frontend.reply(Dropped->Caller,
-                   textResponse(504, "deadline passed while running\n"));
+    replyNaming(Dropped->Caller,
+                textResponse(504, "deadline passed while running\n"));
   startQueued();
 }
 
 void BackendStandin::replyNotRun(CallerId Caller, const char *Reason) {
   HttpResponse Response = textResponse(503, std::string(Reason) + "\n");
   Response.Headers.emplace_back("Backend-Not-Run", "1");
+  replyNaming(Caller, std::move(Response));
+}
+
+/// Replies, and names the limit and the leaving that control() has set.
+void BackendStandin::replyNaming(CallerId Caller, HttpResponse Response) {
+  if (!NamedLimit.empty())
+    Response.Headers.emplace_back(Settings.LimitField, NamedLimit);
+  if (NamesLeaving)
+    Response.Headers.emplace_back(Settings.LeavingField, "1");
   Frontend.reply(Caller, std::move(Response));
 }
 
@@ -278,7 +287,7 @@
   Timer->expires_after(Settings.HealthDelay);
   Timer->async_wait([this, Caller, Timer](error_code Error) {
     if (!Error)
-      Frontend.reply(Caller, healthResponse());
+      replyNaming(Caller, healthResponse());
   });
 }
 
@@ -322,6 +331,10 @@
       FailFast = Value != "0";
     else if (Name == "drain")
       Draining = Value != "0";
+    else if (Name == "limit")
+      NamedLimit = Value == "none" ? std::string() : Value;
+    else if (Name == "leave")
+      NamesLeaving = Value != "0";
     else if (Name == "cold" && Value != "0")
       restartColdPeriod();
     else if (Name == "health" && parseHealthMode(Value))
--- a/standins/BackendStandin.h
+++ b/standins/BackendStandin.h
@@ -47,6 +47,8 @@
       std::chrono::seconds(3)};    ///< Used with HealthMode::Delayed.
   Duration HealthDelay{5000};      ///< Time until a health response is sent.
   std::size_t ResponseBytes = 100; ///< Payload size of a response.
+  std::string LimitField = "Backend-Limit";     ///< Requests a second.
+  std::string LeavingField = "Backend-Leaving"; ///< "1" while it leaves.
   std::size_t MaxBody =
       std::size_t{8} * 1024 * 1024; ///< Maximum body size of a request.
 };
@@ -56,6 +58,9 @@
 ///   GET  /_runs      one line per run
 ///   POST
 ///   /_control?slow_factor=N&fail_fast=0|1&cold=1&drain=0|1&health=ok|lag|lie
+///            &limit=PER_SECOND|none&leave=0|1
+/// A limit and leaving are named in every response but those to /_control and
+/// /_runs, in the fields of the settings.
 /// A request with X-Crash: 1 crashes the process when its run starts.
 class BackendStandin : public FrontendHandler {
 public:
@@ -89,6 +94,7 @@
   void drop(const ActiveRequestPtr &Dropped, bool Reply);
   void replyNotRun(CallerId Caller, const char *Reason);
   void replyHealth(CallerId Caller);
+  void replyNaming(CallerId Caller, HttpResponse Response);
   HttpResponse control(const QueryParameters &Parameters);
   HttpResponse healthResponse() const;
   void restartColdPeriod();
@@ -112,6 +118,8 @@
   double SlowFactor = 1;
   bool FailFast = false;
   bool Draining = false;
+  std::string NamedLimit; ///< Empty: none.
+  bool NamesLeaving = false;
   TimePoint ColdSince;
   std::deque<std::pair<TimePoint, bool>> HealthHistory; ///< Oldest first.
   boost::asio::steady_timer HealthTimer;
--- a/tests/SidecarProcessTest.cpp
+++ b/tests/SidecarProcessTest.cpp
@@ -5,14 +5,19 @@
 #include "LoopbackAddress.h"
 #include "StoreStandin.h"
 
+#include <algorithm>
+#include <atomic>
 #include <csignal>
+#include <cstdlib>
 #include <fcntl.h>
 #include <filesystem>
 #include <fstream>
 #include <gtest/gtest.h>
+#include <map>
 #include <spawn.h>
 #include <sstream>
 #include <sys/wait.h>
+#include <thread>
 
 using namespace figsail;
 using namespace figsail::test;
@@ -179,9 +184,31 @@
     Answer.set("Figsail-Instance-Id", "i-1");
     Answer.set("Figsail-Server-Seal", "seal");
     Answer.set("Figsail-Attempt-Id", Incoming["Figsail-Attempt-Id"]);
+    for (const auto &[Name, Value] : ServerFields)
+      Answer.set(Name, Value);
+    if (Incoming.target() != "/well")
+      Arrivals.push_back(std::chrono::steady_clock::now());
     Reply(std::move(Answer));
   }
 
+  /// Changes the fields that the server adds to every response.
+  void setServerFields(std::map<std::string, std::string> Fields) {
+    Loop.on([&] { ServerFields = std::move(Fields); });
+  }
+  std::size_t arrivals() {
+    return Loop.on([&] { return Arrivals.size(); });
+  }
+  /// Kills the sidecar and starts it again beside the same server.
+  void restart() {
+    stop(SIGKILL);
+    start();
+    EXPECT_TRUE(becomesTrue([&] { return isReady(); }));
+    EXPECT_EQ(sendHeartbeat(), 200U);
+  }
+
+  std::map<std::string, std::string> ServerFields; ///< Of the server's thread.
+  std::vector<std::chrono::steady_clock::time_point>
+      Arrivals; ///< Requests at the server, without probes.
   std::string Directory;
   pid_t SidecarPid = 0;
   int Heartbeats = 0;
@@ -321,3 +348,63 @@
   EXPECT_EQ(call().result_int(), 200U);
   EXPECT_TRUE(isReady());
 }
+
+// Guards against a server that gets more requests than the limit that it names,
+// also around restarts of the process beside it and without the store.
+TEST_F(SidecarProcessTest, HoldsTheLimitOfTheServerThroughRestarts) {
+  constexpr auto Window = 4s;
+  constexpr std::size_t Allowed = 17; // 1.5 x 2 a second x 4 s + 5.
+  ASSERT_TRUE(becomesTrue([&] { return isReady(); }));
+  EXPECT_EQ(sendHeartbeat(), 200U);
+  setServerFields({{"Server-Limit", "2.0"}});
+  EXPECT_EQ(call().result_int(), 200U);
+  std::atomic<bool> Stopped = false;
+  std::atomic<std::size_t> RateLimited = 0;
+  std::vector<std::jthread> Clients(8);
+  for (std::jthread &Client : Clients)
+    Client = std::jthread([&] {
+      for (; !Stopped; std::this_thread::sleep_for(5ms)) {
+        Response Reply = call();
+        std::string RetryAfter(Reply["Retry-After"]);
+        bool Named = Reply["Figsail-Error"] == "rate-limited";
+        // One starts in half a second, and others wait for it.
+        if (Named && std::atof(RetryAfter.c_str()) > 0.1)
+          ++RateLimited;
+      }
+    });
+  for (int I = 0; I < 4; ++I) {
+    std::this_thread::sleep_for(Window / 2);
+    restart();
+  }
+  Stopped = true;
+  Clients.clear();
+  EXPECT_GT(RateLimited, 0U) << "refusals must say when to return";
+  EXPECT_GE(countLogLines("server-limit", "\"per_second\":\"2.0"), 1U);
+  auto Seen = Loop.on([&] { return Arrivals; });
+  for (auto First = Seen.begin(); First != Seen.end(); ++First) {
+    auto Last = std::lower_bound(First, Seen.end(), *First + Window);
+    EXPECT_LE(static_cast<std::size_t>(Last - First), Allowed);
+  }
+}
+
+// Guards against a server that gets requests after it has said in an answer
+// that it leaves: from the same process or from the next one beside it, which a
+// late heartbeat of the server reaches.
+TEST_F(SidecarProcessTest, SendsNothingToAServerThatNamesItsLeaving) {
+  ASSERT_TRUE(becomesTrue([&] { return isReady(); }));
+  EXPECT_EQ(sendHeartbeat(), 200U);
+  setServerFields({{"Server-Leaving", "1"}});
+  EXPECT_EQ(call().result_int(), 200U);
+  EXPECT_EQ(countLogLines("server-leaving"), 1U);
+  ASSERT_TRUE(becomesTrue([&] {
+    return Loop.on([&] { return Store->containsRecordWith("\"left\":true"); });
+  })) << "the leaving must be announced";
+  std::size_t Before = arrivals();
+  EXPECT_EQ(call().result_int(), 503U);
+  EXPECT_EQ(sendHeartbeat(), 200U);
+  EXPECT_EQ(call().result_int(), 503U);
+  setServerFields({});
+  restart();
+  EXPECT_EQ(call().result_int(), 503U);
+  EXPECT_EQ(arrivals(), Before);
+}
--- a/tests/StoreStandin.h
+++ b/tests/StoreStandin.h
@@ -106,8 +106,11 @@
     WaitingReads.emplace_back([Timer] { Timer->expires_after({}); });
     Timer->expires_after(
         std::chrono::milliseconds(std::stoull(parameter(Target, "WaitMs"))));
-    Timer->async_wait([this, Topic, From, Reply, Timer](const auto &) {
-      records(Topic, From, Reply);
+    // The event loop may run the handler after the stand-in has gone.
+    Timer->async_wait([this, Topic, From, Reply, Timer,
+                       Life = std::weak_ptr<char>(Alive)](const auto &) {
+      if (!Life.expired())
+        records(Topic, From, Reply);
     });
   }
 
@@ -153,6 +156,7 @@
     sendReply(Reply, std::move(Page));
   }
 
+  std::shared_ptr<char> Alive = std::make_shared<char>(); ///< Never shared.
   boost::asio::io_context &Context;
   std::map<std::string, std::vector<std::string>> Topics; ///< Encoded records.
   std::uint64_t Era = 1;
