--- a/src/sidecar/CallRouter.cpp
+++ b/src/sidecar/CallRouter.cpp
@@ -164,6 +164,21 @@
 
 // Choice.
 
+/// Leaves only servers that name no limit, if there is one in this region.
+///
+/// Load pattern: most servers of a large service are limited. An ingress uses a
+/// part of them, of which few are free, and those would be overloaded.
+void CallRouter::preferUnlimited(std::vector<const Member *> &Eligible) const {
+  auto Limited = [&](const Member *Server) {
+    return Notices.isLimited(Server->Host);
+  };
+  bool AnyNear = std::ranges::any_of(Eligible, [&](const Member *Server) {
+    return Server->Region == OwnLocality.Region && !Limited(Server);
+  });
+  if (AnyNear)
+    std::erase_if(Eligible, Limited);
+}
+
 const Member *CallRouter::chooseServer(RouterStep &Step, const Call &Current) {
   std::vector<const Member *> Eligible;
   const std::vector<std::string> &Home = Current.Route->HomeRegions;
@@ -178,6 +193,8 @@
   }
   if (Eligible.empty())
     return nullptr;
+  if (Current.LimitRefusals > 0)
+    preferUnlimited(Eligible);
   CallEstimate Outlook;
   Outlook.UsualRunTime = RouteTimes.expected(Current.Route->Name);
   Outlook.TimeToTarget = Current.Target - Step.Now;
--- a/src/sidecar/CallRouter.h
+++ b/src/sidecar/CallRouter.h
@@ -141,6 +141,7 @@
                      const Refused &Message) const;
   void scheduleWake(Call &Current, TimePoint At);
   void removeCall(Call &Current);
+  void preferUnlimited(std::vector<const Member *> &Eligible) const;
   const Member *chooseServer(RouterStep &Step, const Call &Current);
   void tryNextServer(RouterStep &Step, Call &Current);
   const Member *chooseFallback(RouterStep &Step, Call &Current);
--- a/src/sidecar/ServerNotices.cpp
+++ b/src/sidecar/ServerNotices.cpp
@@ -54,6 +54,11 @@
   return Notice;
 }
 
+bool ServerNotices::isLimited(const HostId &Host) const {
+  auto Known = Entries.find(Host);
+  return Known != Entries.end() && Known->second.Notice.RateLimit;
+}
+
 bool ServerNotices::isLeaving(const HostId &Host,
                               const InstanceDirectory &Directory) const {
   auto Known = Entries.find(Host);
--- a/src/sidecar/ServerNotices.h
+++ b/src/sidecar/ServerNotices.h
@@ -27,6 +27,8 @@
   void announced(const Announcement &Announced);
   /// Returns the notice of a host's server with its present age, or nothing.
   std::optional<ServerNotice> find(TimePoint Now, const HostId &Host) const;
+  /// Returns whether the server of a host names a limit.
+  bool isLimited(const HostId &Host) const;
   /// Returns whether the announced server of a host has said that it leaves.
   bool isLeaving(const HostId &Host, const InstanceDirectory &Directory) const;
 
