--- a/include/figsail/PeerMessages.h
+++ b/include/figsail/PeerMessages.h
@@ -79,7 +79,8 @@
          ///< fraction of retries among the runs of the caller.
   std::uint32_t ReceiptDelayMicros = 0; ///< Received is sent if the call has
                                         ///< not ended this long after receipt.
-  std::optional<ServerNotice> Notice{}; ///< What the ingress knows of the server.
+  std::optional<ServerNotice>
+      Notice{}; ///< What the ingress knows of the server.
 
   template <class Archive> void serialize(Archive &Ar) {
     Ar(Call, Target, Policy, BudgetMicros, Fingerprint, Grant, Request,
--- a/src/sidecar/ServerGate.cpp
+++ b/src/sidecar/ServerGate.cpp
@@ -6,6 +6,7 @@
 #include "RequestIdentity.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace figsail {
 
@@ -168,6 +169,7 @@
     Step.Out.emplace_back(std::move(Line));
     refuseWaiting(Step, ErrorKind::Draining);
   }
+  logUnusableLimit(Step, Terms);
   std::optional<double> Before = RateLimit.perSecond();
   if (!RateLimit.apply(Step.Now, SaidAt, Terms, Source))
     return;
@@ -182,6 +184,17 @@
   Step.Out.emplace_back(std::move(Line));
 }
 
+/// Logs once that the server names a limit that is no number. The limit from
+/// before stays in force.
+void ServerGate::logUnusableLimit(GateStep &Step, const ServerTerms &Terms) {
+  if (std::exchange(LimitUnusable, Terms.RateLimitUnusable) ||
+      !Terms.RateLimitUnusable)
+    return;
+  Decision Line{LogLevel::Warning, "server-limit-unusable", {}};
+  Line.Fields = {{"instance", Server.instance()}};
+  Step.Out.emplace_back(std::move(Line));
+}
+
 std::vector<HostId> ServerGate::takeLoadRecipients(TimePoint Now) {
   double Change = Slowdown.factor() / SentSlowdown;
   if (Change < NotifyFactor && Change > 1 / NotifyFactor)
--- a/src/sidecar/ServerGate.h
+++ b/src/sidecar/ServerGate.h
@@ -179,6 +179,7 @@
   void updateLoad(TimePoint Now, const ServerLoad &Load);
   std::optional<ServerNotice> notice(TimePoint Now) const;
   void applyNotice(GateStep &Step, const ServerNotice &Notice);
+  void logUnusableLimit(GateStep &Step, const ServerTerms &Terms);
   void applyTerms(GateStep &Step, TimePoint SaidAt, const ServerTerms &Terms,
                   TermsSource Source);
 
@@ -209,6 +210,7 @@
   std::size_t BufferedBytes = 0; ///< Requests of all calls.
   std::unordered_map<RunId, CallId> Runs;
   RunId LastRun = 0;
+  bool LimitUnusable = false; ///< The server's newest limit is no number.
   bool Evacuated = false;
   bool Stopping = false;
   bool Unreachable = false; ///< The last connection attempt failed.
--- a/standins/BackendStandin.cpp
+++ b/standins/BackendStandin.cpp
@@ -79,7 +79,7 @@
 }
 
 BackendStandin::BackendStandin(asio::io_context &Context,
-                               BackendStandinSettings Settings,
+                               const BackendStandinSettings &Settings,
                                RunRecorder &Recorder)
     : Context(Context), Settings(Settings), Recorder(Recorder),
       Frontend(Context, *this, frontendSettings(Settings)),
--- a/standins/BackendStandin.h
+++ b/standins/BackendStandin.h
@@ -65,7 +65,7 @@
 class BackendStandin : public FrontendHandler {
 public:
   BackendStandin(boost::asio::io_context &Context,
-                 BackendStandinSettings Settings, RunRecorder &Recorder);
+                 const BackendStandinSettings &Settings, RunRecorder &Recorder);
   ~BackendStandin() override;
 
   /// Starts to listen on "ip:port". Returns an error text, or nothing.
--- a/tests/ServerLeavingTest.cpp
+++ b/tests/ServerLeavingTest.cpp
@@ -62,8 +62,8 @@
 }
 
 TEST_F(ServerGateTest, ANoticeOnAFormerInstanceIsIgnored) {
-  for (ServerNotice Former : {ServerNotice{"i-0", 1000, true, {}, 3s},
-                              ServerNotice{"i-1", 900, true, {}, 3s}}) {
+  for (const ServerNotice &Former : {ServerNotice{"i-0", 1000, true, {}, 3s},
+                                     ServerNotice{"i-1", 900, true, {}, 3s}}) {
     Execute Knowing = call();
     Knowing.Notice = Former;
     EXPECT_TRUE(refusals(execute(Knowing)).empty());
--- a/tests/ServerLimitTest.cpp
+++ b/tests/ServerLimitTest.cpp
@@ -187,6 +187,24 @@
   EXPECT_EQ(effects<StartRun>(execute(Old)).size(), 1U);
 }
 
+// Guards against a limit that ends because its number could not be read.
+TEST_F(ServerLimitTest, AnUnusableLimitChangesNothingAndIsLoggedOnce) {
+  Limit = 3;
+  run(1s, 20, 1);
+  ServerRunResult Unusable;
+  Unusable.Metadata.Terms.RateLimitUnusable = true;
+  std::size_t Lines = 0;
+  for (int I = 0; I < 5; ++I) {
+    Now += 1s;
+    auto Started = effects<StartRun>(execute(call()));
+    ASSERT_EQ(Started.size(), 1U);
+    if (logged(endRun(Started[0].Run, Unusable), "server-limit-unusable"))
+      ++Lines;
+  }
+  EXPECT_EQ(Lines, 1U);
+  EXPECT_EQ(Gate.rateLimit(), 3.0);
+}
+
 // Guards against health probes that take what the limit leaves to calls.
 TEST_F(ServerLimitTest, ProbesAreFewerThanTheLimit) {
   Limit = 4;
