Fix: a refusal that names no attempt ended the request on its connection as not run

What a caller could see: a late second copy of a server's refusal arrives on a connection that is in use again, and the next request is reported as not run, or sent to another server, while it runs. Other responses need the id of the attempt; refusals were accepted without it (open question 5 of docs/platform.md).

--- a/tests/PlatformTest.cpp
+++ b/tests/PlatformTest.cpp
@@ -76,7 +76,21 @@
                         {"Content-Encoding", "gzip"}}),
             Unusable);
   EXPECT_EQ(match(500, {{"Figsail-Attempt-Id", "ab12"}}), SameRequest);
-  EXPECT_EQ(match(503, {{"Figsail-Not-Executed", "1"}}), SameRequest);
+  EXPECT_EQ(match(503, {{"Figsail-Attempt-Id", "ab12"},
+                        {"Figsail-Not-Executed", "1"}}),
+            SameRequest);
+}
+
+// Guards against a late second copy of a refusal that ends the next request on
+// its connection as "not run" while that one runs.
+TEST(PlatformFields, ARefusalNeedsTheAttemptId) {
+  using enum ResponseMatch;
+  EXPECT_EQ(match(503, {{"Figsail-Not-Executed", "1"}}), Unusable);
+  EXPECT_EQ(match(421, {}), Unusable);
+  EXPECT_EQ(match(503, {{"Figsail-Attempt-Id", "ffff"},
+                        {"Figsail-Not-Executed", "1"}}),
+            OtherRequest);
+  EXPECT_EQ(match(421, {{"Figsail-Attempt-Id", "ab12"}}), SameRequest);
 }
 
 TEST(PlatformFields, ReadsLoadWithAndWithoutASlowdownFactor) {
