--- a/tests/BalancerTest.cpp
+++ b/tests/BalancerTest.cpp
@@ -48,7 +48,7 @@
   }
 
   /// Makes one call that ends with this report.
-  void report(const HostId &Host, LoadReport Load, bool Success = true) {
+  void report(const HostId &Host, const LoadReport &Load, bool Success = true) {
     Subject.callSent(Now, Host);
     Subject.callEnded(Now, Host, Success, &Load);
   }
