Fix: another instance inherited the limit of one that a restarted daemon had recovered

What callers saw: a new server held at the limit of the one before it, until its first answer. The limit was dropped only when the start of the former instance was known. AnInstanceAfterARecoveredOneStartsWithoutALimit fails before.

--- a/src/sidecar/ServerGate.cpp
+++ b/src/sidecar/ServerGate.cpp
@@ -409,12 +409,13 @@
   std::int64_t PreviousStart = Server.startMillis();
   ReportVerdict Verdict = Server.heartbeat(Step.Now, Report);
   ExpectedServer.reset();
-  bool SameInstance = Server.instance() == PreviousInstance &&
-                      Server.startMillis() == PreviousStart;
-  if (!SameInstance && !PreviousInstance.empty() && PreviousStart != 0) {
-    Crashes.serverLost(Step.Now);
+  bool OtherInstance = Server.instance() != PreviousInstance;
+  bool OtherStart = PreviousStart != 0 && Server.startMillis() != PreviousStart;
+  if (OtherInstance || OtherStart)
     RateLimit.reset();
-  }
+  if (!PreviousInstance.empty() && PreviousStart != 0 &&
+      (OtherInstance || OtherStart))
+    Crashes.serverLost(Step.Now);
   if (Verdict == ReportVerdict::Changed || Verdict == ReportVerdict::Unchanged)
     Unreachable = false;
   if (Server.state() != InstanceState::Ready)
--- a/tests/ServerLimitTest.cpp
+++ b/tests/ServerLimitTest.cpp
@@ -187,6 +187,22 @@
   EXPECT_EQ(effects<StartRun>(execute(Old)).size(), 1U);
 }
 
+// The same where the daemon knew the former instance from a probe only.
+TEST_F(ServerLimitTest, AnInstanceAfterARecoveredOneStartsWithoutALimit) {
+  Gate = ServerGate(testSettings());
+  Gate.configure(ServiceSettings());
+  Gate.expectServer(Now, {"i-1", 0, "booking", 10});
+  ServerProbeResult Probe;
+  Probe.Healthy = true;
+  Probe.Instance = "i-1";
+  Probe.Terms.RateLimit = 1;
+  step([&](GateStep &Step) { Gate.probeEnded(Step, Probe); });
+  ASSERT_EQ(Gate.rateLimit(), 1.0);
+  step(
+      [&](GateStep &Step) { Gate.heartbeat(Step, heartbeat(1, "i-2", 5000)); });
+  EXPECT_FALSE(Gate.rateLimit());
+}
+
 // Guards against a limit that ends because its number could not be read.
 TEST_F(ServerLimitTest, AnUnusableLimitChangesNothingAndIsLoggedOnce) {
   Limit = 3;
