Test: the leaving is named by answers only, where the first call must be answered

Traced: with 0.7 s between naming the leaving and the call it fails always, and the log line server-leaving has the source probe: a health probe heard of it first, so 503 is right.

--- a/tests/SidecarProcessTest.cpp
+++ b/tests/SidecarProcessTest.cpp
@@ -184,9 +184,11 @@
     Answer.set("Figsail-Instance-Id", "i-1");
     Answer.set("Figsail-Server-Seal", "seal");
     Answer.set("Figsail-Attempt-Id", Incoming["Figsail-Attempt-Id"]);
+    bool IsProbe = Incoming.target() == "/well";
     for (const auto &[Name, Value] : ServerFields)
-      Answer.set(Name, Value);
-    if (Incoming.target() != "/well")
+      if (!IsProbe || ProbesNameFields)
+        Answer.set(Name, Value);
+    if (!IsProbe)
       Arrivals.push_back(std::chrono::steady_clock::now());
     Reply(std::move(Answer));
   }
@@ -207,6 +209,8 @@
   }
 
   std::map<std::string, std::string> ServerFields; ///< Of the server's thread.
+  /// Whether health responses have these fields too.
+  std::atomic<bool> ProbesNameFields = true;
   std::vector<std::chrono::steady_clock::time_point>
       Arrivals; ///< Requests at the server, without probes.
   std::string Directory;
@@ -393,9 +397,11 @@
 TEST_F(SidecarProcessTest, SendsNothingToAServerThatNamesItsLeaving) {
   ASSERT_TRUE(becomesTrue([&] { return isReady(); }));
   EXPECT_EQ(sendHeartbeat(), 200U);
+  // Else a probe may hear of the leaving before the call is sent.
+  ProbesNameFields = false;
   setServerFields({{"Server-Leaving", "1"}});
   EXPECT_EQ(call().result_int(), 200U);
-  EXPECT_EQ(countLogLines("server-leaving"), 1U);
+  EXPECT_EQ(countLogLines("server-leaving", "\"source\":\"run\""), 1U);
   ASSERT_TRUE(becomesTrue([&] {
     return Loop.on([&] { return Store->containsRecordWith("\"left\":true"); });
   })) << "the leaving must be announced";
