Feature: logs and metrics show the origin and the repeats of topic records

- figsail_topic_{records,bytes}_total{from="store|daemon"}: received records with a value, and bytes of the values. figsail_topic_repeated_*_total{from}: those of them that changed nothing. figsail_topic_sent_*_total: copies sent to daemons.
- figsail_config_version and figsail_config_bytes: the configuration in force.
- config-in-force and config-ignored name bytes, from (store or the daemon) and previous.
- topic-source names the source before and the reason of the change.
A silent source, or one that is behind, is not replaced: the daemon reads the store in its place.
That had no line; topic-reading is the line for it.

What is sent and applied is unchanged.

--- a/include/figsail/Events.h
+++ b/include/figsail/Events.h
@@ -226,6 +226,42 @@
   ErrorKind Reason = ErrorKind::Internal;
 };
 
+/// Ways of topic records to and from a daemon.
+enum class TopicFlow : std::uint8_t {
+  FromStore,          ///< Received from the store.
+  FromDaemon,         ///< Received from another daemon.
+  RepeatedFromStore,  ///< Those of FromStore that changed nothing.
+  RepeatedFromDaemon, ///< Those of FromDaemon that changed nothing.
+  Sent,               ///< Sent to other daemons.
+};
+inline constexpr std::size_t TopicFlowCount =
+    static_cast<std::size_t>(TopicFlow::Sent) + 1;
+
+/// Number of topic records and size of their values. A record without a value
+/// is not counted.
+struct RecordVolume {
+  std::uint64_t Records = 0;
+  std::uint64_t Bytes = 0;
+
+  bool operator==(const RecordVolume &) const = default;
+};
+
+/// Count topic records.
+struct CountTopicRecords {
+  TopicFlow Which = TopicFlow::FromStore;
+  RecordVolume Volume;
+};
+
+/// Kinds of calls to the store.
+enum class StoreCall : std::uint8_t {
+  Snapshot, ///< Read of the newest record of each key.
+  Read,     ///< Read of the records from an offset on.
+  Append,   ///< Append of this host's announcement.
+  Remove,   ///< Removal of an expired host.
+};
+inline constexpr std::size_t StoreCallCount =
+    static_cast<std::size_t>(StoreCall::Remove) + 1;
+
 /// End the process. Sent when all work is done.
 struct ExitProcess {};
 
--- a/src/shell/Metrics.h
+++ b/src/shell/Metrics.h
@@ -107,6 +107,20 @@
     return Refusals[static_cast<std::size_t>(By)]
                    [static_cast<std::size_t>(Reason)];
   }
+  void countTopicRecords(TopicFlow Which, const RecordVolume &Volume) {
+    RecordVolume &Total = TopicRecords[static_cast<std::size_t>(Which)];
+    Total.Records += Volume.Records;
+    Total.Bytes += Volume.Bytes;
+  }
+  const RecordVolume &topicRecords(TopicFlow Which) const {
+    return TopicRecords[static_cast<std::size_t>(Which)];
+  }
+  void countStoreCall(StoreCall Which) {
+    ++StoreCalls[static_cast<std::size_t>(Which)];
+  }
+  std::uint64_t storeCalls(StoreCall Which) const {
+    return StoreCalls[static_cast<std::size_t>(Which)];
+  }
   void add(Latency Which, Duration Sample) {
     Series[static_cast<std::size_t>(Which)].add(Sample);
   }
@@ -118,6 +132,8 @@
   std::array<std::uint64_t, CounterCount> Counters{};
   std::array<std::array<std::uint64_t, ErrorKindCount>, RefusedByCount>
       Refusals{};
+  std::array<RecordVolume, TopicFlowCount> TopicRecords{};
+  std::array<std::uint64_t, StoreCallCount> StoreCalls{};
   std::array<LatencySeries, LatencyCount> Series;
 };
 
--- a/src/shell/MetricsText.cpp
+++ b/src/shell/MetricsText.cpp
@@ -3,6 +3,7 @@
 #include "MetricsText.h"
 
 #include <algorithm>
+#include <array>
 
 namespace figsail {
 
@@ -65,6 +66,31 @@
   line(Name, "", Value);
 }
 
+void MetricsText::topicTraffic(const Metrics &Source) {
+  struct Flow {
+    TopicFlow Which;
+    std::string_view Name;
+    std::string_view Labels;
+  };
+  static constexpr std::array<Flow, TopicFlowCount> Flows{{
+      {TopicFlow::FromStore, "topic", "{from=\"store\"}"},
+      {TopicFlow::FromDaemon, "topic", "{from=\"daemon\"}"},
+      {TopicFlow::RepeatedFromStore, "topic_repeated", "{from=\"store\"}"},
+      {TopicFlow::RepeatedFromDaemon, "topic_repeated", "{from=\"daemon\"}"},
+      {TopicFlow::Sent, "topic_sent", ""},
+  }};
+  for (const auto &[Which, Name, Labels] : Flows) {
+    const RecordVolume &Volume = Source.topicRecords(Which);
+    line(Name, "_records_total", Volume.Records, std::string(Labels));
+    line(Name, "_bytes_total", Volume.Bytes, std::string(Labels));
+  }
+  static constexpr std::array<std::string_view, StoreCallCount> Kinds{
+      "snapshot", "read", "append", "remove"};
+  for (std::size_t I = 0; I < StoreCallCount; ++I)
+    line("store_calls", "_total", Source.storeCalls(static_cast<StoreCall>(I)),
+         "{kind=\"" + std::string(Kinds[I]) + "\"}");
+}
+
 void MetricsText::crossRegionTraffic(const CrossRegionTraffic &Traffic) {
   std::string Labels = "{message=\"" + std::string(Traffic.MessageType) + "\"}";
   line("region_messages", "_total", Traffic.Count, Labels);
--- a/src/shell/MetricsText.h
+++ b/src/shell/MetricsText.h
@@ -17,6 +17,8 @@
 public:
   explicit MetricsText(const Metrics &Source);
   void gauge(std::string_view Name, std::uint64_t Value);
+  /// Adds the topic records by their way and the calls to the store by kind.
+  void topicTraffic(const Metrics &Source);
   /// Adds the traffic between regions of one message type.
   void crossRegionTraffic(const CrossRegionTraffic &Traffic);
   std::string take() { return std::move(Text); }
--- a/src/shell/SidecarDaemon.cpp
+++ b/src/shell/SidecarDaemon.cpp
@@ -225,6 +225,9 @@
 
 void SidecarDaemon::metricsRequest(const HttpService::Reply &Reply) {
   MetricsText Text(ProcessMetrics);
+  Text.topicTraffic(ProcessMetrics);
+  Text.gauge("config_version", Reducer.configVersion().value_or(0));
+  Text.gauge("config_bytes", Reducer.configBytes());
   Text.gauge("ready", Ready ? 1 : 0);
   Text.gauge("peer_links", Peers.linkCount());
   Text.gauge("peer_bytes_sent", Peers.bytesSent());
@@ -363,16 +366,22 @@
 }
 
 void SidecarDaemon::perform(ReadTopicSnapshot &Action) {
+  ProcessMetrics.countStoreCall(StoreCall::Snapshot);
   Platform.Store->readSnapshot(Action.Which);
 }
 
-void SidecarDaemon::perform(ReadTopic &Action) { Platform.Store->read(Action); }
+void SidecarDaemon::perform(ReadTopic &Action) {
+  ProcessMetrics.countStoreCall(StoreCall::Read);
+  Platform.Store->read(Action);
+}
 
 void SidecarDaemon::perform(Announce &Action) {
+  ProcessMetrics.countStoreCall(StoreCall::Append);
   Platform.Store->append(Action.Content);
 }
 
 void SidecarDaemon::perform(RemoveHost &Action) {
+  ProcessMetrics.countStoreCall(StoreCall::Remove);
   Platform.Store->removeHost(Action.Host);
 }
 
@@ -417,6 +426,10 @@
   ProcessMetrics.countRefusal(Action.Source, Action.Reason);
 }
 
+void SidecarDaemon::perform(CountTopicRecords &Action) {
+  ProcessMetrics.countTopicRecords(Action.Which, Action.Volume);
+}
+
 void SidecarDaemon::perform(ExitProcess &) {
   if (Exiting)
     return;
--- a/src/shell/SidecarDaemon.h
+++ b/src/shell/SidecarDaemon.h
@@ -94,6 +94,7 @@
   void perform(Decision &Action);
   void perform(Count &Action);
   void perform(CountRefusal &Action);
+  void perform(CountTopicRecords &Action);
   void perform(ExitProcess &Action);
   void waitForClients();
   void finishOutput(TimePoint Deadline);
--- a/src/sidecar/Sidecar.h
+++ b/src/sidecar/Sidecar.h
@@ -8,6 +8,7 @@
 #include "ContentOrder.h"
 #include "HostExpiry.h"
 #include "Instance.h"
+#include "RecordSource.h"
 #include "ServerGate.h"
 #include "SidecarEvents.h"
 #include "SidecarSettings.h"
@@ -46,6 +47,12 @@
   ClientLimits clientLimits() const {
     return Config ? Config->Limits : ClientLimits();
   }
+  /// Returns the version of the configuration in force, if there is one.
+  std::optional<std::uint64_t> configVersion() const {
+    return Config ? std::optional(Config->Version) : std::nullopt;
+  }
+  /// Returns the size of the configuration in force as it was received, or 0.
+  std::size_t configBytes() const { return ConfigBytes; }
 
 private:
   /// The inputs of one event and the list for its effects.
@@ -76,11 +83,11 @@
 
   void handleExecute(Step &S, const PeerRef &From, Execute Message);
   void handleMessage(Step &S, const PeerRef &From, PeerMessage &Message);
-  void applyRecord(Step &S, Offset At, UnusableRecord &Body);
-  void applyRecord(Step &S, Offset At, ConfigPtr &Body);
-  void applyRecord(Step &S, Offset At, Evacuation &Body);
-  void applyRecord(Step &S, Offset At, Announcement &Body);
-  void applyRecord(Step &S, Offset At, HostRemoved &Body);
+  void applyRecord(Step &S, const RecordOrigin &Origin, UnusableRecord &Body);
+  void applyRecord(Step &S, const RecordOrigin &Origin, ConfigPtr &Body);
+  void applyRecord(Step &S, const RecordOrigin &Origin, Evacuation &Body);
+  void applyRecord(Step &S, const RecordOrigin &Origin, Announcement &Body);
+  void applyRecord(Step &S, const RecordOrigin &Origin, HostRemoved &Body);
   void rememberLeftServer(Step &S, const Announcement &Own);
   /// The state of one topic.
   struct TopicState {
@@ -95,8 +102,9 @@
   TopicState &topicState(Topic Which) {
     return Topics[static_cast<std::size_t>(Which)];
   }
-  void applyRecords(Step &S, Topic Which,
+  void applyRecords(Step &S, Topic Which, const RecordSource &Source,
                     const std::vector<KeyedRecord> &Records);
+  void sendUpdate(Step &S, const HostId &Host, TopicUpdate Update);
   void handleSubscribe(Step &S, const PeerRef &From,
                        const TopicSubscribe &Message);
   void handleUpdate(Step &S, const PeerRef &From, TopicUpdate &Message);
@@ -125,6 +133,7 @@
 
   SidecarSettings Settings;
   ConfigPtr Config;                ///< Null until one has been read.
+  std::size_t ConfigBytes = 0;     ///< Size of the record of Config.
   std::set<std::string> Evacuated; ///< Failure domains.
   InstanceDirectory Directory;
   PeerHealth Peers;
--- a/src/sidecar/SidecarEvents.h
+++ b/src/sidecar/SidecarEvents.h
@@ -258,7 +258,8 @@
     std::variant<ReplyCaller, SendPeer, ResetPeer, StartRun, CancelRun,
                  ProbeServer, AnswerReport, ReadTopicSnapshot, ReadTopic,
                  Announce, RemoveHost, SetClientLimits, SetReadiness,
-                 CloseClients, Decision, Count, CountRefusal, ExitProcess>;
+                 CloseClients, Decision, Count, CountRefusal, CountTopicRecords,
+                 ExitProcess>;
 using SidecarEffects = std::vector<SidecarEffect>;
 
 } // namespace figsail
--- a/src/sidecar/SidecarTopics.cpp
+++ b/src/sidecar/SidecarTopics.cpp
@@ -58,7 +58,8 @@
     State.Follower.discardStaleRead(S.Now, S.Out);
     return;
   }
-  applyRecords(S, Body.Which,
+  RecordSource Source{{}, volumeOf(Body.Records)};
+  applyRecords(S, Body.Which, Source,
                State.Image.applySnapshot({Body.Next, std::move(Body.Records)}));
   State.Follower.readDone(S.Now, State.Image.next(), false, S.Out);
 }
@@ -69,7 +70,8 @@
   if (State.Follower.discardStaleRead(S.Now, S.Out))
     return;
   bool AnyRecords = !Body.Records.empty();
-  applyRecords(S, Body.Which,
+  RecordSource Source{{}, volumeOf(Body.Records)};
+  applyRecords(S, Body.Which, Source,
                State.Image.apply({Body.Next, std::move(Body.Records)}));
   State.Follower.readDone(S.Now, State.Image.next(), AnyRecords, S.Out);
 }
@@ -81,7 +83,7 @@
     return;
   if (!State.Image.isReplaying())
     return State.Follower.readTruncated(S.Out);
-  applyRecords(S, Body.Which, State.Image.skipTo(Body.First));
+  applyRecords(S, Body.Which, RecordSource{}, State.Image.skipTo(Body.First));
   State.Follower.readDone(S.Now, State.Image.next(), false, S.Out);
 }
 
@@ -90,13 +92,32 @@
   topicState(Body.Which).Follower.readFailed(S.Now, S.Seed, Body.Reason, S.Out);
 }
 
-void Sidecar::applyRecords(Step &S, Topic Which,
+/// Counts the records that were received and those of them that changed
+/// nothing. Records are those that the image has applied.
+static void countRecords(const RecordSource &Source,
+                         const std::vector<KeyedRecord> &Records,
+                         SidecarEffects &Out) {
+  const RecordVolume &Received = Source.Received;
+  if (Received == RecordVolume{})
+    return;
+  Out.emplace_back(CountTopicRecords{Source.flow(), Received});
+  RecordVolume Applied = volumeOf(Records);
+  RecordVolume Repeated{Received.Records - Applied.Records,
+                        Received.Bytes - Applied.Bytes};
+  if (Repeated != RecordVolume{})
+    Out.emplace_back(CountTopicRecords{Source.repeatedFlow(), Repeated});
+}
+
+void Sidecar::applyRecords(Step &S, Topic Which, const RecordSource &Source,
                            const std::vector<KeyedRecord> &Records) {
+  countRecords(Source, Records, S.Out);
   std::ranges::copy(
       Records, std::back_inserter(NewRecords[static_cast<std::size_t>(Which)]));
   for (const KeyedRecord &Record : Records) {
     TopicContent Content = Decoder.decode(Which, Record);
-    std::visit([&](auto &Body) { applyRecord(S, Record.At, Body); }, Content);
+    std::size_t Bytes = Record.Value ? Record.Value->size() : 0;
+    RecordOrigin Origin{Record.At, Bytes, Source.name()};
+    std::visit([&](auto &Body) { applyRecord(S, Origin, Body); }, Content);
   }
 }
 
@@ -143,7 +164,14 @@
   std::vector<Offset> ReadUpTo;
   if (Message.History == History)
     ReadUpTo = Message.From;
-  S.Out.emplace_back(SendPeer{From.Host, updateSince(S.Now, ReadUpTo)});
+  sendUpdate(S, From.Host, updateSince(S.Now, ReadUpTo));
+}
+
+void Sidecar::sendUpdate(Step &S, const HostId &Host, TopicUpdate Update) {
+  RecordVolume Volume = volumeOf(Update);
+  if (Volume != RecordVolume{})
+    S.Out.emplace_back(CountTopicRecords{TopicFlow::Sent, Volume});
+  S.Out.emplace_back(SendPeer{Host, std::move(Update)});
 }
 
 void Sidecar::handleUpdate(Step &S, const PeerRef &From, TopicUpdate &Message) {
@@ -155,7 +183,8 @@
   for (std::size_t I = 0; I < Count; ++I) {
     if (Message.Complete)
       Topics[I].Follower.markComplete();
-    applyRecords(S, static_cast<Topic>(I),
+    RecordSource Source{From.Host, volumeOf(Message.Parts[I].Records)};
+    applyRecords(S, static_cast<Topic>(I), Source,
                  Topics[I].Image.apply(std::move(Message.Parts[I])));
   }
 }
@@ -174,7 +203,7 @@
   for (std::vector<KeyedRecord> &Part : Applied)
     Update.Parts.push_back({0, std::move(Part)});
   for (const HostId &Host : Relay.subscribers(S.Now))
-    S.Out.emplace_back(SendPeer{Host, Update});
+    sendUpdate(S, Host, Update);
 }
 
 void Sidecar::followTopics(Step &S) {
@@ -191,36 +220,44 @@
   }
 }
 
-void Sidecar::applyRecord(Step &S, Offset At, UnusableRecord &Body) {
+void Sidecar::applyRecord(Step &S, const RecordOrigin &Origin,
+                          UnusableRecord &Body) {
   Decision Line{LogLevel::Warning, "record-unusable", {}};
   Line.Fields = {{"key", Body.Key},
-                 {"offset", std::to_string(At)},
+                 {"offset", std::to_string(Origin.At)},
                  {"reason", Body.Reason}};
   S.Out.emplace_back(std::move(Line));
 }
 
 /// Applies a configuration unless a newer version is in force. Offsets do not
 /// decide, since they decrease when the store is restored from an older copy.
-void Sidecar::applyRecord(Step &S, Offset At, ConfigPtr &Body) {
+void Sidecar::applyRecord(Step &S, const RecordOrigin &Origin,
+                          ConfigPtr &Body) {
   bool Newer = !Config || Body->Version > Config->Version;
   Decision Line{Newer ? LogLevel::Info : LogLevel::Warning,
                 Newer ? "config-in-force" : "config-ignored",
                 {}};
-  Line.Fields = {{"version", std::to_string(Body->Version)},
-                 {"offset", std::to_string(At)},
-                 {"routes", std::to_string(Body->routeCount())}};
+  Line.Fields = {
+      {"version", std::to_string(Body->Version)},
+      {"offset", std::to_string(Origin.At)},
+      {"routes", std::to_string(Body->routeCount())},
+      {"bytes", std::to_string(Origin.ValueBytes)},
+      {"from", Origin.From},
+      {"previous", Config ? std::to_string(Config->Version) : "none"}};
   S.Out.emplace_back(std::move(Line));
   if (!Newer)
     return;
   Config = Body;
+  ConfigBytes = Origin.ValueBytes;
   configureGate();
   S.Out.emplace_back(SetClientLimits{Config->Limits});
 }
 
-void Sidecar::applyRecord(Step &S, Offset At, Evacuation &Body) {
+void Sidecar::applyRecord(Step &S, const RecordOrigin &Origin,
+                          Evacuation &Body) {
   Decision Line{LogLevel::Info, "evacuation", {}};
   Line.Fields = {{"domain", Body.FailureDomain},
-                 {"offset", std::to_string(At)},
+                 {"offset", std::to_string(Origin.At)},
                  {"out", Body.Active ? "yes" : "no"}};
   S.Out.emplace_back(std::move(Line));
   if (Body.Active)
@@ -242,7 +279,7 @@
   Gate.rememberLeft(AtGate, Own.Instance, Own.StartMillis);
 }
 
-void Sidecar::applyRecord(Step &S, Offset, Announcement &Body) {
+void Sidecar::applyRecord(Step &S, const RecordOrigin &, Announcement &Body) {
   if (Body.Host == Settings.Host) {
     // The store's newest record of this host must be this daemon's own. An
     // append of the previous incarnation may take effect late.
@@ -271,7 +308,7 @@
         SendPeer{Body.Host, Probe{PeerRef{Body.Host, Body.Order.Inc}}});
 }
 
-void Sidecar::applyRecord(Step &S, Offset, HostRemoved &Body) {
+void Sidecar::applyRecord(Step &S, const RecordOrigin &, HostRemoved &Body) {
   if (Body.Host == Settings.Host)
     return announce(S);
   Directory.erase(Body.Host);
--- a/src/sidecar/TopicRelay.cpp
+++ b/src/sidecar/TopicRelay.cpp
@@ -57,18 +57,53 @@
     return;
   RequestAt = Now + RequestInterval;
   HostId Chosen = chooseSource(Self, FailureDomain, Directory, Peers);
-  if (Chosen != Source) {
-    Source = Chosen;
-    SourceAnswered = false;
-    LiveUntil = Now + FirstAnswerTimeout;
-    Decision Line{LogLevel::Info, "topic-source", {}};
-    Line.Fields = {{"source", Source}};
-    Out.emplace_back(std::move(Line));
-  }
+  if (Chosen != Source)
+    setSource(Now, Chosen, Peers, Out);
+  logReading(Now, Out);
   if (Source != Self)
     Out.emplace_back(SendPeer{Source, Request});
 }
 
+void TopicRelay::setSource(TimePoint Now, const HostId &Chosen,
+                           const PeerHealth &Peers, SidecarEffects &Out) {
+  std::string_view Reason = "other";
+  if (Source.empty())
+    Reason = "first";
+  else if (Peers.isSuspected(Source))
+    Reason = "unreachable";
+  Decision Line{LogLevel::Info, "topic-source", {}};
+  Line.Fields = {{"source", Chosen},
+                 {"before", Source.empty() ? "none" : Source},
+                 {"reason", std::string(Reason)}};
+  Out.emplace_back(std::move(Line));
+  Source = Chosen;
+  SourceAnswered = false;
+  LiveUntil = Now + FirstAnswerTimeout;
+}
+
+/// Logs that this daemon starts or stops to read the store. Since it is called
+/// at each request to the source, a shorter change may not be logged.
+void TopicRelay::logReading(TimePoint Now, SidecarEffects &Out) {
+  bool Reads = readsStore(Now);
+  if (Reads == ReadingLogged)
+    return;
+  ReadingLogged = Reads;
+  Decision Line{LogLevel::Info, "topic-reading", {}};
+  Line.Fields = {{"from", Reads ? "store" : Source},
+                 {"source", Source},
+                 {"reason", std::string(readingReason(Reads))}};
+  Out.emplace_back(std::move(Line));
+}
+
+/// Returns why this daemon reads the store, or why it does not.
+std::string_view TopicRelay::readingReason(bool Reads) const {
+  if (Source == Self)
+    return "own-source";
+  if (!Reads)
+    return SourceAnswered ? "live" : "asked";
+  return LiveUntil == TimePoint{} ? "behind" : "silent";
+}
+
 void TopicRelay::updateReceived(TimePoint Now, const HostId &From,
                                 const TopicUpdate &Update) {
   if (From != Source)
--- a/src/sidecar/TopicRelay.h
+++ b/src/sidecar/TopicRelay.h
@@ -52,12 +52,18 @@
   }
 
 private:
+  void setSource(TimePoint Now, const HostId &Chosen, const PeerHealth &Peers,
+                 SidecarEffects &Out);
+  void logReading(TimePoint Now, SidecarEffects &Out);
+  std::string_view readingReason(bool Reads) const;
+
   HostId Self;
   std::string FailureDomain;
   HostId Source;               ///< Self: this daemon reads the store.
   bool SourceAnswered = false; ///< Since the source was chosen.
   TimePoint RequestAt{};       ///< Time of the next request to the source.
   TimePoint LiveUntil{};       ///< The source counts as up to date until then.
+  bool ReadingLogged = true;   ///< What the last line said of readsStore().
   std::map<HostId, TimePoint> Subscribers; ///< To their last request.
 };
 
--- a/tests/MetricsTest.cpp
+++ b/tests/MetricsTest.cpp
@@ -91,6 +91,33 @@
       << "reasons without a refusal are omitted";
 }
 
+// Operators must see whether configurations come from the store or from other
+// daemons, and how many of their bytes were of no use.
+TEST(Metrics, TextContainsTopicTrafficByOrigin) {
+  Metrics Measured;
+  Measured.countTopicRecords(TopicFlow::FromStore, {1, 500});
+  Measured.countTopicRecords(TopicFlow::FromDaemon, {2, 700});
+  Measured.countTopicRecords(TopicFlow::FromDaemon, {1, 500});
+  Measured.countTopicRecords(TopicFlow::RepeatedFromDaemon, {1, 500});
+  Measured.countTopicRecords(TopicFlow::Sent, {8, 4000});
+  Measured.countStoreCall(StoreCall::Read);
+  MetricsText Writer(Measured);
+  Writer.topicTraffic(Measured);
+  std::string Text = Writer.take();
+  for (const char *Line :
+       {"figsail_topic_records_total{from=\"store\"} 1\n",
+        "figsail_topic_bytes_total{from=\"store\"} 500\n",
+        "figsail_topic_records_total{from=\"daemon\"} 3\n",
+        "figsail_topic_bytes_total{from=\"daemon\"} 1200\n",
+        "figsail_topic_repeated_records_total{from=\"store\"} 0\n",
+        "figsail_topic_repeated_bytes_total{from=\"daemon\"} 500\n",
+        "figsail_topic_sent_records_total 8\n",
+        "figsail_topic_sent_bytes_total 4000\n",
+        "figsail_store_calls_total{kind=\"read\"} 1\n",
+        "figsail_store_calls_total{kind=\"snapshot\"} 0\n"})
+    EXPECT_NE(Text.find(Line), std::string::npos) << Line << Text;
+}
+
 // A full buffer must keep the latest entries and count the evicted ones.
 TEST(Timeline, FullBufferKeepsTheLatestEntries) {
   Timeline Events(3);
--- a/tests/SidecarProcessTest.cpp
+++ b/tests/SidecarProcessTest.cpp
@@ -239,6 +239,20 @@
   EXPECT_EQ(countLogLines("stopped"), 1U);
 }
 
+// Guards against metrics that do not say which configuration a host has.
+TEST_F(SidecarProcessTest, TheMetricsShowTheConfigurationInForce) {
+  ASSERT_TRUE(becomesTrue([&] { return isReady(); }));
+  std::string Metrics = send(MetricsPort, "GET", "/metrics", "").body();
+  for (const char *Name :
+       {"figsail_config_version 1\n", "figsail_config_bytes ",
+        "figsail_store_calls_total{kind=\"snapshot\"} "})
+    EXPECT_NE(Metrics.find(Name), std::string::npos) << Name << Metrics;
+  EXPECT_EQ(Metrics.find("figsail_config_bytes 0\n"), std::string::npos);
+  EXPECT_EQ(Metrics.find("figsail_store_calls_total{kind=\"snapshot\"} 0\n"),
+            std::string::npos)
+      << Metrics;
+}
+
 // Guards against a stop that closes connections with a request in progress
 // without a response.
 TEST_F(SidecarProcessTest, StopAnswersPartlyReadRequests) {
--- a/tests/SidecarTestSupport.h
+++ b/tests/SidecarTestSupport.h
@@ -7,6 +7,7 @@
 #include "SidecarSettings.h"
 
 #include <chrono>
+#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
@@ -44,6 +45,20 @@
   return false;
 }
 
+/// Returns a field of the first decision of this kind, or nothing.
+inline std::optional<std::string> loggedField(const SidecarEffects &Out,
+                                              std::string_view What,
+                                              std::string_view Field) {
+  for (const Decision &Line : effects<Decision>(Out)) {
+    if (Line.Kind != What)
+      continue;
+    for (const auto &[Name, Value] : Line.Fields)
+      if (Name == Field)
+        return Value;
+  }
+  return std::nullopt;
+}
+
 inline SidecarSettings testSettings(const HostId &Host = "10.0.0.1:7000",
                                     const std::string &Domain = "east-a",
                                     const std::string &Region = "east") {
--- a/tests/TopicsTest.cpp
+++ b/tests/TopicsTest.cpp
@@ -251,6 +251,35 @@
   EXPECT_TRUE(Subscriber.readsStore(TestStart + 200ms));
 }
 
+// Guards against changes of the source, and reads of the store in its place,
+// whose reason no log shows.
+TEST_F(TopicRelayTest, LogsWhyTheSourceOrTheReadingChanges) {
+  TopicRelay Subscriber(Second, "east-a");
+  tick(Subscriber, TestStart);
+  EXPECT_EQ(loggedField(Out, "topic-source", "reason"), "first");
+  EXPECT_EQ(loggedField(Out, "topic-source", "before"), "none");
+  EXPECT_EQ(loggedField(Out, "topic-reading", "reason"), "asked");
+  tick(Subscriber, TestStart + 1s);
+  EXPECT_EQ(loggedField(Out, "topic-reading", "reason"), "silent");
+  EXPECT_EQ(loggedField(Out, "topic-reading", "from"), "store");
+  Subscriber.updateReceived(TestStart + 1s, First, {true, true, {}});
+  tick(Subscriber, TestStart + 2s);
+  EXPECT_EQ(loggedField(Out, "topic-reading", "reason"), "live");
+  EXPECT_EQ(loggedField(Out, "topic-reading", "from"), First);
+  Subscriber.updateReceived(TestStart + 2s, First, {false, true, {}});
+  tick(Subscriber, TestStart + 3s);
+  EXPECT_EQ(loggedField(Out, "topic-reading", "reason"), "behind");
+  EXPECT_FALSE(logged(Out, "topic-source"));
+  Peers.markUnreachable(TestStart + 3s, First, Out);
+  tick(Subscriber, TestStart + 4s);
+  EXPECT_EQ(loggedField(Out, "topic-source", "reason"), "unreachable");
+  EXPECT_EQ(loggedField(Out, "topic-source", "before"), First);
+  EXPECT_FALSE(logged(Out, "topic-reading")) << "it still reads the store";
+  Peers.markReachable(First, Out);
+  tick(Subscriber, TestStart + 5s);
+  EXPECT_EQ(loggedField(Out, "topic-source", "reason"), "other");
+}
+
 // Guards against a reader that sends updates to all hosts of its domain: at 300
 // hosts, the busiest daemon of a sweep sent and received 897 kB/s, growing with
 // the number of hosts.
