--- /dev/null
+++ b/tests/PacedCluster.h
@@ -0,0 +1,672 @@
+// PacedCluster.h - Simulation of many hosts' reducers over links of limited
+// bandwidth, with a store of keyed records, in virtual time.
+
+#ifndef FIGSAIL_TESTS_PACEDCLUSTER_H
+#define FIGSAIL_TESTS_PACEDCLUSTER_H
+
+#include "JsonRecordDecoder.h"
+#include "PeerCodec.h"
+#include "Sidecar.h"
+#include "SidecarTestSupport.h"
+
+#include <algorithm>
+#include <array>
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <random>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace figsail::test {
+
+/// Bytes a second that a host sends, and that it receives: 10 Mbit/s.
+inline constexpr double HostLinkBytes = 10e6 / 8;
+/// Largest unit in which the flows of a host share its link.
+inline constexpr std::size_t SegmentBytes = std::size_t{4} * 1024;
+/// One-way delays between hosts.
+inline constexpr Duration DomainDelay = 900us;
+inline constexpr Duration RegionDelay = 30ms;
+/// Time that the store takes for an answer, without the transfer.
+inline constexpr Duration StoreDelay = 4ms;
+/// Time after which a read or an append of the store counts as failed, beyond
+/// the time that a read asks the store to wait.
+inline constexpr Duration StoreCallTimeout = 1500ms;
+/// Smallest time between two TimerFired events of one reducer.
+inline constexpr Duration TimerResolution = 1ms;
+inline constexpr Duration ServerRunTime = 20ms;
+inline constexpr std::size_t AnswerBodyBytes = 400;
+
+/// Agenda of a simulation. Actions of one time run in the order of their
+/// scheduling.
+class VirtualTime {
+public:
+  using Action = std::function<void()>;
+
+  TimePoint now() const { return Now; }
+  void schedule(Duration After, Action What) {
+    Agenda.emplace(Now + After, std::move(What));
+  }
+  void run(Duration Time) {
+    TimePoint End = Now + Time;
+    while (!Agenda.empty() && Agenda.begin()->first <= End) {
+      auto Next = Agenda.extract(Agenda.begin());
+      Now = Next.key();
+      Next.mapped()();
+    }
+    Now = End;
+  }
+
+private:
+  TimePoint Now = TestStart;
+  std::multimap<TimePoint, Action> Agenda;
+};
+
+/// One direction of a host's network interface. Its flows, one for each other
+/// side, take turns; the segments of one flow stay in order.
+class PacedPort {
+public:
+  PacedPort(VirtualTime &Time, double BytesPerSecond)
+      : Time(Time), BytesPerSecond(BytesPerSecond) {}
+
+  /// Queues a segment. OnPassed runs when its last byte has passed.
+  void enqueue(std::size_t Flow, std::size_t Bytes,
+               VirtualTime::Action OnPassed) {
+    Flows[Flow].push_back({Bytes, std::move(OnPassed)});
+    if (!Busy)
+      passNext();
+  }
+  /// Drops the queued segments of a flow, but not the one under way.
+  void clear(std::size_t Flow) { Flows.erase(Flow); }
+
+private:
+  struct Segment {
+    std::size_t Bytes;
+    VirtualTime::Action OnPassed;
+  };
+
+  void passNext() {
+    auto Next = Flows.upper_bound(LastFlow);
+    if (Next == Flows.end())
+      Next = Flows.begin();
+    Busy = Next != Flows.end();
+    if (!Busy)
+      return;
+    LastFlow = Next->first;
+    Segment Passing = std::move(Next->second.front());
+    Next->second.pop_front();
+    if (Next->second.empty())
+      Flows.erase(Next);
+    Duration Taken(static_cast<Duration::rep>(
+        static_cast<double>(Passing.Bytes) * 1e6 / BytesPerSecond));
+    Time.schedule(Taken, [this, OnPassed = std::move(Passing.OnPassed)] {
+      OnPassed();
+      passNext();
+    });
+  }
+
+  VirtualTime &Time;
+  double BytesPerSecond;
+  std::map<std::size_t, std::deque<Segment>> Flows; ///< None is empty.
+  std::size_t LastFlow = 0;
+  bool Busy = false;
+};
+
+/// Messages that one side of a peer link has not begun to write.
+struct LinkQueues {
+  std::deque<PeerMessage> Control;
+  std::deque<PeerMessage> Calls;
+};
+
+/// Bytes in a write from which on PeerLink adds no further message.
+inline constexpr std::size_t LinkWriteTarget = std::size_t{64} * 1024;
+
+/// A message that PeerLink writes, with its size on the wire.
+struct WrittenMessage {
+  PeerMessage Message;
+  std::size_t Bytes = 0;
+  bool Begun = false; ///< A byte of it has left the host.
+};
+using WrittenPtr = std::shared_ptr<WrittenMessage>;
+
+/// Takes the messages of the next write: the queue discipline of PeerLink.
+/// Nothing overtakes a message that has been taken.
+inline std::vector<WrittenPtr> takeWrite(LinkQueues &Queues) {
+  std::vector<WrittenPtr> Write;
+  std::size_t Total = 0;
+  std::string Frame;
+  while (Total < LinkWriteTarget) {
+    auto &Queue = Queues.Control.empty() ? Queues.Calls : Queues.Control;
+    if (Queue.empty())
+      break;
+    Frame.clear();
+    appendFrame(Frame, 1, Queue.front());
+    Write.push_back(std::make_shared<WrittenMessage>(
+        WrittenMessage{std::move(Queue.front()), Frame.size()}));
+    Queue.pop_front();
+    Total += Frame.size();
+  }
+  return Write;
+}
+
+/// A host of the cluster.
+struct PacedHost {
+  HostId Name;
+  std::string Region;
+  std::string FailureDomain;
+  std::string Service;
+};
+
+/// A request of a client.
+struct PacedRequest {
+  TimePoint SentAt;
+  HostId Host;
+  std::string Prefix;  ///< Of its path.
+  unsigned Status = 0; ///< Of the answer; 0: none yet.
+};
+
+/// A version of the configuration that the store has accepted.
+struct SentVersion {
+  std::uint64_t Version = 0;
+  std::size_t Bytes = 0; ///< Of its text.
+  TimePoint AcknowledgedAt;
+};
+
+/// Simulator of reducers, their backend servers, their clients, the store and
+/// the links of limited bandwidth between them. Links between regions are not
+/// compressed here.
+class PacedCluster {
+public:
+  PacedCluster(const std::vector<PacedHost> &List, std::string StoreRegion,
+               std::uint64_t Seed)
+      : StoreRegion(std::move(StoreRegion)), Random(Seed) {
+    for (const PacedHost &Described : List)
+      RegionOfDomain[Described.FailureDomain] = Described.Region;
+    for (const PacedHost &Described : List) {
+      IndexOf[Described.Name] = Hosts.size();
+      Hosts.push_back(std::make_unique<Host>(Time, Described));
+    }
+    for (std::size_t Self = 0; Self < Hosts.size(); ++Self)
+      start(Self);
+  }
+  PacedCluster(const PacedCluster &) = delete;
+  PacedCluster &operator=(const PacedCluster &) = delete;
+
+  TimePoint now() const { return Time.now(); }
+  void run(Duration Length) { Time.run(Length); }
+  std::size_t hostCount() const { return Hosts.size(); }
+  const HostId &hostName(std::size_t Self) const {
+    return Hosts[Self]->Described.Name;
+  }
+
+  /// Sends a configuration to the store, as the operator does.
+  void sendConfig(std::uint64_t Version, const std::string &Text) {
+    append(Topic::Operator, "config", Text);
+    Versions.push_back({Version, Text.size(), Time.now() + StoreDelay});
+  }
+
+  /// Sends a client's request to a host. No two requests are equal, since equal
+  /// ones would share a run.
+  void request(std::size_t Self, const std::string &Prefix) {
+    ClientRequest Arrived;
+    Arrived.Caller = Requests.size();
+    Arrived.Id = std::to_string(Arrived.Caller);
+    Arrived.Host = "desk.example";
+    Arrived.ClientTimeout = 1500ms;
+    Arrived.Request.Method = "GET";
+    Arrived.Request.Target = Prefix + Arrived.Id;
+    Requests.push_back({Time.now(), hostName(Self), Prefix});
+    apply(Self, std::move(Arrived));
+  }
+  /// Calls Send for each host, Interval apart, from a random moment on.
+  void requestRegularly(Duration Interval,
+                        const std::function<void(std::size_t)> &Send) {
+    for (std::size_t Self = 0; Self < Hosts.size(); ++Self)
+      Time.schedule(randomTime(Interval), [this, Self, Interval, Send] {
+        repeat(Interval, [Self, Send] { Send(Self); });
+      });
+  }
+  std::uint64_t random() { return Random(); }
+
+  /// Starts the counts of bytes and decisions anew.
+  void resetCounts() {
+    Decisions.clear();
+    for (auto &Self : Hosts)
+      Self->TopicBytes = 0;
+  }
+  /// Returns the bytes of topics that a host has received from daemons and from
+  /// the store since the last resetCounts().
+  std::size_t topicBytes(std::size_t Self) const {
+    return Hosts[Self]->TopicBytes;
+  }
+  /// Returns when a host had this version or a later one in force; max() if it
+  /// never had.
+  TimePoint inForceAt(std::size_t Self, std::uint64_t Version) const {
+    auto Found = Hosts[Self]->InForce.lower_bound(Version);
+    TimePoint First = TimePoint::max();
+    for (; Found != Hosts[Self]->InForce.end(); ++Found)
+      First = std::min(First, Found->second);
+    return First;
+  }
+
+  std::vector<PacedRequest> Requests;
+  std::vector<SentVersion> Versions;
+  std::map<std::string, unsigned> Decisions; ///< Number by kind.
+
+private:
+  struct Host {
+    Host(VirtualTime &Time, PacedHost Described)
+        : Described(std::move(Described)), Sending(Time, HostLinkBytes),
+          Receiving(Time, HostLinkBytes) {}
+    PacedHost Described;
+    std::unique_ptr<Sidecar> Reducer;
+    PacedPort Sending;
+    PacedPort Receiving;
+    TimePoint WakeAt = TimePoint::max();
+    std::set<RunId> Runs;                       ///< In progress.
+    std::map<std::uint64_t, TimePoint> InForce; ///< By version.
+    std::size_t TopicBytes = 0;
+  };
+
+  /// What one side of a link writes.
+  struct LinkSide {
+    LinkQueues Queues;
+    std::vector<WrittenPtr> Write; ///< Messages of the current write.
+  };
+  struct Link {
+    enum class State : std::uint8_t { Closed, Opening, Open };
+    State Phase = State::Closed;
+    unsigned Number = 0; ///< Of the connection; increases with each reset.
+    std::map<std::size_t, LinkSide> Sides; ///< By sender.
+  };
+
+  // Hosts.
+
+  /// Returns the identity of a daemon. Incarnations differ, since they are the
+  /// part of a call's id that names its ingress.
+  PeerRef peer(std::size_t Self) const { return {hostName(Self), Self + 1}; }
+
+  void start(std::size_t Self) {
+    Host &Started = *Hosts[Self];
+    SidecarSettings Settings =
+        testSettings(Started.Described.Name, Started.Described.FailureDomain,
+                     Started.Described.Region);
+    Settings.Service = Started.Described.Service;
+    Settings.RegionOfDomain = RegionOfDomain;
+    Settings.Inc = peer(Self).Inc;
+    Started.Reducer = std::make_unique<Sidecar>(Settings, Decoder);
+    Time.schedule(randomTime(500ms), [this, Self] {
+      apply(Self, TimerFired{});
+      sendHeartbeat(Self, 1);
+    });
+  }
+
+  void sendHeartbeat(std::size_t Self, std::uint64_t Sequence) {
+    const PacedHost &Described = Hosts[Self]->Described;
+    ServerHeartbeat Own = heartbeat(Sequence, "i-" + Described.Name);
+    Own.Service = Described.Service;
+    Own.Slots = 100;
+    apply(Self, Own);
+    Time.schedule(
+        1s, [this, Self, Sequence] { sendHeartbeat(Self, Sequence + 1); });
+  }
+
+  void apply(std::size_t Self, SidecarEventBody Body) {
+    Sidecar &Reducer = *Hosts[Self]->Reducer;
+    for (SidecarEffect &Effect :
+         Reducer.apply({Time.now(), Random(), std::move(Body)}))
+      perform(Self, Effect);
+    armTimer(Self);
+  }
+
+  void armTimer(std::size_t Self) {
+    Host &Owner = *Hosts[Self];
+    TimePoint Due = Owner.Reducer->nextWake();
+    if (Due == TimePoint::max())
+      return;
+    Due = std::max(Due, Time.now() + TimerResolution);
+    if (Due >= Owner.WakeAt)
+      return;
+    Owner.WakeAt = Due;
+    Time.schedule(Due - Time.now(), [this, Self, Due] {
+      if (Hosts[Self]->WakeAt != Due)
+        return;
+      Hosts[Self]->WakeAt = TimePoint::max();
+      apply(Self, TimerFired{});
+    });
+  }
+
+  void perform(std::size_t Self, SidecarEffect &Effect) {
+    if (auto *Sent = std::get_if<SendPeer>(&Effect))
+      send(Self, IndexOf.at(Sent->Host), std::move(Sent->Message));
+    else if (auto *Reset = std::get_if<ResetPeer>(&Effect))
+      resetLink(Self, IndexOf.at(Reset->Host));
+    else if (auto *Run = std::get_if<StartRun>(&Effect))
+      startRun(Self, Run->Run);
+    else if (auto *Cancelled = std::get_if<CancelRun>(&Effect))
+      endRun(Self, Cancelled->Run, BackendError::Cancelled, 0us);
+    else if (auto *Reply = std::get_if<ReplyCaller>(&Effect))
+      Requests[Reply->Caller].Status = Reply->Response.Status;
+    else if (std::holds_alternative<ProbeServer>(Effect))
+      answerProbe(Self);
+    else if (auto *Logged = std::get_if<Decision>(&Effect))
+      note(Self, *Logged);
+    else
+      performAtStore(Self, Effect);
+  }
+
+  void note(std::size_t Self, const Decision &Logged) {
+    ++Decisions[std::string(Logged.Kind)];
+    if (Logged.Kind != "config-in-force")
+      return;
+    for (const auto &[Field, Value] : Logged.Fields)
+      if (Field == "version")
+        Hosts[Self]->InForce.emplace(std::stoull(Value), Time.now());
+  }
+
+  void startRun(std::size_t Self, RunId Run) {
+    Hosts[Self]->Runs.insert(Run);
+    HttpResponse Response;
+    Response.Status = 200;
+    Response.Body.assign(AnswerBodyBytes, 'a');
+    endRun(Self, Run, Response, ServerRunTime);
+  }
+  void endRun(std::size_t Self, RunId Run,
+              const std::variant<HttpResponse, BackendError> &Result,
+              Duration After) {
+    Time.schedule(After, [this, Self, Run, Result] {
+      if (Hosts[Self]->Runs.erase(Run) > 0)
+        apply(Self, ServerRunResult{Run, Result, {}});
+    });
+  }
+  void answerProbe(std::size_t Self) {
+    Time.schedule(1ms, [this, Self] {
+      apply(Self, ServerProbeResult{
+                      true, "i-" + hostName(Self), std::nullopt, {}, {}});
+    });
+  }
+
+  // Peer links.
+
+  Duration delayBetween(const std::string &One, const std::string &Other) {
+    return One == Other ? DomainDelay : RegionDelay;
+  }
+  Duration delay(std::size_t From, std::size_t To) {
+    return delayBetween(Hosts[From]->Described.Region,
+                        Hosts[To]->Described.Region);
+  }
+  Link &link(std::size_t One, std::size_t Other) {
+    return Links[std::minmax(One, Other)];
+  }
+
+  void send(std::size_t From, std::size_t To, PeerMessage Message) {
+    if (From == To)
+      return Time.schedule(0us, [this, To, Message = std::move(Message)] {
+        apply(To, PeerReceived{peer(To), Message});
+      });
+    Link &Used = link(From, To);
+    LinkQueues &Queues = Used.Sides[From].Queues;
+    auto &Queue = isControl(Message) ? Queues.Control : Queues.Calls;
+    Queue.push_back(std::move(Message));
+    if (Used.Phase == Link::State::Closed)
+      openLink(From, To);
+    else if (Used.Phase == Link::State::Open)
+      scheduleWrite(From, To);
+  }
+
+  /// Opens a link: the handshake of the connection, then the exchange of Hello.
+  void openLink(std::size_t From, std::size_t To) {
+    Link &Opened = link(From, To);
+    Opened.Phase = Link::State::Opening;
+    Time.schedule(4 * delay(From, To),
+                  [this, From, To, Number = Opened.Number] {
+                    Link &Opening = link(From, To);
+                    if (Opening.Number != Number)
+                      return;
+                    Opening.Phase = Link::State::Open;
+                    apply(From, PeerConnected{peer(To)});
+                    apply(To, PeerConnected{peer(From)});
+                    scheduleWrite(From, To);
+                    scheduleWrite(To, From);
+                  });
+  }
+
+  /// Defers the write so that all messages of one event share it.
+  void scheduleWrite(std::size_t From, std::size_t To) {
+    Time.schedule(0us, [this, From, To] { write(From, To); });
+  }
+
+  void write(std::size_t From, std::size_t To) {
+    Link &Used = link(From, To);
+    LinkSide &Side = Used.Sides[From];
+    if (Used.Phase != Link::State::Open || !Side.Write.empty())
+      return;
+    Side.Write = takeWrite(Side.Queues);
+    for (const WrittenPtr &Written : Side.Write)
+      transmit(From, To, Used.Number, Written);
+  }
+
+  void transmit(std::size_t From, std::size_t To, unsigned Number,
+                const WrittenPtr &Written) {
+    for (std::size_t Left = Written->Bytes; Left > 0;) {
+      std::size_t Bytes = std::min(Left, SegmentBytes);
+      Left -= Bytes;
+      bool Last = Left == 0;
+      Hosts[From]->Sending.enqueue(
+          To, Bytes, [this, From, To, Number, Written, Bytes, Last] {
+            Written->Begun = true;
+            Time.schedule(delay(From, To), [=, this] {
+              receive(From, To, Number, Written, Bytes, Last);
+            });
+            if (Last)
+              messageLeft(From, To, Number, Written);
+          });
+    }
+  }
+
+  void messageLeft(std::size_t From, std::size_t To, unsigned Number,
+                   const WrittenPtr &Written) {
+    Link &Used = link(From, To);
+    LinkSide &Side = Used.Sides[From];
+    if (Used.Number != Number || Side.Write.back() != Written)
+      return;
+    Side.Write.clear();
+    write(From, To);
+  }
+
+  void receive(std::size_t From, std::size_t To, unsigned Number,
+               const WrittenPtr &Written, std::size_t Bytes, bool Last) {
+    Hosts[To]->Receiving.enqueue(
+        From, Bytes, [this, From, To, Number, Written, Bytes, Last] {
+          if (messageName(Written->Message).starts_with("Topic"))
+            Hosts[To]->TopicBytes += Bytes;
+          if (Last && link(From, To).Number == Number)
+            apply(To, PeerReceived{peer(From), std::move(Written->Message)});
+        });
+  }
+
+  /// Breaks a link. What is under way is lost; each side is told which of its
+  /// messages never left.
+  void resetLink(std::size_t Self, std::size_t Peer) {
+    Link &Broken = link(Self, Peer);
+    if (Broken.Phase == Link::State::Closed)
+      return;
+    Broken.Phase = Link::State::Closed;
+    ++Broken.Number;
+    std::vector<PeerMessage> Own = takeUnsent(Self, Peer);
+    std::vector<PeerMessage> Others = takeUnsent(Peer, Self);
+    if (!Own.empty())
+      reportLost(Self, Peer, std::move(Own), 0us);
+    reportLost(Peer, Self, std::move(Others), delay(Self, Peer));
+  }
+
+  std::vector<PeerMessage> takeUnsent(std::size_t From, std::size_t To) {
+    Hosts[From]->Sending.clear(To);
+    LinkSide Side = std::exchange(link(From, To).Sides[From], {});
+    std::vector<PeerMessage> Unsent;
+    for (const WrittenPtr &Written : Side.Write)
+      if (!Written->Begun)
+        Unsent.push_back(std::move(Written->Message));
+    std::ranges::move(Side.Queues.Control, std::back_inserter(Unsent));
+    std::ranges::move(Side.Queues.Calls, std::back_inserter(Unsent));
+    return Unsent;
+  }
+  void reportLost(std::size_t Self, std::size_t Peer,
+                  std::vector<PeerMessage> Unsent, Duration After) {
+    Time.schedule(After, [this, Self, Peer, Unsent = std::move(Unsent)] {
+      apply(Self, PeerLost{hostName(Peer), Unsent});
+    });
+  }
+
+  // The store.
+
+  static constexpr StoreHistory History = 1;
+
+  std::vector<KeyedRecord> &log(Topic Which) {
+    return Logs[static_cast<std::size_t>(Which)];
+  }
+  /// The flow of the store's answers on a host's link.
+  std::size_t storeFlow() const { return Hosts.size(); }
+  /// Time for a request to arrive at the store and to be handled.
+  Duration storeDelay(std::size_t Self) {
+    const std::string &Region = Hosts[Self]->Described.Region;
+    return StoreDelay + (Region == StoreRegion ? 0us : RegionDelay);
+  }
+
+  void performAtStore(std::size_t Self, SidecarEffect &Effect) {
+    if (auto *Wanted = std::get_if<ReadTopicSnapshot>(&Effect))
+      readSnapshot(Self, Wanted->Which);
+    else if (auto *Wanted = std::get_if<ReadTopic>(&Effect))
+      readRecords(Self, *Wanted);
+    else if (auto *Own = std::get_if<Announce>(&Effect))
+      appendAnnouncement(Self, Own->Content.Host,
+                         encodeAnnouncement(Own->Content));
+    else if (auto *Removed = std::get_if<RemoveHost>(&Effect))
+      appendAnnouncement(Self, Removed->Host, std::nullopt);
+  }
+
+  void append(Topic Which, const std::string &Key,
+              std::optional<std::string> Value) {
+    auto At = static_cast<Offset>(log(Which).size());
+    log(Which).push_back({Key, std::move(Value), At});
+    auto Ended = std::exchange(Waiting[static_cast<std::size_t>(Which)], {});
+    for (auto &EndRead : Ended)
+      EndRead();
+  }
+  void appendAnnouncement(std::size_t Self, const HostId &Key,
+                          const std::optional<std::string> &Value) {
+    Time.schedule(storeDelay(Self), [this, Self, Key, Value] {
+      append(Topic::Members, Key, Value);
+      answer(Self, 100, [this, Self] {
+        apply(Self, AnnouncementResult{true, "", History});
+      });
+    });
+  }
+
+  /// Sends an answer of the store over the link of a host.
+  void answer(std::size_t Self, std::size_t Bytes,
+              const VirtualTime::Action &OnReceived) {
+    Duration Delay = storeDelay(Self) - StoreDelay;
+    Time.schedule(Delay, [this, Self, Bytes, OnReceived] {
+      for (std::size_t Left = Bytes; Left > 0;) {
+        std::size_t Part = std::min(Left, SegmentBytes);
+        Left -= Part;
+        bool Last = Left == 0;
+        Hosts[Self]->Receiving.enqueue(storeFlow(), Part,
+                                       [this, Self, Part, Last, OnReceived] {
+                                         Hosts[Self]->TopicBytes += Part;
+                                         if (Last)
+                                           OnReceived();
+                                       });
+      }
+    });
+  }
+
+  void readSnapshot(std::size_t Self, Topic Which) {
+    Time.schedule(storeDelay(Self), [this, Self, Which] {
+      std::map<std::string, KeyedRecord> Newest;
+      for (const KeyedRecord &Record : log(Which))
+        Newest[Record.Key] = Record;
+      std::size_t Bytes = 100;
+      auto Page =
+          std::make_shared<TopicSnapshot>(TopicSnapshot{Which, {}, 0, History});
+      Page->Next = static_cast<Offset>(log(Which).size());
+      for (auto &[Key, Record] : Newest) {
+        if (!Record.Value)
+          continue;
+        // The page holds values in base64.
+        Bytes += 50 + Key.size() + Record.Value->size() * 4 / 3;
+        Page->Records.push_back(Record);
+      }
+      answer(Self, Bytes,
+             [this, Self, Page] { apply(Self, std::move(*Page)); });
+    });
+  }
+
+  void readRecords(std::size_t Self, const ReadTopic &Wanted) {
+    auto Done = std::make_shared<bool>(false);
+    Time.schedule(Wanted.Wait + StoreCallTimeout, [this, Self, Wanted, Done] {
+      if (!std::exchange(*Done, true))
+        apply(Self, TopicReadFailed{Wanted.Which, "no answer", 0});
+    });
+    Time.schedule(storeDelay(Self), [this, Self, Wanted, Done] {
+      if (static_cast<std::size_t>(Wanted.From) < log(Wanted.Which).size())
+        return answerRecords(Self, Wanted, Done);
+      auto Answered = std::make_shared<bool>(false);
+      auto EndRead = [this, Self, Wanted, Done, Answered] {
+        if (!std::exchange(*Answered, true))
+          answerRecords(Self, Wanted, Done);
+      };
+      Waiting[static_cast<std::size_t>(Wanted.Which)].emplace_back(EndRead);
+      Time.schedule(Wanted.Wait, EndRead);
+    });
+  }
+
+  void answerRecords(std::size_t Self, const ReadTopic &Wanted,
+                     const std::shared_ptr<bool> &Done) {
+    const std::vector<KeyedRecord> &Log = log(Wanted.Which);
+    auto Page = std::make_shared<TopicRecords>(
+        TopicRecords{Wanted.Which, {}, Wanted.From, History});
+    Page->Next = std::max(Wanted.From, static_cast<Offset>(Log.size()));
+    std::size_t Bytes = 100;
+    for (auto At = static_cast<std::size_t>(Wanted.From); At < Log.size();
+         ++At) {
+      Bytes +=
+          5 + Log[At].Key.size() + (Log[At].Value ? Log[At].Value->size() : 0);
+      Page->Records.push_back(Log[At]);
+    }
+    answer(Self, Bytes, [this, Self, Page, Done] {
+      if (!std::exchange(*Done, true))
+        apply(Self, std::move(*Page));
+    });
+  }
+
+  // Tools.
+
+  Duration randomTime(Duration Below) {
+    return Duration(static_cast<Duration::rep>(
+        Random() % static_cast<std::uint64_t>(Below.count())));
+  }
+  void repeat(Duration Interval, const VirtualTime::Action &What) {
+    What();
+    Time.schedule(Interval, [this, Interval, What] { repeat(Interval, What); });
+  }
+
+  VirtualTime Time;
+  std::string StoreRegion;
+  std::mt19937_64 Random;
+  platform::JsonRecordDecoder Decoder;
+  std::map<std::string, std::string> RegionOfDomain;
+  std::vector<std::unique_ptr<Host>> Hosts;
+  std::map<HostId, std::size_t> IndexOf;
+  std::map<std::pair<std::size_t, std::size_t>, Link> Links;
+  std::array<std::vector<KeyedRecord>, TopicCount> Logs;
+  std::array<std::vector<VirtualTime::Action>, TopicCount> Waiting;
+};
+
+} // namespace figsail::test
+
+#endif // FIGSAIL_TESTS_PACEDCLUSTER_H
