Codechange: the queue of messages that a link still has to write is a class of its own

The order in which a link writes its messages could only be tested over a socket. PeerSendQueue holds the two queues, the order between them and their estimated size; PeerLink keeps the encoding and the write. The order is unchanged: control messages, then calls. A message leaves the queue before it is encoded instead of after it, within the same function.

--- a/src/shell/PeerLink.cpp
+++ b/src/shell/PeerLink.cpp
@@ -6,9 +6,11 @@
 #include "PeerCodec.h"
 #include "SocketOptions.h"
 
+#include <algorithm>
 #include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
 #include <iterator>
+#include <optional>
 #include <utility>
 
 namespace figsail {
@@ -38,8 +40,7 @@
       LastUsed(std::chrono::steady_clock::now()) {}
 
 bool PeerLink::busy() const {
-  return Writing || FlushScheduled || !ControlQueue.empty() ||
-         !CallQueue.empty();
+  return Writing || FlushScheduled || !Queue.empty();
 }
 
 // Opening.
@@ -142,27 +143,16 @@
   for (EncodedMessage &Entry : EncodedMessages)
     Unsent.push_back(std::move(Entry.Message));
   EncodedMessages.clear();
-  moveQueuedMessages(Unsent);
+  std::ranges::move(Queue.takeAll(), std::back_inserter(Unsent));
   return Unsent;
 }
 
-void PeerLink::moveQueuedMessages(std::vector<PeerMessage> &Out) {
-  std::ranges::move(ControlQueue, std::back_inserter(Out));
-  std::ranges::move(CallQueue, std::back_inserter(Out));
-  ControlQueue.clear();
-  CallQueue.clear();
-  QueuedBytes = 0;
-}
-
 // Writing.
 
 void PeerLink::send(PeerMessage Message) {
-  QueuedBytes += estimateSize(Message);
-  std::deque<PeerMessage> &Queue =
-      isControl(Message) ? ControlQueue : CallQueue;
-  Queue.push_back(std::move(Message));
+  Queue.push(std::move(Message));
   LastUsed = std::chrono::steady_clock::now();
-  if (QueuedBytes > Context->Settings.MaxQueuedBytes)
+  if (Queue.queuedBytes() > Context->Settings.MaxQueuedBytes)
     return fail("the peer reads too slowly: the queue exceeds its limit");
   scheduleFlush();
 }
@@ -198,19 +188,15 @@
 
 void PeerLink::fillWriteBuffer() {
   while (WriteBuffer.size() < WriteBufferTarget) {
-    if (!ControlQueue.empty())
-      encodeNextMessage(ControlQueue);
-    else if (!CallQueue.empty())
-      encodeNextMessage(CallQueue);
-    else
+    std::optional<PeerMessage> Message = Queue.next();
+    if (!Message)
       return;
+    encode(std::move(*Message));
   }
 }
 
-void PeerLink::encodeNextMessage(std::deque<PeerMessage> &Queue) {
+void PeerLink::encode(PeerMessage Message) {
   std::size_t Start = WriteBuffer.size();
-  PeerMessage &Message = Queue.front();
-  QueuedBytes -= estimateSize(Message);
   FrameBuffer.clear();
   appendFrame(FrameBuffer, Context->Clock.tick(), Message);
   std::size_t Payload = FrameBuffer.size() - FrameHeaderBytes;
@@ -232,7 +218,6 @@
                          " exceeds the frame limit and was dropped");
   }
   clearBuffer(FrameBuffer);
-  Queue.pop_front();
 }
 
 /// Compresses links between regions, where bandwidth is scarce. Each side knows
@@ -421,8 +406,7 @@
     return closeNow(LinkCloseReason::Orderly);
   // The peer may take long to read the unfinished write, so the queued messages
   // move to another link now.
-  std::vector<PeerMessage> Queued;
-  moveQueuedMessages(Queued);
+  std::vector<PeerMessage> Queued = Queue.takeAll();
   if (Context->Owner)
     Context->Owner->linkClosingByPeer(shared_from_this(), std::move(Queued));
 }
--- a/src/shell/PeerLink.h
+++ b/src/shell/PeerLink.h
@@ -4,11 +4,11 @@
 #define FIGSAIL_PEERLINK_H
 
 #include "LinkCompression.h"
+#include "PeerSendQueue.h"
 #include "PeerTransport.h"
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
-#include <deque>
 #include <memory>
 #include <string>
 #include <string_view>
@@ -106,11 +106,10 @@
   void scheduleFlush();
   void flush();
   void fillWriteBuffer();
-  void encodeNextMessage(std::deque<PeerMessage> &Queue);
+  void encode(PeerMessage Message);
   void handleWritten(const boost::system::error_code &Error, std::size_t Bytes);
   void reportClosed();
   std::vector<PeerMessage> collectUnsent();
-  void moveQueuedMessages(std::vector<PeerMessage> &Out);
   void waitUntilReadable();
   void readAvailable();
   void startCompression(const std::string &PeerRegion);
@@ -142,10 +141,8 @@
   std::string PendingFrame;        ///< Hello or close frame to write next.
   std::string WriteBuffer;         ///< Bytes of the current write.
   std::vector<EncodedMessage> EncodedMessages; ///< Messages in WriteBuffer.
-  std::deque<PeerMessage> ControlQueue;        ///< Sent before CallQueue.
-  std::deque<PeerMessage> CallQueue;
-  std::size_t QueuedBytes = 0;              ///< Estimated size of both queues.
-  std::string FrameBuffer;                  ///< Frame that is being encoded.
+  PeerSendQueue Queue;     ///< Messages that are not encoded yet.
+  std::string FrameBuffer; ///< Frame that is being encoded.
   std::optional<LinkCompressor> Compressor; ///< Set on links between regions.
   std::optional<LinkDecompressor> Decompressor; ///< Set with Compressor.
   std::string PartialFrame; ///< Received start of an incomplete frame.
