Fix: calls and receipts waited behind the configurations on a link

Cause: every message that is not a call was control, and control goes first. A TopicUpdate thus overtook the calls and stood in line before later receipts and probes. A write took messages until it had 64 KiB, thus many small updates at once, or one more whole configuration behind another message.

Messages of a bulk transfer (isBulk: TopicUpdate) are now a third class behind control and calls. Each write ends with one of them if any is queued: what is queued during a write waits for at most one bulk message, and calls without end do not keep bulk from being written. The order within bulk stays. How long one bulk message is remains up to its sender.

Nothing depends on an update being ahead of other messages: records are applied in any order and more than once (TopicImage), the reply to a subscription stays behind earlier updates, and calls are checked by the daemon beside the server.

A link's write could now be empty with bulk still queued, if its one bulk message is above the frame limit and dropped; the next write is then filled at once.

The existing tests of PeerSendQueueTest pass next() the bytes of the write, otherwise unchanged.

--- a/include/figsail/PeerMessages.h
+++ b/include/figsail/PeerMessages.h
@@ -368,6 +368,11 @@
 /// queued calls.
 bool isControl(const PeerMessage &Message);
 
+/// Returns whether the message is part of a bulk transfer, which control
+/// messages and calls overtake. A receiver must not depend on the order of bulk
+/// and other messages.
+bool isBulk(const PeerMessage &Message);
+
 /// Returns the name of the message's type.
 std::string_view messageName(const PeerMessage &Message);
 
--- a/src/core/Names.cpp
+++ b/src/core/Names.cpp
@@ -16,7 +16,11 @@
 
 bool isControl(const PeerMessage &Message) {
   return !std::holds_alternative<Execute>(Message) &&
-         !std::holds_alternative<Answer>(Message);
+         !std::holds_alternative<Answer>(Message) && !isBulk(Message);
+}
+
+bool isBulk(const PeerMessage &Message) {
+  return std::holds_alternative<TopicUpdate>(Message);
 }
 
 std::string_view messageName(const PeerMessage &Message) {
--- a/src/shell/PeerLink.cpp
+++ b/src/shell/PeerLink.cpp
@@ -19,10 +19,6 @@
 using boost::system::error_code;
 using tcp = asio::ip::tcp;
 
-/// Bytes in the write buffer from which on no further message is added. Larger
-/// writes would delay control messages that are queued meanwhile.
-static constexpr std::size_t WriteBufferTarget = std::size_t(64) * 1024;
-
 /// Buffers with a larger capacity are freed after use: a daemon has up to a few
 /// thousand links and 128 MB of memory.
 static constexpr std::size_t MaxRetainedBufferBytes = 4096;
@@ -187,12 +183,13 @@
 }
 
 void PeerLink::fillWriteBuffer() {
-  while (WriteBuffer.size() < WriteBufferTarget) {
-    std::optional<PeerMessage> Message = Queue.next();
-    if (!Message)
-      return;
-    encode(std::move(*Message));
-  }
+  // A message that is too large is dropped. If that leaves the write empty, no
+  // end of a write starts the next one.
+  do {
+    Queue.startWrite();
+    while (std::optional<PeerMessage> Message = Queue.next(WriteBuffer.size()))
+      encode(std::move(*Message));
+  } while (WriteBuffer.empty() && !Queue.empty());
 }
 
 void PeerLink::encode(PeerMessage Message) {
--- a/src/shell/PeerLink.h
+++ b/src/shell/PeerLink.h
@@ -81,8 +81,8 @@
                const boost::asio::ip::tcp::endpoint &Address);
   /// Starts the link on an accepted connection.
   void startAccepted();
-  /// Queues a message. Control messages are sent ahead of queued calls. The
-  /// link breaks when the queued bytes exceed PeerSettings::MaxQueuedBytes.
+  /// Queues a message; PeerSendQueue decides the order. The link breaks when
+  /// the queued bytes exceed PeerSettings::MaxQueuedBytes.
   void send(PeerMessage Message);
   /// Announces an orderly close, if the link is open and has nothing left to
   /// send.
--- a/src/shell/PeerSendQueue.cpp
+++ b/src/shell/PeerSendQueue.cpp
@@ -11,7 +11,13 @@
 
 namespace figsail {
 
+/// Bytes in a write from which on no further control message or call is added.
+/// Larger writes would delay control messages that are queued meanwhile.
+static constexpr std::size_t WriteTarget = std::size_t(64) * 1024;
+
 PeerSendQueue::Queue &PeerSendQueue::queueOf(const PeerMessage &Message) {
+  if (isBulk(Message))
+    return Bulk;
   return isControl(Message) ? Control : Calls;
 }
 
@@ -21,12 +27,18 @@
   Target.push_back(std::move(Message));
 }
 
-std::optional<PeerMessage> PeerSendQueue::next() {
-  if (!Control.empty())
+std::optional<PeerMessage> PeerSendQueue::next(std::size_t WriteBytes) {
+  if (BulkInWrite)
+    return std::nullopt;
+  bool Full = WriteBytes >= WriteTarget;
+  if (!Full && !Control.empty())
     return takeFirst(Control);
-  if (!Calls.empty())
+  if (!Full && !Calls.empty())
     return takeFirst(Calls);
-  return std::nullopt;
+  if (Bulk.empty())
+    return std::nullopt;
+  BulkInWrite = true;
+  return takeFirst(Bulk);
 }
 
 PeerMessage PeerSendQueue::takeFirst(Queue &From) {
@@ -38,7 +50,7 @@
 
 std::vector<PeerMessage> PeerSendQueue::takeAll() {
   std::vector<PeerMessage> All;
-  for (Queue *From : {&Control, &Calls}) {
+  for (Queue *From : {&Control, &Calls, &Bulk}) {
     std::ranges::move(*From, std::back_inserter(All));
     From->clear();
   }
--- a/src/shell/PeerSendQueue.h
+++ b/src/shell/PeerSendQueue.h
@@ -12,18 +12,27 @@
 
 namespace figsail {
 
-/// Queue of the messages of one link. Control messages overtake calls; messages
-/// of one class stay in order.
+/// Queue of the messages of one link. Control messages overtake calls, and both
+/// overtake bulk. Messages of one class stay in order.
+///
+/// Each write ends with one bulk message if any is queued. So what is queued
+/// during the write waits for at most one of them, and bulk makes progress
+/// however many calls there are.
 class PeerSendQueue {
 public:
   void push(PeerMessage Message);
-  /// Removes and returns the message to write next, or nothing if none is
-  /// queued.
-  std::optional<PeerMessage> next();
+  /// Starts a new write.
+  void startWrite() { BulkInWrite = false; }
+  /// Removes and returns the next message of the current write, which has
+  /// WriteBytes bytes so far. Returns nothing when the write is complete; the
+  /// queue may then still hold messages.
+  std::optional<PeerMessage> next(std::size_t WriteBytes);
   /// Removes and returns all messages in the order of their classes.
   std::vector<PeerMessage> takeAll();
 
-  bool empty() const { return Control.empty() && Calls.empty(); }
+  bool empty() const {
+    return Control.empty() && Calls.empty() && Bulk.empty();
+  }
   /// Returns the estimated size of all queued messages in bytes.
   std::size_t queuedBytes() const { return QueuedBytes; }
 
@@ -35,7 +44,9 @@
 
   Queue Control;
   Queue Calls;
+  Queue Bulk;
   std::size_t QueuedBytes = 0;
+  bool BulkInWrite = false; ///< The current write has its bulk message.
 };
 
 } // namespace figsail
--- a/tests/PeerSendQueueTest.cpp
+++ b/tests/PeerSendQueueTest.cpp
@@ -3,6 +3,9 @@
 
 #include "PeerSendQueue.h"
 
+#include "PeerCodec.h"
+
+#include <algorithm>
 #include <gtest/gtest.h>
 
 using namespace figsail;
@@ -16,6 +19,52 @@
   return Message;
 }
 
+/// An update whose number is the sender's history.
+PeerMessage update(std::uint64_t Number, std::size_t Bytes = 0) {
+  TopicUpdate Message;
+  Message.History = Number;
+  Message.Parts = {{0, {{"config", std::string(Bytes, 'x'), 1}}}};
+  return Message;
+}
+
+std::uint64_t updateOf(const std::optional<PeerMessage> &Message) {
+  const auto *Body = Message ? std::get_if<TopicUpdate>(&*Message) : nullptr;
+  return Body ? Body->History : 0;
+}
+
+/// The messages of one write, in order.
+struct Write {
+  std::vector<PeerMessage> Messages;
+  std::size_t Bytes = 0;
+
+  std::size_t calls() const {
+    return static_cast<std::size_t>(
+        std::ranges::count_if(Messages, [](const PeerMessage &Message) {
+          return std::holds_alternative<Execute>(Message);
+        }));
+  }
+  /// Returns the numbers of the updates.
+  std::vector<std::uint64_t> updates() const {
+    std::vector<std::uint64_t> Numbers;
+    for (const PeerMessage &Message : Messages)
+      if (std::uint64_t Number = updateOf(Message))
+        Numbers.push_back(Number);
+    return Numbers;
+  }
+};
+
+Write takeWrite(PeerSendQueue &Queue) {
+  Write Taken;
+  Queue.startWrite();
+  while (auto Message = Queue.next(Taken.Bytes)) {
+    Taken.Bytes += estimateSize(*Message);
+    Taken.Messages.push_back(std::move(*Message));
+  }
+  return Taken;
+}
+
+constexpr std::size_t KiB = 1024;
+
 std::uint64_t sequenceOf(const std::optional<PeerMessage> &Message) {
   const auto *Body = Message ? std::get_if<Execute>(&*Message) : nullptr;
   return Body ? Body->Call.Sequence : 0;
@@ -29,12 +78,12 @@
   Queue.push(call(1));
   Queue.push(call(2));
   Queue.push(Heartbeat{});
-  auto First = Queue.next();
+  auto First = Queue.next(0);
   ASSERT_TRUE(First);
   EXPECT_TRUE(std::holds_alternative<Heartbeat>(*First));
-  EXPECT_EQ(sequenceOf(Queue.next()), 1U);
-  EXPECT_EQ(sequenceOf(Queue.next()), 2U);
-  EXPECT_FALSE(Queue.next());
+  EXPECT_EQ(sequenceOf(Queue.next(0)), 1U);
+  EXPECT_EQ(sequenceOf(Queue.next(0)), 2U);
+  EXPECT_FALSE(Queue.next(0));
 }
 
 // A size that drifts would break a link that is not full, or let a full one
@@ -47,9 +96,9 @@
   EXPECT_GE(OfOne, 5000U);
   Queue.push(Heartbeat{});
   EXPECT_GT(Queue.queuedBytes(), OfOne);
-  Queue.next();
+  Queue.next(0);
   EXPECT_EQ(Queue.queuedBytes(), OfOne);
-  Queue.next();
+  Queue.next(0);
   EXPECT_EQ(Queue.queuedBytes(), 0U);
   EXPECT_TRUE(Queue.empty());
 }
@@ -69,3 +118,65 @@
   EXPECT_TRUE(Queue.takeAll().empty());
   EXPECT_EQ(Queue.queuedBytes(), 0U);
 }
+
+// Calls waited behind a configuration of half a megabyte, which takes 0.4 s on
+// a link of 10 Mbit/s: an update was a control message, and thus overtook the
+// calls and their receipts (issue 26).
+TEST(PeerSendQueue, CallsAndReceiptsOvertakeAConfigurationOfHalfAMegabyte) {
+  PeerSendQueue Queue;
+  Queue.push(update(1, 500 * KiB));
+  Queue.push(call(1));
+  Queue.push(Received{});
+  Write First = takeWrite(Queue);
+  ASSERT_EQ(First.Messages.size(), 3U);
+  EXPECT_TRUE(std::holds_alternative<Received>(First.Messages[0]));
+  EXPECT_EQ(sequenceOf(First.Messages[1]), 1U);
+  EXPECT_EQ(updateOf(First.Messages[2]), 1U);
+}
+
+// Copies that fill one write together would delay a call that is queued
+// meanwhile by all of them.
+TEST(PeerSendQueue, ACallWaitsForOneBulkMessageOfEachWrite) {
+  PeerSendQueue Queue;
+  for (std::uint64_t I = 1; I <= 4; ++I)
+    Queue.push(update(I));
+  EXPECT_EQ(takeWrite(Queue).updates(), (std::vector<std::uint64_t>{1}));
+  Queue.push(call(7));
+  Write Second = takeWrite(Queue);
+  ASSERT_EQ(Second.Messages.size(), 2U);
+  EXPECT_EQ(sequenceOf(Second.Messages[0]), 7U);
+  EXPECT_EQ(updateOf(Second.Messages[1]), 2U);
+}
+
+// A host that is never without calls would not get a configuration.
+TEST(PeerSendQueue, CallsDoNotKeepBulkFromBeingWritten) {
+  PeerSendQueue Queue;
+  for (std::uint64_t I = 1; I <= 3; ++I)
+    Queue.push(update(I, 16 * KiB));
+  for (std::uint64_t I = 1; I <= 100; ++I)
+    Queue.push(call(I, 10 * KiB));
+  for (std::uint64_t I = 1; I <= 3; ++I) {
+    Write Next = takeWrite(Queue);
+    EXPECT_EQ(Next.updates(), (std::vector<std::uint64_t>{I}));
+    EXPECT_GE(Next.calls(), 1U);
+    EXPECT_EQ(updateOf(Next.Messages.back()), I) << "it comes after the calls";
+    EXPECT_LE(Next.Bytes, 64 * KiB + 11 * KiB + 17 * KiB)
+        << "the target, the call that exceeds it, and one bulk message";
+  }
+}
+
+// Bulk messages of a broken or closing link must be moved or reported too, and
+// count in its limit.
+TEST(PeerSendQueue, BulkIsTakenAndCountedLikeTheOthers) {
+  PeerSendQueue Queue;
+  Queue.push(update(1, 100 * KiB));
+  Queue.push(call(1));
+  EXPECT_FALSE(Queue.empty());
+  EXPECT_GE(Queue.queuedBytes(), 100 * KiB);
+  auto All = Queue.takeAll();
+  ASSERT_EQ(All.size(), 2U);
+  EXPECT_EQ(sequenceOf(All[0]), 1U);
+  EXPECT_EQ(updateOf(All[1]), 1U);
+  EXPECT_EQ(Queue.queuedBytes(), 0U);
+  EXPECT_TRUE(Queue.empty());
+}
--- a/tests/PeerTransportTest.cpp
+++ b/tests/PeerTransportTest.cpp
@@ -25,6 +25,12 @@
   return Body ? Body->Call.Sequence : 0;
 }
 
+/// Returns the number of a message made by bulkMessage(), or 0.
+std::uint64_t bulkNumberOf(const PeerMessage &Message) {
+  const auto *Body = std::get_if<TopicUpdate>(&Message);
+  return Body ? Body->History : 0;
+}
+
 PeerSettings settingsForRegion(const std::string &Region) {
   PeerSettings Settings;
   Settings.Region = Region;
@@ -86,6 +92,13 @@
     return Message;
   }
 
+  static PeerMessage bulkMessage(std::uint64_t Number, std::size_t Size) {
+    TopicUpdate Message;
+    Message.History = Number;
+    Message.Parts = {{0, {{"config", std::string(Size, 'x'), 1}}}};
+    return Message;
+  }
+
   std::string LocalAddress = loopbackAddress(1);
   std::string RemoteAddress = loopbackAddress(2);
   asio::io_context Loop{1};
@@ -234,6 +247,38 @@
     EXPECT_EQ(sequenceOf(Remote.Received[I].Message), I);
 }
 
+// Calls waited behind a configuration of half a megabyte on the same link, and
+// their receipts too: the ingress took the host for dead (issue 26).
+TEST_F(PeerTransportTest, CallsOvertakeQueuedConfigurations) {
+  Peer Local(Loop, LocalAddress, 11);
+  Peer Remote(Loop, RemoteAddress, 22);
+  Remote.listen();
+  for (std::uint64_t I = 1; I <= 4; ++I)
+    Local.Transport.send(RemoteAddress, bulkMessage(I, 500'000));
+  Local.Transport.send(RemoteAddress, callMessage(1));
+  Local.Transport.send(RemoteAddress, figsail::Received{});
+  runUntil([&] { return Remote.Received.size() == 6; });
+  EXPECT_TRUE(
+      std::holds_alternative<figsail::Received>(Remote.Received[0].Message));
+  EXPECT_EQ(sequenceOf(Remote.Received[1].Message), 1U);
+  for (std::uint64_t I = 1; I <= 4; ++I)
+    EXPECT_EQ(bulkNumberOf(Remote.Received[1 + I].Message), I);
+}
+
+// A bulk message above the frame limit is dropped. If the write ended with it,
+// those behind it would wait until something else is sent.
+TEST_F(PeerTransportTest, ADroppedBulkMessageDoesNotDelayTheNext) {
+  PeerSettings Settings;
+  Settings.MaxFrameBytes = 100'000;
+  Peer Local(Loop, LocalAddress, 11, Settings);
+  Peer Remote(Loop, RemoteAddress, 22);
+  Remote.listen();
+  Local.Transport.send(RemoteAddress, bulkMessage(1, 200'000));
+  Local.Transport.send(RemoteAddress, bulkMessage(2, 1'000));
+  runUntil([&] { return Remote.Received.size() == 1; });
+  EXPECT_EQ(bulkNumberOf(Remote.Received[0].Message), 2U);
+}
+
 // The core may send the returned messages to another host, so each must be
 // returned exactly once.
 TEST_F(PeerTransportTest, UnreachableHostReturnsAllMessages) {
