Fix: the kernel held megabytes of a configuration ahead of calls

Cause: the order of a link's messages is chosen when a write begins, and the kernel accepts writes until its send buffer is full. That buffer grows with the connection, far above what a link of 10 Mbit/s carries in a second.

TCP_NOTSENT_LOWAT limits the bytes that the kernel accepts ahead of those that it has sent, here to 64 KiB. The rest stays in PeerSendQueue, where calls and control messages overtake it. Bytes in flight are not limited by this.

--- a/src/shell/PeerLink.cpp
+++ b/src/shell/PeerLink.cpp
@@ -19,6 +19,10 @@
 using boost::system::error_code;
 using tcp = asio::ip::tcp;
 
+/// Limit on the bytes of a link that the kernel has accepted and not yet sent.
+/// What is queued later cannot overtake them.
+static constexpr std::size_t MaxUnsentKernelBytes = std::size_t(64) * 1024;
+
 /// Buffers with a larger capacity are freed after use: a daemon has up to a few
 /// thousand links and 128 MB of memory.
 static constexpr std::size_t MaxRetainedBufferBytes = 4096;
@@ -76,6 +80,7 @@
   error_code Error;
   Socket.set_option(tcp::no_delay(true), Error);
   setTcpUserTimeout(Socket, Context->Settings.UnacknowledgedLimit);
+  setUnsentLimit(Socket, MaxUnsentKernelBytes);
   Socket.non_blocking(true, Error);
   if (Error)
     return closeNow(LinkCloseReason::Broken);
--- a/src/shell/SocketOptions.cpp
+++ b/src/shell/SocketOptions.cpp
@@ -1,4 +1,5 @@
-// SocketOptions.cpp - TCP options that detect dead connections.
+// SocketOptions.cpp - TCP options that detect dead connections and bound
+// queues.
 
 #include "SocketOptions.h"
 
@@ -25,6 +26,15 @@
       Ignored);
 }
 
+void setUnsentLimit([[maybe_unused]] asio::ip::tcp::socket &Socket,
+                    [[maybe_unused]] std::size_t Bytes) {
+#ifdef TCP_NOTSENT_LOWAT
+  boost::system::error_code Ignored;
+  Socket.set_option(TcpOption<TCP_NOTSENT_LOWAT>(static_cast<int>(Bytes)),
+                    Ignored);
+#endif
+}
+
 void setKeepAlive(asio::ip::tcp::socket &Socket) {
   boost::system::error_code Ignored;
   Socket.set_option(asio::socket_base::keep_alive(true), Ignored);
--- a/src/shell/SocketOptions.h
+++ b/src/shell/SocketOptions.h
@@ -1,4 +1,4 @@
-// SocketOptions.h - TCP options that detect dead connections.
+// SocketOptions.h - TCP options that detect dead connections and bound queues.
 
 #ifndef FIGSAIL_SOCKETOPTIONS_H
 #define FIGSAIL_SOCKETOPTIONS_H
@@ -13,6 +13,11 @@
 /// unacknowledged for this time.
 void setTcpUserTimeout(boost::asio::ip::tcp::socket &Socket, Duration Limit);
 
+/// Limits the bytes that the kernel accepts ahead of those that it has sent.
+/// More stay with the daemon, which can still change their order. Has no effect
+/// on systems without the option.
+void setUnsentLimit(boost::asio::ip::tcp::socket &Socket, std::size_t Bytes);
+
 /// Turns on TCP keep-alive: the kernel sends a probe every second while the
 /// connection is idle, and breaks it after two unanswered probes.
 void setKeepAlive(boost::asio::ip::tcp::socket &Socket);
--- a/tests/PeerTransportTest.cpp
+++ b/tests/PeerTransportTest.cpp
@@ -279,6 +279,34 @@
   EXPECT_EQ(bulkNumberOf(Remote.Received[0].Message), 2U);
 }
 
+// Bulk that the kernel has taken can't be overtaken any more: it held hundreds
+// of kilobytes ahead of a call on a slow link. The receiver here reads nothing
+// until the call is queued.
+TEST_F(PeerTransportTest, TheKernelHoldsLittleBulkAheadOfACall) {
+  tcp::acceptor Acceptor(Loop);
+  tcp::endpoint Endpoint = *parseEndpoint(RemoteAddress);
+  Acceptor.open(Endpoint.protocol());
+  Acceptor.set_option(tcp::acceptor::reuse_address(true));
+  Acceptor.set_option(asio::socket_base::receive_buffer_size(16384));
+  Acceptor.bind(Endpoint);
+  Acceptor.listen();
+  Peer Local(Loop, LocalAddress, 11);
+  constexpr std::uint64_t Pieces = 300;
+  for (std::uint64_t I = 1; I <= Pieces; ++I)
+    Local.Transport.send(RemoteAddress, bulkMessage(I, 16'000));
+  RawPeer Remote(Loop);
+  Remote.accept(Acceptor);
+  Remote.sendHello(RemoteAddress, 22);
+  runUntil([&] { return Local.Connected.size() == 1; });
+  runReadyHandlers();
+  Local.Transport.send(RemoteAddress, callMessage(7));
+  Remote.readFrame();
+  std::uint64_t PiecesAhead = 0;
+  while (PiecesAhead < Pieces && Remote.readCall() != 7)
+    ++PiecesAhead;
+  EXPECT_LE(PiecesAhead, 16U) << "a quarter of a megabyte";
+}
+
 // The core may send the returned messages to another host, so each must be
 // returned exactly once.
 TEST_F(PeerTransportTest, UnreachableHostReturnsAllMessages) {
