Fix: a large configuration was passed on whole and repeatedly, and filled the links

Cause: a daemon got each new value of the configuration whole. The forwarded record carried no offset, so each renewed subscription, twice a second, was answered with the value again while a copy was under way: the load grew with the delay that it caused. On links of 10 Mbit/s calls and receipts waited behind the copies, daemons counted as unreachable, sources changed, and the next source sent the value once more or the store was read by all.

Changed: - TopicPublisher remembers what it has sent on a subscriber's stream. A renewed subscription gets what is new. When the link breaks or the subscriber names another stream, it starts again from the subscriber's offsets. - TopicPacking compresses an update against the newest value that the receiver has (zstd with a prefix, digests of both), so a new version costs about as much as it differs. - A packed update travels in pieces of 16 KiB, which are bulk for the link's queue. TopicReceiver checks order, base and digest. What does not fit begins another stream, and no offset moves past a record that is missing. - A source that is sending pieces is not silent.

Ruled out: processors were idle (3% at most), and in LargeConfigurationTest, with no cost of processing and a store without limits, the same checks fail.

PacedCluster now uses PeerSendQueue instead of a copy of its order; its checks and bounds are the same. SubscriptionsExpire moved from TopicRelay to TopicPublisher, with the same checks.

TopicStreamTest has the property that under loss, repeats and broken links a subscriber never passes a record that it lacks and ends with the source's records.

--- a/include/figsail/PeerMessages.h
+++ b/include/figsail/PeerMessages.h
@@ -15,7 +15,7 @@
 namespace figsail {
 
 /// Version of the peer protocol; links between different versions are refused.
-inline constexpr std::uint32_t PeerProtocolVersion = 4;
+inline constexpr std::uint32_t PeerProtocolVersion = 5;
 
 /// Permission to run one attempt of one keyed request on one executor.
 struct GrantToken {
@@ -342,7 +342,15 @@
 struct TopicSubscribe {
   std::vector<Offset> From; ///< By topic.
   StoreHistory History = 0; ///< History that the offsets belong to.
-  template <class Archive> void serialize(Archive &Ar) { Ar(From, History); }
+  /// Chosen by the subscriber. With the number of an earlier request it only
+  /// renews the subscription: what was sent on the stream is not sent again.
+  /// 0: the reply contains all records from the offsets on.
+  std::uint64_t Stream = 0;
+  /// Digest of a large value that the subscriber has; 0: none.
+  std::uint64_t Base = 0;
+  template <class Archive> void serialize(Archive &Ar) {
+    Ar(From, History, Stream, Base);
+  }
 };
 
 /// Reply to TopicSubscribe, and later updates.
@@ -352,8 +360,30 @@
   bool Complete = false;            ///< The sender has read every topic.
   std::vector<TopicContents> Parts; ///< By topic.
   StoreHistory History = 0;         ///< History that the offsets belong to.
+  std::uint64_t Stream = 0; ///< Of the subscription; 0: not part of a stream.
+  /// Position in the stream. The upper 32 bits differ whenever the sender
+  /// starts the stream anew, the lower ones count from 1.
+  std::uint64_t Number = 0;
+  template <class Archive> void serialize(Archive &Ar) {
+    Ar(Live, Complete, Parts, History, Stream, Number);
+  }
+};
+
+/// A piece of a large TopicUpdate, which is sent compressed. The pieces of one
+/// update follow each other. Calls share the link with them, so a call waits
+/// for one piece at most.
+struct TopicPiece {
+  std::uint64_t Stream = 0; ///< Of the update.
+  std::uint64_t Number = 0; ///< Of the update.
+  std::uint32_t Index = 0;  ///< Of the piece, from 0 on.
+  std::uint32_t Count = 0;  ///< Pieces of the update.
+  std::uint64_t Base = 0;   ///< Digest of the value that it was compressed
+                            ///< against; 0: none.
+  std::uint64_t Digest = 0; ///< Of the encoded update.
+  std::uint64_t Size = 0;   ///< Of the encoded update, in bytes.
+  std::string Bytes;
   template <class Archive> void serialize(Archive &Ar) {
-    Ar(Live, Complete, Parts, History);
+    Ar(Stream, Number, Index, Count, Base, Digest, Size, Bytes);
   }
 };
 
@@ -362,7 +392,8 @@
     std::variant<Execute, Received, Answer, Refused, Failed, Cancel, Await,
                  Claim, Granted, ClaimHeld, ClaimDone, ClaimRefused, Completed,
                  Fence, FenceAck, Heartbeat, Probe, ProbeReply, Subscribe,
-                 Records, Snapshot, SuspectReport, TopicSubscribe, TopicUpdate>;
+                 Records, Snapshot, SuspectReport, TopicSubscribe, TopicUpdate,
+                 TopicPiece>;
 
 /// Returns whether the message is control traffic, which is sent ahead of
 /// queued calls.
--- a/src/core/Names.cpp
+++ b/src/core/Names.cpp
@@ -12,7 +12,8 @@
                  "Granted",   "ClaimHeld",     "ClaimDone",      "ClaimRefused",
                  "Completed", "Fence",         "FenceAck",       "Heartbeat",
                  "Probe",     "ProbeReply",    "Subscribe",      "Records",
-                 "Snapshot",  "SuspectReport", "TopicSubscribe", "TopicUpdate"};
+                 "Snapshot",  "SuspectReport", "TopicSubscribe", "TopicUpdate",
+                 "TopicPiece"};
 
 bool isControl(const PeerMessage &Message) {
   return !std::holds_alternative<Execute>(Message) &&
@@ -20,7 +21,8 @@
 }
 
 bool isBulk(const PeerMessage &Message) {
-  return std::holds_alternative<TopicUpdate>(Message);
+  return std::holds_alternative<TopicUpdate>(Message) ||
+         std::holds_alternative<TopicPiece>(Message);
 }
 
 std::string_view messageName(const PeerMessage &Message) {
--- a/src/core/Node.cpp
+++ b/src/core/Node.cpp
@@ -76,6 +76,7 @@
   void message(const PeerRef &From, SuspectReport &Message);
   void message(const PeerRef &From, TopicSubscribe &Message);
   void message(const PeerRef &From, TopicUpdate &Message);
+  void message(const PeerRef &From, TopicPiece &Message);
 
   bool detectPause();
   void afterEvent();
@@ -375,7 +376,7 @@
   AdmissionRole.suspectReport(Now, Message);
 }
 
-// Only daemons that follow a keyed log send these two messages.
+// Only daemons that follow a keyed log send these three messages.
 void Node::State::message(const PeerRef &, TopicSubscribe &) {
   Out.emplace_back(Count{Counter::StaleMessages});
 }
@@ -384,6 +385,10 @@
   Out.emplace_back(Count{Counter::StaleMessages});
 }
 
+void Node::State::message(const PeerRef &, TopicPiece &) {
+  Out.emplace_back(Count{Counter::StaleMessages});
+}
+
 /// Reports requests that may crash backend servers to the members of the
 /// service.
 void Node::State::sendReports() {
--- a/src/shell/PeerCodec.cpp
+++ b/src/shell/PeerCodec.cpp
@@ -176,6 +176,10 @@
   return Size;
 }
 
+static std::size_t estimateVariableSize(const TopicPiece &Message) {
+  return Message.Bytes.size();
+}
+
 static std::size_t estimateVariableSize(const Snapshot &Message) {
   return Message.State.size();
 }
--- a/src/sidecar/Sidecar.cpp
+++ b/src/sidecar/Sidecar.cpp
@@ -38,6 +38,7 @@
   LastNow = Input.Now;
   Step S{Input.Now, Input.Seed, Out};
   std::visit([&](auto &Body) { on(S, Body); }, Input.Body);
+  forgetResetLinks(Out);
   notifySubscribers(S);
   reportLoad(S);
   reportSuspects(S);
@@ -138,10 +139,12 @@
   if (topicsComplete() || !StoreFails || S.Now < PeerQueryAt)
     return;
   PeerQueryAt = S.Now + PeerQueryInterval;
-  S.Out.emplace_back(SendPeer{Body.Peer.Host, subscription()});
+  S.Out.emplace_back(
+      SendPeer{Body.Peer.Host, subscription(Body.Peer.Host, S.Seed)});
 }
 
 void Sidecar::on(Step &S, PeerLost &Body) {
+  linkLost(Body.Host);
   RouterStep Step = routerStep(S);
   Router.peerLost(Step, Body);
 }
@@ -172,6 +175,8 @@
     handleSubscribe(S, From, *Body);
   else if (auto *Body = std::get_if<TopicUpdate>(&Message))
     handleUpdate(S, From, *Body);
+  else if (auto *Body = std::get_if<TopicPiece>(&Message))
+    handlePiece(S, From, *Body);
   else if (auto *Body = std::get_if<Probe>(&Message))
     S.Out.emplace_back(SendPeer{From.Host, ProbeReply{Body->Target, true}});
   else if (!std::holds_alternative<ProbeReply>(Message))
--- a/src/sidecar/Sidecar.h
+++ b/src/sidecar/Sidecar.h
@@ -14,6 +14,9 @@
 #include "SidecarSettings.h"
 #include "TopicFollower.h"
 #include "TopicImage.h"
+#include "TopicPacking.h"
+#include "TopicPublisher.h"
+#include "TopicReceiver.h"
 #include "TopicRelay.h"
 
 #include <array>
@@ -104,14 +107,17 @@
   }
   void applyRecords(Step &S, Topic Which, const RecordSource &Source,
                     const std::vector<KeyedRecord> &Records);
-  void sendUpdate(Step &S, const HostId &Host, TopicUpdate Update);
   void handleSubscribe(Step &S, const PeerRef &From,
                        const TopicSubscribe &Message);
   void handleUpdate(Step &S, const PeerRef &From, TopicUpdate &Message);
+  void handlePiece(Step &S, const PeerRef &From, TopicPiece &Message);
   TopicUpdate emptyUpdate(TimePoint Now) const;
   TopicUpdate updateSince(TimePoint Now, const std::vector<Offset> &From) const;
   void notifySubscribers(Step &S);
-  TopicSubscribe subscription() const;
+  TopicSubscribe subscription(const HostId &Source, std::uint64_t Seed);
+  std::vector<Offset> readUpTo() const;
+  void linkLost(const HostId &Host);
+  void forgetResetLinks(const SidecarEffects &Out);
   bool isFromEndedHistory(Step &S, StoreHistory AnswerHistory);
   void enterHistory(Step &S, StoreHistory AnswerHistory);
   bool topicsComplete() const;
@@ -144,6 +150,9 @@
   std::array<TopicState, TopicCount> Topics;
   StoreHistory History = 0; ///< The history that the images belong to.
   TopicRelay Relay;
+  TopicPublisher Publisher;
+  TopicReceiver Receiver;
+  ValueBases Bases; ///< Large values of applied and received records.
   std::array<std::vector<KeyedRecord>, TopicCount>
       NewRecords; ///< Applied in this event, by topic.
 
--- a/src/sidecar/SidecarTopics.cpp
+++ b/src/sidecar/SidecarTopics.cpp
@@ -40,6 +40,7 @@
     State.Image.restart();
     State.Follower.restart(S.Now);
   }
+  Receiver.keepOnly({});
   announce(S);
 }
 
@@ -114,6 +115,8 @@
   std::ranges::copy(
       Records, std::back_inserter(NewRecords[static_cast<std::size_t>(Which)]));
   for (const KeyedRecord &Record : Records) {
+    if (Record.Value)
+      Bases.add(*Record.Value);
     TopicContent Content = Decoder.decode(Which, Record);
     std::size_t Bytes = Record.Value ? Record.Value->size() : 0;
     RecordOrigin Origin{Record.At, Bytes, Source.name()};
@@ -121,11 +124,20 @@
   }
 }
 
-TopicSubscribe Sidecar::subscription() const {
-  TopicSubscribe Request;
+std::vector<Offset> Sidecar::readUpTo() const {
+  std::vector<Offset> Offsets;
   for (const TopicState &State : Topics)
-    Request.From.push_back(State.Image.next());
+    Offsets.push_back(State.Image.next());
+  return Offsets;
+}
+
+TopicSubscribe Sidecar::subscription(const HostId &Source,
+                                     std::uint64_t StreamSeed) {
+  TopicSubscribe Request;
+  Request.From = readUpTo();
   Request.History = History;
+  Request.Stream = Receiver.stream(Source, StreamSeed);
+  Request.Base = Bases.newest();
   return Request;
 }
 
@@ -156,22 +168,31 @@
   return Update;
 }
 
+void Sidecar::linkLost(const HostId &Host) {
+  Publisher.linkLost(Host);
+  Receiver.linkLost(Host);
+}
+
+/// A link that this daemon resets is not reported as lost.
+void Sidecar::forgetResetLinks(const SidecarEffects &Out) {
+  for (const SidecarEffect &Effect : Out)
+    if (const auto *Reset = std::get_if<ResetPeer>(&Effect))
+      linkLost(Reset->Host);
+}
+
 void Sidecar::handleSubscribe(Step &S, const PeerRef &From,
                               const TopicSubscribe &Message) {
-  Relay.addSubscriber(S.Now, From.Host);
   isFromEndedHistory(S, Message.History);
-  // Offsets of another history do not show what the subscriber has read.
-  std::vector<Offset> ReadUpTo;
-  if (Message.History == History)
-    ReadUpTo = Message.From;
-  sendUpdate(S, From.Host, updateSince(S.Now, ReadUpTo));
+  std::vector<Offset> SentUpTo =
+      Publisher.subscribe(S.Now, From, Message, History);
+  Publisher.reply(From.Host, updateSince(S.Now, SentUpTo), Bases, S.Out);
 }
 
-void Sidecar::sendUpdate(Step &S, const HostId &Host, TopicUpdate Update) {
-  RecordVolume Volume = volumeOf(Update);
-  if (Volume != RecordVolume{})
-    S.Out.emplace_back(CountTopicRecords{TopicFlow::Sent, Volume});
-  S.Out.emplace_back(SendPeer{Host, std::move(Update)});
+void Sidecar::handlePiece(Step &S, const PeerRef &From, TopicPiece &Message) {
+  Relay.pieceReceived(S.Now, From.Host);
+  if (auto Update =
+          Receiver.receive(From.Host, std::move(Message), Bases, S.Out))
+    handleUpdate(S, From, *Update);
 }
 
 void Sidecar::handleUpdate(Step &S, const PeerRef &From, TopicUpdate &Message) {
@@ -179,20 +200,28 @@
   if (isFromEndedHistory(S, Message.History))
     return;
   Relay.updateReceived(S.Now, From.Host, Message);
+  bool InOrder = Receiver.inOrder(From.Host, Message);
   std::size_t Count = std::min(Message.Parts.size(), TopicCount);
   for (std::size_t I = 0; I < Count; ++I) {
-    if (Message.Complete)
+    TopicContents &Part = Message.Parts[I];
+    // After a lost update, only a reply to the next subscription covers all
+    // records up to an offset.
+    if (!InOrder)
+      Part.Next = 0;
+    for (const KeyedRecord &Record : Part.Records)
+      if (Record.Value)
+        Bases.add(*Record.Value);
+    if (Message.Complete && InOrder)
       Topics[I].Follower.markComplete();
-    RecordSource Source{From.Host, volumeOf(Message.Parts[I].Records)};
+    RecordSource Source{From.Host, volumeOf(Part.Records)};
     applyRecords(S, static_cast<Topic>(I), Source,
-                 Topics[I].Image.apply(std::move(Message.Parts[I])));
+                 Topics[I].Image.apply(std::move(Part)));
   }
 }
 
 /// Forwards new records to the subscribers, whether they came from the store or
-/// from another daemon. These updates carry no offset to read on from: an
-/// earlier update may have been lost, and only the reply to a subscription
-/// covers all records from the requested offset.
+/// from another daemon. These updates carry no offset to read on from: the next
+/// reply in the subscriber's stream carries it.
 void Sidecar::notifySubscribers(Step &S) {
   auto Applied = std::exchange(NewRecords, {});
   if (std::ranges::all_of(Applied,
@@ -202,14 +231,20 @@
   Update.Complete = false; // Not whole topics, which a starting daemon needs.
   for (std::vector<KeyedRecord> &Part : Applied)
     Update.Parts.push_back({0, std::move(Part)});
-  for (const HostId &Host : Relay.subscribers(S.Now))
-    sendUpdate(S, Host, Update);
+  for (const HostId &Host : Publisher.subscribers(S.Now))
+    Publisher.push(Host, Update, readUpTo(), Bases, S.Out);
 }
 
 void Sidecar::followTopics(Step &S) {
   bool HostsKnown = topicState(Topic::Members).Follower.complete();
   if (HostsKnown)
-    Relay.timer(S.Now, Directory, Peers, subscription(), S.Out);
+    Relay.timer(
+        S.Now, Directory, Peers,
+        [&](const HostId &Source) {
+          Receiver.keepOnly(Source);
+          return subscription(Source, S.Seed);
+        },
+        S.Out);
   bool Reads = !HostsKnown || Relay.readsStore(S.Now);
   if (HostsKnown && Reads)
     if (auto Expired = Expiry.timer(S.Now, Settings.Host, Directory, S.Out))
--- a/src/sidecar/TopicRelay.cpp
+++ b/src/sidecar/TopicRelay.cpp
@@ -21,8 +21,6 @@
 /// Time for the first answer of a newly chosen source. Without one the store is
 /// read.
 static constexpr Duration FirstAnswerTimeout = 150ms;
-/// A subscription that is not renewed expires after this time.
-static constexpr Duration SubscriptionLifetime = 2s;
 
 /// Bound on the subscribers of one source. It is small so that a configuration
 /// does not saturate the link of the source. Three levels cover 73 hosts, four
@@ -51,7 +49,7 @@
 }
 
 void TopicRelay::timer(TimePoint Now, const InstanceDirectory &Directory,
-                       const PeerHealth &Peers, const TopicSubscribe &Request,
+                       const PeerHealth &Peers, const RequestMaker &MakeRequest,
                        SidecarEffects &Out) {
   if (Now < RequestAt)
     return;
@@ -61,7 +59,7 @@
     setSource(Now, Chosen, Peers, Out);
   logReading(Now, Out);
   if (Source != Self)
-    Out.emplace_back(SendPeer{Source, Request});
+    Out.emplace_back(SendPeer{Source, MakeRequest(Source)});
 }
 
 void TopicRelay::setSource(TimePoint Now, const HostId &Chosen,
@@ -112,18 +110,9 @@
   LiveUntil = Update.Live ? Now + SourceTimeout : TimePoint{};
 }
 
-void TopicRelay::addSubscriber(TimePoint Now, const HostId &From) {
-  Subscribers[From] = Now;
-}
-
-std::vector<HostId> TopicRelay::subscribers(TimePoint Now) {
-  std::erase_if(Subscribers, [&](const auto &Entry) {
-    return Entry.second + SubscriptionLifetime < Now;
-  });
-  std::vector<HostId> Hosts;
-  for (const auto &[Host, LastRequest] : Subscribers)
-    Hosts.push_back(Host);
-  return Hosts;
+void TopicRelay::pieceReceived(TimePoint Now, const HostId &From) {
+  if (From == Source && LiveUntil != TimePoint{})
+    LiveUntil = std::max(LiveUntil, Now + SourceTimeout);
 }
 
 bool TopicRelay::readsStore(TimePoint Now) const {
--- a/src/sidecar/TopicRelay.h
+++ b/src/sidecar/TopicRelay.h
@@ -7,7 +7,7 @@
 #include "PeerHealth.h"
 #include "SidecarEvents.h"
 
-#include <map>
+#include <functional>
 #include <string>
 
 namespace figsail {
@@ -29,20 +29,21 @@
   TopicRelay(HostId Self, std::string FailureDomain)
       : Self(std::move(Self)), FailureDomain(std::move(FailureDomain)) {}
 
-  /// Chooses the source again and sends it Request, if that is due.
+  /// Returns the request for a source.
+  using RequestMaker = std::function<TopicSubscribe(const HostId &Source)>;
+
+  /// Chooses the source again and sends it a request, if that is due.
   void timer(TimePoint Now, const InstanceDirectory &Directory,
-             const PeerHealth &Peers, const TopicSubscribe &Request,
+             const PeerHealth &Peers, const RequestMaker &MakeRequest,
              SidecarEffects &Out);
   TimePoint nextWake() const { return RequestAt; }
 
   /// An update from a daemon has arrived.
   void updateReceived(TimePoint Now, const HostId &From,
                       const TopicUpdate &Update);
-  /// A daemon has subscribed. It gets new records until the subscription
-  /// expires.
-  void addSubscriber(TimePoint Now, const HostId &From);
-  /// Returns the daemons whose subscriptions have not expired.
-  std::vector<HostId> subscribers(TimePoint Now);
+  /// A piece of an update from a daemon has arrived. A source that is sending a
+  /// large update is not silent.
+  void pieceReceived(TimePoint Now, const HostId &From);
 
   /// Returns whether this daemon must read the store itself.
   bool readsStore(TimePoint Now) const;
@@ -64,7 +65,6 @@
   TimePoint RequestAt{};       ///< Time of the next request to the source.
   TimePoint LiveUntil{};       ///< The source counts as up to date until then.
   bool ReadingLogged = true;   ///< What the last line said of readsStore().
-  std::map<HostId, TimePoint> Subscribers; ///< To their last request.
 };
 
 } // namespace figsail
--- a/tests/PacedCluster.h
+++ b/tests/PacedCluster.h
@@ -6,6 +6,7 @@
 
 #include "JsonRecordDecoder.h"
 #include "PeerCodec.h"
+#include "PeerSendQueue.h"
 #include "Sidecar.h"
 #include "SidecarTestSupport.h"
 
@@ -115,15 +116,6 @@
   bool Busy = false;
 };
 
-/// Messages that one side of a peer link has not begun to write.
-struct LinkQueues {
-  std::deque<PeerMessage> Control;
-  std::deque<PeerMessage> Calls;
-};
-
-/// Bytes in a write from which on PeerLink adds no further message.
-inline constexpr std::size_t LinkWriteTarget = std::size_t{64} * 1024;
-
 /// A message that PeerLink writes, with its size on the wire.
 struct WrittenMessage {
   PeerMessage Message;
@@ -132,21 +124,18 @@
 };
 using WrittenPtr = std::shared_ptr<WrittenMessage>;
 
-/// Takes the messages of the next write: the queue discipline of PeerLink.
-/// Nothing overtakes a message that has been taken.
-inline std::vector<WrittenPtr> takeWrite(LinkQueues &Queues) {
+/// Takes the messages of the next write, as PeerLink does. Nothing overtakes a
+/// message that has been taken.
+inline std::vector<WrittenPtr> takeWrite(PeerSendQueue &Queue) {
   std::vector<WrittenPtr> Write;
   std::size_t Total = 0;
   std::string Frame;
-  while (Total < LinkWriteTarget) {
-    auto &Queue = Queues.Control.empty() ? Queues.Calls : Queues.Control;
-    if (Queue.empty())
-      break;
+  Queue.startWrite();
+  while (std::optional<PeerMessage> Next = Queue.next(Total)) {
     Frame.clear();
-    appendFrame(Frame, 1, Queue.front());
+    appendFrame(Frame, 1, *Next);
     Write.push_back(std::make_shared<WrittenMessage>(
-        WrittenMessage{std::move(Queue.front()), Frame.size()}));
-    Queue.pop_front();
+        WrittenMessage{std::move(*Next), Frame.size()}));
     Total += Frame.size();
   }
   return Write;
@@ -273,7 +262,7 @@
 
   /// What one side of a link writes.
   struct LinkSide {
-    LinkQueues Queues;
+    PeerSendQueue Queue;
     std::vector<WrittenPtr> Write; ///< Messages of the current write.
   };
   struct Link {
@@ -408,9 +397,7 @@
         apply(To, PeerReceived{peer(To), Message});
       });
     Link &Used = link(From, To);
-    LinkQueues &Queues = Used.Sides[From].Queues;
-    auto &Queue = isControl(Message) ? Queues.Control : Queues.Calls;
-    Queue.push_back(std::move(Message));
+    Used.Sides[From].Queue.push(std::move(Message));
     if (Used.Phase == Link::State::Closed)
       openLink(From, To);
     else if (Used.Phase == Link::State::Open)
@@ -444,7 +431,7 @@
     LinkSide &Side = Used.Sides[From];
     if (Used.Phase != Link::State::Open || !Side.Write.empty())
       return;
-    Side.Write = takeWrite(Side.Queues);
+    Side.Write = takeWrite(Side.Queue);
     for (const WrittenPtr &Written : Side.Write)
       transmit(From, To, Used.Number, Written);
   }
@@ -510,8 +497,7 @@
     for (const WrittenPtr &Written : Side.Write)
       if (!Written->Begun)
         Unsent.push_back(std::move(Written->Message));
-    std::ranges::move(Side.Queues.Control, std::back_inserter(Unsent));
-    std::ranges::move(Side.Queues.Calls, std::back_inserter(Unsent));
+    std::ranges::move(Side.Queue.takeAll(), std::back_inserter(Unsent));
     return Unsent;
   }
   void reportLost(std::size_t Self, std::size_t Peer,
--- a/tests/TopicsTest.cpp
+++ b/tests/TopicsTest.cpp
@@ -6,6 +6,7 @@
 #include "SidecarTestSupport.h"
 #include "TopicFollower.h"
 #include "TopicImage.h"
+#include "TopicPublisher.h"
 #include "TopicRelay.h"
 
 #include "figsail/Epoch.h"
@@ -204,7 +205,8 @@
   }
   void tick(TopicRelay &Relay, TimePoint Now) {
     Out.clear();
-    Relay.timer(Now, Directory, Peers, {{0, 0}, 0}, Out);
+    auto Request = [](const HostId &) { return TopicSubscribe{{0, 0}, 0}; };
+    Relay.timer(Now, Directory, Peers, Request, Out);
   }
   InstanceDirectory Directory;
   PeerHealth Peers;
@@ -329,11 +331,11 @@
       << "the source is not up to date";
 }
 
-TEST_F(TopicRelayTest, SubscriptionsExpire) {
-  TopicRelay Reader(First, "east-a");
-  Reader.addSubscriber(TestStart, Second);
-  EXPECT_EQ(Reader.subscribers(TestStart + 1s).size(), 1U);
-  EXPECT_TRUE(Reader.subscribers(TestStart + 3s).empty());
+TEST(TopicPublisher, SubscriptionsExpire) {
+  TopicPublisher Publisher;
+  Publisher.subscribe(TestStart, {"b", 1}, {{0, 0}, 0}, 0);
+  EXPECT_EQ(Publisher.subscribers(TestStart + 1s).size(), 1U);
+  EXPECT_TRUE(Publisher.subscribers(TestStart + 3s).empty());
 }
 
 // Hosts that no longer exist.
