Fix: a daemon that knew of a newer configuration answered 404 for a route that it lacked

Cause: only a daemon without any configuration refused unknown routes as "not run"; one that was behind took its own configuration for the newest.

A daemon now knows that it is behind while pieces of an update are arriving, and for 3 s after a subscriber has named a newer offset. Meanwhile such a request is refused with 503 configuration-behind and a Retry-After.

--- a/src/core/ErrorTable.cpp
+++ b/src/core/ErrorTable.cpp
@@ -43,6 +43,7 @@
     {ErrorKind::ServerRefused,          "server-refused",          503, RunState::No,      seconds(1),   "The backend server refused the request without running it."},
     {ErrorKind::ServerSlow,             "server-slow",             503, RunState::No,      seconds(1),   "The backend server is slow at this moment."},
     {ErrorKind::RateLimited,            "rate-limited",            503, RunState::No,      seconds(1),   "The backend servers have named a rate limit, and it is used up."},
+    {ErrorKind::ConfigurationBehind,    "configuration-behind",    503, RunState::No,      seconds(1),   "No route matches the request; a newer configuration is being read."},
     // clang-format on
 }};
 
--- a/src/sidecar/CallRouter.cpp
+++ b/src/sidecar/CallRouter.cpp
@@ -106,6 +106,15 @@
   return hashText(Request.Body, Hash);
 }
 
+/// Returns the reason for refusing a request that matches no route. Only the
+/// newest configuration shows that a request is wrong.
+static ErrorKind unknownRouteKind(const RouterStep &Step) {
+  if (!Step.Config)
+    return ErrorKind::NoBackendServer;
+  return Step.ConfigBehind ? ErrorKind::ConfigurationBehind
+                           : ErrorKind::NoRoute;
+}
+
 void CallRouter::request(RouterStep &Step, ClientRequest Arrived) {
   Step.Out.emplace_back(Count{Counter::Calls});
   RoutePtr Route;
@@ -113,9 +122,7 @@
     Route = Step.Config->findRoute(Arrived.Host, Arrived.Request.Target);
   Duration Limit = Arrived.ClientTimeout.value_or(DefaultTimeout);
   if (!Route)
-    return refuseRequest(Step, Arrived,
-                         Step.Config ? ErrorKind::NoRoute
-                                     : ErrorKind::NoBackendServer,
+    return refuseRequest(Step, Arrived, unknownRouteKind(Step),
                          Step.Now + Limit);
   std::size_t Bytes =
       messageSize(Arrived.Request.Headers, Arrived.Request.Body);
--- a/src/sidecar/CallRouter.h
+++ b/src/sidecar/CallRouter.h
@@ -30,6 +30,7 @@
   TimePoint Now;
   std::uint64_t Seed;
   const ServiceConfig *Config; ///< Null until one has been read.
+  bool ConfigBehind; ///< A newer one is known to exist, or is arriving.
   const InstanceDirectory &Directory;
   const std::set<std::string> &Evacuated; ///< Failure domains.
   PeerHealth &Peers;
--- a/src/sidecar/Sidecar.cpp
+++ b/src/sidecar/Sidecar.cpp
@@ -99,8 +99,9 @@
 }
 
 RouterStep Sidecar::routerStep(Step &S) {
-  return {S.Now,     S.Seed, Config.get(),         Directory,
-          Evacuated, Peers,  Gate.retryFraction(), S.Out};
+  return {S.Now,     S.Seed,    Config.get(), isConfigBehind(S.Now),
+          Directory, Evacuated, Peers,        Gate.retryFraction(),
+          S.Out};
 }
 
 // Clients and peers.
--- a/src/sidecar/Sidecar.h
+++ b/src/sidecar/Sidecar.h
@@ -116,6 +116,8 @@
   void notifySubscribers(Step &S);
   TopicSubscribe subscription(const HostId &Source, std::uint64_t Seed);
   std::vector<Offset> readUpTo() const;
+  void noteNewerTopics(TimePoint Now, const std::vector<Offset> &Known);
+  bool isConfigBehind(TimePoint Now) const;
   void linkLost(const HostId &Host);
   void forgetResetLinks(const SidecarEffects &Out);
   bool isFromEndedHistory(Step &S, StoreHistory AnswerHistory);
@@ -153,6 +155,9 @@
   TopicPublisher Publisher;
   TopicReceiver Receiver;
   ValueBases Bases; ///< Large values of applied and received records.
+  /// Another daemon has newer records of the operator; until then, requests for
+  /// unknown routes are not reported as wrong.
+  TimePoint BehindUntil{};
   std::array<std::vector<KeyedRecord>, TopicCount>
       NewRecords; ///< Applied in this event, by topic.
 
--- a/src/sidecar/SidecarTopics.cpp
+++ b/src/sidecar/SidecarTopics.cpp
@@ -168,6 +168,22 @@
   return Update;
 }
 
+/// How long a newer configuration is expected after another daemon was seen to
+/// have one.
+static constexpr Duration BehindTimeout = std::chrono::seconds(3);
+
+/// Another daemon has read the topics up to these offsets.
+void Sidecar::noteNewerTopics(TimePoint Now, const std::vector<Offset> &Known) {
+  auto Operator = static_cast<std::size_t>(Topic::Operator);
+  if (Known.size() > Operator &&
+      Known[Operator] > topicState(Topic::Operator).Image.next())
+    BehindUntil = Now + BehindTimeout;
+}
+
+bool Sidecar::isConfigBehind(TimePoint Now) const {
+  return Receiver.receiving() || Now < BehindUntil;
+}
+
 void Sidecar::linkLost(const HostId &Host) {
   Publisher.linkLost(Host);
   Receiver.linkLost(Host);
@@ -183,6 +199,8 @@
 void Sidecar::handleSubscribe(Step &S, const PeerRef &From,
                               const TopicSubscribe &Message) {
   isFromEndedHistory(S, Message.History);
+  if (Message.History == History)
+    noteNewerTopics(S.Now, Message.From);
   std::vector<Offset> SentUpTo =
       Publisher.subscribe(S.Now, From, Message, History);
   Publisher.reply(From.Host, updateSince(S.Now, SentUpTo), Bases, S.Out);
--- a/tests/TopicStreamTest.cpp
+++ b/tests/TopicStreamTest.cpp
@@ -317,4 +317,36 @@
   EXPECT_FALSE(Receiver.receiving());
 }
 
+// Requests for routes of a configuration that is on its way.
+
+// Guards against DENIED: a daemon that was behind answered 404 for a route of
+// the newer configuration. Such a request is not wrong.
+TEST_F(SidecarTest, AnUnknownRouteIsNotDeniedWhileANewerConfigurationIsKnown) {
+  loadTopics();
+  EXPECT_EQ(answer(request(1, "/new/1"))->Status, 404U);
+  reply("b", TopicSubscribe{{900, 0}});
+  auto Refusal = answer(request(2, "/new/1"));
+  ASSERT_TRUE(Refusal);
+  EXPECT_EQ(Refusal->Status, 503U);
+  EXPECT_GT(retryAfter(*Refusal), 0);
+  Now += 4s;
+  EXPECT_EQ(answer(request(3, "/new/1"))->Status, 404U)
+      << "a route that never existed";
+}
+
+TEST_F(SidecarTest, AnUnknownRouteIsNotDeniedWhileAnUpdateIsArriving) {
+  loadTopics();
+  auto Requests = messages<TopicSubscribe>(tick(1s));
+  ASSERT_EQ(Requests.size(), 1U);
+  HostId Source = Requests[0].first;
+  TopicPiece Piece;
+  Piece.Stream = Requests[0].second.Stream;
+  Piece.Number = (1ULL << 32) + 1;
+  Piece.Count = 2;
+  Piece.Size = 100000;
+  Piece.Bytes = "x";
+  reply(Source, Piece);
+  EXPECT_EQ(answer(request(1, "/new/1"))->Status, 503U);
+}
+
 } // namespace
