Fix: the end of a stop answers the calls that are still open

Seen by callers: in a planned stop, requests that were still running at the end of the grace were cut without an answer, also those that may not be repeated.

Cause: half a second before the stop limit the reducer only emitted ExitProcess. The shell applies no event after it, so no call got an answer any more; finishOutput waited its 300 ms for connections that nothing would write to, and the sockets closed with the process.

Ruled out: the deadline of the call. It may lie seconds behind the end of the grace (the route's timeout decides), so it answers nothing here.

Fix: in the step that ends the process the router ends every open call first: "outcome unknown" (502) where a daemon has the call, "draining" (503, not run) where it was never passed on, and an idempotent run is cancelled. The answers precede ExitProcess in the list of effects and have the whole output time. A line (stop-out-of-time) names how many there were.

Evidence: StoppingSidecarTest.OpenCallsAreAnsweredAtTheEnd. Before: "Value of: answer(Out) Actual: false Expected: true / no answer before the process ends". After: passes, with the rest of SidecarLifeTest.

--- a/src/sidecar/CallRouter.h
+++ b/src/sidecar/CallRouter.h
@@ -81,6 +81,9 @@
     return UsedServices.contains(Service);
   }
   std::size_t inFlight() const { return Calls.size(); }
+  /// Ends all calls, since the process ends. Every client gets an answer that
+  /// says whether its request may have run.
+  void endAll(RouterStep &Step);
 
 private:
   /// A server that refused a call because another one would serve it earlier.
@@ -156,6 +159,7 @@
   void retryAfterRun(RouterStep &Step, Call &Current, ErrorKind Why);
   static bool mayRetry(const Call &Current);
   void deadlinePassed(RouterStep &Step, Call &Current);
+  void endCall(RouterStep &Step, Call &Current);
   void endAttempt(RouterStep &Step, Call &Current, bool Success,
                   const LoadReport *Load);
   void deliver(RouterStep &Step, Call &Current, HttpResponse Response);
--- /dev/null
+++ b/src/sidecar/CallRouterStop.cpp
@@ -0,0 +1,27 @@
+// CallRouterStop.cpp - Routing of client calls: the end of the process.
+
+#include "CallRouter.h"
+
+namespace figsail {
+
+void CallRouter::endAll(RouterStep &Step) {
+  std::vector<std::uint64_t> Open;
+  for (const auto &[Number, Current] : Calls)
+    Open.push_back(Number);
+  for (std::uint64_t Number : Open)
+    endCall(Step, Calls.at(Number));
+}
+
+void CallRouter::endCall(RouterStep &Step, Call &Current) {
+  // A run that is not idempotent ends by itself, so that its outcome is known.
+  if (Current.Outstanding && Current.Route->Idempotent)
+    Step.Out.emplace_back(SendPeer{Current.Executor.Host, Cancel{Current.Id}});
+  Current.MayHaveRun = Current.MayHaveRun || Current.Outstanding;
+  endAttempt(Step, Current, false, nullptr);
+  if (Current.FallbackResponse)
+    return deliver(Step, Current, std::move(*Current.FallbackResponse));
+  fail(Step, Current,
+       Current.MayHaveRun ? ErrorKind::OutcomeUnknown : ErrorKind::Draining);
+}
+
+} // namespace figsail
--- a/src/sidecar/Sidecar.cpp
+++ b/src/sidecar/Sidecar.cpp
@@ -64,7 +64,7 @@
   if (Stopping && !ClientsClosing)
     Due = std::min(Due, StopStartedAt + ClientCloseDelay);
   if (Stopping)
-    Due = std::min(Due, StopStartedAt + Settings.Bounds.StopLimit - StopMargin);
+    Due = std::min(Due, stopEnd());
   return Due;
 }
 
@@ -379,10 +379,25 @@
     S.Out.emplace_back(CloseClients{});
   }
   bool Idle = ClientsDisconnected && Router.inFlight() == 0 && Gate.idle();
-  bool OutOfTime =
-      S.Now - StopStartedAt >= Settings.Bounds.StopLimit - StopMargin;
+  bool OutOfTime = S.Now >= stopEnd();
+  if (OutOfTime && !Idle)
+    endOpenCalls(S);
   if (Idle || OutOfTime)
     S.Out.emplace_back(ExitProcess{});
 }
 
+TimePoint Sidecar::stopEnd() const {
+  return StopStartedAt + Settings.Bounds.StopLimit - StopMargin;
+}
+
+/// Answers the clients whose calls are still open, while there is time to write
+/// the answers.
+void Sidecar::endOpenCalls(Step &S) {
+  Decision Line{LogLevel::Warning, "stop-out-of-time", {}};
+  Line.Fields = {{"calls", std::to_string(Router.inFlight())}};
+  S.Out.emplace_back(std::move(Line));
+  RouterStep AtRouter = routerStep(S);
+  Router.endAll(AtRouter);
+}
+
 } // namespace figsail
--- a/src/sidecar/Sidecar.h
+++ b/src/sidecar/Sidecar.h
@@ -138,6 +138,8 @@
   void applyEvacuation(Step &S);
   void updateReadiness(Step &S);
   void continueStop(Step &S);
+  TimePoint stopEnd() const;
+  void endOpenCalls(Step &S);
 
   SidecarSettings Settings;
   ConfigPtr Config;                ///< Null until one has been read.
--- a/tests/SidecarFixture.h
+++ b/tests/SidecarFixture.h
@@ -43,7 +43,7 @@
     Route.Host = "desk.example";
     Route.PathPrefix = "/book/";
     Route.Idempotent = Idempotent;
-    Route.Timeout = 1000ms;
+    Route.Timeout = RouteTimeout;
     Route.TargetLatency = 300ms;
     Route.MaxServers = 2;
     Route.Parts = {{Service, 1}};
@@ -102,6 +102,7 @@
     return Text.empty() ? -1 : std::atof(Text.c_str());
   }
 
+  Duration RouteTimeout = 1000ms;
   TimePoint Now = TestStart;
   std::uint64_t Seed = 1;
   Offset MemberOffset = 0;
--- a/tests/SidecarLifeTest.cpp
+++ b/tests/SidecarLifeTest.cpp
@@ -213,6 +213,55 @@
   EXPECT_EQ(effects<ExitProcess>(apply(ClientsDrained{})).size(), 1U);
 }
 
+/// A sidecar whose route lets calls run longer than a stop lasts: the limit of
+/// a stop is 6 s, and the process ends 0.5 s before it.
+struct StoppingSidecarTest : SidecarTest {
+  StoppingSidecarTest() { RouteTimeout = 15s; }
+
+  void start(bool Idempotent = false) {
+    loadTopics(Idempotent);
+    apply(heartbeat(1));
+    apply(AnnouncementResult{true, ""});
+  }
+  /// Ends calls of the route so often that their usual time is known.
+  void learnRunTime(Duration Run) {
+    for (CallerId Caller = 1000; Caller < 1010; ++Caller) {
+      auto [Host, Call] = sent(request(Caller, "/book/1", 15s));
+      Now += Run;
+      reply(Host, Answer{Call.Call, {200, {}, ""}, {}});
+    }
+  }
+  SidecarEffects execute(std::uint64_t Sequence, bool Idempotent,
+                         const HostId &From = "a") {
+    Execute Message;
+    Message.Call = {77, Sequence};
+    Message.Policy.Service = "booking";
+    Message.Policy.Route = "book";
+    Message.Policy.Idempotent = Idempotent;
+    Message.BudgetMicros = Message.TargetMicros = Duration(15s).count();
+    return reply(From, Message);
+  }
+};
+
+// Guards against clients that are cut off without an answer: what was open at
+// the end of a stop was dropped with the process (LOST).
+TEST_F(StoppingSidecarTest, OpenCallsAreAnsweredAtTheEnd) {
+  start();
+  auto [Host, Call] = sent(request(1, "/book/1", 15s));
+  reply(Host, Received{Call.Call});
+  apply(StopRequested{});
+  tick(2400ms);
+  reply(Host, Received{Call.Call});
+  EXPECT_FALSE(answer(tick(3000ms))) << "a run is awaited until the end";
+  auto Out = tick(150ms);
+  ASSERT_TRUE(answer(Out)) << "no answer before the process ends";
+  EXPECT_EQ(answer(Out)->Status, 502U) << "the call may have run";
+  EXPECT_TRUE(logged(Out, "stop-out-of-time"));
+  EXPECT_EQ(effects<ExitProcess>(Out).size(), 1U);
+  EXPECT_TRUE(std::holds_alternative<ExitProcess>(Out.back()))
+      << "answers after the end are not written";
+}
+
 // Links to all of 7,600 hosts would need more descriptors than a host has.
 TEST_F(SidecarTest, InALargeSystemOnlyUsedServicesGetLinks) {
   loadTopics();
