Fix: a stopping sidecar passes on no call that cannot end before it

Seen by callers: requests that came late in the grace were taken and passed on, and could not end before the process did; among them requests that may not be repeated.

Cause: until its end the router chose a server for every request it was given, first and further attempts alike. Its only bounds are the deadline of the client and the route's timeout, which may lie far behind the stop limit. Requests are dispatched throughout the stop: on kept connections for 2.3 s, later from heads and bodies that are still being read.

Fix: from the SIGTERM on the router knows when the process ends. Before each attempt it compares: the deadline, or twice the route's usual time and 100 ms for the messages, must lie before the end. Otherwise the call is refused (503 "draining", not run) before anything is passed on, and the refusal ends the connection, so that the client comes back to another process. A response of the handler with "Connection: close" now ends the connection; before, the frontend dropped the field. A call that a server may have run is never reported as not run. A changed stop limit moves the end.

Not covered: a single run that takes longer than twice its route's mean. It is awaited until the end and answered there.

Evidence, before: StoppingSidecarTest.ACallThatCannotEndInTimeIsNotPassedOn and ACallThatCannotEndInTimeIsNotResent: "Value of: messages<Execute>(Out).empty() Actual: false Expected: true"; AShorterLimitAppliesToARunningStop the same; HttpFrontendTest.AHandlerMayEndTheConnection: "Last[connection] Which is: {} / close". After: pass, with SidecarTest, SidecarLifeTest and HttpFrontendTest.

--- a/src/shell/FrontendConnection.cpp
+++ b/src/shell/FrontendConnection.cpp
@@ -310,7 +310,10 @@
   if (Response.Status < 200 || Response.Status > 999)
     Response = errorResponse(ErrorKind::Internal);
   bool MoreInput = !InputEnded || !Unparsed.empty();
-  KeepAlive = KeepAlive && RequestFullyRead && MoreInput && !Owner->draining();
+  bool HandlerCloses =
+      listContains(findHeader(Response.Headers, "Connection"), "close");
+  KeepAlive = KeepAlive && RequestFullyRead && MoreInput && !HandlerCloses &&
+              !Owner->draining();
   HeaderList Headers = Response.Headers;
   removeHopByHopFields(Headers);
   if (IsHeadRequest || Response.Status == 204 || Response.Status == 304) {
--- a/src/shell/HttpFrontend.h
+++ b/src/shell/HttpFrontend.h
@@ -56,7 +56,8 @@
   /// Returns the bound port, or 0 without one. Differs from the port given to
   /// listen() if that was 0.
   std::uint16_t port() const;
-  /// Sends the response to a request. Ignored if the id is unknown or the
+  /// Sends the response to a request, and closes the connection afterwards if
+  /// the response has "Connection: close". Ignored if the id is unknown or the
   /// client has disconnected.
   void reply(CallerId Caller, HttpResponse Response);
   /// Changes the settings for later connections and requests.
--- a/src/sidecar/CallRouter.cpp
+++ b/src/sidecar/CallRouter.cpp
@@ -207,12 +207,14 @@
 void CallRouter::tryNextServer(RouterStep &Step, Call &Current) {
   if (Step.Now >= Current.Deadline)
     return deadlinePassed(Step, Current);
-  bool MaySend = Current.Refusals < MaxRefusals &&
+  bool EndsInTime = endsBeforeStop(Step, Current);
+  bool MaySend = EndsInTime && Current.Refusals < MaxRefusals &&
                  Current.LimitRefusals < MaxLimitRefusals;
   const Member *To = MaySend ? chooseServer(Step, Current) : nullptr;
   if (To)
     return sendExecute(Step, Current, *To, true);
-  if (const Member *Fallback = chooseFallback(Step, Current))
+  const Member *Fallback = EndsInTime ? chooseFallback(Step, Current) : nullptr;
+  if (Fallback)
     return sendExecute(Step, Current, *Fallback, false);
   if (Current.FallbackResponse)
     return deliver(Step, Current, std::move(*Current.FallbackResponse));
@@ -432,6 +434,9 @@
   Step.Out.emplace_back(CountRefusal{RefusedBy::Ingress, Kind});
   HttpResponse Response =
       refusalResponse(Step, Kind, Current.Deadline, Current.BacklogTime);
+  // The client is to come back to another process.
+  if (Stop.isSet())
+    Response.Headers.emplace_back("Connection", "close");
   logEnd(Step, Current, Response, errorEntry(Kind).Name);
   Step.Out.emplace_back(ReplyCaller{Current.Caller, std::move(Response)});
   removeCall(Current);
--- a/src/sidecar/CallRouter.h
+++ b/src/sidecar/CallRouter.h
@@ -11,6 +11,7 @@
 #include "ServiceConfig.h"
 #include "SidecarEvents.h"
 #include "SidecarSettings.h"
+#include "StopTime.h"
 
 #include "RegionLink.h"
 #include "RequestIdentity.h"
@@ -81,6 +82,9 @@
     return UsedServices.contains(Service);
   }
   std::size_t inFlight() const { return Calls.size(); }
+  /// The process ends at the given time. Calls that cannot end before it are
+  /// passed on no more.
+  void stopAt(TimePoint EndsAt) { Stop.set(EndsAt); }
   /// Ends all calls, since the process ends. Every client gets an answer that
   /// says whether its request may have run.
   void endAll(RouterStep &Step);
@@ -160,6 +164,7 @@
   static bool mayRetry(const Call &Current);
   void deadlinePassed(RouterStep &Step, Call &Current);
   void endCall(RouterStep &Step, Call &Current);
+  bool endsBeforeStop(const RouterStep &Step, Call &Current) const;
   void endAttempt(RouterStep &Step, Call &Current, bool Success,
                   const LoadReport *Load);
   void deliver(RouterStep &Step, Call &Current, HttpResponse Response);
@@ -174,6 +179,7 @@
   Locality OwnLocality;
   Balancer Selector;
   ServerNotices Notices;
+  StopTime Stop;
   RegionLink Link;
   NestedCallEstimator Origins;
   SplitSchedule Splits;
--- a/src/sidecar/CallRouterStop.cpp
+++ b/src/sidecar/CallRouterStop.cpp
@@ -4,6 +4,17 @@
 
 namespace figsail {
 
+/// Returns whether another attempt of the call can end before the process does.
+/// If not, that is the reason of its end, unless a server has received it.
+bool CallRouter::endsBeforeStop(const RouterStep &Step, Call &Current) const {
+  Duration Usual = RouteTimes.expected(Current.Route->Name);
+  if (Stop.allows(Step.Now, Usual, Current.Deadline))
+    return true;
+  if (!Current.MayHaveRun)
+    Current.LastError = ErrorKind::Draining;
+  return false;
+}
+
 void CallRouter::endAll(RouterStep &Step) {
   std::vector<std::uint64_t> Open;
   for (const auto &[Number, Current] : Calls)
--- a/src/sidecar/Sidecar.cpp
+++ b/src/sidecar/Sidecar.cpp
@@ -109,6 +109,8 @@
 void Sidecar::on(Step &, BoundsChanged &Body) {
   Settings.Bounds = Body.Bounds;
   Gate.configure(Body.Bounds);
+  if (Stopping)
+    Router.stopAt(stopEnd());
 }
 
 void Sidecar::on(Step &S, ClientRequest &Body) {
@@ -355,6 +357,7 @@
     return;
   Stopping = true;
   StopStartedAt = S.Now;
+  Router.stopAt(stopEnd());
 }
 
 /// Continues a graceful stop. Client connections stay open until the platform
--- a/tests/HttpFrontendTest.cpp
+++ b/tests/HttpFrontendTest.cpp
@@ -49,6 +49,8 @@
     if (Request.Target.starts_with("/status/"))
       Response.Status =
           static_cast<std::uint32_t>(std::stoul(Request.Target.substr(8)));
+    if (Request.Target == "/last")
+      Response.Headers.emplace_back("Connection", "close");
     if (Request.Target == "/length")
       Response.Headers.emplace_back("Content-Length", "12345");
     else
@@ -345,6 +347,17 @@
   EXPECT_ANY_THROW(RawConnection(Port).response());
 }
 
+// Guards against a client that keeps a connection to a stopping process after a
+// refusal, and is refused there again.
+TEST_F(HttpFrontendTest, AHandlerMayEndTheConnection) {
+  RawConnection Client(Port);
+  Client.send("GET /last HTTP/1.1\r\nHost: h\r\n\r\n");
+  Response Last = Client.response();
+  EXPECT_EQ(Last[http::field::connection], "close");
+  EXPECT_EQ(Last.count(http::field::connection), 1U);
+  EXPECT_TRUE(Client.isClosedByPeer());
+}
+
 namespace {
 
 /// Input that must be rejected, with the expected error.
--- a/tests/SidecarLifeTest.cpp
+++ b/tests/SidecarLifeTest.cpp
@@ -262,6 +262,53 @@
       << "answers after the end are not written";
 }
 
+// Guards against requests that are passed on although they cannot end before
+// the process does (LOST where they may not be repeated).
+TEST_F(StoppingSidecarTest, ACallThatCannotEndInTimeIsNotPassedOn) {
+  start();
+  learnRunTime(1s);
+  apply(StopRequested{});
+  tick(2s);
+  EXPECT_EQ(messages<Execute>(request(1, "/book/1", 15s)).size(), 1U)
+      << "3.5 s are left, thrice the usual time";
+  tick(2s);
+  auto Out = request(2, "/book/1", 15s);
+  EXPECT_TRUE(messages<Execute>(Out).empty());
+  ASSERT_TRUE(answer(Out));
+  EXPECT_EQ(answer(Out)->Status, 503U);
+  EXPECT_EQ(findHeader(answer(Out)->Headers, "Figsail-Error"), "draining");
+  EXPECT_EQ(findHeader(answer(Out)->Headers, "Connection"), "close");
+  EXPECT_EQ(effects<CountRefusal>(Out).size(), 1U);
+  EXPECT_EQ(messages<Execute>(request(3, "/book/1", 1s)).size(), 1U)
+      << "its deadline is before the end";
+}
+
+// The same for a call that a daemon refuses during the stop.
+TEST_F(StoppingSidecarTest, ACallThatCannotEndInTimeIsNotResent) {
+  start();
+  learnRunTime(1s);
+  auto [Host, Call] = sent(request(1, "/book/1", 15s));
+  apply(StopRequested{});
+  tick(2400ms);
+  tick(1600ms);
+  auto Out = reply(Host, Refused{Call.Call, ErrorKind::Overloaded, {}});
+  EXPECT_TRUE(messages<Execute>(Out).empty());
+  ASSERT_TRUE(answer(Out));
+  EXPECT_EQ(answer(Out)->Status, 503U);
+}
+
+// The bounds may be reloaded during a stop.
+TEST_F(StoppingSidecarTest, AShorterLimitAppliesToARunningStop) {
+  start();
+  learnRunTime(1s);
+  apply(StopRequested{});
+  SidecarBounds Shorter = testSettings().Bounds;
+  Shorter.StopLimit = 3s;
+  apply(BoundsChanged{Shorter});
+  tick(1s);
+  EXPECT_TRUE(messages<Execute>(request(1, "/book/1", 15s)).empty());
+}
+
 // Links to all of 7,600 hosts would need more descriptors than a host has.
 TEST_F(SidecarTest, InALargeSystemOnlyUsedServicesGetLinks) {
   loadTopics();
