Fix: the gate of a stopping sidecar starts and leaves no run unsaid

Seen by callers: a call that ran at the server of a stopping daemon for the ingress of another one ended with the link; its ingress had to guess. Calls were also started there for 2.3 s after the SIGTERM however long they usually run.

Cause: the gate knew no end. It admitted until the client connections closed, started what waited at any later time, and said nothing to the ingresses when the process ended; the ingress of an idempotent call learnt too late that another server should run it.

Fix: from the SIGTERM on the gate knows when the process ends. A call that cannot end before it (its deadline, or twice its expected run and 100 ms) is refused as draining, on arrival and while it waits. 0.5 s before the end, idempotent runs of other daemons that may outlast the process are cancelled and returned, so that these can go elsewhere; not those of the own ingress, which has no time for that. At the end waiting calls are refused, and the ingresses of the open runs are told "outcome unknown" in the step that ends the process, before the links close.

Evidence, before: StoppingSidecarTest.TheServerGetsNoCallThatCannotEndInTime "effects<StartRun>(Out).empty() Actual: false"; OpenRunsAreReportedAtTheEnd "messages<Failed>(Out).size() Which is: 0 / 1U"; IdempotentRunsReturnToTheirIngressInTime "effects<CancelRun>(Out).size() Which is: 0 / 1U". After: pass, with SidecarTest and SidecarLifeTest.

--- a/src/sidecar/ServerGate.cpp
+++ b/src/sidecar/ServerGate.cpp
@@ -372,6 +372,8 @@
     Reason = checkSuspicion(Step.Now, Call.Message);
   if (!Reason)
     Reason = checkCapacity(Step.Now, Call);
+  if (!Reason && !endsBeforeStop(Step.Now, Call))
+    Reason = ErrorKind::Draining;
   if (!Reason && isRetry(Call) && !Retries.takeRetry(Step.Now))
     Reason = ErrorKind::RetryBudgetSpent;
   if (Reason)
@@ -496,6 +498,7 @@
     refuseWaiting(Step, ErrorKind::NoBackendServer);
   }
   refuseLate(Step);
+  refuseBeyondStop(Step);
   startWaiting(Step);
   if (ExpectedServer && Step.Now >= ExpectedUntil)
     ExpectedServer.reset();
--- a/src/sidecar/ServerGate.h
+++ b/src/sidecar/ServerGate.h
@@ -12,6 +12,7 @@
 #include "SidecarEvents.h"
 #include "SidecarSettings.h"
 #include "SlowdownTracker.h"
+#include "StopTime.h"
 
 #include "figsail/TokenBucket.h"
 
@@ -81,6 +82,14 @@
   void evacuate(GateStep &Step, bool Evacuated);
   /// Admits no new calls from now on; queued calls still run.
   void stop() { Stopping = true; }
+  /// The process ends at the given time. Calls that cannot end before it are
+  /// not started any more.
+  void stopAt(TimePoint EndsAt) { Stop.set(EndsAt); }
+  /// Cancels the idempotent runs of other daemons that may outlast the process,
+  /// so that these can still send the calls to other servers.
+  void returnIdempotentRuns(GateStep &Step);
+  /// Ends all calls, since the process ends. Their ingresses are told.
+  void endAll(GateStep &Step);
 
   void timer(GateStep &Step);
   TimePoint nextWake(TimePoint Now) const;
@@ -163,6 +172,9 @@
   TimePoint nextProbe() const;
   TimePoint nextServerWake(TimePoint Now) const;
   void refuseLate(GateStep &Step);
+  bool endsBeforeStop(TimePoint Now, const AdmittedCall &Call) const;
+  void refuseBeyondStop(GateStep &Step);
+  void endRun(GateStep &Step, CallMap::iterator At, ErrorKind Kind);
   void sendReceipts(GateStep &Step);
   void refuseWaiting(GateStep &Step, ErrorKind Kind);
   void refuse(GateStep &Step, const AdmittedCall &Call, ErrorKind Kind);
@@ -212,7 +224,8 @@
   RunId LastRun = 0;
   bool LimitUnusable = false; ///< The server's newest limit is no number.
   bool Evacuated = false;
-  bool Stopping = false;
+  bool Stopping = false; ///< Admits nothing.
+  StopTime Stop;
   bool Unreachable = false; ///< The last connection attempt failed.
   bool Probing = false;     ///< A probe is in flight.
   TimePoint LastProbeAt;
--- a/src/sidecar/Sidecar.cpp
+++ b/src/sidecar/Sidecar.cpp
@@ -25,6 +25,10 @@
 /// the last answers.
 static constexpr Duration StopMargin = 500ms;
 
+/// Time that other daemons have, before the process ends, to send idempotent
+/// calls from this server to another one.
+static constexpr Duration RetryTime = 500ms;
+
 Sidecar::Sidecar(SidecarSettings InitialSettings, const RecordDecoder &Decoder)
     : Settings(std::move(InitialSettings)), Router(Settings), Gate(Settings),
       Decoder(Decoder), Topics{{{Topic::Operator, Decoder},
@@ -63,6 +67,8 @@
     Due = std::min(Due, StopStartedAt + PauseDelay);
   if (Stopping && !ClientsClosing)
     Due = std::min(Due, StopStartedAt + ClientCloseDelay);
+  if (Stopping && !RunsReturned)
+    Due = std::min(Due, stopEnd() - RetryTime);
   if (Stopping)
     Due = std::min(Due, stopEnd());
   return Due;
@@ -110,7 +116,7 @@
   Settings.Bounds = Body.Bounds;
   Gate.configure(Body.Bounds);
   if (Stopping)
-    Router.stopAt(stopEnd());
+    setStopEnd();
 }
 
 void Sidecar::on(Step &S, ClientRequest &Body) {
@@ -357,7 +363,7 @@
     return;
   Stopping = true;
   StopStartedAt = S.Now;
-  Router.stopAt(stopEnd());
+  setStopEnd();
 }
 
 /// Continues a graceful stop. Client connections stay open until the platform
@@ -381,6 +387,11 @@
     S.Out.emplace_back(std::move(Line));
     S.Out.emplace_back(CloseClients{});
   }
+  if (!RunsReturned && S.Now >= stopEnd() - RetryTime) {
+    RunsReturned = true;
+    GateStep AtGate{S.Now, S.Out};
+    Gate.returnIdempotentRuns(AtGate);
+  }
   bool Idle = ClientsDisconnected && Router.inFlight() == 0 && Gate.idle();
   bool OutOfTime = S.Now >= stopEnd();
   if (OutOfTime && !Idle)
@@ -389,16 +400,24 @@
     S.Out.emplace_back(ExitProcess{});
 }
 
+void Sidecar::setStopEnd() {
+  Router.stopAt(stopEnd());
+  Gate.stopAt(stopEnd());
+}
+
 TimePoint Sidecar::stopEnd() const {
   return StopStartedAt + Settings.Bounds.StopLimit - StopMargin;
 }
 
-/// Answers the clients whose calls are still open, while there is time to write
-/// the answers.
+/// Answers the clients and daemons whose calls are still open, while there is
+/// time to write the answers.
 void Sidecar::endOpenCalls(Step &S) {
   Decision Line{LogLevel::Warning, "stop-out-of-time", {}};
-  Line.Fields = {{"calls", std::to_string(Router.inFlight())}};
+  Line.Fields = {{"calls", std::to_string(Router.inFlight())},
+                 {"runs", std::to_string(Gate.runs())}};
   S.Out.emplace_back(std::move(Line));
+  GateStep AtGate{S.Now, S.Out};
+  Gate.endAll(AtGate);
   RouterStep AtRouter = routerStep(S);
   Router.endAll(AtRouter);
 }
--- a/src/sidecar/Sidecar.h
+++ b/src/sidecar/Sidecar.h
@@ -138,6 +138,7 @@
   void applyEvacuation(Step &S);
   void updateReadiness(Step &S);
   void continueStop(Step &S);
+  void setStopEnd();
   TimePoint stopEnd() const;
   void endOpenCalls(Step &S);
 
@@ -175,6 +176,7 @@
   bool Ready = false;
   bool Stopping = false;
   bool ClientsClosing = false;      ///< CloseClients was sent.
+  bool RunsReturned = false;        ///< Of other daemons, to them.
   bool ClientsDisconnected = false; ///< None of their requests is left.
   TimePoint StopStartedAt;
   /// The server was announced as paused: the others send it no more calls.
--- a/tests/SidecarLifeTest.cpp
+++ b/tests/SidecarLifeTest.cpp
@@ -297,6 +297,60 @@
   EXPECT_EQ(answer(Out)->Status, 503U);
 }
 
+// Guards against runs for other daemons that begin during a stop and are cut at
+// its end.
+TEST_F(StoppingSidecarTest, TheServerGetsNoCallThatCannotEndInTime) {
+  start();
+  auto First = effects<StartRun>(execute(1, false));
+  ASSERT_EQ(First.size(), 1U);
+  Now += 2s;
+  apply(ServerRunResult{First[0].Run, HttpResponse{200, {}, ""}, {}});
+  apply(StopRequested{});
+  tick(1300ms);
+  EXPECT_EQ(effects<StartRun>(execute(2, false)).size(), 1U)
+      << "4.2 s are left, over twice the usual time";
+  tick(200ms);
+  auto Out = execute(3, false);
+  EXPECT_TRUE(effects<StartRun>(Out).empty());
+  ASSERT_EQ(messages<Refused>(Out).size(), 1U);
+  EXPECT_EQ(messages<Refused>(Out)[0].second.Kind, ErrorKind::Draining);
+}
+
+// Guards against ingresses that are left without a word on their calls when the
+// daemon beside the server ends.
+TEST_F(StoppingSidecarTest, OpenRunsAreReportedAtTheEnd) {
+  start();
+  ASSERT_EQ(effects<StartRun>(execute(1, false)).size(), 1U);
+  apply(StopRequested{});
+  tick(2400ms);
+  EXPECT_TRUE(messages<Failed>(tick(3000ms)).empty());
+  auto Out = tick(150ms);
+  ASSERT_EQ(messages<Failed>(Out).size(), 1U);
+  EXPECT_EQ(messages<Failed>(Out)[0].first, "a");
+  EXPECT_EQ(messages<Failed>(Out)[0].second.Kind, ErrorKind::OutcomeUnknown);
+  EXPECT_TRUE(effects<CancelRun>(Out).empty());
+  EXPECT_TRUE(std::holds_alternative<ExitProcess>(Out.back()));
+}
+
+// An ingress needs some time to run an idempotent call at another server.
+TEST_F(StoppingSidecarTest, IdempotentRunsReturnToTheirIngressInTime) {
+  start();
+  auto Remote = effects<StartRun>(execute(1, true));
+  auto Own = effects<StartRun>(execute(2, true, "10.0.0.1:7000"));
+  ASSERT_EQ(Remote.size(), 1U);
+  ASSERT_EQ(Own.size(), 1U);
+  apply(StopRequested{});
+  tick(2400ms);
+  EXPECT_TRUE(effects<CancelRun>(tick(2500ms)).empty());
+  auto Out = tick(150ms);
+  ASSERT_EQ(effects<CancelRun>(Out).size(), 1U)
+      << "this process could not send its own call again in time";
+  EXPECT_EQ(effects<CancelRun>(Out)[0].Run, Remote[0].Run);
+  ASSERT_EQ(messages<Failed>(Out).size(), 1U);
+  EXPECT_EQ(messages<Failed>(Out)[0].first, "a");
+  EXPECT_TRUE(effects<CancelRun>(tick(10ms)).empty());
+}
+
 // The bounds may be reloaded during a stop.
 TEST_F(StoppingSidecarTest, AShorterLimitAppliesToARunningStop) {
   start();
