Fix: requests that a stopping process reads are answered to the last

Seen by callers: a request whose last byte came when the process was ending was read and got no answer; a slow sender was cut.

Cause: after ExitProcess the shell applies no event, but the frontend still dispatched requests to it. A connection that was reading a head or a body when the drain began kept its time limit of seconds; it was served however late it completed, or cut with the process.

Fix: with ExitProcess the frontend ends the reading (408, connection closed), and the daemon itself answers what still completes with 503 "draining". A request on a kept connection whose last byte is read after the drain began is named late, and the router refuses it before anything is passed on. The first request of a connection is still served if it can end in time.

Evidence, before: HttpFrontendTest.NamesRequestsThatArriveLateOnAKeptConnection "Frontend->arrivedLate(Caller) Which is: false"; StoppingSidecarTest.ALateRequestOnAKeptConnectionIsRefused "messages<Execute>(Out).empty() Actual: false". TheEndAnswersRequestsThatAreBeingRead with an empty refuseUnread() got its answers from the time limits of heads and bodies only (the whole of HttpFrontendTest took 30161 ms); the test has a bound of 5 s since. After: pass, with the rest of HttpFrontendTest and SidecarLifeTest.

--- a/src/shell/FrontendConnection.cpp
+++ b/src/shell/FrontendConnection.cpp
@@ -68,6 +68,11 @@
     startTimer(FirstByteTimeout);
 }
 
+void FrontendConnection::refuseUnread() {
+  if (CurrentPhase == Phase::Head || CurrentPhase == Phase::Body)
+    endReading();
+}
+
 void FrontendConnection::close() {
   if (CurrentPhase == Phase::Closed)
     return;
@@ -255,6 +260,7 @@
   Request.Body = std::move(Parsed.body());
   RequestParser.reset();
   RequestFullyRead = true;
+  Late = Kept && Owner->draining();
   CurrentPhase = Phase::Handling;
   Timer.cancel();
   Owner->dispatch(shared_from_this(), std::move(Request));
@@ -362,6 +368,7 @@
 
 void FrontendConnection::responseWritten() {
   Outgoing.reset();
+  Kept = true;
   if (KeepAlive)
     nextRequest();
   else
@@ -438,6 +445,13 @@
   });
 }
 
+void FrontendConnection::endReading() {
+  if (AwaitsFirstByte)
+    close();
+  else
+    reject(ErrorKind::RequestTimeout);
+}
+
 void FrontendConnection::timedOut() {
   // A completion handler queued before the timer was restarted runs too early.
   if (Timer.expiry() > asio::steady_timer::clock_type::now())
@@ -445,10 +459,7 @@
   switch (CurrentPhase) {
   case Phase::Head:
   case Phase::Body:
-    if (AwaitsFirstByte)
-      close();
-    else
-      reject(ErrorKind::RequestTimeout);
+    endReading();
     return;
   case Phase::Idle:
   case Phase::Writing:
--- a/src/shell/FrontendConnection.h
+++ b/src/shell/FrontendConnection.h
@@ -53,8 +53,13 @@
   /// request, with bytes to read or without a first request stays open for that
   /// request.
   void drain();
+  /// Answers a request that is being read, without waiting for its end.
+  void refuseUnread();
   void close();
 
+  /// Returns whether the request that was dispatched last came on a kept
+  /// connection, with its last byte after the drain began.
+  bool arrivedLate() const { return Late; }
   /// Returns whether a request is being read or handled, or its response
   /// written.
   bool busy() const;
@@ -97,6 +102,7 @@
   void watchForReset();
   void startTimer(Duration Timeout);
   void timedOut();
+  void endReading();
 
   boost::asio::ip::tcp::socket Socket;
   boost::asio::steady_timer Timer;
@@ -114,6 +120,8 @@
   bool IsHeadRequest = false;   ///< The method of the current request is HEAD.
   bool KeepAlive = false;       ///< Another request may follow.
   bool RequestFullyRead = true; ///< The current request was read to its end.
+  bool Kept = false;            ///< An earlier request was answered.
+  bool Late = false;            ///< See arrivedLate().
   bool ReadPending = false;     ///< A read is pending.
   bool ResetWatchPending = false; ///< A wait for a connection reset is pending.
   bool InputEnded = false;        ///< The client closed its sending side.
--- a/src/shell/HttpFrontend.cpp
+++ b/src/shell/HttpFrontend.cpp
@@ -183,6 +183,17 @@
 
 void HttpFrontend::drain() { Impl->drain(); }
 
+void HttpFrontend::refuseUnread() {
+  auto Copy = Impl->Connections;
+  for (const auto &Connection : Copy)
+    Connection->refuseUnread();
+}
+
+bool HttpFrontend::arrivedLate(CallerId Caller) const {
+  auto Found = Impl->PendingRequests.find(Caller);
+  return Found != Impl->PendingRequests.end() && Found->second->arrivedLate();
+}
+
 std::size_t HttpFrontend::busyConnections() const {
   return static_cast<std::size_t>(
       std::count_if(Impl->Connections.begin(), Impl->Connections.end(),
--- a/src/shell/HttpFrontend.h
+++ b/src/shell/HttpFrontend.h
@@ -65,6 +65,11 @@
   /// Stops accepting connections. Each open connection closes after its current
   /// request.
   void drain();
+  /// Ends the reading of requests: those that are being read are answered 408.
+  void refuseUnread();
+  /// Returns whether the request came on a kept connection, with its last byte
+  /// after drain().
+  bool arrivedLate(CallerId Caller) const;
   /// Returns the number of open connections with an unfinished request.
   std::size_t busyConnections() const;
 
--- a/src/shell/SidecarDaemon.cpp
+++ b/src/shell/SidecarDaemon.cpp
@@ -169,8 +169,14 @@
 }
 
 void SidecarDaemon::requestReceived(CallerId Caller, HttpRequest Request) {
+  // No event is applied any more.
+  if (Exiting)
+    return Frontend.reply(Caller, errorResponse(ErrorKind::Draining));
   CallStarts[Caller] = now();
-  submit(Platform.Fields->decodeRequest(Caller, std::move(Request)));
+  ClientRequest Arrived =
+      Platform.Fields->decodeRequest(Caller, std::move(Request));
+  Arrived.Late = Frontend.arrivedLate(Caller);
+  submit(std::move(Arrived));
 }
 
 void SidecarDaemon::clientDisconnected(CallerId Caller) {
@@ -435,6 +441,7 @@
     return;
   Exiting = true;
   Frontend.drain();
+  Frontend.refuseUnread();
   finishOutput(now() + OutputTimeout);
 }
 
--- a/src/sidecar/CallRouter.cpp
+++ b/src/sidecar/CallRouter.cpp
@@ -121,6 +121,8 @@
   if (Step.Config)
     Route = Step.Config->findRoute(Arrived.Host, Arrived.Request.Target);
   Duration Limit = Arrived.ClientTimeout.value_or(DefaultTimeout);
+  if (Arrived.Late)
+    return refuseRequest(Step, Arrived, ErrorKind::Draining, Step.Now + Limit);
   if (!Route)
     return refuseRequest(Step, Arrived, unknownRouteKind(Step),
                          Step.Now + Limit);
--- a/src/sidecar/SidecarEvents.h
+++ b/src/sidecar/SidecarEvents.h
@@ -29,6 +29,8 @@
   std::string Host; ///< Value of the Host field.
   std::optional<Duration> ClientTimeout; ///< Time that the client waits.
   HttpRequest Request;                   ///< Includes the calling service.
+  /// Its last byte arrived after CloseClients, on a kept connection.
+  bool Late = false;
 };
 
 /// Heartbeat of the backend server beside this daemon.
--- a/tests/HttpFrontendTest.cpp
+++ b/tests/HttpFrontendTest.cpp
@@ -347,6 +347,58 @@
   EXPECT_ANY_THROW(RawConnection(Port).response());
 }
 
+// Guards against requests that are dispatched when nothing can answer them any
+// more: at its end a process reads no further requests, and says so.
+TEST_F(HttpFrontendTest, TheEndAnswersRequestsThatAreBeingRead) {
+  RawConnection Head(Port);
+  RawConnection Body(Port);
+  RawConnection Silent(Port);
+  RawConnection Busy(Port);
+  Busy.send("GET /hold HTTP/1.1\r\nHost: h\r\n\r\n"
+            "GET /next HTTP/1.1\r\nHost: h\r\n\r\n");
+  Head.send("GET /p HTTP/1.1\r\n");
+  Body.send("POST /p HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\nab");
+  awaitHeld(1);
+  auto Start = std::chrono::steady_clock::now();
+  Loop.on([&] {
+    Frontend->drain();
+    Frontend->refuseUnread();
+  });
+  EXPECT_EQ(Head.response().result_int(), 408U);
+  EXPECT_TRUE(Head.isClosedByPeer());
+  EXPECT_EQ(Body.response().result_int(), 408U);
+  EXPECT_TRUE(Silent.isClosedByPeer());
+  EXPECT_LT(std::chrono::steady_clock::now() - Start, std::chrono::seconds(5))
+      << "the process does not wait for the time limit of a head";
+  release();
+  EXPECT_EQ(Busy.response().body(), "GET /hold ")
+      << "what was dispatched is still answered";
+  EXPECT_TRUE(Busy.isClosedByPeer());
+  EXPECT_EQ(Loop.on([&] { return Handler.RequestCount; }), 1U);
+}
+
+// Guards against late requests that look like those that arrived before the
+// stop.
+TEST_F(HttpFrontendTest, NamesRequestsThatArriveLateOnAKeptConnection) {
+  RawConnection Kept(Port);
+  RawConnection New(Port);
+  Kept.send("GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+  Kept.response();
+  Kept.send("GET /hold/kept HTTP/1.1\r\n");
+  New.send("GET /hold/new HTTP/1.1\r\n");
+  while (Loop.on([&] { return Frontend->busyConnections(); }) < 2)
+    std::this_thread::yield();
+  Loop.on([&] { Frontend->drain(); });
+  Kept.send("Host: h\r\n\r\n");
+  New.send("Host: h\r\n\r\n");
+  awaitHeld(2);
+  Loop.on([&] {
+    for (const auto &[Caller, Request] : Handler.Held)
+      EXPECT_EQ(Frontend->arrivedLate(Caller), Request.Target == "/hold/kept");
+  });
+  release();
+}
+
 // Guards against a client that keeps a connection to a stopping process after a
 // refusal, and is refused there again.
 TEST_F(HttpFrontendTest, AHandlerMayEndTheConnection) {
--- a/tests/SidecarLifeTest.cpp
+++ b/tests/SidecarLifeTest.cpp
@@ -297,6 +297,25 @@
   EXPECT_EQ(answer(Out)->Status, 503U);
 }
 
+// Requests whose last byte arrives on a kept connection after the drain began
+// come too late to be served.
+TEST_F(StoppingSidecarTest, ALateRequestOnAKeptConnectionIsRefused) {
+  start();
+  apply(StopRequested{});
+  tick(2400ms);
+  ClientRequest Late;
+  Late.Caller = 1;
+  Late.Host = "desk.example";
+  Late.Request.Method = "GET";
+  Late.Request.Target = "/book/1";
+  Late.Late = true;
+  auto Out = apply(std::move(Late));
+  EXPECT_TRUE(messages<Execute>(Out).empty());
+  ASSERT_TRUE(answer(Out));
+  EXPECT_EQ(answer(Out)->Status, 503U);
+  EXPECT_EQ(findHeader(answer(Out)->Headers, "Figsail-Error"), "draining");
+}
+
 // Guards against runs for other daemons that begin during a stop and are cut at
 // its end.
 TEST_F(StoppingSidecarTest, TheServerGetsNoCallThatCannotEndInTime) {
