Test: a stopping sidecar answers every request that it reads

Eight clients wait for runs that outlast the process, a ninth sends half a body. Each must get an answer and the process must end in its limit.

--- a/tests/SidecarProcessTest.cpp
+++ b/tests/SidecarProcessTest.cpp
@@ -165,6 +165,25 @@
       return None;
     }
   }
+  /// Sends one request. Returns its status, or 0 if no connection is accepted
+  /// any more. Counts a connection that ends without an answer.
+  static unsigned callUntilCut(std::atomic<unsigned> &Cut) {
+    boost::asio::io_context Blocking;
+    tcp::socket Socket(Blocking);
+    boost::system::error_code Refused;
+    Socket.connect(*parseEndpoint(loopbackAddress(ClientPort)), Refused);
+    if (Refused)
+      return 0;
+    RawConnection Client(std::move(Socket));
+    try {
+      Client.send("GET /x/1 HTTP/1.1\r\nHost: desk.example\r\n"
+                  "Figsail-Attempt-Id: a1\r\n\r\n");
+      return Client.response().result_int();
+    } catch (const boost::system::system_error &) {
+      ++Cut;
+      return 1;
+    }
+  }
   bool isReady() {
     return send(ReadyPort, "GET", "/v1/readiness", "").result_int() == 200;
   }
@@ -190,7 +209,10 @@
         Answer.set(Name, Value);
     if (!IsProbe)
       Arrivals.push_back(std::chrono::steady_clock::now());
-    Reply(std::move(Answer));
+    if (HoldsReplies && !IsProbe)
+      Held.push_back(Reply);
+    else
+      Reply(std::move(Answer));
   }
 
   /// Changes the fields that the server adds to every response.
@@ -209,6 +231,8 @@
   }
 
   std::map<std::string, std::string> ServerFields; ///< Of the server's thread.
+  bool HoldsReplies = false; ///< Runs never end. Of the server's thread.
+  std::vector<HttpService::Reply> Held;
   /// Whether health responses have these fields too.
   std::atomic<bool> ProbesNameFields = true;
   std::vector<std::chrono::steady_clock::time_point>
@@ -275,6 +299,52 @@
   EXPECT_TRUE(WIFEXITED(Status) && WEXITSTATUS(Status) == 0) << Status;
 }
 
+// Guards against requests that are read whole in a stop and never answered: the
+// clients keep sending until the process is gone, and the server outlasts it.
+TEST_F(SidecarProcessTest, AStopAnswersEveryRequestThatItReads) {
+  ASSERT_TRUE(becomesTrue([&] { return isReady(); }));
+  EXPECT_EQ(sendHeartbeat(), 200U);
+  std::string Long = Config;
+  Long.replace(Long.find("00000001"), 8, "00000002");
+  Long.replace(Long.find("5000"), 4, "15000");
+  Loop.on([&] {
+    Store->put("keyed.op", "config", Long);
+    HoldsReplies = true;
+  });
+  ASSERT_TRUE(becomesTrue([&] {
+    return countLogLines("config-in-force", "\"version\":\"2\"") == 1;
+  }));
+  std::atomic<unsigned> Cut = 0;
+  std::atomic<unsigned> Refused = 0;
+  std::atomic<unsigned> Unknown = 0;
+  std::vector<std::jthread> Clients(8);
+  for (std::jthread &Client : Clients)
+    Client = std::jthread([&] {
+      for (unsigned Status = 1; Status != 0;) {
+        Status = callUntilCut(Cut);
+        Refused += Status == 503;
+        Unknown += Status == 502 || Status == 504;
+      }
+    });
+  ASSERT_TRUE(becomesTrue([&] { return arrivals() == Clients.size(); }));
+  boost::asio::io_context Blocking;
+  tcp::socket Socket(Blocking);
+  Socket.connect(*parseEndpoint(loopbackAddress(ClientPort)));
+  RawConnection Slow(std::move(Socket));
+  Slow.send("POST /x/1 HTTP/1.1\r\nHost: desk.example\r\n"
+            "Content-Length: 9\r\n\r\nhalf");
+  auto Start = std::chrono::steady_clock::now();
+  int Status = stop(SIGTERM);
+  EXPECT_LT(std::chrono::steady_clock::now() - Start, 6s);
+  EXPECT_TRUE(WIFEXITED(Status) && WEXITSTATUS(Status) == 0) << Status;
+  Clients.clear();
+  EXPECT_EQ(Slow.response().result_int(), 408U);
+  EXPECT_EQ(Cut, 0U) << "requests without an answer";
+  EXPECT_GT(Unknown, 0U) << "runs were open at the end";
+  EXPECT_EQ(countLogLines("stop-out-of-time"), 1U);
+  Loop.on([&] { Held.clear(); });
+}
+
 // A settings file that is incomplete or invalid must neither change nor end a
 // running sidecar.
 TEST_F(SidecarProcessTest, ReloadsSettingsWithAndWithoutASignal) {
