Fix: figsaild answers the calls that are open at the drain limit

Seen by callers: a call that outlasts the drain limit (30 s) was cut without an answer; so was a request whose last byte came after the process had decided to end.

The reducer only emitted ExitProcess, and the shell applies no event after it.

Fix: in the step that ends the process the ingress role ends every open call first: "outcome unknown" (502) where an executor has it, "draining" (503) where none has; a keyed call whose key was not looked up is never called "not run" (as at a deadline, whose code it shares). With ExitProcess the frontend ends the reading (408), and what still completes gets 503 "draining".

Evidence, before: NodeTest.OpenCallsAreAnsweredAtTheDrainLimit "Value of: Net->result(Index).Answered Actual: false". After: passes, with all of NodeTest. The part of src/shell/Daemon.cpp has no test of its own.

--- a/src/core/Ingress.cpp
+++ b/src/core/Ingress.cpp
@@ -495,13 +495,28 @@
 }
 
 void Ingress::deadlineExceeded(IngressStep &Step, Call &Current) {
+  endEarly(Step, Current, ErrorKind::DeadlineUnknown,
+           ErrorKind::DeadlineNotRun);
+}
+
+void Ingress::endAll(IngressStep &Step) {
+  std::vector<std::uint64_t> Open;
+  for (const auto &[Number, Current] : Calls)
+    Open.push_back(Number);
+  for (std::uint64_t Number : Open)
+    endEarly(Step, Calls.at(Number), ErrorKind::OutcomeUnknown,
+             ErrorKind::Draining);
+}
+
+/// Ends a call before its executor has replied.
+void Ingress::endEarly(IngressStep &Step, Call &Current, ErrorKind Unknown,
+                       ErrorKind NotRun) {
   bool Sent =
       Current.Stage == Phase::Executing || Current.Stage == Phase::Awaiting;
   if (Sent && Current.Route->Policy.Idempotent)
     Step.Out.push_back(SendPeer{Current.Executor.Host, Cancel{Current.Id}});
   endOutstanding(Step, Current, false, nullptr);
-  fail(Step, Current,
-       Sent ? ErrorKind::DeadlineUnknown : ErrorKind::DeadlineNotRun);
+  fail(Step, Current, Sent ? Unknown : NotRun);
 }
 
 void Ingress::timer(IngressStep &Step) {
--- a/src/core/Ingress.h
+++ b/src/core/Ingress.h
@@ -58,6 +58,9 @@
   void timer(IngressStep &Step);
   TimePoint nextWake() const;
   std::size_t inFlight() const { return Calls.size(); }
+  /// Ends all calls, since the process ends. Every caller gets an answer that
+  /// says whether its request may have run.
+  void endAll(IngressStep &Step);
 
 private:
   /// Event that a call waits for.
@@ -113,6 +116,8 @@
   void retry(IngressStep &Step, Call &Current, ErrorKind Reason);
   void retryLater(IngressStep &Step, Call &Current, ErrorKind Reason);
   void deadlineExceeded(IngressStep &Step, Call &Current);
+  void endEarly(IngressStep &Step, Call &Current, ErrorKind Unknown,
+                ErrorKind NotRun);
   const Member *chooseExecutor(IngressStep &Step, const Call &Current,
                                const EpochEntry &Epoch,
                                const HostId *Coordinator);
--- a/src/core/Node.cpp
+++ b/src/core/Node.cpp
@@ -408,6 +408,8 @@
   if (!Draining)
     return;
   if (Now >= ExitAt) {
+    IngressStep Step = step();
+    IngressRole.endAll(Step);
     Out.push_back(Trace{TraceKind::DrainEnded, Self.Host, {}});
     Out.push_back(ExitProcess{});
     ExitAt = TimePoint::max();
--- a/src/shell/Daemon.cpp
+++ b/src/shell/Daemon.cpp
@@ -127,6 +127,9 @@
 }
 
 void Daemon::requestReceived(CallerId Caller, HttpRequest Request) {
+  // No event is applied any more.
+  if (Exiting)
+    return Frontend.reply(Caller, errorResponse(ErrorKind::Draining));
   CallStarts[Caller] = now();
   submit(CallerRequest{Caller, std::move(Request)});
 }
@@ -280,6 +283,7 @@
     return;
   Exiting = true;
   Frontend.drain();
+  Frontend.refuseUnread();
   finishOutput(now() + OutputTimeout);
 }
 
--- a/tests/NodeTest.cpp
+++ b/tests/NodeTest.cpp
@@ -436,3 +436,28 @@
     RandomFaultsTest().runHistory(Seed);
   }
 }
+
+// Guards against callers that are cut off without an answer when the drain
+// limit ends the process before their calls end.
+TEST_F(NodeTest, OpenCallsAreAnsweredAtTheDrainLimit) {
+  Net->append(Change{"slow",
+                     {{"/shop/deposits/slow",
+                       NodeKind::Route,
+                       false,
+                       {{"match_method", "GET"},
+                        {"match_path", "/slow"},
+                        {"idempotent", "false"},
+                        {"deadline", "60s"}},
+                       NoOffset}}});
+  Net->run(1s);
+  Net->ServiceTime = 50s;
+  std::size_t Index = Net->call(Hosts[0], "GET", "/slow", "a");
+  Net->run(1s);
+  Net->stop(Hosts[0]);
+  Net->run(28s);
+  EXPECT_FALSE(Net->result(Index).Answered) << "a run is awaited";
+  Net->run(4s);
+  EXPECT_TRUE(Net->exited(Hosts[0]));
+  ASSERT_TRUE(Net->result(Index).Answered);
+  EXPECT_EQ(Net->result(Index).Response.Status, 502U) << "it may have run";
+}
