Test: a response cut at any byte is no response

Operators reported of similar systems: a worker stopped in the middle of the head of its response and closed; clients got a 200 with an empty or short body that was framed as complete.

The tests send every prefix of eleven responses (length, length 0, chunks with a trailer, no length, after interim responses, 204, to HEAD, folded field) to BackendClient and then end the connection, once in order and once with a reset. In order, a result is a response exactly from the size on at which the response is complete by its own framing; with a reset, a response without length never is.

--- a/tests/BackendClientTest.cpp
+++ b/tests/BackendClientTest.cpp
@@ -279,6 +279,111 @@
   EXPECT_EQ(errorOf(awaitOutcome(1)), BackendError::Malformed);
 }
 
+namespace {
+
+/// A response as the backend server would send it whole.
+struct WholeResponse {
+  std::string Description;
+  std::string Bytes;
+  /// Complete at this size and at every larger one, if the connection then ends
+  /// in order.
+  std::size_t CompleteFrom;
+  bool EndsWithConnection = false; ///< It has no length: a reset cuts it.
+  std::string Method = "GET";
+};
+
+WholeResponse whole(std::string Description, std::string Bytes,
+                    std::string Method = "GET") {
+  std::size_t Size = Bytes.size();
+  return {std::move(Description), std::move(Bytes), Size, false,
+          std::move(Method)};
+}
+
+WholeResponse withoutLength(std::string Description, const std::string &Head,
+                            const std::string &Body) {
+  return {std::move(Description), Head + Body, Head.size(), true, "GET"};
+}
+
+const std::string SealedStart = "HTTP/1.1 200 OK\r\nX-Seal: 3e1b.07.5a2\r\n";
+
+/// In each head the fields that identify the response come before those that
+/// frame it.
+std::vector<WholeResponse> wholeResponses() {
+  const std::string NoLength =
+      SealedStart + "Server: s\r\nConnection: close\r\n\r\n";
+  const std::string Hints = "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n";
+  return {
+      whole("length", SealedStart + "Content-Length: 3\r\n\r\nyes"),
+      whole("length 0", SealedStart + "Content-Length: 0\r\n\r\n"),
+      whole("length first", "HTTP/1.1 200 OK\r\nContent-Length: 12\r\n"
+                            "X-Seal: 3e1b\r\n\r\nabcdefghijkl"),
+      whole("chunks and a trailer",
+            SealedStart + "Transfer-Encoding: chunked\r\n\r\n"
+                          "2\r\nye\r\n1;e=1\r\ns\r\n0\r\nX-T: 1\r\n\r\n"),
+      withoutLength("no length", NoLength, "yes"),
+      withoutLength("no length, version 1.0", "HTTP/1.0 200 OK\r\n\r\n", "yes"),
+      whole("after interim responses", "HTTP/1.1 100 Continue\r\n\r\n" + Hints +
+                                           SealedStart +
+                                           "Content-Length: 3\r\n\r\nyes"),
+      whole("no content", "HTTP/1.1 204 No Content\r\nX-Seal: 3e1b\r\n\r\n"),
+      whole("to HEAD", SealedStart + "Content-Length: 3\r\n\r\n", "HEAD"),
+      whole("to HEAD, no length", NoLength, "HEAD"),
+      whole("folded field", "HTTP/1.1 200 OK\r\nX-A: b\r\n c\r\n"
+                            "Content-Length: 3\r\n\r\nyes"),
+  };
+}
+
+/// Responds to the connection with number N with the first N bytes. Then ends
+/// it, in order or with a reset.
+ScriptedServer::Script cutAtConnectionNumber(const std::string &Bytes,
+                                             bool Reset) {
+  return [=](RawConnection &Peer, std::size_t Number) {
+    Peer.request();
+    Peer.send(Bytes.substr(0, Number));
+    if (Reset) {
+      Peer.reset();
+      return;
+    }
+    Peer.finishSending();
+    Peer.isClosedByPeer();
+  };
+}
+
+} // namespace
+
+// A backend server that stops in the middle of a response must not get a
+// client a short response that is framed as complete, wherever it stops.
+TEST_F(BackendClientTest, ResponseCutAnywhereIsNoResponse) {
+  for (const WholeResponse &Tested : wholeResponses()) {
+    ScriptedServer Server(Client, cutAtConnectionNumber(Tested.Bytes, false));
+    connectTo(Server.port());
+    for (std::size_t Cut = 0; Cut <= Tested.Bytes.size(); ++Cut) {
+      start(Cut, seconds(30), {Tested.Method, "/x", {}, {}});
+      bool Responded = errorOf(awaitOutcome(Cut)) == std::nullopt;
+      EXPECT_EQ(Responded, Cut >= Tested.CompleteFrom)
+          << Tested.Description << ", cut at " << Cut;
+    }
+    Outcomes.clear();
+  }
+}
+
+// As above, with a reset: a response without a length is then never complete.
+TEST_F(BackendClientTest, ResponseResetAnywhereIsNoResponse) {
+  for (const WholeResponse &Tested : wholeResponses()) {
+    ScriptedServer Server(Client, cutAtConnectionNumber(Tested.Bytes, true));
+    connectTo(Server.port());
+    for (std::size_t Cut = 0; Cut <= Tested.Bytes.size(); ++Cut) {
+      start(Cut, seconds(30), {Tested.Method, "/x", {}, {}});
+      bool Responded = errorOf(awaitOutcome(Cut)) == std::nullopt;
+      bool MayRespond = Cut >= Tested.CompleteFrom &&
+                        !(Tested.EndsWithConnection && Tested.Method == "GET");
+      EXPECT_TRUE(MayRespond || !Responded)
+          << Tested.Description << ", reset at " << Cut;
+    }
+    Outcomes.clear();
+  }
+}
+
 TEST_F(BackendClientTest, RefusedConnectionIsReportedAsNotSent) {
   std::uint16_t Unused = 0;
   {
