Fix: no response made of the status of one head and the body of another

Operators reported of similar systems: a worker stopped in the middle of the head of its response; clients got a 200 with an empty or short body that was framed as complete. This can: the server stops in the middle of the status line or of a field value, and then sends another response, its error page, on the same connection.

What callers saw: status 200 of the first response, length and body of the second, with the seal if either head had it. HeaderFields::match asks only for the attempt id and a seal, which both heads carry.

Cause: the second status line becomes the rest of the reason phrase or of the field value, where any visible character is allowed; the fields of the second head then follow as if they were those of the first.

Ruled out: a cut in a field name, after CR, or after a line: '/' is no character of a field name and a lone CR is a bad line ending, so the parser refuses these (the test covers every byte of the head).

Evidence: BackendClientTest.HeadContinuedByAnotherResponseIsMalformed before:

head cut at 13: HTTP/1.1 200 HTTP/1.1 500 Internal Server Error errorOf(run(Cut)) Which is: (nullopt), expected BackendError::Malformed

also for cuts at 14, 15, 24, 25 and on.

Fix: a head whose reason phrase or field value holds a status line (version, space, three digits) is malformed, interim heads too. A server that quotes a status line in a field is refused as well: which of two responses such a head belongs to cannot be told, and an unusable response is the safe reading.

Conclusion: BackendExchange passes on no head of two. It cannot tell a body that was cut and filled up to its length with other bytes.

--- a/src/shell/BackendExchange.cpp
+++ b/src/shell/BackendExchange.cpp
@@ -120,6 +120,10 @@
     return;
   }
   const auto &Head = Response->get();
+  if (holdsAnotherHead(Head)) {
+    end(BackendError::Malformed, false);
+    return;
+  }
   bool Interim = Head.result_int() < 200;
   if (Interim && Head.result() != http::status::switching_protocols) {
     skipResponse();
--- a/src/shell/HttpFieldFunctions.cpp
+++ b/src/shell/HttpFieldFunctions.cpp
@@ -59,6 +59,35 @@
   return static_cast<std::size_t>(std::distance(First, Last));
 }
 
+/// Returns whether a text starts with the version and the status code of a
+/// status line.
+static bool startsWithStatusLine(std::string_view Text) {
+  static constexpr std::string_view Pattern = "HTTP/1.# ###";
+  return Text.size() >= Pattern.size() &&
+         std::ranges::equal(Text.substr(0, Pattern.size()), Pattern,
+                            [](char Byte, char Expected) {
+                              bool Digit = Byte >= '0' && Byte <= '9';
+                              return Expected == '#' ? Digit : Byte == Expected;
+                            });
+}
+
+/// Returns whether a text contains the start of a status line.
+static bool containsStatusLine(std::string_view Text) {
+  for (std::size_t At = Text.find("HTTP/1."); At != std::string_view::npos;
+       At = Text.find("HTTP/1.", At + 1))
+    if (startsWithStatusLine(Text.substr(At)))
+      return true;
+  return false;
+}
+
+bool holdsAnotherHead(const http::response_header<> &Head) {
+  if (containsStatusLine(Head.reason()))
+    return true;
+  return std::ranges::any_of(Head, [](const auto &Field) {
+    return containsStatusLine(Field.value());
+  });
+}
+
 bool hasOnlyChunkedCoding(const http::fields &Fields) {
   auto [First, Last] = Fields.equal_range(http::field::transfer_encoding);
   if (First == Last)
--- a/src/shell/HttpFieldFunctions.h
+++ b/src/shell/HttpFieldFunctions.h
@@ -6,6 +6,7 @@
 #include "figsail/HttpMessage.h"
 
 #include <boost/beast/http/fields.hpp>
+#include <boost/beast/http/message.hpp>
 #include <string_view>
 
 namespace figsail {
@@ -25,6 +26,12 @@
 /// "chunked". Other codings cannot be decoded.
 bool hasOnlyChunkedCoding(const boost::beast::http::fields &Fields);
 
+/// Returns whether the reason phrase or a field value contains a status line.
+/// The sender has then stopped in the middle of that line and sent another
+/// response after it: the status is that of the first response, the length and
+/// the body are those of the second.
+bool holdsAnotherHead(const boost::beast::http::response_header<> &Head);
+
 /// Returns whether a comma-separated list contains a token, ignoring case.
 bool listContains(std::string_view List, std::string_view Token);
 
--- a/tests/BackendClientTest.cpp
+++ b/tests/BackendClientTest.cpp
@@ -384,6 +384,31 @@
   }
 }
 
+// A backend server that stops in the middle of a head and then sends another
+// response on the same connection: the status of the first and the length and
+// body of the second must not become one response.
+TEST_F(BackendClientTest, HeadContinuedByAnotherResponseIsMalformed) {
+  const std::string Head =
+      "HTTP/1.1 200 OK\r\nX-Seal: 3e1b\r\nX-A: b\r\n c\r\n"
+      "Content-Type: text/plain\r\nContent-Length: 3\r\n\r\n";
+  const std::string Seconds[] = {
+      "HTTP/1.1 500 Internal Server Error\r\nContent-Length: 3\r\n\r\nbad",
+      "HTTP/1.0 503 \r\n\r\n", "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"};
+  for (const std::string &Second : Seconds) {
+    ScriptedServer Server(Client, [&](RawConnection &Peer, std::size_t Number) {
+      Peer.request();
+      Peer.send(Head.substr(0, Number + 1) + Second);
+      Peer.finishSending();
+      Peer.isClosedByPeer();
+    });
+    connectTo(Server.port());
+    for (std::size_t Cut = 1; Cut < Head.size(); ++Cut)
+      EXPECT_EQ(errorOf(run(Cut)), BackendError::Malformed)
+          << "head cut at " << Cut << ": " << Head.substr(0, Cut) << Second;
+    Outcomes.clear();
+  }
+}
+
 TEST_F(BackendClientTest, RefusedConnectionIsReportedAsNotSent) {
   std::uint16_t Unused = 0;
   {
