Test: a page of the store or the log that is cut is no response

HttpExchange reads what the store, the log service and other daemons' operator interfaces answer. The test sends every prefix of three responses (length, chunks with a trailer, no length) and then ends the connection, in order and with a reset.

--- /dev/null
+++ b/tests/HttpExchangeTest.cpp
@@ -0,0 +1,127 @@
+// HttpExchangeTest.cpp - Tests of the HTTP client of the store, the log service
+// and the operator interface against servers that break off.
+
+#include "HttpExchange.h"
+#include "HttpTestSupport.h"
+
+#include <atomic>
+#include <functional>
+#include <gtest/gtest.h>
+
+using namespace figsail;
+using namespace figsail::test;
+using std::chrono::seconds;
+
+namespace {
+
+/// Runs exchanges on the test's thread. The server runs a script for each
+/// connection in turn, on a second thread.
+class HttpExchangeTest : public testing::Test {
+protected:
+  using Script = std::function<void(RawConnection &, std::size_t)>;
+
+  HttpExchangeTest()
+      : Acceptor(Blocking, {boost::asio::ip::address_v4::loopback(), 0}) {
+    Exchange = std::make_shared<HttpExchange>(
+        Loop, "127.0.0.1:" + std::to_string(Acceptor.local_endpoint().port()));
+  }
+  ~HttpExchangeTest() override {
+    Exchange->close();
+    Loop.restart();
+    Loop.poll();
+    Stopping = true;
+    RawConnection Wake(Acceptor.local_endpoint().port());
+    if (Server.joinable())
+      Server.join();
+  }
+
+  /// Serves that many connections.
+  void serve(std::size_t Connections, Script HandleConnection) {
+    if (Server.joinable())
+      Server.join();
+    Server =
+        std::thread([this, Connections, Handle = std::move(HandleConnection)] {
+          for (std::size_t Number = 0; Number < Connections; ++Number) {
+            RawConnection Peer(Acceptor.accept());
+            if (Stopping)
+              return;
+            try {
+              Handle(Peer, Number);
+            } catch (const boost::system::system_error &) {
+              // The client has closed the connection.
+            }
+          }
+        });
+  }
+
+  ExchangeResult exchange() {
+    HttpExchange::Request Request;
+    Request.method(http::verb::get);
+    Request.target("/x");
+    std::optional<ExchangeResult> Ended;
+    Exchange->start(std::move(Request), seconds(30),
+                    [&](ExchangeResult Result) { Ended = std::move(Result); });
+    while (!Ended) {
+      Loop.restart();
+      Loop.run_one();
+    }
+    return std::move(*Ended);
+  }
+
+  boost::asio::io_context Loop{1};
+  boost::asio::io_context Blocking;
+  tcp::acceptor Acceptor;
+  std::shared_ptr<HttpExchange> Exchange;
+  std::atomic<bool> Stopping = false;
+  std::thread Server;
+};
+
+struct WholeResponse {
+  std::string Bytes;
+  std::size_t CompleteFrom; ///< Complete at this size, and if larger.
+  bool EndsWithConnection;  ///< It has no length: a reset cuts it.
+};
+
+std::vector<WholeResponse> wholeResponses() {
+  const std::string Status = "HTTP/1.1 200 OK\r\nStore-History: 7\r\n";
+  const std::string Close = "Connection: close\r\n";
+  const std::string Length = Status + Close + "Content-Length: 3\r\n\r\nyes";
+  const std::string Chunks = Status + Close +
+                             "Transfer-Encoding: chunked\r\n\r\n"
+                             "2\r\nye\r\n1\r\ns\r\n0\r\nX-T: 1\r\n\r\n";
+  const std::string Head = Status + Close + "\r\n";
+  return {{Length, Length.size(), false},
+          {Chunks, Chunks.size(), false},
+          {Head + "yes", Head.size(), true}};
+}
+
+} // namespace
+
+// A page of the log or of a snapshot that was cut must not count as whole,
+// wherever the server stopped.
+TEST_F(HttpExchangeTest, ResponseCutAnywhereIsNoResponse) {
+  for (const WholeResponse &Tested : wholeResponses()) {
+    for (bool Reset : {false, true}) {
+      serve(Tested.Bytes.size() + 1,
+            [&, Reset](RawConnection &Peer, std::size_t Number) {
+              Peer.request();
+              Peer.send(Tested.Bytes.substr(0, Number));
+              if (Reset) {
+                Peer.reset();
+                return;
+              }
+              Peer.finishSending();
+              Peer.isClosedByPeer();
+            });
+      for (std::size_t Cut = 0; Cut <= Tested.Bytes.size(); ++Cut) {
+        bool Responded = exchange().has_value();
+        bool Complete = Cut >= Tested.CompleteFrom;
+        if (Reset)
+          EXPECT_TRUE(!Responded || (Complete && !Tested.EndsWithConnection))
+              << Tested.Bytes << ", reset at " << Cut;
+        else
+          EXPECT_EQ(Responded, Complete) << Tested.Bytes << ", cut at " << Cut;
+      }
+    }
+  }
+}
