Fix: surplus bytes are no response to the next call to the store or the log

What callers saw: a server that sends bytes after a complete response, for example a second copy of it, had them taken for the response to the next call on that connection: an append counted as done that was not, a read got the page of the read before it.

Cause: HttpExchange kept the connection and the bytes that its buffer held behind the response.

Fix: a connection carries another call only if nothing follows the response, neither in the buffer nor, before the next call, at the socket. A connection that the server has closed in order has nothing to read and still fails the next call, as before.

Conclusion: bytes that arrive after the next call was written can still be taken for its response; without ids in this protocol nothing tells them apart.

--- a/src/shell/HttpExchange.cpp
+++ b/src/shell/HttpExchange.cpp
@@ -35,8 +35,9 @@
   Parser.emplace();
   Parser->body_limit(MaxResponseBytes);
   Timeout = RequestTimeout;
-  if (Stream.socket().is_open())
+  if (isReusable())
     return write();
+  Stream.close();
   Stream.expires_after(std::min<Duration>(ConnectTimeout, Timeout));
   auto Endpoint = parseEndpoint(Address);
   if (!Endpoint) {
@@ -50,6 +51,14 @@
                        });
 }
 
+/// Returns whether the connection is open and has nothing to read. Anything to
+/// read would be a response to no request.
+bool HttpExchange::isReusable() {
+  error_code Error;
+  return Stream.socket().is_open() && Stream.socket().available(Error) == 0 &&
+         !Error;
+}
+
 void HttpExchange::moveTo(std::string NewAddress) {
   Address = std::move(NewAddress);
   Stream.close();
@@ -92,11 +101,15 @@
 void HttpExchange::responseRead(const error_code &Error) {
   if (Error)
     return finish(std::nullopt);
-  bool KeepAlive = Parser->keep_alive();
+  // Bytes after the response belong to no request. They must not be parsed as
+  // the response to the next one.
+  bool Reusable = Parser->keep_alive() && Buffer.size() == 0;
   ExchangeResult Result = Parser->release();
   Stream.expires_never();
-  if (!KeepAlive)
+  if (!Reusable) {
     Stream.close();
+    Buffer.clear();
+  }
   finish(std::move(Result));
 }
 
--- a/src/shell/HttpExchange.h
+++ b/src/shell/HttpExchange.h
@@ -40,6 +40,7 @@
   void close();
 
 private:
+  bool isReusable();
   void connected(const boost::system::error_code &Error);
   void write();
   void requestWritten(const boost::system::error_code &Error);
--- a/tests/HttpExchangeTest.cpp
+++ b/tests/HttpExchangeTest.cpp
@@ -6,6 +6,7 @@
 
 #include <atomic>
 #include <functional>
+#include <future>
 #include <gtest/gtest.h>
 
 using namespace figsail;
@@ -95,6 +96,15 @@
           {Head + "yes", Head.size(), true}};
 }
 
+std::string bodyOf(const ExchangeResult &Result) {
+  return Result ? Result->body() : "no response";
+}
+
+const std::string OkResponse = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+
+const std::string OwnResponse =
+    "HTTP/1.1 503 Busy\r\nContent-Length: 3\r\n\r\nown";
+
 } // namespace
 
 // A page of the log or of a snapshot that was cut must not count as whole,
@@ -125,3 +135,35 @@
     }
   }
 }
+
+// Bytes that follow a response must not become the response to the next
+// request: an append would count as done that is not.
+TEST_F(HttpExchangeTest, SurplusBytesAreNotTheNextResponse) {
+  serve(2, [&](RawConnection &Peer, std::size_t Number) {
+    Peer.request();
+    Peer.send(Number == 0 ? OkResponse + OkResponse : OwnResponse);
+    Peer.request();
+  });
+  EXPECT_EQ(bodyOf(exchange()), "ok");
+  EXPECT_EQ(bodyOf(exchange()), "own");
+}
+
+// As above, with bytes that arrive after the response was handled.
+TEST_F(HttpExchangeTest, LateSurplusBytesAreNotTheNextResponse) {
+  std::promise<void> SendSurplus;
+  std::promise<void> SurplusSent;
+  serve(2, [&](RawConnection &Peer, std::size_t Number) {
+    Peer.request();
+    Peer.send(Number == 0 ? OkResponse : OwnResponse);
+    if (Number == 0) {
+      SendSurplus.get_future().wait();
+      Peer.send(OkResponse);
+      SurplusSent.set_value();
+    }
+    Peer.request();
+  });
+  EXPECT_EQ(bodyOf(exchange()), "ok");
+  SendSurplus.set_value();
+  SurplusSent.get_future().wait();
+  EXPECT_EQ(bodyOf(exchange()), "own");
+}
