Fix: an interim response is not the response to a call to the store or the log

What callers saw: after an interim response (1xx) the call failed with an empty response, and the next call on the connection got the response to this one.

Cause: HttpExchange took the first head that arrived for the response.

Fix: up to 16 interim responses are skipped, within the time limit of the call; more of them, or 101 and no response after it, fail the call.

Conclusion: a call gets its final response or none.

--- a/src/shell/HttpExchange.cpp
+++ b/src/shell/HttpExchange.cpp
@@ -17,6 +17,9 @@
 /// Largest response body. One read of the log returns up to 500 records.
 static constexpr std::size_t MaxResponseBytes = std::size_t(64) * 1024 * 1024;
 
+/// Limit on interim responses before the response to a request.
+static constexpr unsigned MaxInterimResponses = 16;
+
 /// Time limit for opening a connection. Shorter than that of an exchange, which
 /// may be a long poll: a connection attempt into a partition hangs, and the
 /// kernel resends it only after seconds.
@@ -32,9 +35,8 @@
   Outgoing.set(http::field::host, Address);
   Outgoing.prepare_payload();
   Done = std::move(WhenDone);
-  Parser.emplace();
-  Parser->body_limit(MaxResponseBytes);
   Timeout = RequestTimeout;
+  InterimResponses = 0;
   if (isReusable())
     return write();
   Stream.close();
@@ -91,6 +93,12 @@
 void HttpExchange::requestWritten(const error_code &Error) {
   if (Error)
     return finish(std::nullopt);
+  readResponse();
+}
+
+void HttpExchange::readResponse() {
+  Parser.emplace();
+  Parser->body_limit(MaxResponseBytes);
   http::async_read(
       Stream, Buffer, *Parser,
       [Self = shared_from_this()](const error_code &Error, std::size_t) {
@@ -101,6 +109,10 @@
 void HttpExchange::responseRead(const error_code &Error) {
   if (Error)
     return finish(std::nullopt);
+  // The response to the request is not an interim one but the one after it.
+  if (Parser->get().result_int() < 200)
+    return ++InterimResponses > MaxInterimResponses ? finish(std::nullopt)
+                                                    : readResponse();
   // Bytes after the response belong to no request. They must not be parsed as
   // the response to the next one.
   bool Reusable = Parser->keep_alive() && Buffer.size() == 0;
--- a/src/shell/HttpExchange.h
+++ b/src/shell/HttpExchange.h
@@ -44,6 +44,7 @@
   void connected(const boost::system::error_code &Error);
   void write();
   void requestWritten(const boost::system::error_code &Error);
+  void readResponse();
   void responseRead(const boost::system::error_code &Error);
   void finish(ExchangeResult Result);
 
@@ -54,7 +55,8 @@
   std::optional<
       boost::beast::http::response_parser<boost::beast::http::string_body>>
       Parser;
-  Duration Timeout{0}; ///< Excludes the connection attempt.
+  unsigned InterimResponses = 0; ///< Before the response to this request.
+  Duration Timeout{0};           ///< Excludes the connection attempt.
   Callback Done;
 };
 
--- a/tests/HttpExchangeTest.cpp
+++ b/tests/HttpExchangeTest.cpp
@@ -167,3 +167,27 @@
   SurplusSent.get_future().wait();
   EXPECT_EQ(bodyOf(exchange()), "own");
 }
+
+// With an interim response taken for the response, the next request would get
+// the response to this one.
+TEST_F(HttpExchangeTest, InterimResponsesAreSkipped) {
+  serve(1, [&](RawConnection &Peer, std::size_t) {
+    Peer.request();
+    Peer.send("HTTP/1.1 103 Early Hints\r\n\r\n" + OkResponse);
+    Peer.request();
+    Peer.send(OwnResponse);
+    Peer.request();
+  });
+  EXPECT_EQ(bodyOf(exchange()), "ok");
+  EXPECT_EQ(bodyOf(exchange()), "own");
+}
+
+// A server that sends interim responses without end must not hold an exchange.
+TEST_F(HttpExchangeTest, EndlessInterimResponsesFail) {
+  serve(1, [&](RawConnection &Peer, std::size_t) {
+    Peer.request();
+    for (;;)
+      Peer.send("HTTP/1.1 103 Early Hints\r\n\r\n");
+  });
+  EXPECT_EQ(bodyOf(exchange()), "no response");
+}
