Test: cut requests, replies and frames between daemons are never whole

The other places where a message may be cut:

- Frontend: every prefix of four requests (no body, version 1.0, length, chunks with a trailer), then the end of the input or a reset.
None is dispatched; a client that still reads gets 400.
- Frontend: a response that is cut while it is written has a length and ends with its connection; the client's parser reports a partial message.
- Links between daemons: every prefix of a frame behind a whole one.
Only the whole one is delivered, and the link is lost.

Frames within the compressed stream between regions were not cut by this test.

--- a/tests/HttpFrontendTest.cpp
+++ b/tests/HttpFrontendTest.cpp
@@ -287,6 +287,55 @@
   EXPECT_EQ(Loop.on([&] { return Handler.RequestCount; }), 0U);
 }
 
+// A request that was cut must not be dispatched, wherever the client stopped:
+// its path, fields or body may have been longer.
+TEST_F(HttpFrontendTest, RequestCutAnywhereIsNotDispatched) {
+  const std::string Post = "POST /a HTTP/1.1\r\nHost: h\r\n";
+  const std::string Requests[] = {
+      "GET /a?b=1 HTTP/1.1\r\nHost: h\r\nX-A: 1\r\n\r\n",
+      "GET /a HTTP/1.0\r\nConnection: keep-alive\r\n\r\n",
+      Post + "Content-Length: 3\r\n\r\nabc",
+      Post + "Transfer-Encoding: chunked\r\n\r\n"
+             "2\r\nab\r\n1\r\nc\r\n0\r\nX-T: 1\r\n\r\n"};
+  for (const std::string &Request : Requests)
+    for (std::size_t Cut = 0; Cut < Request.size(); ++Cut) {
+      RawConnection Ended(Port);
+      Ended.send(Request.substr(0, Cut));
+      Ended.finishSending();
+      if (Cut > 0) {
+        EXPECT_EQ(Ended.response().result_int(), 400U)
+            << Request.substr(0, Cut);
+      }
+      EXPECT_TRUE(Ended.isClosedByPeer());
+      RawConnection Reset(Port);
+      Reset.send(Request.substr(0, Cut));
+      Reset.reset();
+    }
+  while (Loop.on([&] { return Frontend->busyConnections(); }) > 0)
+    std::this_thread::yield();
+  EXPECT_EQ(Loop.on([&] { return Handler.RequestCount; }), 0U);
+}
+
+// The client must be able to tell that a response was cut: it has a length, and
+// the connection ends.
+TEST_F(HttpFrontendTest, ResponseThatIsCutIsNotFramedAsComplete) {
+  RawConnection Client(Port);
+  Client.send("GET /hold HTTP/1.1\r\nHost: h\r\n\r\n");
+  awaitHeld(1);
+  Loop.on([&] {
+    // More than one write passes to the kernel.
+    HttpResponse Large{200, {}, std::string(8'000'000, 'x')};
+    Frontend->reply(Handler.Held.front().first, std::move(Large));
+    Frontend.reset();
+  });
+  try {
+    Client.response();
+    ADD_FAILURE() << "the response must not be complete";
+  } catch (const boost::system::system_error &Error) {
+    EXPECT_EQ(Error.code(), http::error::partial_message);
+  }
+}
+
 TEST_F(HttpFrontendTest, HopByHopFieldsAreRemoved) {
   RawConnection Client(Port);
   Client.send("GET http://h/a?b HTTP/1.1\r\nHost: h\r\nConnection: X-Hop, "
--- a/tests/PeerTransportTest.cpp
+++ b/tests/PeerTransportTest.cpp
@@ -417,6 +417,24 @@
   EXPECT_EQ(Local.Transport.linkCount(), 0U);
 }
 
+// A frame that was cut must not be delivered, wherever the peer stopped.
+TEST_F(PeerTransportTest, FrameCutAnywhereIsNotDelivered) {
+  Peer Local(Loop, LocalAddress, 11);
+  Local.listen();
+  std::string Frame;
+  appendFrame(Frame, 1, callMessage(1, 10));
+  for (std::size_t Cut = 0; Cut < Frame.size(); ++Cut) {
+    RawPeer Remote(Loop);
+    Remote.connect(LocalAddress);
+    Remote.sendHello(RemoteAddress, 22);
+    Remote.send(Frame + Frame.substr(0, Cut));
+    Remote.close();
+    runUntil([&] { return Local.Lost.size() == Cut + 1; });
+    EXPECT_EQ(Local.Received.size(), Cut + 1) << "cut at " << Cut;
+  }
+  EXPECT_EQ(Local.Transport.linkCount(), 0U);
+}
+
 // Links between regions have little bandwidth, and their traffic is billed by
 // the byte.
 TEST_F(PeerTransportTest, LinksBetweenRegionsAreCompressed) {
