Test: the sidecar gives no success for a response its server cut

With real processes: the backend server answers probes in full, and stops every other response after a number of bytes (11 places from the status line to the body), with and without its error page behind a cut head.

--- a/tests/SidecarProcessTest.cpp
+++ b/tests/SidecarProcessTest.cpp
@@ -498,3 +498,111 @@
   EXPECT_EQ(call().result_int(), 503U);
   EXPECT_EQ(arrivals(), Before);
 }
+
+namespace {
+
+/// A backend server that answers probes in full and stops every other response
+/// after a number of bytes.
+class CuttingServer {
+public:
+  CuttingServer()
+      : Acceptor(Context, *parseEndpoint(loopbackAddress(ServerPort))),
+        Thread([this] { serve(); }) {}
+  ~CuttingServer() {
+    Stopping = true;
+    tcp::socket Wake(Context);
+    Wake.connect(Acceptor.local_endpoint());
+    Thread.join();
+    for (std::thread &Connection : Connections)
+      Connection.join();
+  }
+  CuttingServer(const CuttingServer &) = delete;
+  CuttingServer &operator=(const CuttingServer &) = delete;
+
+  /// The response to a call.
+  static std::string wholeResponse() {
+    return "HTTP/1.1 200 OK\r\nFigsail-Attempt-Id: a1\r\n"
+           "Figsail-Server-Seal: seal\r\nContent-Length: 3\r\n\r\nran";
+  }
+
+  /// Another response, sent behind a part of the first.
+  static std::string errorPage() {
+    return "HTTP/1.1 500 Internal Server Error\r\nFigsail-Attempt-Id: a1\r\n"
+           "Figsail-Server-Seal: seal\r\nContent-Length: 3\r\n\r\nbad";
+  }
+
+  std::atomic<std::size_t> Size = 0; ///< Bytes of a response that are sent.
+  std::atomic<bool> SendsErrorPage = false; ///< After them.
+  std::atomic<std::size_t> Calls = 0;
+
+private:
+  void serve() {
+    for (;;) {
+      tcp::socket Socket = Acceptor.accept();
+      if (Stopping)
+        return;
+      Connections.emplace_back([this, Moved = std::move(Socket)]() mutable {
+        RawConnection Peer(std::move(Moved));
+        try {
+          respond(Peer);
+        } catch (const boost::system::system_error &) {
+          // The sidecar has closed the connection.
+        }
+      });
+    }
+  }
+  void respond(RawConnection &Peer) {
+    while (Peer.request().target() == "/well")
+      Peer.send("HTTP/1.1 200 OK\r\nFigsail-Instance-Id: i-1\r\n"
+                "Content-Length: 0\r\n\r\n");
+    ++Calls;
+    Peer.send(wholeResponse().substr(0, Size));
+    if (SendsErrorPage)
+      Peer.send(errorPage());
+  }
+
+  boost::asio::io_context Context;
+  tcp::acceptor Acceptor;
+  std::atomic<bool> Stopping = false;
+  std::vector<std::thread> Connections;
+  std::thread Thread;
+};
+
+} // namespace
+
+// A backend server that stops in the middle of a response, or sends another one
+// behind a part of the first, must not get the client a success.
+TEST_F(SidecarProcessTest, ResponseCutByTheServerIsNoSuccess) {
+  // The sidecar has inherited the listening socket of the usual server.
+  stop(SIGKILL);
+  Loop.on([&] { Server.reset(); });
+  CuttingServer Cutting;
+  start();
+  const std::string Whole = CuttingServer::wholeResponse();
+  ASSERT_TRUE(becomesTrue([&] { return isReady(); }));
+  ASSERT_EQ(sendHeartbeat(), 200U);
+  for (std::string_view End :
+       {"HTTP/1.1 2", "200 O", "200 OK\r\n", "Attempt-Id: a1\r\n", "seal",
+        "seal\r\n", "Content-Len", "Length: 3", "\r\n\r", "\r\n\r\n", "ra"}) {
+    Cutting.Size = Whole.find(End) + End.size();
+    bool HeadIsWhole = Cutting.Size >= Whole.size() - 3;
+    for (bool Continued : {false, true}) {
+      if (HeadIsWhole && Continued)
+        continue;
+      Cutting.SendsErrorPage = Continued;
+      std::size_t Before = Cutting.Calls;
+      unsigned Status = 0;
+      // The sidecar may set a server aside that has failed.
+      ASSERT_TRUE(becomesTrue([&] {
+        Status = call().result_int();
+        return Cutting.Calls > Before;
+      }));
+      EXPECT_TRUE(Status < 200 || Status >= 300)
+          << "cut after " << End << ", continued: " << Continued << ", status "
+          << Status;
+    }
+  }
+  Cutting.SendsErrorPage = false;
+  Cutting.Size = Whole.size();
+  EXPECT_TRUE(becomesTrue([&] { return call().body() == "ran"; }));
+}
