--- a/tests/PlatformTest.cpp
+++ b/tests/PlatformTest.cpp
@@ -93,6 +93,27 @@
   EXPECT_EQ(match(421, {{"Figsail-Attempt-Id", "ab12"}}), SameRequest);
 }
 
+// Guards against a late second copy of a response that ends a request without
+// an id, such as a health probe, as not run or with the load of an earlier
+// time.
+TEST(PlatformFields, AResponseWithAnIdBelongsToNoRequestWithoutOne) {
+  using enum ResponseMatch;
+  platform::HeaderFields Fields("till");
+  BackendFields::Message Probe;
+  EXPECT_EQ(Fields.match(Probe, {503,
+                                 {{"Figsail-Attempt-Id", "ab12"},
+                                  {"Figsail-Not-Executed", "1"},
+                                  {"Figsail-Server-Load", "8,4,8"}},
+                                 ""}),
+            OtherRequest);
+  EXPECT_EQ(Fields.match(Probe, {421, {{"Figsail-Attempt-Id", "ab12"}}, ""}),
+            OtherRequest);
+  EXPECT_EQ(Fields.match(Probe, {200, {{"Figsail-Server-Load", "3,0,8"}}, ""}),
+            SameRequest);
+  EXPECT_EQ(Fields.match(Probe, {400, {{"Figsail-Not-Executed", "1"}}, ""}),
+            SameRequest);
+}
+
 TEST(PlatformFields, ReadsLoadWithAndWithoutASlowdownFactor) {
   platform::HeaderFields Fields("till");
   auto Load = [&](const char *Text) {
