Fix: a refusal written twice ended the next request on its connection as not run

What callers saw: a backend server wrote an earlier refusal once more on a kept connection, and the next request ended as refused with the route's refusal status (REFUSED) or went to another server (TWICE) while this one ran it. Cause: in figsail's own convention a response names no request, so that one is matched by its position on the connection. The check for bytes to read before the next request misses a copy that arrives later. figsail-sidecar had the same for requests without an id. Designs weighed: - a new connection for every request: sound for every response, but a connection for each run; - reuse only after a named quiet time: a later copy is still believed; - a refusal is final on a new connection only, else the outcome is unknown: true refusals on kept connections could not be retried any more; - no reuse of a connection after a response that may be a refusal (taken): the copy arrives on the connection of its original, which carries no further request. Costs a connection for each such response, on the host itself. Evidence: BackendClientTest.ARepeatedRefusalEndsNoOtherRequest fails with mayReuseAfter always true: "bodyOrError(run(2)) Which is: "no", "ok", 503", for each status. BackendClientTest and PlatformTest pass after. ARepeatedRefusalWithAnIdIsSkipped shows that requests with ids were safe: the copy arrives before the request was read, split, or before the answer, and is skipped on the kept connection (not run on the earlier code). Not covered: a second copy of a success without ids is still read as the response to the next request; it claims a run, never a refusal.

--- a/src/shell/BackendExchange.cpp
+++ b/src/shell/BackendExchange.cpp
@@ -25,6 +25,9 @@
 // response to this one.
 static constexpr unsigned MaxSkippedResponses = 16;
 
+// Refusals have a status from this one.
+static constexpr unsigned FirstErrorStatus = 400;
+
 static constexpr std::string_view DeadlineField = "Figsail-Deadline-Ms";
 
 BackendExchange::Message backendMessage(HttpRequest Request,
@@ -57,6 +60,11 @@
   return ResponseMatch::SameRequest;
 }
 
+bool BackendFields::mayReuseAfter(const Message &,
+                                  const HttpResponse &Response) const {
+  return Response.Status < FirstErrorStatus;
+}
+
 BackendExchange::BackendExchange(std::shared_ptr<asio::ip::tcp::socket> Socket,
                                  std::shared_ptr<const Message> Request,
                                  std::size_t MaxResponseBody,
@@ -211,8 +219,8 @@
   }
   // Bytes after the response belong to no request. They must not be parsed as
   // the response to the next one.
-  bool Reusable =
-      RequestWritten && Response->keep_alive() && Buffer.size() == 0;
+  bool Reusable = RequestWritten && Response->keep_alive() &&
+                  Buffer.size() == 0 && Fields.mayReuseAfter(*Request, Whole);
   end(std::move(Whole), Reusable);
 }
 
--- a/src/shell/BackendFields.h
+++ b/src/shell/BackendFields.h
@@ -31,6 +31,13 @@
   /// Checks whether a complete response belongs to a request.
   virtual ResponseMatch match(const Message &Request,
                               const HttpResponse &Response) const;
+  /// Returns whether the connection of a response may carry another request.
+  /// It may not if a second copy of the response, should the server write one,
+  /// would be read as the statement that the next request did not run. In
+  /// figsail's own convention any status from 400 may be a refusal, and a
+  /// response names no request.
+  virtual bool mayReuseAfter(const Message &Request,
+                             const HttpResponse &Response) const;
 };
 
 } // namespace figsail
--- a/tests/BackendClientTest.cpp
+++ b/tests/BackendClientTest.cpp
@@ -1,6 +1,7 @@
 // BackendClientTest.cpp - Tests of the backend client against scripted servers.
 
 #include "BackendClient.h"
+#include "HeaderFields.h"
 #include "HttpTestSupport.h"
 
 #include <functional>
@@ -497,6 +498,75 @@
   EXPECT_EQ(Server.accepted(), 3U);
 }
 
+/// Refuses the first request of the first connection, and writes the refusal
+/// once more after the next request on it has arrived. Answers all others.
+ScriptedServer::Script repeatRefusal(const std::string &Refusal) {
+  return [=](RawConnection &Peer, std::size_t Number) {
+    Peer.request();
+    if (Number == 0) {
+      Peer.send(Refusal);
+      Peer.request();
+      Peer.send(Refusal);
+    }
+    Peer.send(OkResponse);
+    Peer.isClosedByPeer();
+  };
+}
+
+// Guards against a second copy of a refusal that ends the next request on its
+// connection as not run while it runs. Without ids, only the connection tells
+// which request a refusal belongs to.
+TEST_F(BackendClientTest, ARepeatedRefusalEndsNoOtherRequest) {
+  for (const char *Status : {"400", "421", "429", "503", "599"}) {
+    Outcomes.clear();
+    ScriptedServer Server(Client,
+                          repeatRefusal("HTTP/1.1 " + std::string(Status) +
+                                        " No\r\nContent-Length: 2\r\n\r\nno"));
+    connectTo(Server.port());
+    EXPECT_EQ(bodyOrError(run(1)), "no");
+    EXPECT_EQ(bodyOrError(run(2)), "ok") << Status;
+    EXPECT_EQ(Server.accepted(), 2U) << Status;
+  }
+}
+
+HttpRequest requestWithAttemptId(const std::string &Id, std::string Body) {
+  return {"POST", "/x", {{"Figsail-Attempt-Id", Id}}, std::move(Body)};
+}
+
+// Guards against a refusal of an earlier request that ends a later one as not
+// run: the copy arrives before the request has been read, in two parts, or
+// complete before the response.
+TEST_F(BackendClientTest, ARepeatedRefusalWithAnIdIsSkipped) {
+  const std::string Refusal = "HTTP/1.1 503 No\r\nContent-Length: 2\r\n"
+                              "Figsail-Attempt-Id: first\r\n"
+                              "Figsail-Not-Executed: 1\r\n\r\nno";
+  const std::string Own = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n"
+                          "Figsail-Attempt-Id: second\r\n"
+                          "Figsail-Server-Seal: s\r\n\r\nok";
+  for (std::size_t Early : {Refusal.size(), Refusal.size() / 2, 0UL}) {
+    Outcomes.clear();
+    ScriptedServer Server(Client, [&](RawConnection &Peer, std::size_t) {
+      Peer.request();
+      Peer.send(Refusal);
+      EXPECT_FALSE(Peer.isClosedByPeer()) << "reads one byte";
+      Peer.send(Refusal.substr(0, Early));
+      Peer.request();
+      Peer.send(Refusal.substr(Early));
+      Peer.send(Own);
+      Peer.isClosedByPeer();
+    });
+    BackendSettings Settings;
+    Settings.Fields = std::make_shared<platform::HeaderFields>("till");
+    connectTo(Server.port(), Settings);
+    start(1, seconds(30), requestWithAttemptId("first", ""));
+    EXPECT_EQ(bodyOrError(awaitOutcome(1)), "no");
+    const std::string LongBody(std::size_t{900} * 1024, 'x');
+    start(2, seconds(30), requestWithAttemptId("second", LongBody));
+    EXPECT_EQ(bodyOrError(awaitOutcome(2)), "ok") << Early;
+    EXPECT_EQ(Server.accepted(), 1U);
+  }
+}
+
 /// A convention by which requests and responses carry an id in the field X-Id.
 class IdMatchingFields : public BackendFields {
 public:
--- a/tests/PlatformTest.cpp
+++ b/tests/PlatformTest.cpp
@@ -114,6 +114,22 @@
             SameRequest);
 }
 
+// Guards against a second copy of a refusal without an id that ends a later
+// request without an id. The connection of any other response stays in use.
+TEST(PlatformFields, OnlyARefusalWithoutAnIdEndsItsConnection) {
+  platform::HeaderFields Fields("till");
+  BackendFields::Message Named;
+  Named.set("Figsail-Attempt-Id", "ab12");
+  HttpResponse Refusal{503, {{"Figsail-Not-Executed", "1"}}, ""};
+  HttpResponse Misdirected{421, {}, ""};
+  HttpResponse Unhealthy{503, {}, ""};
+  EXPECT_FALSE(Fields.mayReuseAfter({}, Refusal));
+  EXPECT_FALSE(Fields.mayReuseAfter({}, Misdirected));
+  EXPECT_TRUE(Fields.mayReuseAfter({}, Unhealthy));
+  EXPECT_TRUE(Fields.mayReuseAfter(Named, Refusal));
+  EXPECT_TRUE(Fields.mayReuseAfter(Named, Misdirected));
+}
+
 TEST(PlatformFields, ReadsLoadWithAndWithoutASlowdownFactor) {
   platform::HeaderFields Fields("till");
   auto Load = [&](const char *Text) {
