Fix: a second response of the store or log was read as the next response

What callers saw: a store or log service that wrote a response twice answered the next call with the earlier response: a read got records of an earlier page under the wrong offsets, an append counted as done. Ruled out: OperatorClient (one connection for each call), and BackendClient, which had both checks. Fix: bytes after a response, and bytes to read before the next request, end the connection, and with it goes its buffer. The check is the one of BackendClient, which moves to SocketOptions.h as hasNothingToRead(). Evidence: LogClientTest.ASecondResponseIsNotThatOfTheNextRead and ALateSecondResponseIsNotThatOfTheNextRead fail before, both with "read(0).Next Which is: 1, 2". LogClientTest, PlatformTest, StoreHistoryTest, OperatorServerTest and BackendClientTest pass after. Not covered: a copy that arrives after the next request was written; neither service names the request in its response.

--- a/src/shell/BackendClient.cpp
+++ b/src/shell/BackendClient.cpp
@@ -9,7 +9,6 @@
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <deque>
-#include <sys/socket.h>
 #include <unordered_map>
 #include <unordered_set>
 
@@ -45,15 +44,6 @@
   Clock::time_point IdleSince;
 };
 
-/// Returns whether an idle connection is open and has nothing to read. Anything
-/// to read would be the end of the stream or a response to no request.
-bool isReusable(tcp::socket &Socket) {
-  char Byte = 0;
-  ssize_t Count =
-      ::recv(Socket.native_handle(), &Byte, 1, MSG_PEEK | MSG_DONTWAIT);
-  return Count < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
-}
-
 } // namespace
 
 struct BackendClient::State : std::enable_shared_from_this<State> {
@@ -93,7 +83,7 @@
       beast::error_code Ignored;
       Socket->cancel(Ignored);
       if (Clock::now() - IdleSince > Settings.MaxIdleTime ||
-          !isReusable(*Socket)) {
+          !hasNothingToRead(*Socket)) {
         closeConnection(Socket);
         continue;
       }
@@ -176,7 +166,7 @@
   void idleReadable(const SocketPtr &Socket) {
     auto Found =
         std::ranges::find(IdleConnections, Socket, &IdleConnection::Socket);
-    if (Found == IdleConnections.end() || isReusable(*Socket))
+    if (Found == IdleConnections.end() || hasNothingToRead(*Socket))
       return;
     IdleConnections.erase(Found);
     closeConnection(Socket);
--- a/src/shell/HttpExchange.cpp
+++ b/src/shell/HttpExchange.cpp
@@ -37,9 +37,9 @@
   Done = std::move(WhenDone);
   Timeout = RequestTimeout;
   InterimResponses = 0;
-  if (isReusable())
+  if (Stream.socket().is_open() && hasNothingToRead(Stream.socket()))
     return write();
-  Stream.close();
+  closeConnection();
   Stream.expires_after(std::min<Duration>(ConnectTimeout, Timeout));
   auto Endpoint = parseEndpoint(Address);
   if (!Endpoint) {
@@ -53,21 +53,19 @@
                        });
 }
 
-/// Returns whether the connection is open and has nothing to read. Anything to
-/// read would be a response to no request.
-bool HttpExchange::isReusable() {
-  error_code Error;
-  return Stream.socket().is_open() && Stream.socket().available(Error) == 0 &&
-         !Error;
-}
-
 void HttpExchange::moveTo(std::string NewAddress) {
   Address = std::move(NewAddress);
-  Stream.close();
+  closeConnection();
 }
 
 void HttpExchange::close() {
   Done = nullptr;
+  closeConnection();
+}
+
+/// Closes the connection and drops what was read from it, which would otherwise
+/// be parsed as the next response.
+void HttpExchange::closeConnection() {
   Stream.close();
   Buffer.clear();
 }
@@ -118,18 +116,14 @@
   bool Reusable = Parser->keep_alive() && Buffer.size() == 0;
   ExchangeResult Result = Parser->release();
   Stream.expires_never();
-  if (!Reusable) {
-    Stream.close();
-    Buffer.clear();
-  }
+  if (!Reusable)
+    closeConnection();
   finish(std::move(Result));
 }
 
 void HttpExchange::finish(ExchangeResult Result) {
-  if (!Result) {
-    Stream.close();
-    Buffer.clear();
-  }
+  if (!Result)
+    closeConnection();
   if (Callback Handler = std::exchange(Done, nullptr))
     Handler(std::move(Result));
 }
--- a/src/shell/HttpExchange.h
+++ b/src/shell/HttpExchange.h
@@ -40,13 +40,13 @@
   void close();
 
 private:
-  bool isReusable();
   void connected(const boost::system::error_code &Error);
   void write();
   void requestWritten(const boost::system::error_code &Error);
   void readResponse();
   void responseRead(const boost::system::error_code &Error);
   void finish(ExchangeResult Result);
+  void closeConnection();
 
   std::string Address;
   boost::beast::tcp_stream Stream;
--- a/src/shell/SocketOptions.cpp
+++ b/src/shell/SocketOptions.cpp
@@ -3,7 +3,9 @@
 
 #include "SocketOptions.h"
 
+#include <cerrno>
 #include <netinet/tcp.h>
+#include <sys/socket.h>
 
 namespace figsail {
 
@@ -43,4 +45,11 @@
   Socket.set_option(TcpOption<TCP_KEEPCNT>(KeepAliveProbes), Ignored);
 }
 
+bool hasNothingToRead(boost::asio::ip::tcp::socket &Socket) {
+  char Byte = 0;
+  ssize_t Count =
+      ::recv(Socket.native_handle(), &Byte, 1, MSG_PEEK | MSG_DONTWAIT);
+  return Count < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+}
+
 } // namespace figsail
--- a/src/shell/SocketOptions.h
+++ b/src/shell/SocketOptions.h
@@ -1,4 +1,5 @@
-// SocketOptions.h - TCP options that detect dead connections and bound queues.
+// SocketOptions.h - TCP options that bound queues, and checks that detect
+// unusable connections.
 
 #ifndef FIGSAIL_SOCKETOPTIONS_H
 #define FIGSAIL_SOCKETOPTIONS_H
@@ -22,6 +23,10 @@
 /// connection is idle, and breaks it after two unanswered probes.
 void setKeepAlive(boost::asio::ip::tcp::socket &Socket);
 
+/// Returns whether an idle client connection is open and has nothing to read.
+/// Anything to read would be the end of the stream or a response to no request.
+bool hasNothingToRead(boost::asio::ip::tcp::socket &Socket);
+
 } // namespace figsail
 
 #endif // FIGSAIL_SOCKETOPTIONS_H
--- a/tests/LogClientTest.cpp
+++ b/tests/LogClientTest.cpp
@@ -4,10 +4,12 @@
 #include "LogClient.h"
 #include "../standins/LogStandin.h"
 #include "Endpoint.h"
+#include "HttpTestSupport.h"
 
 #include <gtest/gtest.h>
 
 using namespace figsail;
+using figsail::test::RawConnection;
 namespace asio = boost::asio;
 
 namespace {
@@ -194,3 +196,93 @@
   }
   EXPECT_TRUE(Reads.empty());
 }
+
+/// Log service that handles connections one after the other on its own thread.
+class ScriptedLogService {
+public:
+  using Script = std::function<void(RawConnection &, std::size_t)>;
+
+  explicit ScriptedLogService(Script HandleConnection)
+      : Acceptor(Context, {asio::ip::address_v4::loopback(), 0}),
+        Thread(
+            [this, Handle = std::move(HandleConnection)] { serve(Handle); }) {}
+  ~ScriptedLogService() {
+    Stopping = true;
+    RawConnection Wake(Acceptor.local_endpoint().port());
+    Thread.join();
+  }
+  ScriptedLogService(const ScriptedLogService &) = delete;
+  ScriptedLogService &operator=(const ScriptedLogService &) = delete;
+
+  std::string address() const {
+    return formatEndpoint(Acceptor.local_endpoint());
+  }
+
+private:
+  void serve(const Script &HandleConnection) {
+    for (std::size_t Number = 0;; ++Number) {
+      RawConnection Peer(Acceptor.accept());
+      if (Stopping)
+        return;
+      try {
+        HandleConnection(Peer, Number);
+      } catch (const boost::system::system_error &) {
+        // The client has closed the connection.
+      }
+    }
+  }
+
+  asio::io_context Context;
+  asio::ip::tcp::acceptor Acceptor;
+  std::atomic<bool> Stopping = false;
+  std::thread Thread;
+};
+
+static std::string readResponse(const std::string &Next) {
+  std::string Body = R"({"earliest":0,"next":)" + Next + R"(,"records":[]})";
+  return "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(Body.size()) +
+         "\r\n\r\n" + Body;
+}
+
+// Guards against a second copy of a response that is taken as the response to
+// the next read. It arrives with the first copy.
+TEST_F(LogClientTest, ASecondResponseIsNotThatOfTheNextRead) {
+  ScriptedLogService Faulty([](RawConnection &Peer, std::size_t Number) {
+    Peer.request();
+    if (Number == 0)
+      Peer.send(readResponse("1") + readResponse("1"));
+    else
+      Peer.send(readResponse("2"));
+    Peer.isClosedByPeer();
+  });
+  Client = std::make_unique<LogClient>(Loop, *this, Faulty.address(),
+                                       RequestTimeout);
+  EXPECT_EQ(read(0).Next, 1);
+  EXPECT_EQ(read(0).Next, 2);
+  Client.reset();
+  Loop.poll();
+}
+
+// The same for a copy that arrives later, while no read is in progress.
+TEST_F(LogClientTest, ALateSecondResponseIsNotThatOfTheNextRead) {
+  std::promise<void> SendCopy;
+  std::promise<void> CopySent;
+  ScriptedLogService Faulty([&](RawConnection &Peer, std::size_t Number) {
+    Peer.request();
+    Peer.send(readResponse(Number == 0 ? "1" : "2"));
+    if (Number == 0) {
+      SendCopy.get_future().wait();
+      Peer.send(readResponse("1"));
+      CopySent.set_value();
+    }
+    Peer.isClosedByPeer();
+  });
+  Client = std::make_unique<LogClient>(Loop, *this, Faulty.address(),
+                                       RequestTimeout);
+  EXPECT_EQ(read(0).Next, 1);
+  SendCopy.set_value();
+  CopySent.get_future().wait();
+  EXPECT_EQ(read(0).Next, 2);
+  Client.reset();
+  Loop.poll();
+}
