Feature: responses of the own server that belong to no request are counted and logged

A server that repeats responses could not be told from others: skipped responses and bytes after a response left no trace. BackendClient reports each with a reason: other-request (skipped), unusable, surplus (bytes after a response, or on an idle connection). figsail-sidecar writes server-response-rejected with instance and reason, within the budget of warnings; both daemons count responses_rejected. figsaild can see surplus only. Test: BackendClientTest.EveryForeignResponseIsReportedWithAReason (new interface; no run on the code before).

--- a/include/figsail/Events.h
+++ b/include/figsail/Events.h
@@ -204,6 +204,7 @@
   WrongRegion,
   StaleMessages,
   StoreHistories,
+  ResponsesRejected,
 };
 
 /// Increment a counter.
@@ -279,7 +280,7 @@
 std::string_view counterName(Counter Which);
 
 inline constexpr std::size_t CounterCount =
-    static_cast<std::size_t>(Counter::StoreHistories) + 1;
+    static_cast<std::size_t>(Counter::ResponsesRejected) + 1;
 
 } // namespace figsail
 
--- a/src/core/Names.cpp
+++ b/src/core/Names.cpp
@@ -50,7 +50,7 @@
     "claims",         "claims_replayed", "fences",
     "probes",         "heartbeats",      "records_forwarded",
     "suspects",       "quarantined",     "wrong_region",
-    "stale_messages", "store_histories"};
+    "stale_messages", "store_histories", "responses_rejected"};
 
 std::string_view counterName(Counter Which) {
   return CounterNames[static_cast<std::size_t>(Which)];
--- a/src/shell/BackendClient.cpp
+++ b/src/shell/BackendClient.cpp
@@ -84,7 +84,7 @@
       Socket->cancel(Ignored);
       if (Clock::now() - IdleSince > Settings.MaxIdleTime ||
           !hasNothingToRead(*Socket)) {
-        closeConnection(Socket);
+        discardIdle(Socket);
         continue;
       }
       Pending->ReusesConnection = true;
@@ -126,6 +126,9 @@
     Pending->Exchange = std::make_shared<BackendExchange>(
         std::move(Socket), Pending->Message, Settings.MaxResponseBody,
         *Settings.Fields, Memory,
+        [Self = shared_from_this()](RejectionReason Reason) {
+          Self->reject(Reason);
+        },
         [Self = shared_from_this(),
          Weak = std::weak_ptr<PendingRequest>(Pending)](
             BackendExchange::Result Outcome, bool Reusable) {
@@ -154,6 +157,20 @@
     end(Pending, std::move(Outcome));
   }
 
+  void reject(RejectionReason Reason) {
+    if (!IsShutDown)
+      Handler.responseRejected(Reason);
+  }
+
+  /// Closes an idle connection, because the server has closed it or written
+  /// something without a request.
+  void discardIdle(const SocketPtr &Socket) {
+    beast::error_code Ignored;
+    if (Socket->available(Ignored) > 0)
+      reject(RejectionReason::Surplus);
+    closeConnection(Socket);
+  }
+
   /// Keeps a connection for reuse, and closes it when the backend server does.
   void keepIdle(const SocketPtr &Socket) {
     IdleConnections.push_back({Socket, Clock::now()});
@@ -169,7 +186,7 @@
     if (Found == IdleConnections.end() || hasNothingToRead(*Socket))
       return;
     IdleConnections.erase(Found);
-    closeConnection(Socket);
+    discardIdle(Socket);
   }
 
   void closeConnection(const SocketPtr &Socket) {
--- a/src/shell/BackendClient.h
+++ b/src/shell/BackendClient.h
@@ -19,6 +19,8 @@
   virtual ~BackendHandler() = default;
   virtual void backendDone(BackendDone Done) = 0;
   virtual void probeDone(ProbeDone Done) = 0;
+  /// The server wrote something that is not the response to a request.
+  virtual void responseRejected(RejectionReason Reason) = 0;
 };
 
 /// Settings of the connections to the backend server.
--- a/src/shell/BackendExchange.cpp
+++ b/src/shell/BackendExchange.cpp
@@ -55,6 +55,18 @@
   Request.set(DeadlineField, std::to_string(Rounded));
 }
 
+std::string_view rejectionName(RejectionReason Reason) {
+  switch (Reason) {
+  case RejectionReason::OtherRequest:
+    return "other-request";
+  case RejectionReason::Unusable:
+    return "unusable";
+  case RejectionReason::Surplus:
+    return "surplus";
+  }
+  return "unknown";
+}
+
 ResponseMatch BackendFields::match(const Message &,
                                    const HttpResponse &) const {
   return ResponseMatch::SameRequest;
@@ -70,10 +82,11 @@
                                  std::size_t MaxResponseBody,
                                  const BackendFields &Fields,
                                  std::shared_ptr<ResponseMemoryBudget> Memory,
-                                 EndHandler OnEnd)
+                                 RejectionHandler OnRejection, EndHandler OnEnd)
     : Socket(std::move(Socket)), Request(std::move(Request)),
       MaxResponseBody(MaxResponseBody), Fields(Fields),
-      Memory(std::move(Memory)), OnEnd(std::move(OnEnd)), Buffer(MaxUnparsed) {}
+      Memory(std::move(Memory)), OnRejection(std::move(OnRejection)),
+      OnEnd(std::move(OnEnd)), Buffer(MaxUnparsed) {}
 
 BackendExchange::~BackendExchange() { Memory->release(ReservedBytes); }
 
@@ -211,12 +224,16 @@
   case ResponseMatch::SameRequest:
     break;
   case ResponseMatch::OtherRequest:
+    OnRejection(RejectionReason::OtherRequest);
     skipResponse();
     return;
   case ResponseMatch::Unusable:
+    OnRejection(RejectionReason::Unusable);
     end(BackendError::Malformed, false);
     return;
   }
+  if (Buffer.size() > 0)
+    OnRejection(RejectionReason::Surplus);
   // Bytes after the response belong to no request. They must not be parsed as
   // the response to the next one.
   bool Reusable = RequestWritten && Response->keep_alive() &&
--- a/src/shell/BackendExchange.h
+++ b/src/shell/BackendExchange.h
@@ -45,6 +45,9 @@
   using Result = std::variant<HttpResponse, BackendError>;
   /// Reusable is true if the connection may carry another request.
   using EndHandler = std::function<void(Result Outcome, bool Reusable)>;
+  /// Called for each response that is skipped or unusable, and for bytes after
+  /// the response.
+  using RejectionHandler = std::function<void(RejectionReason Reason)>;
   using Message = BackendFields::Message;
 
   /// The request must not change until the outcome is reported or abandon() is
@@ -53,7 +56,7 @@
                   std::shared_ptr<const Message> Request,
                   std::size_t MaxResponseBody, const BackendFields &Fields,
                   std::shared_ptr<ResponseMemoryBudget> Memory,
-                  EndHandler OnEnd);
+                  RejectionHandler OnRejection, EndHandler OnEnd);
   ~BackendExchange();
 
   /// Starts to write the request and to read the response.
@@ -84,7 +87,8 @@
   std::shared_ptr<ResponseMemoryBudget> Memory;
   std::size_t ReservedBytes = 0; ///< Bytes reserved in Memory.
   unsigned SkippedResponses = 0; ///< Interim, or to other requests.
-  EndHandler OnEnd;              ///< Null once reported or abandoned.
+  RejectionHandler OnRejection;
+  EndHandler OnEnd; ///< Null once reported or abandoned.
   boost::beast::flat_buffer Buffer;
   std::optional<Parser> Response;
   HeaderList Headers; ///< Fields of the response head, without trailer fields.
--- a/src/shell/BackendFields.h
+++ b/src/shell/BackendFields.h
@@ -19,6 +19,16 @@
   Unusable,     ///< It is invalid and must not be forwarded.
 };
 
+/// Why what a backend server wrote is not the response to a request.
+enum class RejectionReason : std::uint8_t {
+  OtherRequest, ///< It names another request.
+  Unusable,     ///< ResponseMatch::Unusable.
+  Surplus,      ///< It follows a response, before the next request.
+};
+
+/// Returns the name of a reason, for the log.
+std::string_view rejectionName(RejectionReason Reason);
+
 /// Convention for the header fields of requests to a backend server and of its
 /// responses. The base class implements figsail's own convention.
 class BackendFields {
--- a/src/shell/Daemon.cpp
+++ b/src/shell/Daemon.cpp
@@ -121,6 +121,10 @@
 
 void Daemon::probeDone(ProbeDone Done) { submit(Done); }
 
+void Daemon::responseRejected(RejectionReason) {
+  ProcessMetrics.count(Counter::ResponsesRejected, 1);
+}
+
 HeadDecision Daemon::checkHead(std::string_view Method,
                                std::string_view Target) {
   return Reducer.checkHead(Method, Target);
--- a/src/shell/Daemon.h
+++ b/src/shell/Daemon.h
@@ -45,6 +45,7 @@
   // Input.
   void backendDone(BackendDone Done) override;
   void probeDone(ProbeDone Done) override;
+  void responseRejected(RejectionReason Reason) override;
   HeadDecision checkHead(std::string_view Method,
                          std::string_view Target) override;
   void requestReceived(CallerId Caller, HttpRequest Request) override;
--- a/src/shell/SidecarDaemon.cpp
+++ b/src/shell/SidecarDaemon.cpp
@@ -162,6 +162,14 @@
   submit(Platform.Fields->readProbe(Done));
 }
 
+void SidecarDaemon::responseRejected(RejectionReason Reason) {
+  ProcessMetrics.count(Counter::ResponsesRejected, 1);
+  Decision Line{LogLevel::Warning, "server-response-rejected", {}};
+  Line.Fields = {{"instance", Reducer.server().instance()},
+                 {"reason", std::string(rejectionName(Reason))}};
+  perform(Line);
+}
+
 /// Accepts every method and target. The route also depends on the Host field,
 /// so it is chosen when the request is complete.
 HeadDecision SidecarDaemon::checkHead(std::string_view, std::string_view) {
--- a/standins/LoadStandin.h
+++ b/standins/LoadStandin.h
@@ -53,6 +53,7 @@
 
   void backendDone(BackendDone Done) override;
   void probeDone(ProbeDone /*Done*/) override {}
+  void responseRejected(RejectionReason /*Reason*/) override {}
 
 private:
   using Clock = std::chrono::steady_clock;
--- a/tests/BackendClientTest.cpp
+++ b/tests/BackendClientTest.cpp
@@ -131,11 +131,15 @@
     Outcomes.emplace(Done.Run, std::move(Done.Result));
   }
   void probeDone(ProbeDone Done) override { Probe = Done; }
+  void responseRejected(RejectionReason Reason) override {
+    Rejections.push_back(Reason);
+  }
 
   boost::asio::io_context Context{1};
   std::optional<BackendClient> Client;
   std::multimap<RunId, Result> Outcomes;
   std::optional<ProbeDone> Probe;
+  std::vector<RejectionReason> Rejections;
 };
 
 std::string bodyOrError(const std::variant<HttpResponse, BackendError> &End) {
@@ -601,6 +605,38 @@
   EXPECT_EQ(bodyOrError(awaitOutcome(1)), "own");
 }
 
+// Guards against a faulty server that only its clients can tell from others.
+TEST_F(BackendClientTest, EveryForeignResponseIsReportedWithAReason) {
+  using enum RejectionReason;
+  std::promise<void> StraySent;
+  ScriptedServer Server(Client, [&](RawConnection &Peer, std::size_t Number) {
+    Peer.request();
+    if (Number == 0)
+      Peer.send(responseWithId("6", "foreign") + responseWithId("7", "own") +
+                OkResponse);
+    if (Number == 1) {
+      Peer.send(responseWithId("7", "own"));
+      Peer.send(OkResponse);
+      StraySent.set_value();
+    }
+    if (Number == 2)
+      Peer.send(OkResponse);
+    Peer.isClosedByPeer();
+  });
+  BackendSettings Settings;
+  Settings.Fields = std::make_shared<IdMatchingFields>();
+  connectTo(Server.port(), Settings);
+  for (RunId Run = 1; Run <= 3; ++Run) {
+    start(Run, seconds(30), {"GET", "/x", {{"X-Id", "7"}}, {}});
+    awaitOutcome(Run);
+    if (Run == 2)
+      StraySent.get_future().wait();
+  }
+  EXPECT_EQ(Rejections,
+            (std::vector{OtherRequest, Surplus, Surplus, Unusable}));
+  EXPECT_EQ(errorOf(Outcomes.find(3)->second), BackendError::Malformed);
+}
+
 TEST_F(BackendClientTest, ResponseWithoutIdIsMalformed) {
   ScriptedServer Server(Client, answerOnce(OkResponse));
   BackendSettings Settings;
