Feature: the backend stand-in writes a refusal once more on its connection

POST /_control?repeat_refusal=MS: each refusal is written a second time on its connection after this time, in front of the response that is due then. The frontend gives out a writer for bytes outside any response (HttpFrontend::rawWriter). Test: BackendStandinTest.ARefusalIsWrittenOnceMoreOnItsConnection passes (the mode is new); BackendStandinTest and HttpFrontendTest pass.

--- a/src/shell/FrontendConnection.cpp
+++ b/src/shell/FrontendConnection.cpp
@@ -312,6 +312,13 @@
   return Message;
 }
 
+void FrontendConnection::writeRaw(std::string_view Bytes) {
+  if (CurrentPhase == Phase::Writing || CurrentPhase == Phase::Closed)
+    return;
+  beast::error_code Ignored;
+  Socket.write_some(asio::buffer(Bytes.data(), Bytes.size()), Ignored);
+}
+
 void FrontendConnection::write(HttpResponse Response) {
   if (Response.Status < 200 || Response.Status > 999)
     Response = errorResponse(ErrorKind::Internal);
--- a/src/shell/HttpFrontend.cpp
+++ b/src/shell/HttpFrontend.cpp
@@ -177,6 +177,18 @@
   Connection->reply(std::move(Response));
 }
 
+std::function<void(std::string_view)>
+HttpFrontend::rawWriter(CallerId Caller) const {
+  std::weak_ptr<FrontendConnection> Weak;
+  if (auto Found = Impl->PendingRequests.find(Caller);
+      Found != Impl->PendingRequests.end())
+    Weak = Found->second;
+  return [Weak](std::string_view Bytes) {
+    if (auto Connection = Weak.lock())
+      Connection->writeRaw(Bytes);
+  };
+}
+
 void HttpFrontend::configure(const FrontendSettings &Settings) {
   Impl->Settings = Settings;
 }
--- a/src/shell/HttpFrontend.h
+++ b/src/shell/HttpFrontend.h
@@ -7,6 +7,7 @@
 #include "figsail/Node.h"
 
 #include <boost/asio/io_context.hpp>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
@@ -60,6 +61,11 @@
   /// the response has "Connection: close". Ignored if the id is unknown or the
   /// client has disconnected.
   void reply(CallerId Caller, HttpResponse Response);
+  /// Returns a function that writes bytes outside any response on the
+  /// connection of a request that waits for its reply, also after that reply.
+  /// For simulators of faulty servers. The function does nothing on a closed
+  /// connection or while a response is being written.
+  std::function<void(std::string_view Bytes)> rawWriter(CallerId Caller) const;
   /// Changes the settings for later connections and requests.
   void configure(const FrontendSettings &Settings);
   /// Stops accepting connections. Each open connection closes after its current
--- a/standins/BackendStandin.cpp
+++ b/standins/BackendStandin.cpp
@@ -240,9 +240,29 @@
 void BackendStandin::replyNotRun(CallerId Caller, const char *Reason) {
   HttpResponse Response = textResponse(503, std::string(Reason) + "\n");
   Response.Headers.emplace_back("Backend-Not-Run", "1");
+  if (RepeatRefusalAfter)
+    repeatLater(Caller, Response);
   replyNaming(Caller, std::move(Response));
 }
 
+/// Plays a server that writes a refusal twice on one connection.
+void BackendStandin::repeatLater(CallerId Caller, const HttpResponse &Refusal) {
+  std::string Copy =
+      "HTTP/1.1 " + std::to_string(Refusal.Status) +
+      " Repeated\r\nContent-Length: " + std::to_string(Refusal.Body.size()) +
+      "\r\n";
+  for (const auto &[Name, Value] : Refusal.Headers)
+    Copy += Name + ": " + Value + "\r\n";
+  Copy += "\r\n" + Refusal.Body;
+  auto Timer = std::make_shared<asio::steady_timer>(Context);
+  Timer->expires_after(*RepeatRefusalAfter);
+  Timer->async_wait([Timer, Copy = std::move(Copy),
+                     Write = Frontend.rawWriter(Caller)](error_code Error) {
+    if (!Error)
+      Write(Copy);
+  });
+}
+
 /// Replies, and names the limit and the leaving that control() has set.
 void BackendStandin::replyNaming(CallerId Caller, HttpResponse Response) {
   if (!NamedLimit.empty())
@@ -333,6 +353,11 @@
       Draining = Value != "0";
     else if (Name == "limit")
       NamedLimit = Value == "none" ? std::string() : Value;
+    else if (Name == "repeat_refusal" && Value == "none")
+      RepeatRefusalAfter.reset();
+    else if (Name == "repeat_refusal")
+      RepeatRefusalAfter =
+          std::chrono::milliseconds(std::strtoul(Value.c_str(), nullptr, 10));
     else if (Name == "leave")
       NamesLeaving = Value != "0";
     else if (Name == "cold" && Value != "0")
--- a/standins/BackendStandin.h
+++ b/standins/BackendStandin.h
@@ -58,7 +58,9 @@
 ///   GET  /_runs      one line per run
 ///   POST
 ///   /_control?slow_factor=N&fail_fast=0|1&cold=1&drain=0|1&health=ok|lag|lie
-///            &limit=PER_SECOND|none&leave=0|1
+///            &limit=PER_SECOND|none&leave=0|1&repeat_refusal=MS|none
+/// With repeat_refusal, each refusal is written once more on its connection
+/// after this time, whatever the connection carries then.
 /// A limit and leaving are named in every response but those to /_control and
 /// /_runs, in the fields of the settings.
 /// A request with X-Crash: 1 crashes the process when its run starts.
@@ -93,6 +95,7 @@
   void finish(const ActiveRequestPtr &Finished);
   void drop(const ActiveRequestPtr &Dropped, bool Reply);
   void replyNotRun(CallerId Caller, const char *Reason);
+  void repeatLater(CallerId Caller, const HttpResponse &Refusal);
   void replyHealth(CallerId Caller);
   void replyNaming(CallerId Caller, HttpResponse Response);
   HttpResponse control(const QueryParameters &Parameters);
@@ -118,6 +121,7 @@
   double SlowFactor = 1;
   bool FailFast = false;
   bool Draining = false;
+  std::optional<std::chrono::milliseconds> RepeatRefusalAfter;
   std::string NamedLimit; ///< Empty: none.
   bool NamesLeaving = false;
   TimePoint ColdSince;
--- a/tests/BackendStandinTest.cpp
+++ b/tests/BackendStandinTest.cpp
@@ -111,3 +111,35 @@
   EXPECT_EQ(Runs(), "a 1 0 - -\n");
   Loop.on([&] { Server.reset(); });
 }
+
+static std::string targetRequest(const std::string &Target) {
+  return "POST " + Target + " HTTP/1.1\r\nHost: h\r\nX-Request-Id: a\r\n" +
+         "Content-Length: 0\r\n\r\n";
+}
+
+// Guards against a stand-in that plays no repeated refusal: tests of clients
+// with it would pass whatever the client does.
+TEST_F(BackendStandinTest, ARefusalIsWrittenOnceMoreOnItsConnection) {
+  Settings.ServiceTime = std::chrono::milliseconds(100);
+  LoopThread Loop;
+  std::optional<BackendStandin> Server;
+  std::uint16_t Port = Loop.on([&] {
+    Server.emplace(Loop.Context, Settings, Recorder);
+    EXPECT_EQ(Server->listen("127.0.0.1:0"), std::nullopt);
+    return Server->port();
+  });
+  RawConnection Operator(Port);
+  RawConnection Peer(Port);
+  Operator.send(targetRequest("/_control?drain=1&repeat_refusal=20"));
+  Operator.response();
+  Peer.send(targetRequest("/"));
+  EXPECT_EQ(Peer.response()["Backend-Not-Run"], "1");
+  Operator.send(targetRequest("/_control?drain=0"));
+  Operator.response();
+  Peer.send(targetRequest("/"));
+  EXPECT_EQ(Peer.response()["Backend-Not-Run"], "1") << "the copy";
+  Response Own = Peer.response();
+  EXPECT_EQ(Own.result_int(), 200U);
+  EXPECT_EQ(Own["X-Request-Id"], "a");
+  Loop.on([&] { Server.reset(); });
+}
