--- a/tests/BackendClientTest.cpp
+++ b/tests/BackendClientTest.cpp
@@ -1,6 +1,7 @@
 // BackendClientTest.cpp - Tests of the backend client against scripted servers.
 
 #include "BackendClient.h"
+#include "../standins/BackendStandin.h"
 #include "HeaderFields.h"
 #include "HttpTestSupport.h"
 
@@ -812,3 +813,34 @@
   EXPECT_TRUE(probe().Healthy);
   EXPECT_FALSE(probe().Healthy);
 }
+
+// Guards against a repeated refusal that ends the next request as not run, with
+// the stand-in of a backend server: the request runs and must get its response.
+TEST_F(BackendClientTest, ARequestThatRunsIsNotEndedByARepeatedRefusal) {
+  LoopThread Loop;
+  BackendStandinSettings Played;
+  Played.ServiceTime = std::chrono::milliseconds(200);
+  RunRecorder Recorder;
+  std::optional<BackendStandin> Server;
+  std::uint16_t Port = Loop.on([&] {
+    Server.emplace(Loop.Context, Played, Recorder);
+    EXPECT_EQ(Server->listen("127.0.0.1:0"), std::nullopt);
+    return Server->port();
+  });
+  auto Control = [&](const std::string &Query) {
+    RawConnection Operator(Port);
+    Operator.send("POST /_control?" + Query +
+                  " HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n");
+    Operator.response();
+  };
+  connectTo(Port);
+  Control("drain=1&repeat_refusal=50");
+  EXPECT_EQ(std::get<HttpResponse>(run(1)).Status, 503U);
+  Control("drain=0");
+  start(2, seconds(30), {"GET", "/x", {{"X-Request-Id", "a"}}, {}});
+  Result End = awaitOutcome(2);
+  EXPECT_EQ(std::get<HttpResponse>(End).Status, 200U);
+  EXPECT_EQ(Loop.on([&] { return Recorder.text(); }), "a 1 2 - -\n");
+  Client.reset();
+  Loop.on([&] { Server.reset(); });
+}
