--- a/standins/BackendStandin.cpp
+++ b/standins/BackendStandin.cpp
@@ -252,8 +252,8 @@
       " Repeated\r\nContent-Length: " + std::to_string(Refusal.Body.size()) +
       "\r\n";
   for (const auto &[Name, Value] : Refusal.Headers)
-    Copy += Name + ": " + Value + "\r\n";
-  Copy += "\r\n" + Refusal.Body;
+    Copy.append(Name).append(": ").append(Value).append("\r\n");
+  Copy.append("\r\n").append(Refusal.Body);
   auto Timer = std::make_shared<asio::steady_timer>(Context);
   Timer->expires_after(*RepeatRefusalAfter);
   Timer->async_wait([Timer, Copy = std::move(Copy),
