Fix: a daemon forgot that a newer configuration was coming when its transfer broke off

What callers would see: 404 again for a route of the newer configuration, from a daemon that knew of it. Found by a review that had not seen the work.

Cause: "behind" was derived from an unfinished update. A lost link, another source or a missing piece dropped the update, and the knowledge with it. A daemon that could not read the store, or whose source was silent, took its own configuration for the newest as well. The Retry-After of such a refusal was 30 to 60 ms, in which no configuration arrives.

Now each piece of a present stream, and each newer offset that is named in a subscription or an update, marks the configuration as expected for 3 s; an update in order ends that. A daemon that does not know what the store has refuses unknown routes as not run too. Retry-After is between 0.5 and 1 s, within a third of the client's time. Pieces of a stream that has ended no longer count as a sign of life of the source.

Before, by the review's reading: TopicReceiver::receiving() is false after linkLost(), and refuseRequest() passed a backlog of 0.

--- a/src/sidecar/CallRouter.cpp
+++ b/src/sidecar/CallRouter.cpp
@@ -38,6 +38,9 @@
 /// Bounds of the backlog time from which Retry-After is derived.
 static constexpr Duration MinBacklogTime = 30ms;
 static constexpr Duration MaxBacklogTime = 1s;
+/// The same for a request whose route this daemon does not know yet. A newer
+/// configuration takes about as long to arrive.
+static constexpr Duration ConfigurationDelay = 500ms;
 /// Retry-After is at most this fraction of the client's remaining time. Clients
 /// give up when it is later.
 static constexpr double MaxRetryAfterFraction = 1.0 / 3;
@@ -89,8 +92,10 @@
   Step.Out.emplace_back(std::move(Line));
   Step.Out.emplace_back(Count{Counter::CallsRefused});
   Step.Out.emplace_back(CountRefusal{RefusedBy::Ingress, Kind});
+  Duration Delay =
+      Kind == ErrorKind::ConfigurationBehind ? ConfigurationDelay : Duration(0);
   Step.Out.emplace_back(ReplyCaller{
-      Arrived.Caller, refusalResponse(Step, Kind, Deadline, Duration(0))});
+      Arrived.Caller, refusalResponse(Step, Kind, Deadline, Delay)});
 }
 
 /// Returns the same hash whenever a request is resent, whichever client and
--- a/src/sidecar/Sidecar.h
+++ b/src/sidecar/Sidecar.h
@@ -158,8 +158,8 @@
   TopicPublisher Publisher;
   TopicReceiver Receiver;
   ValueBases Bases; ///< Large values of applied and received records.
-  /// Another daemon has newer records of the operator; until then, requests for
-  /// unknown routes are not reported as wrong.
+  /// A newer configuration is expected until then: an update is arriving, or
+  /// another daemon has newer records.
   TimePoint BehindUntil{};
   std::array<std::vector<KeyedRecord>, TopicCount>
       NewRecords; ///< Applied in this event, by topic.
--- a/src/sidecar/SidecarTopics.cpp
+++ b/src/sidecar/SidecarTopics.cpp
@@ -180,8 +180,10 @@
     BehindUntil = Now + BehindTimeout;
 }
 
+/// Returns whether a newer configuration may exist: one is expected, or this
+/// daemon does not know at present what the store has.
 bool Sidecar::isConfigBehind(TimePoint Now) const {
-  return Receiver.receiving() || Now < BehindUntil;
+  return Now < BehindUntil || !emptyUpdate(Now).Live;
 }
 
 void Sidecar::linkLost(const HostId &Host) {
@@ -207,7 +209,10 @@
 }
 
 void Sidecar::handlePiece(Step &S, const PeerRef &From, TopicPiece &Message) {
-  Relay.pieceReceived(S.Now, From.Host);
+  if (Receiver.expects(From.Host, Message)) {
+    Relay.pieceReceived(S.Now, From.Host);
+    BehindUntil = S.Now + BehindTimeout;
+  }
   if (auto Update =
           Receiver.receive(From.Host, std::move(Message), Bases, S.Out))
     handleUpdate(S, From, *Update);
@@ -219,6 +224,9 @@
     return;
   Relay.updateReceived(S.Now, From.Host, Message);
   bool InOrder = Receiver.inOrder(From.Host, Message);
+  std::vector<Offset> UpTo;
+  for (const TopicContents &Part : Message.Parts)
+    UpTo.push_back(Part.Next);
   std::size_t Count = std::min(Message.Parts.size(), TopicCount);
   for (std::size_t I = 0; I < Count; ++I) {
     TopicContents &Part = Message.Parts[I];
@@ -235,6 +243,9 @@
     applyRecords(S, static_cast<Topic>(I), Source,
                  Topics[I].Image.apply(std::move(Part)));
   }
+  if (InOrder)
+    BehindUntil = TimePoint{};
+  noteNewerTopics(S.Now, UpTo);
 }
 
 /// Forwards new records to the subscribers, whether they came from the store or
--- a/src/sidecar/TopicReceiver.cpp
+++ b/src/sidecar/TopicReceiver.cpp
@@ -44,13 +44,12 @@
 }
 
 std::optional<TopicUpdate> TopicReceiver::receive(const HostId &Source,
-                                                  TopicPiece Piece,
+                                                  const TopicPiece &Piece,
                                                   const ValueBases &Bases,
                                                   SidecarEffects &Out) {
-  auto Found = Sources.find(Source);
-  if (Found == Sources.end() || Found->second.Stream != Piece.Stream)
+  if (!expects(Source, Piece))
     return std::nullopt;
-  SourceState &State = Found->second;
+  SourceState &State = Sources[Source];
   if (Piece.Index == 0) {
     State.PieceNumber = Piece.Number;
     State.NextPiece = 0;
@@ -88,9 +87,10 @@
                 [&](const auto &Entry) { return Entry.first != Source; });
 }
 
-bool TopicReceiver::receiving() const {
-  return std::ranges::any_of(
-      Sources, [](const auto &Entry) { return Entry.second.NextPiece > 0; });
+bool TopicReceiver::expects(const HostId &Source,
+                            const TopicPiece &Piece) const {
+  auto Found = Sources.find(Source);
+  return Found != Sources.end() && Found->second.Stream == Piece.Stream;
 }
 
 } // namespace figsail
--- a/src/sidecar/TopicReceiver.h
+++ b/src/sidecar/TopicReceiver.h
@@ -25,16 +25,17 @@
   /// arrived as well, so that its offsets are valid.
   bool inOrder(const HostId &Source, const TopicUpdate &Update);
   /// A piece has arrived. Returns the update when it is complete.
-  std::optional<TopicUpdate> receive(const HostId &Source, TopicPiece Piece,
+  std::optional<TopicUpdate> receive(const HostId &Source,
+                                     const TopicPiece &Piece,
                                      const ValueBases &Bases,
                                      SidecarEffects &Out);
+  /// Returns whether a piece belongs to the present stream of its source.
+  bool expects(const HostId &Source, const TopicPiece &Piece) const;
 
   /// The link to a source broke. Updates may be lost.
   void linkLost(const HostId &Source) { Sources.erase(Source); }
   /// Drops the state of all sources but one.
   void keepOnly(const HostId &Source);
-  /// Returns whether pieces of an unfinished update have arrived.
-  bool receiving() const;
 
 private:
   struct SourceState {
--- a/tests/TopicStreamTest.cpp
+++ b/tests/TopicStreamTest.cpp
@@ -310,11 +310,11 @@
   auto Pieces = messages<TopicPiece>(Sent);
   ASSERT_GT(Pieces.size(), 2U);
   Receiver.receive("a", Pieces[0].second, ValueBases(), Out);
-  EXPECT_TRUE(Receiver.receiving());
+  EXPECT_TRUE(Receiver.expects("a", Pieces[2].second));
   EXPECT_FALSE(Receiver.receive("a", Pieces[2].second, ValueBases(), Out));
   EXPECT_TRUE(logged(Out, "topic-update-unusable"));
   EXPECT_NE(Receiver.stream("a", 6), First);
-  EXPECT_FALSE(Receiver.receiving());
+  EXPECT_FALSE(Receiver.expects("a", Pieces[2].second));
 }
 
 // Requests for routes of a configuration that is on its way.
@@ -328,7 +328,8 @@
   auto Refusal = answer(request(2, "/new/1"));
   ASSERT_TRUE(Refusal);
   EXPECT_EQ(Refusal->Status, 503U);
-  EXPECT_GT(retryAfter(*Refusal), 0);
+  EXPECT_GE(retryAfter(*Refusal), 0.15)
+      << "an earlier retry would find the same configuration";
   Now += 4s;
   EXPECT_EQ(answer(request(3, "/new/1"))->Status, 404U)
       << "a route that never existed";
@@ -347,6 +348,18 @@
   Piece.Bytes = "x";
   reply(Source, Piece);
   EXPECT_EQ(answer(request(1, "/new/1"))->Status, 503U);
+  apply(PeerLost{Source, {}});
+  EXPECT_EQ(answer(request(2, "/new/1"))->Status, 503U)
+      << "the update is still missing after its transfer broke off";
+}
+
+// Guards against the same denial by a daemon that cannot read the store: a
+// newer configuration may be in force.
+TEST_F(SidecarTest, AnUnknownRouteIsNotDeniedWhileTheStoreCannotBeRead) {
+  loadTopics();
+  EXPECT_EQ(answer(request(1, "/new/1"))->Status, 404U);
+  apply(TopicReadFailed{Topic::Operator, "no answer"});
+  EXPECT_EQ(answer(request(2, "/new/1"))->Status, 503U);
 }
 
 } // namespace
