Fix: a daemon fed by its source read everything again when it turned to the store

A daemon that had all records from its source, up to an offset of the same history, still read the newest record of each key of both topics once its source fell silent, and until then its own subscribers had no live source either and read the store as well.

An update in order that covers the whole topic now counts: reads go on from its offset.

--- a/src/sidecar/Sidecar.h
+++ b/src/sidecar/Sidecar.h
@@ -105,6 +105,7 @@
   TopicState &topicState(Topic Which) {
     return Topics[static_cast<std::size_t>(Which)];
   }
+  static void markReceived(TopicState &State, Offset UpTo);
   void applyRecords(Step &S, Topic Which, const RecordSource &Source,
                     const std::vector<KeyedRecord> &Records);
   void handleSubscribe(Step &S, const PeerRef &From,
--- a/src/sidecar/SidecarTopics.cpp
+++ b/src/sidecar/SidecarTopics.cpp
@@ -218,6 +218,17 @@
     handleUpdate(S, From, *Update);
 }
 
+/// Another daemon has sent the whole topic up to an offset.
+///
+/// Load pattern: the source of many daemons falls silent, and all of them turn
+/// to the store. Snapshots would take as many copies of the configuration over
+/// one link between regions.
+void Sidecar::markReceived(TopicState &State, Offset UpTo) {
+  State.Follower.markComplete();
+  if (UpTo > 0 && !State.Image.awaitsSnapshot() && !State.Image.isReplaying())
+    State.Follower.skipSnapshot();
+}
+
 void Sidecar::handleUpdate(Step &S, const PeerRef &From, TopicUpdate &Message) {
   // The records of a source that has not entered the new history are stale.
   if (isFromEndedHistory(S, Message.History))
@@ -238,7 +249,7 @@
       if (Record.Value)
         Bases.add(*Record.Value);
     if (Message.Complete && InOrder)
-      Topics[I].Follower.markComplete();
+      markReceived(Topics[I], Part.Next);
     RecordSource Source{From.Host, volumeOf(Part.Records)};
     applyRecords(S, static_cast<Topic>(I), Source,
                  Topics[I].Image.apply(std::move(Part)));
--- a/src/sidecar/TopicFollower.h
+++ b/src/sidecar/TopicFollower.h
@@ -43,6 +43,9 @@
   bool complete() const { return Complete; }
   /// Another daemon has sent the whole topic.
   void markComplete() { Complete = true; }
+  /// Records up to the image's offset came from another daemon, so a read may
+  /// go on from there instead of from a snapshot.
+  void skipSnapshot() { NeedsSnapshot = false; }
   /// Returns whether this daemon reads the store and the last read succeeded.
   bool live() const {
     return Active && Complete && !NeedsSnapshot && Failures == 0;
--- a/src/sidecar/TopicImage.h
+++ b/src/sidecar/TopicImage.h
@@ -46,6 +46,9 @@
   /// Returns whether records below the end of the last snapshot are still to be
   /// read. Only they show which keys were dropped in this history.
   bool isReplaying() const { return Next < CopyEnd; }
+  /// Returns whether a snapshot of the present history has to be read before
+  /// offsets are valid.
+  bool awaitsSnapshot() const { return SnapshotPending; }
   /// The store keeps no records below First. The copy held every known record
   /// below First, so such a key that the snapshot lacks was dropped. Returns
   /// the tombstones of these keys.
--- a/tests/TopicStreamTest.cpp
+++ b/tests/TopicStreamTest.cpp
@@ -362,4 +362,28 @@
   EXPECT_EQ(answer(request(2, "/new/1"))->Status, 503U);
 }
 
+// Guards against the load of the incident's second half: 77 of 100 hosts turned
+// to the store within one second, and each read everything again.
+TEST_F(SidecarTest, ADaemonThatWasFedByAPeerReadsOnFromItsOffset) {
+  tick();
+  tick(100ms);
+  apply(TopicReadFailed{Topic::Operator, "no answer"});
+  apply(TopicReadFailed{Topic::Members, "no answer"});
+  auto Requests = messages<TopicSubscribe>(apply(PeerConnected{{"a", 77}}));
+  ASSERT_EQ(Requests.size(), 1U);
+  Decoder.Contents["config@3"] = config(5);
+  Decoder.Contents["a@4"] = announcement("a");
+  TopicUpdate Whole{
+      true, true, {{4, {{"config", "x", 3}}}, {5, {{"a", "x", 4}}}}};
+  Whole.Stream = Requests[0].second.Stream;
+  Whole.Number = (1ULL << 32) + 1;
+  reply("a", Whole);
+  SidecarEffects Out = tick(3s);
+  EXPECT_TRUE(effects<ReadTopicSnapshot>(Out).empty());
+  auto Reads = effects<ReadTopic>(Out);
+  ASSERT_EQ(Reads.size(), 2U);
+  EXPECT_EQ(Reads[0].From, 4);
+  EXPECT_EQ(Reads[1].From, 5);
+}
+
 } // namespace
