Fix: figsaild sent the records that were under way again with each renewal

A child renews its subscription once a second and names the offset that it has applied; Replication took that offset for what had to be sent, although the records were under way on the same link. A load that grows with the delay that it causes.

A renewal is now answered with what is new. A child that names the same offset twice in a row without progress gets the records again: a paused process drops messages. A lost link starts from the child's offset, as before.

Before: ReplicationTest.ARenewedSubscriptionSendsNothingAgain: subscribe(0) Which is: 20, expected 0. After: it passes, with three more in the new ReplicationTest; NodeTest (19), AtMostOnceTest (16), ReplicatedStateTest (10) and TakeoverTest (20) pass.

--- a/src/core/Replication.cpp
+++ b/src/core/Replication.cpp
@@ -29,6 +29,9 @@
 /// Time on a fallback source after which the best source is tried again.
 static constexpr Duration FallbackDuration = 30s;
 static constexpr Duration ChildTimeout = 10s;
+/// Renewals in a row without progress from which on a child gets the records
+/// again. Until then they may still be under way.
+static constexpr unsigned MaxStalledRenewals = 2;
 /// Bounds of the tail kept for children. A child that needs older records gets
 /// a snapshot.
 static constexpr std::size_t MaxTailRecords = 4096;
@@ -235,10 +238,15 @@
   bool Restarted = Receiver.Peer != From;
   Receiver.Peer = From;
   Receiver.LastSubscription = Now;
-  // The offset in the subscription takes precedence: records sent before may
-  // have been lost with a connection.
-  if (New || Restarted || Message.From < Receiver.Next)
+  bool Waits = Message.From < Receiver.Next;
+  bool Progress = Message.From != Receiver.LastFrom;
+  Receiver.LastFrom = Message.From;
+  Receiver.Stalled = Waits && !Progress ? Receiver.Stalled + 1 : 0;
+  if (New || Restarted || Receiver.Stalled >= MaxStalledRenewals) {
     Receiver.Next = Message.From;
+    Receiver.Stalled = 0;
+  }
+  Receiver.Next = std::max(Receiver.Next, Message.From);
   sendRecords(Receiver, true, Out);
 }
 
--- a/src/core/Replication.h
+++ b/src/core/Replication.h
@@ -63,6 +63,8 @@
     PeerRef Peer;
     Offset Next = 0;            ///< Offset to send next.
     TimePoint LastSubscription; ///< When it last sent Subscribe.
+    Offset LastFrom = NoOffset; ///< The offset in it.
+    unsigned Stalled = 0;       ///< Renewals in a row without progress.
   };
 
   void updateTreePosition();
--- /dev/null
+++ b/tests/ReplicationTest.cpp
@@ -0,0 +1,85 @@
+// ReplicationTest.cpp - Tests of the distribution of the log's records.
+
+#include "Replication.h"
+
+#include "RecordsFixture.h"
+
+#include "figsail/LogRecords.h"
+
+#include <gtest/gtest.h>
+
+using namespace figsail;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// A daemon that reads the log and has one child, in virtual time.
+struct ReplicationTest : testing::Test {
+  ReplicationTest() {
+    Settings.Self = fixture::member("h1", "east-a");
+    Source = std::make_unique<Replication>(Settings, State);
+    Source->start(Now, Out);
+    LogRead Read;
+    for (Offset At = 0; At < RecordCount; ++At)
+      Read.Batch.push_back({At, encodeRecord(JoinRecord{fixture::member(
+                                    "h" + std::to_string(At + 2), "west-a")})});
+    Read.Next = RecordCount;
+    Source->logRead(
+        Now, Read, [](const LogRecord &, const ApplyResult &) {}, Out);
+  }
+  /// Returns the number of records that the source sends in reply.
+  std::size_t subscribe(Offset From) {
+    Out.clear();
+    Source->subscribe(Now, {"h9", 109}, {From}, Out);
+    std::size_t Sent = 0;
+    for (const Effect &Action : Out)
+      if (const auto *Message = std::get_if<SendPeer>(&Action))
+        if (const auto *Part = std::get_if<Records>(&Message->Message))
+          Sent += Part->Batch.size();
+    return Sent;
+  }
+
+  static constexpr Offset RecordCount = 20;
+  TimePoint Now = fixture::Start;
+  NodeSettings Settings;
+  ReplicatedState State;
+  EffectList Out;
+  std::unique_ptr<Replication> Source;
+};
+
+// Guards against records that never arrive after a broken link.
+TEST_F(ReplicationTest, ALostLinkSendsTheRecordsAgain) {
+  EXPECT_EQ(subscribe(0), 20U);
+  Source->peerLost(Now, "h9", Out);
+  EXPECT_EQ(subscribe(0), 20U);
+}
+
+// Guards against a load that grows with the delay it causes (issue 26): each
+// renewal, once a second, was answered with the records that were under way.
+TEST_F(ReplicationTest, ARenewedSubscriptionSendsNothingAgain) {
+  EXPECT_EQ(subscribe(0), 20U);
+  Now += 1s;
+  EXPECT_EQ(subscribe(0), 0U) << "the records are under way on the same link";
+}
+
+// Guards against a child that waits for ever: records may be dropped by a
+// process that was paused.
+TEST_F(ReplicationTest, AChildWithoutProgressGetsTheRecordsAgain) {
+  subscribe(0);
+  std::size_t Sent = 0;
+  for (int I = 0; I < 3; ++I) {
+    Now += 1s;
+    Sent += subscribe(0);
+  }
+  EXPECT_EQ(Sent, 20U);
+}
+
+TEST_F(ReplicationTest, AChildThatMovesOnIsSentNothingAgain) {
+  subscribe(0);
+  for (Offset From : {5, 10, 15, 20}) {
+    Now += 1s;
+    EXPECT_EQ(subscribe(From), 0U);
+  }
+}
+
+} // namespace
