--- a/src/sidecar/Sidecar.cpp
+++ b/src/sidecar/Sidecar.cpp
@@ -184,7 +184,7 @@
     handleSubscribe(S, From, *Body);
   else if (auto *Body = std::get_if<TopicUpdate>(&Message))
     handleUpdate(S, From, *Body);
-  else if (auto *Body = std::get_if<TopicPiece>(&Message))
+  else if (const auto *Body = std::get_if<TopicPiece>(&Message))
     handlePiece(S, From, *Body);
   else if (auto *Body = std::get_if<Probe>(&Message))
     S.Out.emplace_back(SendPeer{From.Host, ProbeReply{Body->Target, true}});
--- a/src/sidecar/Sidecar.h
+++ b/src/sidecar/Sidecar.h
@@ -111,7 +111,7 @@
   void handleSubscribe(Step &S, const PeerRef &From,
                        const TopicSubscribe &Message);
   void handleUpdate(Step &S, const PeerRef &From, TopicUpdate &Message);
-  void handlePiece(Step &S, const PeerRef &From, TopicPiece &Message);
+  void handlePiece(Step &S, const PeerRef &From, const TopicPiece &Message);
   TopicUpdate emptyUpdate(TimePoint Now) const;
   TopicUpdate updateSince(TimePoint Now, const std::vector<Offset> &From) const;
   void notifySubscribers(Step &S);
--- a/src/sidecar/SidecarTopics.cpp
+++ b/src/sidecar/SidecarTopics.cpp
@@ -208,13 +208,13 @@
   Publisher.reply(From.Host, updateSince(S.Now, SentUpTo), Bases, S.Out);
 }
 
-void Sidecar::handlePiece(Step &S, const PeerRef &From, TopicPiece &Message) {
+void Sidecar::handlePiece(Step &S, const PeerRef &From,
+                          const TopicPiece &Message) {
   if (Receiver.expects(From.Host, Message)) {
     Relay.pieceReceived(S.Now, From.Host);
     BehindUntil = S.Now + BehindTimeout;
   }
-  if (auto Update =
-          Receiver.receive(From.Host, std::move(Message), Bases, S.Out))
+  if (auto Update = Receiver.receive(From.Host, Message, Bases, S.Out))
     handleUpdate(S, From, *Update);
 }
 
