Codechange: whether two reports mean the same incarnation of a server is one function

The comparison 'same instance and start, 0 is not known' stood in ServerGate::applyNotice, ServerNotices::isOf and LocalServer::rememberLeft. It is ServerIncarnation::maybeSameAs now. ServerLimitTest (10), ServerLeavingTest (9), ServerGateTest (34), StoreHistoryTest (21), LocalServerTest (10) and RouterLimitTest (3) pass.

--- a/include/figsail/Types.h
+++ b/include/figsail/Types.h
@@ -9,6 +9,7 @@
 #include <functional>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <tuple>
 #include <vector>
 
@@ -104,6 +105,22 @@
   template <class Archive> void serialize(Archive &Ar) { Ar(At, Data); }
 };
 
+/// One life of a backend server: an instance id may be used again after a
+/// restart.
+struct ServerIncarnation {
+  std::string_view Instance;
+  std::int64_t StartMillis = 0; ///< Unix time; 0: not known.
+
+  /// Returns whether both are the same incarnation, as far as the starts are
+  /// known. A daemon that recovered its server does not know the server's start
+  /// until its next report.
+  bool maybeSameAs(const ServerIncarnation &Other) const {
+    bool SameStart = StartMillis == Other.StartMillis || StartMillis == 0 ||
+                     Other.StartMillis == 0;
+    return SameStart && Instance == Other.Instance;
+  }
+};
+
 /// The newest statement of a backend server about the requests that it takes.
 /// Daemons beside servers send it with their replies, ingresses send it back
 /// with their calls.
@@ -114,6 +131,7 @@
   std::optional<double> RateLimit; ///< Requests a second; none: any number.
   Duration Age{0};                 ///< Since the server said it.
 
+  ServerIncarnation incarnation() const { return {Instance, StartMillis}; }
   bool operator==(const ServerNotice &) const = default;
   template <class Archive> void serialize(Archive &Ar) {
     auto Micros = Age.count();
--- a/src/sidecar/Instance.h
+++ b/src/sidecar/Instance.h
@@ -50,6 +50,8 @@
   std::string Service;
   std::uint32_t Slots = 0;
   bool Left = false; ///< The instance has left or is leaving for good.
+
+  ServerIncarnation incarnation() const { return {Instance, StartMillis}; }
 };
 
 /// Returns the announcement as a JSON record for the store.
--- a/src/sidecar/LocalServer.cpp
+++ b/src/sidecar/LocalServer.cpp
@@ -73,18 +73,15 @@
   return true;
 }
 
-void LocalServer::rememberLeft(const std::string &Gone,
-                               std::int64_t GoneStart) {
-  bool Present = Gone == Instance && (GoneStart == 0 || StartMillis == 0 ||
-                                      GoneStart == StartMillis);
-  if (Present) {
+void LocalServer::rememberLeft(const ServerIncarnation &Gone) {
+  if (Gone.maybeSameAs(incarnation())) {
     setLeaving();
     return;
   }
   if (!Instance.empty())
     return;
-  LeftInstance = Gone;
-  LeftStartMillis = GoneStart;
+  LeftInstance = Gone.Instance;
+  LeftStartMillis = Gone.StartMillis;
 }
 
 void LocalServer::setCold(TimePoint Now, Duration Remaining) {
--- a/src/sidecar/LocalServer.h
+++ b/src/sidecar/LocalServer.h
@@ -42,7 +42,7 @@
   bool setLeaving();
   /// A predecessor of this daemon knew that the server of this instance, or of
   /// an earlier start, has left or is leaving. Late reports of it are ignored.
-  void rememberLeft(const std::string &Gone, std::int64_t GoneStart);
+  void rememberLeft(const ServerIncarnation &Gone);
   /// Sets how much longer the server stays cold.
   void setCold(TimePoint Now, Duration Remaining);
   /// Marks the server absent if it has sent no report for Silence. Returns
@@ -53,6 +53,7 @@
   const std::string &instance() const { return Instance; }
   /// Returns the start of the present incarnation in Unix milliseconds.
   std::int64_t startMillis() const { return StartMillis; }
+  ServerIncarnation incarnation() const { return {Instance, StartMillis}; }
   const std::string &service() const { return Service; }
   std::uint32_t slots() const { return Slots; }
   /// Returns whether the present incarnation has left or is leaving.
--- a/src/sidecar/ServerGate.cpp
+++ b/src/sidecar/ServerGate.cpp
@@ -143,9 +143,7 @@
 /// Applies what an ingress knows of the server. It matters to a daemon that has
 /// just started.
 void ServerGate::applyNotice(GateStep &Step, const ServerNotice &Notice) {
-  bool SameStart = Notice.StartMillis == Server.startMillis() ||
-                   Notice.StartMillis == 0 || Server.startMillis() == 0;
-  if (Notice.Instance != Server.instance() || !SameStart)
+  if (!Notice.incarnation().maybeSameAs(Server.incarnation()))
     return;
   ServerTerms Terms;
   Terms.RateLimit = Notice.RateLimit;
@@ -451,9 +449,8 @@
   LastProbeAt = TimePoint{};
 }
 
-void ServerGate::rememberLeft(GateStep &Step, const std::string &Instance,
-                              std::int64_t StartMillis) {
-  Server.rememberLeft(Instance, StartMillis);
+void ServerGate::rememberLeft(GateStep &Step, const ServerIncarnation &Gone) {
+  Server.rememberLeft(Gone);
   if (Server.state() == InstanceState::Draining)
     refuseWaiting(Step, ErrorKind::Draining);
 }
--- a/src/sidecar/ServerGate.h
+++ b/src/sidecar/ServerGate.h
@@ -66,8 +66,7 @@
 
   /// Admits no calls to the server of an instance that has left, as a
   /// predecessor of this daemon announced.
-  void rememberLeft(GateStep &Step, const std::string &Instance,
-                    std::int64_t StartMillis);
+  void rememberLeft(GateStep &Step, const ServerIncarnation &Gone);
 
   /// Applies the settings of the server's service.
   void configure(const ServiceSettings &Service);
--- a/src/sidecar/ServerNotices.cpp
+++ b/src/sidecar/ServerNotices.cpp
@@ -29,18 +29,10 @@
   Known->second.Notice.Leaving = Leaving;
 }
 
-/// Returns whether a notice comes from the announced instance. A daemon that
-/// recovered its server does not know the server's start until its next report.
-bool ServerNotices::isOf(const ServerNotice &Notice,
-                         const Announcement &Announced) {
-  bool SameStart = Notice.StartMillis == Announced.StartMillis ||
-                   Notice.StartMillis == 0 || Announced.StartMillis == 0;
-  return SameStart && Notice.Instance == Announced.Instance;
-}
-
 void ServerNotices::announced(const Announcement &Announced) {
   auto Known = Entries.find(Announced.Host);
-  if (Known != Entries.end() && !isOf(Known->second.Notice, Announced))
+  if (Known != Entries.end() &&
+      !Known->second.Notice.incarnation().maybeSameAs(Announced.incarnation()))
     Entries.erase(Known);
 }
 
@@ -65,7 +57,8 @@
   if (Known == Entries.end() || !Known->second.Notice.Leaving)
     return false;
   const Announcement *Announced = Directory.find(Host);
-  return Announced && isOf(Known->second.Notice, *Announced);
+  return Announced && Known->second.Notice.incarnation().maybeSameAs(
+                          Announced->incarnation());
 }
 
 } // namespace figsail
--- a/src/sidecar/ServerNotices.h
+++ b/src/sidecar/ServerNotices.h
@@ -37,7 +37,6 @@
     ServerNotice Notice;
     TimePoint SaidAt;
   };
-  static bool isOf(const ServerNotice &Notice, const Announcement &Announced);
 
   std::map<HostId, Entry> Entries;
 };
--- a/src/sidecar/SidecarTopics.cpp
+++ b/src/sidecar/SidecarTopics.cpp
@@ -351,7 +351,7 @@
 /// server may still arrive, seconds late.
 void Sidecar::rememberLeftServer(Step &S, const Announcement &Own) {
   GateStep AtGate{S.Now, S.Out};
-  Gate.rememberLeft(AtGate, Own.Instance, Own.StartMillis);
+  Gate.rememberLeft(AtGate, Own.incarnation());
 }
 
 void Sidecar::applyRecord(Step &S, const RecordOrigin &, Announcement &Body) {
