Fix: a daemon forgot, or did not know, that a newer configuration exists

Causes, all of one kind (what was known of the newer version was a time, not an offset, and did not travel): - The next update in order of a source that was behind as well ended the expectation, within half a second. - A daemon that was receiving pieces did not tell its own subscribers, so those below it answered 404 for the whole transfer. - A daemon that turned from a silent source to the store counted as up to date before its first read had ended, and said so to its subscribers.

ConfigBacklog keeps the newest offset of the operator topic that anybody named in the last 3 s; updates and pieces carry it (NewestConfig) down the tree. Updates carry Confirmed as well: the sender, or its source, has heard from the store since it began to rely on it. Only a confirmed daemon denies an unknown route. Live, which decides whether subscribers turn to the store themselves, is as before, so a change of the reader sends no others there. The first read after turning to the store does not wait, so that it confirms at once.

AnUnknownRouteIsNotDeniedWhileAnUpdateIsArriving is replaced by a stricter one: since its daemon had no live source, so it got 503 also without any piece. The new one first shows a 404 with a live source.

--- a/include/figsail/PeerMessages.h
+++ b/include/figsail/PeerMessages.h
@@ -364,8 +364,13 @@
   /// Position in the stream. The upper 32 bits differ whenever the sender
   /// starts the stream anew, the lower ones count from 1.
   std::uint64_t Number = 0;
+  /// The sender has heard from the store, itself or through its source, since
+  /// it began to rely on it. Live alone may be said before the first answer.
+  bool Confirmed = false;
+  /// Newest offset of the operator topic that the sender has or knows of.
+  Offset NewestConfig = 0;
   template <class Archive> void serialize(Archive &Ar) {
-    Ar(Live, Complete, Parts, History, Stream, Number);
+    Ar(Live, Complete, Parts, History, Stream, Number, Confirmed, NewestConfig);
   }
 };
 
@@ -381,9 +386,10 @@
                             ///< against; 0: none.
   std::uint64_t Digest = 0; ///< Of the encoded update.
   std::uint64_t Size = 0;   ///< Of the encoded update, in bytes.
+  Offset NewestConfig = 0;  ///< Of the update.
   std::string Bytes;
   template <class Archive> void serialize(Archive &Ar) {
-    Ar(Stream, Number, Index, Count, Base, Digest, Size, Bytes);
+    Ar(Stream, Number, Index, Count, Base, Digest, Size, NewestConfig, Bytes);
   }
 };
 
--- a/src/sidecar/Sidecar.h
+++ b/src/sidecar/Sidecar.h
@@ -5,6 +5,7 @@
 #define FIGSAIL_SIDECAR_SIDECAR_H
 
 #include "CallRouter.h"
+#include "ConfigBacklog.h"
 #include "ContentOrder.h"
 #include "HostExpiry.h"
 #include "Instance.h"
@@ -117,7 +118,7 @@
   void notifySubscribers(Step &S);
   TopicSubscribe subscription(const HostId &Source, std::uint64_t Seed);
   std::vector<Offset> readUpTo() const;
-  void noteNewerTopics(TimePoint Now, const std::vector<Offset> &Known);
+  Offset ownConfigOffset() const;
   bool isConfigBehind(TimePoint Now) const;
   void linkLost(const HostId &Host);
   void forgetResetLinks(const SidecarEffects &Out);
@@ -159,9 +160,7 @@
   TopicPublisher Publisher;
   TopicReceiver Receiver;
   ValueBases Bases; ///< Large values of applied and received records.
-  /// A newer configuration is expected until then: an update is arriving, or
-  /// another daemon has newer records.
-  TimePoint BehindUntil{};
+  ConfigBacklog Backlog;
   std::array<std::vector<KeyedRecord>, TopicCount>
       NewRecords; ///< Applied in this event, by topic.
 
--- a/src/sidecar/SidecarTopics.cpp
+++ b/src/sidecar/SidecarTopics.cpp
@@ -41,6 +41,7 @@
     State.Follower.restart(S.Now);
   }
   Receiver.keepOnly({});
+  Backlog.restart();
   announce(S);
 }
 
@@ -156,6 +157,12 @@
   bool Reads = std::ranges::all_of(
       Topics, [](const TopicState &State) { return State.Follower.live(); });
   Update.Live = Update.Complete && (Reads || Relay.hasLiveSource(Now));
+  bool Heard = std::ranges::all_of(Topics, [](const TopicState &State) {
+    return State.Follower.confirmed();
+  });
+  Update.Confirmed =
+      Update.Complete && (Heard || Relay.hasConfirmedSource(Now));
+  Update.NewestConfig = std::max(ownConfigOffset(), Backlog.newest(Now));
   return Update;
 }
 
@@ -168,22 +175,14 @@
   return Update;
 }
 
-/// How long a newer configuration is expected after another daemon was seen to
-/// have one.
-static constexpr Duration BehindTimeout = std::chrono::seconds(3);
-
-/// Another daemon has read the topics up to these offsets.
-void Sidecar::noteNewerTopics(TimePoint Now, const std::vector<Offset> &Known) {
-  auto Operator = static_cast<std::size_t>(Topic::Operator);
-  if (Known.size() > Operator &&
-      Known[Operator] > topicState(Topic::Operator).Image.next())
-    BehindUntil = Now + BehindTimeout;
+Offset Sidecar::ownConfigOffset() const {
+  return Topics[static_cast<std::size_t>(Topic::Operator)].Image.next();
 }
 
-/// Returns whether a newer configuration may exist: one is expected, or this
+/// Returns whether a newer configuration may exist: one was named, or this
 /// daemon does not know at present what the store has.
 bool Sidecar::isConfigBehind(TimePoint Now) const {
-  return Now < BehindUntil || !emptyUpdate(Now).Live;
+  return Backlog.isAhead(Now, ownConfigOffset()) || !emptyUpdate(Now).Confirmed;
 }
 
 void Sidecar::linkLost(const HostId &Host) {
@@ -201,8 +200,9 @@
 void Sidecar::handleSubscribe(Step &S, const PeerRef &From,
                               const TopicSubscribe &Message) {
   isFromEndedHistory(S, Message.History);
-  if (Message.History == History)
-    noteNewerTopics(S.Now, Message.From);
+  auto Operator = static_cast<std::size_t>(Topic::Operator);
+  if (Message.History == History && Message.From.size() > Operator)
+    Backlog.name(S.Now, Message.From[Operator]);
   std::vector<Offset> SentUpTo =
       Publisher.subscribe(S.Now, From, Message, History);
   Publisher.reply(From.Host, updateSince(S.Now, SentUpTo), Bases, S.Out);
@@ -212,7 +212,7 @@
                           const TopicPiece &Message) {
   if (Receiver.expects(From.Host, Message)) {
     Relay.pieceReceived(S.Now, From.Host);
-    BehindUntil = S.Now + BehindTimeout;
+    Backlog.name(S.Now, Message.NewestConfig);
   }
   if (auto Update = Receiver.receive(From.Host, Message, Bases, S.Out))
     handleUpdate(S, From, *Update);
@@ -235,9 +235,6 @@
     return;
   Relay.updateReceived(S.Now, From.Host, Message);
   bool InOrder = Receiver.inOrder(From.Host, Message);
-  std::vector<Offset> UpTo;
-  for (const TopicContents &Part : Message.Parts)
-    UpTo.push_back(Part.Next);
   std::size_t Count = std::min(Message.Parts.size(), TopicCount);
   for (std::size_t I = 0; I < Count; ++I) {
     TopicContents &Part = Message.Parts[I];
@@ -254,9 +251,7 @@
     applyRecords(S, static_cast<Topic>(I), Source,
                  Topics[I].Image.apply(std::move(Part)));
   }
-  if (InOrder)
-    BehindUntil = TimePoint{};
-  noteNewerTopics(S.Now, UpTo);
+  Backlog.name(S.Now, Message.NewestConfig);
 }
 
 /// Forwards new records to the subscribers, whether they came from the store or
--- a/src/sidecar/TopicFollower.cpp
+++ b/src/sidecar/TopicFollower.cpp
@@ -49,9 +49,10 @@
   }
   Duration Wait =
       Which == Topic::Operator ? OperatorPollTimeout : MembersPollTimeout;
-  // The first read after a failure does not wait, so that it shows at once
-  // whether the store is reachable again.
-  Out.emplace_back(ReadTopic{Which, Next, StoreReached ? Wait : Duration(0)});
+  // The first read, also after a failure, does not wait, so that it shows at
+  // once whether the store is reachable and what it has.
+  bool First = !StoreReached || !ReadSinceActive;
+  Out.emplace_back(ReadTopic{Which, Next, First ? Duration(0) : Wait});
 }
 
 void TopicFollower::readDone(TimePoint Now, Offset Next, bool Records,
@@ -70,6 +71,7 @@
   Failures = 0;
   Complete = true;
   NeedsSnapshot = false;
+  ReadSinceActive = true;
   if (!Active)
     return;
   ReadAt = Now;
@@ -132,6 +134,7 @@
   if (Wanted == Active)
     return;
   Active = Wanted;
+  ReadSinceActive = false;
   if (!Active)
     ReadAt = TimePoint::max();
   else if (!Reading)
--- a/src/sidecar/TopicFollower.h
+++ b/src/sidecar/TopicFollower.h
@@ -50,6 +50,8 @@
   bool live() const {
     return Active && Complete && !NeedsSnapshot && Failures == 0;
   }
+  /// Returns whether it is live and a read has ended since it began to read.
+  bool confirmed() const { return live() && ReadSinceActive; }
   /// Returns whether the last read of the store has failed.
   bool failing() const { return Failures > 0; }
 
@@ -65,6 +67,7 @@
   unsigned Failures = 0; ///< In a row.
   /// A read has succeeded since the start or the last failure.
   bool StoreReached = false;
+  bool ReadSinceActive = false; ///< A read has succeeded since setActive().
   TimePoint ReadAt{}; ///< Time of the next read; max() while none is scheduled.
 };
 
--- a/src/sidecar/TopicPublisher.cpp
+++ b/src/sidecar/TopicPublisher.cpp
@@ -125,6 +125,7 @@
     Piece.Base = Packed.Base;
     Piece.Digest = Packed.Digest;
     Piece.Size = Packed.Size;
+    Piece.NewestConfig = Update.NewestConfig;
     Piece.Bytes = Packed.Bytes.substr(I * PieceBytes, PieceBytes);
     Out.emplace_back(SendPeer{To, std::move(Piece)});
   }
--- a/src/sidecar/TopicRelay.cpp
+++ b/src/sidecar/TopicRelay.cpp
@@ -76,6 +76,7 @@
   Out.emplace_back(std::move(Line));
   Source = Chosen;
   SourceAnswered = false;
+  SourceConfirmed = false;
   LiveUntil = Now + FirstAnswerTimeout;
 }
 
@@ -107,6 +108,7 @@
   if (From != Source)
     return;
   SourceAnswered = true;
+  SourceConfirmed = Update.Confirmed;
   LiveUntil = Update.Live ? Now + SourceTimeout : TimePoint{};
 }
 
--- a/src/sidecar/TopicRelay.h
+++ b/src/sidecar/TopicRelay.h
@@ -52,6 +52,11 @@
     return SourceAnswered && !readsStore(Now);
   }
 
+  /// Returns whether its source is live and has heard from the store.
+  bool hasConfirmedSource(TimePoint Now) const {
+    return SourceConfirmed && hasLiveSource(Now);
+  }
+
 private:
   void setSource(TimePoint Now, const HostId &Chosen, const PeerHealth &Peers,
                  SidecarEffects &Out);
@@ -60,11 +65,12 @@
 
   HostId Self;
   std::string FailureDomain;
-  HostId Source;               ///< Self: this daemon reads the store.
-  bool SourceAnswered = false; ///< Since the source was chosen.
-  TimePoint RequestAt{};       ///< Time of the next request to the source.
-  TimePoint LiveUntil{};       ///< The source counts as up to date until then.
-  bool ReadingLogged = true;   ///< What the last line said of readsStore().
+  HostId Source;                ///< Self: this daemon reads the store.
+  bool SourceAnswered = false;  ///< Since the source was chosen.
+  bool SourceConfirmed = false; ///< As its last answer said.
+  TimePoint RequestAt{};        ///< Time of the next request to the source.
+  TimePoint LiveUntil{};        ///< The source counts as up to date until then.
+  bool ReadingLogged = true;    ///< What the last line said of readsStore().
 };
 
 } // namespace figsail
--- a/tests/PeerCodecTest.cpp
+++ b/tests/PeerCodecTest.cpp
@@ -156,10 +156,10 @@
   case 22:
     return TopicSubscribe{any<std::vector<std::int64_t>>()};
   case 24:
-    return TopicPiece{any<std::uint64_t>(), any<std::uint64_t>(),
-                      any<std::uint32_t>(), any<std::uint32_t>(),
-                      any<std::uint64_t>(), any<std::uint64_t>(),
-                      any<std::uint64_t>(), anyText()};
+    return TopicPiece{
+        any<std::uint64_t>(), any<std::uint64_t>(), any<std::uint32_t>(),
+        any<std::uint32_t>(), any<std::uint64_t>(), any<std::uint64_t>(),
+        any<std::uint64_t>(), any<std::int64_t>(),  anyText()};
   default: {
     KeyedRecord Present{anyText(), anyText(), any<std::int64_t>()};
     KeyedRecord Removed{anyText(), std::nullopt, any<std::int64_t>()};
--- a/tests/TopicStreamTest.cpp
+++ b/tests/TopicStreamTest.cpp
@@ -335,24 +335,99 @@
       << "a route that never existed";
 }
 
-TEST_F(SidecarTest, AnUnknownRouteIsNotDeniedWhileAnUpdateIsArriving) {
-  loadTopics();
-  auto Requests = messages<TopicSubscribe>(tick(1s));
-  ASSERT_EQ(Requests.size(), 1U);
-  HostId Source = Requests[0].first;
-  TopicPiece Piece;
-  Piece.Stream = Requests[0].second.Stream;
-  Piece.Number = (1ULL << 32) + 1;
-  Piece.Count = 2;
-  Piece.Size = 100000;
-  Piece.Bytes = "x";
-  reply(Source, Piece);
-  EXPECT_EQ(answer(request(1, "/new/1"))->Status, 503U);
+/// A daemon that is fed by a source of its failure domain.
+class FedSidecarTest : public SidecarTest {
+protected:
+  /// Chooses the source, which has the daemon's own records.
+  void SetUp() override {
+    loadTopics();
+    auto Requests = messages<TopicSubscribe>(tick(1s));
+    ASSERT_EQ(Requests.size(), 1U);
+    Source = Requests[0].first;
+    Stream = Requests[0].second.Stream;
+    OwnOffsets = Requests[0].second.From;
+    reply(Source, sourceUpdate(OwnOffsets));
+    ASSERT_EQ(statusOfUnknownRoute(), 404U) << "nothing newer is known";
+  }
+  /// The next update of the source, which has read up to these offsets.
+  TopicUpdate sourceUpdate(const std::vector<Offset> &UpTo) {
+    TopicUpdate Update{true, true, {{UpTo[0], {}}, {UpTo[1], {}}}};
+    Update.Stream = Stream;
+    Update.Number = Number++;
+    Update.Confirmed = true;
+    Update.NewestConfig = UpTo[0];
+    return Update;
+  }
+  TopicPiece firstPieceOf(Offset NewestConfig) {
+    TopicPiece Piece;
+    Piece.Stream = Stream;
+    Piece.Number = Number++;
+    Piece.Count = 2;
+    Piece.Size = 100000;
+    Piece.NewestConfig = NewestConfig;
+    Piece.Bytes = "x";
+    return Piece;
+  }
+  std::uint32_t statusOfUnknownRoute() {
+    return answer(request(NextCaller++, "/new/1"))->Status;
+  }
+
+  HostId Source;
+  std::uint64_t Stream = 0;
+  std::uint64_t Number = (1ULL << 32) + 1;
+  std::vector<Offset> OwnOffsets;
+  CallerId NextCaller = 1000;
+};
+
+// Guards against DENIED: pieces of a newer configuration were arriving, or had
+// been when the link broke, and its routes were answered with 404.
+TEST_F(FedSidecarTest, AnUnknownRouteIsNotDeniedWhileAnUpdateIsArriving) {
+  reply(Source, firstPieceOf(OwnOffsets[0] + 1));
+  EXPECT_EQ(statusOfUnknownRoute(), 503U);
   apply(PeerLost{Source, {}});
-  EXPECT_EQ(answer(request(2, "/new/1"))->Status, 503U)
+  EXPECT_EQ(statusOfUnknownRoute(), 503U)
       << "the update is still missing after its transfer broke off";
 }
 
+// Guards against DENIED: the next update of a source that was behind as well
+// made a daemon forget that a newer configuration had been named.
+TEST_F(FedSidecarTest, AnUpdateOfASourceThatIsBehindEndsNoExpectation) {
+  reply("c", TopicSubscribe{{OwnOffsets[0] + 1, 0}});
+  EXPECT_EQ(statusOfUnknownRoute(), 503U);
+  reply(Source, sourceUpdate(OwnOffsets));
+  EXPECT_EQ(statusOfUnknownRoute(), 503U);
+  reply(Source, sourceUpdate({OwnOffsets[0] + 1, OwnOffsets[1]}));
+  EXPECT_EQ(statusOfUnknownRoute(), 404U) << "the daemon has what was named";
+}
+
+// Guards against DENIED: daemons below one that was receiving a configuration
+// knew nothing of it.
+TEST_F(FedSidecarTest, WhatIsNamedToADaemonIsNamedToItsSubscribers) {
+  reply(Source, firstPieceOf(OwnOffsets[0] + 1));
+  auto Replies =
+      messages<TopicUpdate>(reply("b", TopicSubscribe{OwnOffsets, 0}));
+  ASSERT_EQ(Replies.size(), 1U);
+  EXPECT_EQ(Replies[0].second.NewestConfig, OwnOffsets[0] + 1);
+}
+
+// Guards against DENIED: a daemon whose source had fallen silent counted as up
+// to date before the store had answered it, and told its subscribers so.
+TEST_F(FedSidecarTest, ADaemonThatTurnsToTheStoreIsNotUpToDateBeforeItAnswers) {
+  for (Topic Which : {Topic::Operator, Topic::Members})
+    apply(TopicRecords{Which, {}, OwnOffsets[static_cast<std::size_t>(Which)]});
+  auto Reads = effects<ReadTopic>(tick(2s));
+  ASSERT_EQ(Reads.size(), 2U) << "the source is silent";
+  EXPECT_EQ(Reads[0].Wait, Duration(0)) << "a long poll would delay the answer";
+  EXPECT_EQ(statusOfUnknownRoute(), 503U);
+  auto Replies =
+      messages<TopicUpdate>(reply("b", TopicSubscribe{OwnOffsets, 0}));
+  ASSERT_EQ(Replies.size(), 1U);
+  EXPECT_FALSE(Replies[0].second.Confirmed);
+  for (Topic Which : {Topic::Operator, Topic::Members})
+    apply(TopicRecords{Which, {}, OwnOffsets[static_cast<std::size_t>(Which)]});
+  EXPECT_EQ(statusOfUnknownRoute(), 404U);
+}
+
 // Guards against the same denial by a daemon that cannot read the store: a
 // newer configuration may be in force.
 TEST_F(SidecarTest, AnUnknownRouteIsNotDeniedWhileTheStoreCannotBeRead) {
