Feature: the backend stand-in cuts heads, and refuses bad control values

POST /_control?cut_head=BYTES: responses to proper requests, refusals too, end after this many bytes of their head, and the connection is closed. With cut_head_error_page=1 a whole second response with the id of the request follows the cut. Runs are recorded as usual; /health, /_control and /_runs are not cut. The frontend ends a connection with given bytes (HttpFrontend::endRaw).

All arguments of /_control are parsed in a module of their own (BackendControl). A bad value gets 400 with what it must be, and no argument of that request is applied. Flags accepted anything before, and numbers ended at the first bad character.

SidecarProcessTest keeps its CuttingServer: the stand-in writes no instance id, seal and attempt id, in which that test cuts, and does not cut bodies, which it does too.

New: AHeadIsCutAfterEachNumberOfBytes (each position of a head, with and without the page), ACutLeavesRecordsProbesAndControlAlone, BadControlValuesAreRefusedAndChangeNothing.

--- a/src/shell/FrontendConnection.cpp
+++ b/src/shell/FrontendConnection.cpp
@@ -319,6 +319,13 @@
   Socket.write_some(asio::buffer(Bytes.data(), Bytes.size()), Ignored);
 }
 
+void FrontendConnection::endRaw(std::string_view Bytes) {
+  if (CurrentPhase != Phase::Handling)
+    return;
+  writeRaw(Bytes);
+  linger();
+}
+
 void FrontendConnection::write(HttpResponse Response) {
   if (Response.Status < 200 || Response.Status > 999)
     Response = errorResponse(ErrorKind::Internal);
--- a/src/shell/FrontendConnection.h
+++ b/src/shell/FrontendConnection.h
@@ -51,6 +51,9 @@
   void reply(HttpResponse Response);
   /// Writes bytes outside any response, as far as the socket accepts them.
   void writeRaw(std::string_view Bytes);
+  /// Ends the connection with these bytes in place of the response to the
+  /// request that was dispatched last.
+  void endRaw(std::string_view Bytes);
   /// Closes the connection if it is idle. A connection with an unfinished
   /// request, with bytes to read or without a first request stays open for that
   /// request.
--- a/src/shell/HttpFrontend.cpp
+++ b/src/shell/HttpFrontend.cpp
@@ -41,6 +41,17 @@
     Handler->requestReceived(LastCallerId, std::move(Request));
   }
 
+  /// Returns the connection of a request that waits for its reply, which then
+  /// waits no more. Returns null if the id is unknown.
+  std::shared_ptr<FrontendConnection> takeRequest(CallerId Caller) {
+    auto Found = PendingRequests.find(Caller);
+    if (Found == PendingRequests.end())
+      return nullptr;
+    std::shared_ptr<FrontendConnection> Connection = std::move(Found->second);
+    PendingRequests.erase(Found);
+    return Connection;
+  }
+
   void closed(const std::shared_ptr<FrontendConnection> &Connection) override {
     Connections.erase(Connection);
     bool ReplyPending = PendingRequests.erase(Connection->Caller) > 0;
@@ -169,12 +180,13 @@
 }
 
 void HttpFrontend::reply(CallerId Caller, HttpResponse Response) {
-  auto Found = Impl->PendingRequests.find(Caller);
-  if (Found == Impl->PendingRequests.end())
-    return;
-  std::shared_ptr<FrontendConnection> Connection = std::move(Found->second);
-  Impl->PendingRequests.erase(Found);
-  Connection->reply(std::move(Response));
+  if (auto Connection = Impl->takeRequest(Caller))
+    Connection->reply(std::move(Response));
+}
+
+void HttpFrontend::endRaw(CallerId Caller, std::string_view Bytes) {
+  if (auto Connection = Impl->takeRequest(Caller))
+    Connection->endRaw(Bytes);
 }
 
 std::function<void(std::string_view)>
--- a/src/shell/HttpFrontend.h
+++ b/src/shell/HttpFrontend.h
@@ -66,6 +66,10 @@
   /// For simulators of faulty servers. The function does nothing on a closed
   /// connection or while a response is being written.
   std::function<void(std::string_view Bytes)> rawWriter(CallerId Caller) const;
+  /// Ends the connection of a request with these bytes in place of a response.
+  /// For simulators of faulty servers. Ignored if the id is unknown or the
+  /// client has disconnected.
+  void endRaw(CallerId Caller, std::string_view Bytes);
   /// Changes the settings for later connections and requests.
   void configure(const FrontendSettings &Settings);
   /// Stops accepting connections. Each open connection closes after its current
--- a/standins/BackendStandin.cpp
+++ b/standins/BackendStandin.cpp
@@ -4,6 +4,7 @@
 #include "EchoBody.h"
 
 #include <algorithm>
+#include <boost/beast/http/status.hpp>
 #include <boost/json/object.hpp>
 #include <boost/json/serialize.hpp>
 #include <charconv>
@@ -13,6 +14,7 @@
 namespace figsail {
 
 namespace asio = boost::asio;
+namespace http = boost::beast::http;
 namespace json = boost::json;
 using boost::system::error_code;
 
@@ -84,7 +86,9 @@
     : Context(Context), Settings(Settings), Recorder(Recorder),
       Frontend(Context, *this, frontendSettings(Settings)),
       Random(Settings.Seed), ColdSince(now()), HealthTimer(Context),
-      DrainTimer(Context) {}
+      DrainTimer(Context) {
+  Control.Health = Settings.Health;
+}
 
 BackendStandin::~BackendStandin() = default;
 
@@ -127,12 +131,12 @@
 }
 
 void BackendStandin::serve(CallerId Caller, HttpRequest Request) {
-  if (Draining) {
+  if (Control.Draining) {
     replyNotRun(Caller, "draining");
     return;
   }
-  if (FailFast) {
-    replyNaming(Caller, textResponse(500, "failing fast\n"));
+  if (Control.FailFast) {
+    replyServed(Caller, textResponse(500, "failing fast\n"));
     return;
   }
   auto Active = std::make_shared<ActiveRequest>(Context);
@@ -212,7 +216,7 @@
   HttpResponse Response =
       textResponse(200, makeEchoBody(Id, Settings.ResponseBytes));
   Response.Headers.emplace_back("X-Request-Id", Id);
-  replyNaming(Finished->Caller, std::move(Response));
+  replyServed(Finished->Caller, std::move(Response));
   startQueued();
 }
 
@@ -232,7 +236,7 @@
   --Running;
   Recorder.end(*Dropped->RecordIndex);
   if (Reply)
-    replyNaming(Dropped->Caller,
+    replyServed(Dropped->Caller,
                 textResponse(504, "deadline passed while running\n"));
   startQueued();
 }
@@ -240,22 +244,27 @@
 void BackendStandin::replyNotRun(CallerId Caller, const char *Reason) {
   HttpResponse Response = textResponse(503, std::string(Reason) + "\n");
   Response.Headers.emplace_back("Backend-Not-Run", "1");
-  if (RepeatRefusalAfter)
+  if (Control.RepeatRefusalAfter)
     repeatLater(Caller, Response);
-  replyNaming(Caller, std::move(Response));
+  replyServed(Caller, std::move(Response));
+}
+
+/// Returns the head of a response as bytes.
+static std::string responseHead(const HttpResponse &Response,
+                                std::string_view Reason) {
+  std::string Head = "HTTP/1.1 " + std::to_string(Response.Status) + " ";
+  Head.append(Reason).append("\r\nContent-Length: ");
+  Head.append(std::to_string(Response.Body.size())).append("\r\n");
+  for (const auto &[Name, Value] : Response.Headers)
+    Head.append(Name).append(": ").append(Value).append("\r\n");
+  return Head.append("\r\n");
 }
 
 /// Plays a server that writes a refusal twice on one connection.
 void BackendStandin::repeatLater(CallerId Caller, const HttpResponse &Refusal) {
-  std::string Copy =
-      "HTTP/1.1 " + std::to_string(Refusal.Status) +
-      " Repeated\r\nContent-Length: " + std::to_string(Refusal.Body.size()) +
-      "\r\n";
-  for (const auto &[Name, Value] : Refusal.Headers)
-    Copy.append(Name).append(": ").append(Value).append("\r\n");
-  Copy.append("\r\n").append(Refusal.Body);
+  std::string Copy = responseHead(Refusal, "Repeated") + Refusal.Body;
   auto Timer = std::make_shared<asio::steady_timer>(Context);
-  Timer->expires_after(*RepeatRefusalAfter);
+  Timer->expires_after(*Control.RepeatRefusalAfter);
   Timer->async_wait([Timer, Copy = std::move(Copy),
                      Write = Frontend.rawWriter(Caller)](error_code Error) {
     if (!Error)
@@ -263,13 +272,39 @@
   });
 }
 
-/// Replies, and names the limit and the leaving that control() has set.
-void BackendStandin::replyNaming(CallerId Caller, HttpResponse Response) {
-  if (!NamedLimit.empty())
-    Response.Headers.emplace_back(Settings.LimitField, NamedLimit);
-  if (NamesLeaving)
+/// Returns the error page that is written behind a cut response. It has the id
+/// of the request, so that a client can't tell by it that the page is another
+/// response.
+static std::string errorPage(const HttpResponse &Cut) {
+  HttpResponse Page = textResponse(500, "error page\n");
+  std::string_view Id = findHeader(Cut.Headers, "X-Request-Id");
+  if (!Id.empty())
+    Page.Headers.emplace_back("X-Request-Id", Id);
+  return responseHead(Page, "Internal Server Error") + Page.Body;
+}
+
+/// Replies to a request that is no health probe, and cuts the response as
+/// control() has set it.
+void BackendStandin::replyServed(CallerId Caller, HttpResponse Response) {
+  addNamedFields(Response);
+  if (!Control.CutHeadAfter) {
+    Frontend.reply(Caller, std::move(Response));
+    return;
+  }
+  auto Reason = http::obsolete_reason(http::int_to_status(Response.Status));
+  std::string Written = responseHead(Response, Reason);
+  Written.resize(std::min(Written.size(), *Control.CutHeadAfter));
+  if (Control.ErrorPageBehindCut)
+    Written += errorPage(Response);
+  Frontend.endRaw(Caller, Written);
+}
+
+/// Names the limit and the leaving that control() has set.
+void BackendStandin::addNamedFields(HttpResponse &Response) const {
+  if (!Control.NamedLimit.empty())
+    Response.Headers.emplace_back(Settings.LimitField, Control.NamedLimit);
+  if (Control.NamesLeaving)
     Response.Headers.emplace_back(Settings.LeavingField, "1");
-  Frontend.reply(Caller, std::move(Response));
 }
 
 /// Returns the remaining fraction of the cold start: 1 at its start, 0 when
@@ -293,29 +328,33 @@
   std::uniform_real_distribution<double> JitterDistribution(-Settings.Jitter,
                                                             Settings.Jitter);
   double ColdFactor = 1 + coldFraction() * (ColdSlowdown - 1);
-  double Factor = SlowFactor * ColdFactor * (1 + JitterDistribution(Random));
+  double Factor =
+      Control.SlowFactor * ColdFactor * (1 + JitterDistribution(Random));
   auto Micros = static_cast<double>(Settings.ServiceTime.count()) * Factor;
   return Duration(static_cast<Duration::rep>(Micros));
 }
 
 bool BackendStandin::healthy() const {
-  return !Draining && Running + Queue.size() <= capacity();
+  return !Control.Draining && Running + Queue.size() <= capacity();
 }
 
 void BackendStandin::replyHealth(CallerId Caller) {
   auto Timer = std::make_shared<asio::steady_timer>(Context);
   Timer->expires_after(Settings.HealthDelay);
   Timer->async_wait([this, Caller, Timer](error_code Error) {
-    if (!Error)
-      replyNaming(Caller, healthResponse());
+    if (Error)
+      return;
+    HttpResponse Response = healthResponse();
+    addNamedFields(Response);
+    Frontend.reply(Caller, std::move(Response));
   });
 }
 
 /// Builds the health response. HealthMode::Delayed reports the newest sample
 /// that is at least HealthLag old, and healthy as long as there is none.
 HttpResponse BackendStandin::healthResponse() const {
-  bool Reported = Settings.Health == HealthMode::AlwaysHealthy || healthy();
-  if (Settings.Health == HealthMode::Delayed) {
+  bool Reported = Control.Health == HealthMode::AlwaysHealthy || healthy();
+  if (Control.Health == HealthMode::Delayed) {
     Reported = true;
     for (const auto &[SampledAt, Sample] : HealthHistory) {
       if (SampledAt > now() - Settings.HealthLag)
@@ -333,40 +372,13 @@
   return Response;
 }
 
-std::optional<HealthMode> parseHealthMode(const std::string &Name) {
-  if (Name == "ok")
-    return HealthMode::Current;
-  if (Name == "lag")
-    return HealthMode::Delayed;
-  if (Name == "lie")
-    return HealthMode::AlwaysHealthy;
-  return std::nullopt;
-}
-
 HttpResponse BackendStandin::control(const QueryParameters &Parameters) {
-  for (const auto &[Name, Value] : Parameters) {
-    if (Name == "slow_factor")
-      SlowFactor = std::max(0.0, std::strtod(Value.c_str(), nullptr));
-    else if (Name == "fail_fast")
-      FailFast = Value != "0";
-    else if (Name == "drain")
-      Draining = Value != "0";
-    else if (Name == "limit")
-      NamedLimit = Value == "none" ? std::string() : Value;
-    else if (Name == "repeat_refusal" && Value == "none")
-      RepeatRefusalAfter.reset();
-    else if (Name == "repeat_refusal")
-      RepeatRefusalAfter =
-          std::chrono::milliseconds(std::strtoul(Value.c_str(), nullptr, 10));
-    else if (Name == "leave")
-      NamesLeaving = Value != "0";
-    else if (Name == "cold" && Value != "0")
-      restartColdPeriod();
-    else if (Name == "health" && parseHealthMode(Value))
-      Settings.Health = *parseHealthMode(Value);
-    else
-      return textResponse(400, "unknown argument \"" + Name + "\"\n");
-  }
+  auto Changed = changedControl(Control, Parameters);
+  if (const auto *Error = std::get_if<std::string>(&Changed))
+    return textResponse(400, *Error + "\n");
+  Control = std::get<BackendControl>(std::move(Changed));
+  if (Parameters.contains("cold"))
+    restartColdPeriod();
   return healthResponse();
 }
 
@@ -394,7 +406,7 @@
   if (OnDrained)
     return;
   OnDrained = std::move(WhenDrained);
-  Draining = true;
+  Control.Draining = true;
   Frontend.drain();
   checkDrained();
 }
--- a/standins/BackendStandin.h
+++ b/standins/BackendStandin.h
@@ -4,6 +4,7 @@
 #define FIGSAIL_BACKENDSTANDIN_H
 
 #include "../src/shell/HttpFrontend.h"
+#include "BackendControl.h"
 #include "RunRecord.h"
 
 #include <boost/asio/io_context.hpp>
@@ -25,13 +26,6 @@
   Crash, ///< The process exits.
 };
 
-/// State that the health endpoint reports.
-enum class HealthMode : std::uint8_t {
-  Current,       ///< The current state.
-  Delayed,       ///< The state HealthLag ago.
-  AlwaysHealthy, ///< Healthy, whatever the state.
-};
-
 /// Settings of the simulator.
 struct BackendStandinSettings {
   std::uint32_t Slots = 10;         ///< Concurrent runs when warm.
@@ -59,8 +53,15 @@
 ///   POST
 ///   /_control?slow_factor=N&fail_fast=0|1&cold=1&drain=0|1&health=ok|lag|lie
 ///            &limit=PER_SECOND|none&leave=0|1&repeat_refusal=MS|none
+///            &cut_head=BYTES|none&cut_head_error_page=0|1
 /// With repeat_refusal, each refusal is written once more on its connection
 /// after this time, whatever the connection carries then.
+/// With cut_head, a response ends after this number of bytes, at most with its
+/// whole head, and the connection is closed; with cut_head_error_page, another
+/// whole response follows the cut one first. Responses to the targets above are
+/// not cut. Runs are recorded as usual.
+/// A /_control request with an unknown argument or a bad value gets 400 and
+/// changes nothing.
 /// A limit and leaving are named in every response but those to /_control and
 /// /_runs, in the fields of the settings.
 /// A request with X-Crash: 1 crashes the process when its run starts.
@@ -97,7 +98,8 @@
   void replyNotRun(CallerId Caller, const char *Reason);
   void repeatLater(CallerId Caller, const HttpResponse &Refusal);
   void replyHealth(CallerId Caller);
-  void replyNaming(CallerId Caller, HttpResponse Response);
+  void replyServed(CallerId Caller, HttpResponse Response);
+  void addNamedFields(HttpResponse &Response) const;
   HttpResponse control(const QueryParameters &Parameters);
   HttpResponse healthResponse() const;
   void restartColdPeriod();
@@ -118,12 +120,7 @@
   std::unordered_map<CallerId, ActiveRequestPtr>
       ActiveRequests; ///< Queued and running.
   std::uint32_t Running = 0;
-  double SlowFactor = 1;
-  bool FailFast = false;
-  bool Draining = false;
-  std::optional<std::chrono::milliseconds> RepeatRefusalAfter;
-  std::string NamedLimit; ///< Empty: none.
-  bool NamesLeaving = false;
+  BackendControl Control;
   TimePoint ColdSince;
   std::deque<std::pair<TimePoint, bool>> HealthHistory; ///< Oldest first.
   boost::asio::steady_timer HealthTimer;
@@ -131,9 +128,6 @@
   std::function<void()> OnDrained;
 };
 
-/// Returns the mode of a name ("ok", "lag", "lie"), or nothing.
-std::optional<HealthMode> parseHealthMode(const std::string &Name);
-
 /// Splits "/path?a=1&b=2" into path and query parameters. Percent-encoding is
 /// not decoded.
 std::pair<std::string, std::map<std::string, std::string>>
--- a/tests/BackendStandinTest.cpp
+++ b/tests/BackendStandinTest.cpp
@@ -117,6 +117,138 @@
          "Content-Length: 0\r\n\r\n";
 }
 
+namespace {
+
+/// A simulator that listens, on a thread of its own.
+class ListeningStandin {
+public:
+  explicit ListeningStandin(const BackendStandinSettings &Settings) {
+    Port = Loop.on([&] {
+      Server.emplace(Loop.Context, Settings, Recorder);
+      EXPECT_EQ(Server->listen("127.0.0.1:0"), std::nullopt);
+      return Server->port();
+    });
+  }
+  ~ListeningStandin() {
+    Loop.on([&] { Server.reset(); });
+  }
+  ListeningStandin(const ListeningStandin &) = delete;
+  ListeningStandin &operator=(const ListeningStandin &) = delete;
+
+  Response control(const std::string &Query) const {
+    return call("/_control?" + Query);
+  }
+  Response call(const std::string &Target) const {
+    RawConnection Client(Port);
+    Client.send(targetRequest(Target));
+    return Client.response();
+  }
+  /// Sends a request and returns all bytes until the connection ends.
+  std::string bytesOf(const std::string &Target) const {
+    RawConnection Client(Port);
+    Client.send(targetRequest(Target));
+    return Client.untilEnd();
+  }
+  std::string runs() {
+    return Loop.on([&] { return Recorder.text(); });
+  }
+
+private:
+  LoopThread Loop;
+  RunRecorder Recorder;
+  std::optional<BackendStandin> Server;
+  std::uint16_t Port = 0;
+};
+
+constexpr std::string_view ErrorPage =
+    "HTTP/1.1 500 Internal Server Error\r\nContent-Length: 11\r\n"
+    "Content-Type: text/plain\r\nX-Request-Id: a\r\n\r\nerror page\n";
+
+} // namespace
+
+// Guards against a stand-in that cuts heads elsewhere than it was told, or not
+// at all: tests of clients with it would pass whatever the client does.
+TEST_F(BackendStandinTest, AHeadIsCutAfterEachNumberOfBytes) {
+  Settings.ServiceTime = std::chrono::milliseconds(1);
+  ListeningStandin Server(Settings);
+  Server.control("cut_head=100000");
+  const std::string Head = Server.bytesOf("/");
+  EXPECT_TRUE(Head.starts_with("HTTP/1.1 200 OK\r\n")) << Head;
+  EXPECT_TRUE(Head.ends_with("\r\n\r\n")) << "more than the head: " << Head;
+  for (std::size_t Bytes = 0; Bytes <= Head.size(); ++Bytes) {
+    std::string Cut = "cut_head=" + std::to_string(Bytes);
+    Server.control(Cut + "&cut_head_error_page=0");
+    EXPECT_EQ(Server.bytesOf("/"), Head.substr(0, Bytes));
+    Server.control(Cut + "&cut_head_error_page=1");
+    EXPECT_EQ(Server.bytesOf("/"),
+              Head.substr(0, Bytes) + std::string(ErrorPage));
+  }
+}
+
+// Guards against a cut that hides a run from the record, hits the operator's
+// own requests or outlasts its end.
+TEST_F(BackendStandinTest, ACutLeavesRecordsProbesAndControlAlone) {
+  Settings.ServiceTime = std::chrono::milliseconds(1);
+  Settings.HealthDelay = Duration(0);
+  ListeningStandin Server(Settings);
+  EXPECT_EQ(Server.control("cut_head=10").result_int(), 200U);
+  EXPECT_EQ(Server.bytesOf("/"), "HTTP/1.1 2");
+  EXPECT_EQ(Server.runs(), "a 1 2 - -\n");
+  EXPECT_EQ(Server.call("/health").result_int(), 200U);
+  EXPECT_EQ(Server.call("/_runs").body(), "a 1 2 - -\n");
+  Server.control("drain=1");
+  EXPECT_EQ(Server.bytesOf("/"), "HTTP/1.1 5") << "a refusal";
+  EXPECT_EQ(Server.control("cut_head=none&drain=0").result_int(), 200U);
+  EXPECT_EQ(Server.call("/").result_int(), 200U);
+}
+
+// Guards against a misspelt value that plays another fault than the one that
+// was meant, or none.
+TEST_F(BackendStandinTest, BadControlValuesAreRefusedAndChangeNothing) {
+  Settings.ServiceTime = std::chrono::milliseconds(1);
+  ListeningStandin Server(Settings);
+  for (const std::string Bad : {"slow_factor=",
+                                "slow_factor=fast",
+                                "slow_factor=-1",
+                                "slow_factor=nan",
+                                "slow_factor=inf",
+                                "slow_factor=1e9",
+                                "slow_factor=2x",
+                                "limit=",
+                                "limit=many",
+                                "limit=-1",
+                                "limit=nan",
+                                "limit=1/s",
+                                "repeat_refusal=",
+                                "repeat_refusal=soon",
+                                "repeat_refusal=-1",
+                                "repeat_refusal=5ms",
+                                "repeat_refusal=1.5",
+                                "repeat_refusal=4294967296",
+                                "cut_head=",
+                                "cut_head=x",
+                                "cut_head=-1",
+                                "cut_head=+1",
+                                "cut_head=7.",
+                                "cut_head=99999999999999999999",
+                                "cut_head_error_page=",
+                                "cut_head_error_page=2",
+                                "fail_fast=yes",
+                                "drain=2",
+                                "leave=no",
+                                "cold=0",
+                                "health=well"}) {
+    std::string Name = Bad.substr(0, Bad.find('='));
+    Response Reply = Server.control(Bad);
+    EXPECT_EQ(Reply.result_int(), 400U) << Bad;
+    EXPECT_TRUE(Reply.body().starts_with("\"" + Name + "\" must be "))
+        << Bad << ": " << Reply.body();
+  }
+  EXPECT_EQ(Server.control("cut=1").body(), "unknown argument \"cut\"\n");
+  EXPECT_EQ(Server.control("fail_fast=1&slow_factor=x").result_int(), 400U);
+  EXPECT_EQ(Server.call("/").result_int(), 200U) << "fail_fast is not set";
+}
+
 // Guards against a stand-in that plays no repeated refusal: tests of clients
 // with it would pass whatever the client does.
 TEST_F(BackendStandinTest, ARefusalIsWrittenOnceMoreOnItsConnection) {
--- a/tests/HttpTestSupport.h
+++ b/tests/HttpTestSupport.h
@@ -62,6 +62,17 @@
     return Message;
   }
 
+  /// Returns all bytes until the peer closes the connection.
+  std::string untilEnd() {
+    std::string Bytes = boost::beast::buffers_to_string(Buffer.data());
+    Buffer.clear();
+    boost::system::error_code Error;
+    boost::asio::read(Socket, boost::asio::dynamic_buffer(Bytes), Error);
+    if (Error != boost::asio::error::eof)
+      throw boost::system::system_error(Error);
+    return Bytes;
+  }
+
   /// Waits for the next byte or the end of the connection. Returns whether the
   /// peer closed it and no byte is left.
   bool isClosedByPeer() {
