Feature: the load stand-in plays clients that come late in a stop

--keep-connections: connections are used again after error responses too, until the server closes them.

--- a/src/shell/BackendClient.cpp
+++ b/src/shell/BackendClient.cpp
@@ -135,7 +135,7 @@
           if (PendingRequestPtr Pending = Weak.lock())
             Self->exchangeEnded(Pending, std::move(Outcome), Reusable);
         });
-    Pending->Exchange->start();
+    Pending->Exchange->start(Settings.LastBytesDelay);
   }
 
   void exchangeEnded(const PendingRequestPtr &Pending,
--- a/src/shell/BackendClient.h
+++ b/src/shell/BackendClient.h
@@ -34,7 +34,10 @@
       std::size_t{32} * 1024 *
       1024; ///< Bytes of all response bodies being read.
   Duration ProbeTimeout{std::chrono::seconds(1)};
-  bool SendDeadline = true; ///< Whether requests carry the remaining time.
+  Duration LastBytesDelay{0}; ///< The end of a request is sent this much later
+                              ///< than the rest. For simulators of slow
+                              ///< clients.
+  bool SendDeadline = true;   ///< Whether requests carry the remaining time.
   std::shared_ptr<const BackendFields> Fields =
       std::make_shared<BackendFields>();
   Duration MaxIdleTime{std::chrono::seconds(
--- a/src/shell/BackendExchange.cpp
+++ b/src/shell/BackendExchange.cpp
@@ -5,8 +5,11 @@
 #include "HttpFieldFunctions.h"
 
 #include <algorithm>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/write.hpp>
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
+#include <sstream>
 
 namespace figsail {
 
@@ -28,6 +31,10 @@
 // Refusals have a status from this one.
 static constexpr unsigned FirstErrorStatus = 400;
 
+// Bytes of a request that LastBytesDelay holds back. Fewer than the end of a
+// head, so that they are part of the head if there is no body.
+static constexpr std::size_t LateBytes = 2;
+
 static constexpr std::string_view DeadlineField = "Figsail-Deadline-Ms";
 
 BackendExchange::Message backendMessage(HttpRequest Request,
@@ -90,15 +97,54 @@
 
 BackendExchange::~BackendExchange() { Memory->release(ReservedBytes); }
 
-void BackendExchange::start() {
-  http::async_write(
-      *Socket, *Request,
-      [Self = shared_from_this()](beast::error_code Error, std::size_t Bytes) {
-        Self->writeDone(Error, Bytes);
-      });
+void BackendExchange::start(Duration LastBytesDelay) {
+  if (LastBytesDelay.count() > 0)
+    writeSlowly(LastBytesDelay);
+  else
+    http::async_write(*Socket, *Request,
+                      [Self = shared_from_this()](beast::error_code Error,
+                                                  std::size_t Bytes) {
+                        Self->writeDone(Error, Bytes);
+                      });
   readHead();
 }
 
+/// Writes the request but for its last bytes, which writeLast() writes after
+/// the delay.
+void BackendExchange::writeSlowly(Duration LastBytesDelay) {
+  std::ostringstream Text;
+  Text << *Request;
+  auto Whole = std::make_shared<const std::string>(std::move(Text).str());
+  auto Timer = std::make_shared<asio::steady_timer>(Socket->get_executor());
+  asio::async_write(
+      *Socket, asio::buffer(Whole->data(), Whole->size() - LateBytes),
+      [Self = shared_from_this(), Whole, Timer,
+       LastBytesDelay](beast::error_code Error, std::size_t Bytes) {
+        if (Error) {
+          Self->writeDone(Error, Bytes);
+          return;
+        }
+        Timer->expires_after(LastBytesDelay);
+        Timer->async_wait([Self, Whole, Timer](beast::error_code) {
+          Self->writeLast(Whole);
+        });
+      });
+}
+
+void BackendExchange::writeLast(
+    const std::shared_ptr<const std::string> &Whole) {
+  if (!OnEnd)
+    return;
+  const char *Last = Whole->data() + Whole->size() - LateBytes;
+  asio::async_write(
+      *Socket, asio::buffer(Last, LateBytes),
+      [Self = shared_from_this(), Whole](beast::error_code Error, std::size_t) {
+        // An error shows in the read, too.
+        if (!Error)
+          Self->writeDone(Error, Whole->size());
+      });
+}
+
 void BackendExchange::writeDone(beast::error_code Error, std::size_t Bytes) {
   if (!OnEnd)
     return;
--- a/src/shell/BackendExchange.h
+++ b/src/shell/BackendExchange.h
@@ -59,8 +59,9 @@
                   RejectionHandler OnRejection, EndHandler OnEnd);
   ~BackendExchange();
 
-  /// Starts to write the request and to read the response.
-  void start();
+  /// Starts to write the request and to read the response. With a delay, the
+  /// last bytes of the request are written this much later than the others.
+  void start(Duration LastBytesDelay);
   /// Suppresses the report of the outcome. The code that calls this closes the
   /// socket.
   void abandon() { OnEnd = nullptr; }
@@ -69,6 +70,8 @@
   using Parser =
       boost::beast::http::response_parser<boost::beast::http::string_body>;
 
+  void writeSlowly(Duration LastBytesDelay);
+  void writeLast(const std::shared_ptr<const std::string> &Whole);
   void readHead();
   void headRead(boost::beast::error_code Error);
   void readBody();
--- a/standins/LoadStandin.cpp
+++ b/standins/LoadStandin.cpp
@@ -13,6 +13,19 @@
   return std::chrono::duration_cast<Duration>(At.time_since_epoch()).count();
 }
 
+namespace {
+
+/// Reuses a connection after any response that allows it.
+class KeepingFields : public BackendFields {
+public:
+  bool mayReuseAfter(const Message & /*Request*/,
+                     const HttpResponse & /*Response*/) const override {
+    return true;
+  }
+};
+
+} // namespace
+
 static BackendSettings clientSettings(const LoadSettings &From,
                                       const std::string &Address) {
   BackendSettings Settings;
@@ -21,6 +34,9 @@
       std::max<std::size_t>(1, From.Connections / From.Targets.size());
   // Legacy clients send no deadline.
   Settings.SendDeadline = false;
+  Settings.LastBytesDelay = From.LastBytesDelay;
+  if (From.KeepConnections)
+    Settings.Fields = std::make_shared<KeepingFields>();
   return Settings;
 }
 
--- a/standins/LoadStandin.h
+++ b/standins/LoadStandin.h
@@ -33,11 +33,19 @@
   std::uint32_t Resends = 0; ///< Maximum resends of a logical request.
   Duration ResendDelay{std::chrono::milliseconds(100)};
   Duration Timeout{std::chrono::seconds(10)}; ///< Limit of one attempt.
+  bool KeepConnections = false; ///< Reuse connections after error responses,
+                                ///< too, until the server closes them.
+  Duration LastBytesDelay{0};   ///< The end of a request, of its head if it has
+                                ///< no body, is sent this much later.
 };
 
 /// Load generator for logical requests. When a request was not run or its
 /// outcome is unknown, it resends the request to the next target, up to Resends
 /// times.
+/// The failure of an attempt in the history tells a request that was cut
+/// without an answer ("connection-lost", or "malformed" within the answer) from
+/// one for which no connection was accepted ("not-sent"). A request that was
+/// refused with a response has its status.
 class LoadStandin : public BackendHandler {
 public:
   /// Writes a line to History for each attempt. OnDone is called once all
--- a/standins/load-standin.cpp
+++ b/standins/load-standin.cpp
@@ -51,6 +51,7 @@
   double SendSeconds = 0;
   double ResendDelayMs = 0;
   double Timeout = 0;
+  double LastBytesDelayMs = 0;
   LoadSettings Settings;
   po::options_description Options("load-standin: simulator of clients");
   // clang-format off
@@ -69,7 +70,9 @@
     ("body-bytes", po::value(&Settings.BodyBytes)->default_value(32), "body size of a booking")
     ("resends", po::value(&Settings.Resends)->default_value(0), "resends of a request that was not run, or whose outcome is unknown or lost")
     ("resend-delay-ms", po::value(&ResendDelayMs)->default_value(100), "delay before a resend")
-    ("timeout-s", po::value(&Timeout)->default_value(10), "time limit of an attempt");
+    ("timeout-s", po::value(&Timeout)->default_value(10), "time limit of an attempt")
+    ("keep-connections", po::bool_switch(&Settings.KeepConnections), "use connections again after error responses too, until the server closes them")
+    ("last-bytes-delay-ms", po::value(&LastBytesDelayMs)->default_value(0), "send the end of a request, of its head if it has no body, this much later than the rest");
   // clang-format on
   return runStandin(
       "load-standin", Argc, Argv, Options, [&](const po::variables_map &) {
@@ -79,6 +82,7 @@
         Settings.SendPeriod = seconds(SendSeconds);
         Settings.ResendDelay = seconds(ResendDelayMs / 1000);
         Settings.Timeout = seconds(Timeout);
+        Settings.LastBytesDelay = seconds(LastBytesDelayMs / 1000);
         run(Settings, HistoryFile);
         return 0;
       });
