--- a/standins/BackendControl.cpp
+++ b/standins/BackendControl.cpp
@@ -120,6 +120,13 @@
   return std::nullopt;
 }
 
+static std::string badValue(const std::string &Name, const char *Expected,
+                            const std::string &Value) {
+  std::string Text = "\"" + Name + "\" must be ";
+  Text.append(Expected).append(", not \"").append(Value).append("\"");
+  return Text;
+}
+
 std::variant<BackendControl, std::string>
 changedControl(BackendControl Current,
                const std::map<std::string, std::string> &Arguments) {
@@ -128,8 +135,7 @@
     if (!Expected)
       return "unknown argument \"" + Name + "\"";
     if (*Expected)
-      return "\"" + Name + "\" must be " + *Expected + ", not \"" + Value +
-             "\"";
+      return badValue(Name, *Expected, Value);
   }
   return Current;
 }
