Fix: a query lost with its link counted as one that the daemon left unanswered

Callers: a request that may not be repeated could get a 502 about 0.3 s after it was sent on, and milliseconds after its server began to run it, though the daemon beside the server was alive. A stop of the own daemon makes that LOST.

Cause: after a call is not confirmed in time, its daemon is queried, at most twice, with 200 ms for each reply (400 ms to another region). But each loss of the link counted as a query without a reply and was followed by the next one at once. Probes of the unreachable daemon and queries of other calls reset a link that is still being opened, and the transport reports the queries on it as unsent; so two resets ended the call at once. Now a query that is under way stays the one that counts, and is sent again when its reply is overdue.

A daemon that has ended (each connection refused) is now given up after the time for two replies, not at once; the answer is the same 502.

Ruled out by reading the code: the end of the stop (answers 502 only at its limit), and the gate of a stopping daemon (Gate.stop refuses with 503, runs go on to the limit).

Evidence: both new tests of StoppingSidecarTest failed before (an answer at the second loss, and no query after 200 ms) and pass now, with all 29 tests of SidecarLifeTest and 27 of SidecarTest.

--- a/src/sidecar/CallRouter.cpp
+++ b/src/sidecar/CallRouter.cpp
@@ -335,10 +335,20 @@
       continue;
     bool NeverSent =
         std::ranges::find(Unsent, Found->second.Id) != Unsent.end();
+    if (!NeverSent && isQueryPending(Found->second))
+      continue;
     executorLost(Step, Found->second, NeverSent);
   }
 }
 
+/// Returns whether a query of the call has been sent and its reply is not yet
+/// overdue. A loss of its link says nothing of the daemon: probes and queries
+/// of other calls reset links that are still being opened. The query is sent
+/// again when the reply is overdue.
+bool CallRouter::isQueryPending(const Call &Current) {
+  return Current.QueryInFlight && !Current.Route->Idempotent;
+}
+
 /// Handles a call whose daemon is unreachable. A call that was never sent, or
 /// is idempotent, goes to another server. For any other call, which may have
 /// run, the daemon is queried over a new link.
--- a/src/sidecar/CallRouter.h
+++ b/src/sidecar/CallRouter.h
@@ -159,6 +159,7 @@
   static std::uint32_t receiptDelay(bool Remote);
   void queryExecutor(RouterStep &Step, Call &Current);
   void checkExecutor(RouterStep &Step, Call &Current);
+  static bool isQueryPending(const Call &Current);
   void executorLost(RouterStep &Step, Call &Current, bool Unsent);
   void retryAfterRun(RouterStep &Step, Call &Current, ErrorKind Why);
   static bool mayRetry(const Call &Current);
--- a/tests/SidecarLifeTest.cpp
+++ b/tests/SidecarLifeTest.cpp
@@ -370,6 +370,45 @@
   EXPECT_TRUE(effects<CancelRun>(tick(10ms)).empty());
 }
 
+// Guards against a 502 some milliseconds after a server began to run the
+// request (LOST in a stop): each reset of a link that was still being opened,
+// by a probe or for another call, counted as one more query that the daemon
+// left unanswered.
+TEST_F(StoppingSidecarTest, AQueryLostWithItsLinkDoesNotCountAsUnanswered) {
+  start();
+  apply(StopRequested{});
+  tick(1373ms);
+  auto [Host, Call] = sent(request(1, "/book/1", 3s));
+  auto Queries = messages<Await>(tick(200ms));
+  ASSERT_EQ(Queries.size(), 1U) << "the daemon has not confirmed the call";
+  for (Duration Pause : {100ms, 20ms, 15ms}) {
+    Now += Pause;
+    PeerLost Reset{Host, {}};
+    Reset.Unsent.emplace_back(Queries[0].second);
+    EXPECT_FALSE(answer(apply(std::move(Reset))));
+  }
+  EXPECT_EQ(messages<Await>(tick(65ms)).size(), 1U)
+      << "the query is sent again when its reply is overdue";
+  auto Out = reply(Host, Answer{Call.Call, {200, {}, ""}, {}});
+  ASSERT_TRUE(answer(Out));
+  EXPECT_EQ(answer(Out)->Status, 200U);
+}
+
+// The number of queries is bounded also if each is lost with its link, as with
+// a daemon that has ended.
+TEST_F(StoppingSidecarTest, ADaemonThatAnswersNoQueryIsGivenUp) {
+  start();
+  auto [Host, Call] = sent(request(1, "/book/1", 3s));
+  EXPECT_EQ(messages<Await>(apply(PeerLost{Host, {}})).size(), 1U);
+  EXPECT_TRUE(messages<Await>(apply(PeerLost{Host, {}})).empty())
+      << "a refused connection is not tried again at once";
+  EXPECT_EQ(messages<Await>(tick(200ms)).size(), 1U);
+  EXPECT_FALSE(answer(apply(PeerLost{Host, {}})));
+  auto Out = tick(200ms);
+  ASSERT_TRUE(answer(Out));
+  EXPECT_EQ(answer(Out)->Status, 502U);
+}
+
 // The bounds may be reloaded during a stop.
 TEST_F(StoppingSidecarTest, AShorterLimitAppliesToARunningStop) {
   start();
