Fix: odd entries of another writer stopped followers and shut out true servers

What operators saw: after one odd entry (deeply nested, a number too large, a port out of range) the machines that read the list ended or stopped following it.

Here no process ended: the parsers bound nesting, and integers are converted with a check. But an entry did other harm, each shown by a test: - A page of the newest records was rejected as a whole for one item that cannot be read, then read again for ever; the same for a page with a key (store) or a record (figsaild's log) whose bytes are not text. - A host id with port 70000, 0, or no address was announced as a server, and calls were spent on it; an entry under one key could announce another host. - The highest generation or counter shut out the host's own announcements: its daemon computed generation + 1, which wraps.

Now: pages are decoded item by item; key, address and every number are checked; generations end at a bound, from which on the store's order decides; a server that looks late but keeps reporting, while the newer one is silent, is the true one; a daemon writes its own entry again; unusable entries are counted (records_unusable) and logged once.

Ruled out: nesting in Boost.JSON (32 levels) and yaml-cpp (its own guard), both in the tests; big lengths in frames between daemons (ViewInputArchive bounds them).

--- a/include/figsail/Events.h
+++ b/include/figsail/Events.h
@@ -205,6 +205,7 @@
   StaleMessages,
   StoreHistories,
   ResponsesRejected,
+  RecordsUnusable,
 };
 
 /// Increment a counter.
@@ -280,7 +281,7 @@
 std::string_view counterName(Counter Which);
 
 inline constexpr std::size_t CounterCount =
-    static_cast<std::size_t>(Counter::ResponsesRejected) + 1;
+    static_cast<std::size_t>(Counter::RecordsUnusable) + 1;
 
 } // namespace figsail
 
--- a/src/shell/Endpoint.cpp
+++ b/src/shell/Endpoint.cpp
@@ -30,6 +30,13 @@
   return tcp::endpoint(Address, Number);
 }
 
+bool isConnectable(std::string_view Text) {
+  auto Endpoint = parseEndpoint(Text);
+  return Endpoint && Endpoint->port() != 0 &&
+         !Endpoint->address().is_unspecified() &&
+         !Endpoint->address().is_multicast();
+}
+
 std::string formatEndpoint(const tcp::endpoint &Endpoint) {
   std::string Address = Endpoint.address().to_string();
   if (Endpoint.address().is_v6())
--- a/src/shell/Endpoint.h
+++ b/src/shell/Endpoint.h
@@ -15,6 +15,10 @@
 std::optional<boost::asio::ip::tcp::endpoint>
 parseEndpoint(std::string_view Text);
 
+/// Returns whether the text is the endpoint of one host that a client can
+/// connect to: port 0, "any address" and multicast addresses are not.
+bool isConnectable(std::string_view Text);
+
 /// Formats the endpoint in the form that parseEndpoint() reads.
 std::string formatEndpoint(const boost::asio::ip::tcp::endpoint &Endpoint);
 
--- a/src/shell/LogClient.cpp
+++ b/src/shell/LogClient.cpp
@@ -47,8 +47,11 @@
 
 /// Parses the body of a read response. Returns nothing if it is malformed.
 static std::optional<LogRead> parseRead(const std::string &Body) {
+  // Another writer's record need not be text.
+  json::parse_options Options;
+  Options.allow_invalid_utf8 = true;
   try {
-    json::object Root = json::parse(Body).as_object();
+    json::object Root = json::parse(Body, {}, Options).as_object();
     LogRead Read;
     Read.Earliest = Root.at("earliest").to_number<Offset>();
     Read.Next = Root.at("next").to_number<Offset>();
--- a/src/shell/SettingTypes.cpp
+++ b/src/shell/SettingTypes.cpp
@@ -113,10 +113,6 @@
   return Endpoint && Endpoint->port() != 0;
 }
 
-static bool isListenAddress(const std::string &Text) {
-  return isAddress(Text) && !parseEndpoint(Text)->address().is_unspecified();
-}
-
 static bool isTextAllowed(const SettingRow &Row, const SettingValue &Value) {
   switch (Row.Kind) {
   case SettingKind::Name:
@@ -128,7 +124,7 @@
   case SettingKind::Address:
     return isAddress(Value.Text);
   case SettingKind::ListenAddress:
-    return isListenAddress(Value.Text);
+    return isConnectable(Value.Text);
   case SettingKind::AddressList:
     return std::ranges::all_of(Value.list(), isAddress);
   default:
--- a/src/sidecar/ContentOrder.cpp
+++ b/src/sidecar/ContentOrder.cpp
@@ -13,7 +13,7 @@
   if (const auto *Config = std::get_if<ConfigPtr>(&First))
     return (*Config)->Version < std::get<ConfigPtr>(Second)->Version;
   if (const auto *Announced = std::get_if<Announcement>(&First))
-    return Announced->Order < std::get<Announcement>(Second).Order;
+    return Announced->Order.precedes(std::get<Announcement>(Second).Order);
   return std::nullopt;
 }
 
--- a/src/sidecar/Instance.cpp
+++ b/src/sidecar/Instance.cpp
@@ -4,11 +4,15 @@
 
 #include <algorithm>
 #include <boost/json.hpp>
+#include <stdexcept>
 
 namespace figsail {
 
 namespace json = boost::json;
 
+/// Longest text in an announcement, in bytes. Daemons keep those of all hosts.
+static constexpr std::size_t MaxTextBytes = 1024;
+
 std::string encodeAnnouncement(const Announcement &Announced) {
   json::object Record;
   Record["host"] = Announced.Host;
@@ -27,7 +31,10 @@
 }
 
 static std::string stringField(const json::object &Record, const char *Name) {
-  return std::string(Record.at(Name).as_string());
+  const json::string &Text = Record.at(Name).as_string();
+  if (Text.size() > MaxTextBytes)
+    throw std::length_error("a text is too long");
+  return std::string(Text);
 }
 
 static Announcement readRecord(const json::object &Record) {
@@ -59,18 +66,19 @@
     return std::nullopt;
   try {
     Announcement Announced = readRecord(Value.as_object());
-    if (Announced.Host.empty() || Announced.State > InstanceState::Paused)
+    if (Announced.Host.empty() || Announced.State > InstanceState::Paused ||
+        Announced.Order.Generation > MaxGeneration)
       return std::nullopt;
     return Announced;
   } catch (const std::exception &) {
-    return std::nullopt; // A field is missing or of another type.
+    return std::nullopt; // A field is missing, too long or of another type.
   }
 }
 
 bool InstanceDirectory::merge(const Announcement &Announced) {
   auto Known = Hosts.find(Announced.Host);
   if (Known != Hosts.end()) {
-    if (!(Known->second.Order < Announced.Order))
+    if (!Known->second.Order.precedes(Announced.Order).value_or(true))
       return false;
     removeReady(Known->second);
   }
--- a/src/sidecar/Instance.h
+++ b/src/sidecar/Instance.h
@@ -22,6 +22,10 @@
   Paused,   ///< Its daemon stops; the server keeps running.
 };
 
+/// Highest generation of an announcement. No daemon restarts that often; a
+/// higher number comes from another writer.
+inline constexpr std::uint64_t MaxGeneration = std::uint64_t(1) << 32;
+
 /// Order of the announcements of one host. A daemon that restarts uses the
 /// generation after the one it reads, so that a delayed append of its
 /// predecessor does not replace its announcements.
@@ -31,6 +35,14 @@
   std::uint64_t Counter = 0;    ///< Within the incarnation.
 
   bool operator==(const AnnouncementOrder &) const = default;
+  /// Returns whether the host's daemon wrote this before Other. Nothing if only
+  /// the store knows: its generations have come to their end, so that a daemon
+  /// could not exceed an entry of another writer.
+  std::optional<bool> precedes(const AnnouncementOrder &Other) const {
+    bool AtEnd = Generation >= MaxGeneration &&
+                 Other.Generation >= MaxGeneration && Inc != Other.Inc;
+    return AtEnd ? std::nullopt : std::optional(*this < Other);
+  }
   // clang-tidy 14 reports false errors in a defaulted <=>.
   bool operator<(const AnnouncementOrder &Other) const {
     return std::tie(Generation, Inc, Counter) <
@@ -63,7 +75,8 @@
 class InstanceDirectory {
 public:
   /// Applies an announcement unless the host already has the same or a newer
-  /// one. Returns whether it was applied.
+  /// one. Of two whose order only the store knows, the one that is applied last
+  /// is the newer. Returns whether it was applied.
   bool merge(const Announcement &Announced);
   /// Removes a host.
   void erase(const HostId &Host);
--- a/src/sidecar/LocalServer.cpp
+++ b/src/sidecar/LocalServer.cpp
@@ -4,6 +4,34 @@
 
 namespace figsail {
 
+using namespace std::chrono_literals;
+
+/// Heartbeats that look late, in a row, after which their server counts as the
+/// true one. A server that has crashed sends none.
+static constexpr unsigned MinContenderHeartbeats = 3;
+/// Heartbeats closer to each other count as one: a partition or a pause may
+/// hold up several, which then arrive together.
+static constexpr Duration MinContenderInterval = 500ms;
+
+/// Returns whether a server whose heartbeats look late sends one after the
+/// other, while the newer server is silent.
+///
+/// Fault: another writer leaves one heartbeat with the highest start or
+/// sequence number. All heartbeats of the true server look late after it.
+bool LocalServer::keepsReporting(TimePoint Now, const ServerHeartbeat &Report) {
+  bool Same = Late && Late->Last.Instance == Report.Instance &&
+              Late->Last.StartMillis == Report.StartMillis;
+  if (!Same) {
+    Late = Contender{Report, Now, 1};
+    return false;
+  }
+  if (Report.Sequence <= Late->Last.Sequence ||
+      Now - Late->At < MinContenderInterval)
+    return false;
+  Late = Contender{Report, Now, Late->Heartbeats + 1};
+  return Late->Heartbeats >= MinContenderHeartbeats;
+}
+
 ReportVerdict LocalServer::heartbeat(TimePoint Now,
                                      const ServerHeartbeat &Report) {
   if (Report.Instance.empty() || Report.Service.empty() || Report.Slots == 0)
@@ -13,11 +41,13 @@
   bool LeftBeforeHeartbeat =
       Instance.empty() && Report.Instance == LeftInstance &&
       (LeftStartMillis == 0 || Report.StartMillis <= LeftStartMillis);
-  if (Report.StartMillis < StartMillis || (SameIncarnation && LeftForGood) ||
-      LeftBeforeHeartbeat)
+  if ((SameIncarnation && LeftForGood) || LeftBeforeHeartbeat)
     return ReportVerdict::Stale;
-  if (SameIncarnation && Report.Sequence <= Sequence)
+  bool LooksLate = Report.StartMillis < StartMillis ||
+                   (SameIncarnation && Report.Sequence <= Sequence);
+  if (LooksLate && !keepsReporting(Now, Report))
     return ReportVerdict::Stale;
+  Late.reset();
   InstanceState Next =
       Report.Draining ? InstanceState::Draining : InstanceState::Ready;
   if (!SameIncarnation)
--- a/src/sidecar/LocalServer.h
+++ b/src/sidecar/LocalServer.h
@@ -65,6 +65,15 @@
   TimePoint lastReportAt() const { return LastReportAt; }
 
 private:
+  /// A server whose heartbeats look late. It may be the true one, if the newest
+  /// heartbeat came from another writer.
+  struct Contender {
+    ServerHeartbeat Last; ///< The last heartbeat that was counted.
+    TimePoint At;         ///< Its time.
+    unsigned Heartbeats = 0;
+  };
+  bool keepsReporting(TimePoint Now, const ServerHeartbeat &Report);
+
   InstanceState State = InstanceState::Absent;
   std::string Instance;
   std::string Service;
@@ -77,6 +86,7 @@
   std::int64_t LeftStartMillis = 0; ///< Start of LeftInstance; 0: not known.
   TimePoint ColdUntil;
   TimePoint LastReportAt;
+  std::optional<Contender> Late; ///< Since the last heartbeat in order.
 };
 
 } // namespace figsail
--- a/src/sidecar/ServerGate.cpp
+++ b/src/sidecar/ServerGate.cpp
@@ -5,6 +5,8 @@
 #include "DecisionText.h"
 #include "RequestIdentity.h"
 
+#include "figsail/DurationLimits.h"
+
 #include <algorithm>
 #include <utility>
 
@@ -264,7 +266,8 @@
   if (!Server.cold(Now))
     return Wait;
   double Missing = static_cast<double>(Waiting) + 1 - ColdTokens.available(Now);
-  auto TokenWait = std::chrono::duration_cast<Duration>(
+  // The operator may allow a cold server no requests at all.
+  Duration TokenWait = boundedDuration(
       std::chrono::duration<double>(std::max(0.0, Missing) / ColdPerSecond));
   return std::max(Wait, TokenWait);
 }
--- a/src/sidecar/ServerRateLimit.cpp
+++ b/src/sidecar/ServerRateLimit.cpp
@@ -2,6 +2,8 @@
 
 #include "ServerRateLimit.h"
 
+#include "figsail/DurationLimits.h"
+
 #include <algorithm>
 
 namespace figsail {
@@ -26,8 +28,7 @@
 }
 
 static Duration fromSeconds(double Seconds) {
-  return std::chrono::duration_cast<Duration>(
-      std::chrono::duration<double>(Seconds));
+  return boundedDuration(std::chrono::duration<double>(Seconds));
 }
 
 std::string_view termsSourceName(TermsSource Source) {
--- a/src/sidecar/Sidecar.cpp
+++ b/src/sidecar/Sidecar.cpp
@@ -228,7 +228,10 @@
 
 void Sidecar::on(Step &S, ServerHeartbeat &Body) {
   GateStep Step{S.Now, S.Out};
-  ReportVerdict Verdict = Gate.heartbeat(Step, Body);
+  bool KnownService = !Config || Body.Service == Settings.Service ||
+                      Config->findService(Body.Service);
+  ReportVerdict Verdict =
+      KnownService ? Gate.heartbeat(Step, Body) : ReportVerdict::Invalid;
   configureGate();
   acknowledgeReport(S, Body.Report, Verdict, Body.Instance);
 }
--- a/src/sidecar/SidecarTopics.cpp
+++ b/src/sidecar/SidecarTopics.cpp
@@ -297,6 +297,10 @@
                  {"offset", std::to_string(Origin.At)},
                  {"reason", Body.Reason}};
   S.Out.emplace_back(std::move(Line));
+  S.Out.emplace_back(Count{Counter::RecordsUnusable});
+  // A daemon that starts must find this host in the store.
+  if (Body.Key == Settings.Host)
+    announce(S);
 }
 
 /// Applies a configuration unless a newer version is in force. Offsets do not
@@ -353,10 +357,15 @@
   if (Body.Host == Settings.Host) {
     // The store's newest record of this host must be this daemon's own. An
     // append of the previous incarnation may take effect late.
-    if (Body.Order.Inc == Settings.Inc)
+    bool OwnInc = Body.Order.Inc == Settings.Inc;
+    if (OwnInc && Body.Order.Generation <= Order.Generation &&
+        Body.Order.Counter <= Order.Counter)
       return;
     if (Body.Order.Generation >= Order.Generation)
-      Order.Generation = Body.Order.Generation + 1;
+      Order.Generation = std::min(Body.Order.Generation + 1, MaxGeneration);
+    // This incarnation has not written a higher number itself.
+    if (OwnInc)
+      return announce(S);
     bool Served = Body.State == InstanceState::Ready ||
                   Body.State == InstanceState::Paused;
     if (Served && Body.Service == Settings.Service)
--- a/tests/LocalServerTest.cpp
+++ b/tests/LocalServerTest.cpp
@@ -102,4 +102,66 @@
             ReportVerdict::Changed);
 }
 
+// Guards against one report with the highest start or sequence number, left by
+// another writer, that makes every later report of the true server look late.
+// Only a server that lives reports again and again.
+TEST(LocalServer, AServerThatKeepsReportingReplacesASilentOne) {
+  constexpr Duration Interval = 1500ms;
+  constexpr std::int64_t HighestStart = INT64_MAX;
+  constexpr std::uint64_t HighestSequence = UINT64_MAX;
+  for (const ServerHeartbeat &Odd :
+       {heartbeat(1, "odd", HighestStart), heartbeat(HighestSequence)}) {
+    LocalServer Server;
+    TimePoint Now = TestStart;
+    Server.heartbeat(Now, heartbeat(1));
+    Server.heartbeat(Now, Odd);
+    ReportVerdict Verdict = ReportVerdict::Stale;
+    for (std::uint64_t I = 2; I < 7 && Verdict == ReportVerdict::Stale; ++I) {
+      Now += Interval;
+      Server.expire(Now, 4 * Interval);
+      Verdict = Server.heartbeat(Now, heartbeat(I));
+    }
+    EXPECT_NE(Verdict, ReportVerdict::Stale);
+    EXPECT_EQ(Server.instance(), "i-1");
+    EXPECT_EQ(Server.state(), InstanceState::Ready);
+  }
+}
+
+// A partition ends, and all heartbeats of a crashed incarnation arrive at once.
+TEST(LocalServer, LateHeartbeatsInABurstReplaceNothing) {
+  LocalServer Server;
+  Server.heartbeat(TestStart, heartbeat(1, "i-new", 2000));
+  TimePoint Now = TestStart + 10s;
+  Server.expire(Now, 6s);
+  for (std::uint64_t I = 1; I < 20; ++I)
+    EXPECT_EQ(Server.heartbeat(Now, heartbeat(I, "i-old", 1000)),
+              ReportVerdict::Stale);
+}
+
+// A server that has left, or said that it leaves, does not return by reporting
+// on.
+TEST(LocalServer, AServerThatHasLeftDoesNotReturnByReporting) {
+  LocalServer Server;
+  TimePoint Now = TestStart;
+  Server.heartbeat(Now, heartbeat(1));
+  Server.leave(leaveReport("i-1", 1000));
+  for (std::uint64_t I = 2; I < 12; ++I) {
+    Now += 1500ms;
+    Server.expire(Now, 6s);
+    EXPECT_EQ(Server.heartbeat(Now, heartbeat(I)), ReportVerdict::Stale);
+  }
+}
+
+// While the newer server reports, an older one that also does is not used.
+TEST(LocalServer, ALivingServerIsNotReplacedByAnOlderOne) {
+  LocalServer Server;
+  TimePoint Now = TestStart;
+  for (std::uint64_t I = 1; I < 12; ++I) {
+    Now += 1500ms;
+    Server.heartbeat(Now, heartbeat(I, "i-new", 2000));
+    EXPECT_EQ(Server.heartbeat(Now, heartbeat(I, "i-old", 1000)),
+              ReportVerdict::Stale);
+  }
+}
+
 } // namespace
--- a/tests/LogClientTest.cpp
+++ b/tests/LogClientTest.cpp
@@ -286,3 +286,17 @@
   Client.reset();
   Loop.poll();
 }
+
+// Guards against a follower that stops: one record whose bytes are not text
+// made the client reject its page, read it again and reject it again.
+TEST_F(LogClientTest, ARecordThatIsNotTextDoesNotHideTheOthers) {
+  start();
+  append("first");
+  append("\xff\xfe\x01");
+  append("last");
+  LogRead All = read(0);
+  ASSERT_EQ(All.Batch.size(), 3U);
+  EXPECT_EQ(All.Batch[0].Data, "first");
+  EXPECT_EQ(All.Batch[2].Data, "last");
+  EXPECT_EQ(All.Next, 3);
+}
--- a/tests/SidecarProcessTest.cpp
+++ b/tests/SidecarProcessTest.cpp
@@ -428,6 +428,40 @@
       << "no version may be applied twice";
 }
 
+// Guards against an entry of another writer that ends the process again and
+// again, or hides what comes after it.
+TEST_F(SidecarProcessTest, OddEntriesEndNothingAndHideNothing) {
+  ASSERT_TRUE(becomesTrue([&] { return isReady(); }));
+  EXPECT_EQ(sendHeartbeat(), 200U);
+  std::string Nested(100000, '[');
+  const std::string Members = "keyed.figsail-members";
+  Loop.on([&] {
+    Store->put(Members, "10.9.9.9:7000", Nested);
+    Store->put(Members, "10.9.9.9:7001", R"({"generation":1e400,"host":7})");
+    Store->put(Members, "10.9.9.9:70000", R"({"host":"10.9.9.9:70000"})");
+    Store->put(Members, "not text", "\xff\xfe\x01");
+    Store->put(Members, loopbackAddress(0), Nested);
+    Store->put("keyed.op", "odd", Nested);
+    Store->put("keyed.op", "config", Nested);
+    Store->put("keyed.op", "config", configVersion("00000002", "/new"));
+  });
+  EXPECT_TRUE(becomesTrue([&] {
+    return countLogLines("config-in-force", "\"version\":\"2\"") == 1;
+  }));
+  EXPECT_TRUE(
+      becomesTrue([&] { return countLogLines("record-unusable") == 7; }));
+  EXPECT_EQ(call().result_int(), 200U);
+  std::string Metrics = send(MetricsPort, "GET", "/metrics", "").body();
+  EXPECT_NE(Metrics.find("figsail_records_unusable_total 7\n"),
+            std::string::npos)
+      << Metrics;
+  // A daemon that starts reads them as one list.
+  restart();
+  EXPECT_EQ(call().result_int(), 200U);
+  int Status = stop(SIGTERM);
+  EXPECT_TRUE(WIFEXITED(Status) && WEXITSTATUS(Status) == 0) << Status;
+}
+
 TEST_F(SidecarProcessTest, ServesWhileTheStoreIsUnreachable) {
   ASSERT_TRUE(becomesTrue([&] { return isReady(); }));
   EXPECT_EQ(sendHeartbeat(), 200U);
