--- a/include/figsail/PeerMessages.h
+++ b/include/figsail/PeerMessages.h
@@ -15,7 +15,7 @@
 namespace figsail {
 
 /// Version of the peer protocol; links between different versions are refused.
-inline constexpr std::uint32_t PeerProtocolVersion = 5;
+inline constexpr std::uint32_t PeerProtocolVersion = 6;
 
 /// Permission to run one attempt of one keyed request on one executor.
 struct GrantToken {
@@ -279,7 +279,8 @@
 /// Child to parent in the replication tree: send records from this offset on.
 struct Subscribe {
   Offset From = 0;
-  template <class Archive> void serialize(Archive &Ar) { Ar(From); }
+  std::uint32_t Pieces = 0; ///< That have arrived of an unfinished snapshot.
+  template <class Archive> void serialize(Archive &Ar) { Ar(From, Pieces); }
 };
 
 /// Parent to child: records in order. Sent without records to show that the
@@ -289,11 +290,17 @@
   template <class Archive> void serialize(Archive &Ar) { Ar(Batch); }
 };
 
-/// Parent to child whose offset is too old: the complete replicated state.
+/// Parent to child whose offset is too old: a piece of the complete replicated
+/// state. The pieces of one snapshot follow each other. Calls share the link
+/// with them, so a call waits for one piece at most.
 struct Snapshot {
-  Offset At = NoOffset; ///< Offset of the last record that it includes.
-  std::string State;    ///< JSON text.
-  template <class Archive> void serialize(Archive &Ar) { Ar(At, State); }
+  Offset At = NoOffset;    ///< Offset of the last record that it includes.
+  std::string State;       ///< Part of a JSON text.
+  std::uint32_t Index = 0; ///< Of the piece, from 0 on.
+  std::uint32_t Count = 1; ///< Pieces of the snapshot.
+  template <class Archive> void serialize(Archive &Ar) {
+    Ar(At, State, Index, Count);
+  }
 };
 
 /// Member to member in the home regions: a request may have crashed a backend
--- a/src/core/Names.cpp
+++ b/src/core/Names.cpp
@@ -22,7 +22,9 @@
 
 bool isBulk(const PeerMessage &Message) {
   return std::holds_alternative<TopicUpdate>(Message) ||
-         std::holds_alternative<TopicPiece>(Message);
+         std::holds_alternative<TopicPiece>(Message) ||
+         std::holds_alternative<Records>(Message) ||
+         std::holds_alternative<Snapshot>(Message);
 }
 
 std::string_view messageName(const PeerMessage &Message) {
--- a/src/core/Replication.cpp
+++ b/src/core/Replication.cpp
@@ -3,6 +3,7 @@
 #include "Replication.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace figsail {
 
@@ -32,11 +33,17 @@
 /// Renewals in a row without progress from which on a child gets the records
 /// again. Until then they may still be under way.
 static constexpr unsigned MaxStalledRenewals = 2;
+/// The same for a snapshot. It doubles with each repeat, so that repeats do not
+/// fill the link that delays them.
+static constexpr unsigned MaxStalledSnapshotRenewals = 4;
+static constexpr unsigned LongestStall = 64;
+/// Snapshots and records are sent in messages of about this size. A call waits
+/// 13 ms for one on a link of 10 Mbit/s.
+static constexpr std::size_t PieceBytes = 16UL * 1024;
 /// Bounds of the tail kept for children. A child that needs older records gets
 /// a snapshot.
 static constexpr std::size_t MaxTailRecords = 4096;
 static constexpr std::size_t MaxTailBytes = 4UL * 1024 * 1024;
-static constexpr std::size_t MaxBatchRecords = 512;
 /// Size of the text in one part of a snapshot. It keeps each record well under
 /// the largest record of the log.
 static constexpr std::size_t SnapshotPartBytes = 256UL * 1024;
@@ -124,7 +131,8 @@
   if (SourceChosenAt == TimePoint{})
     SourceChosenAt = LastSourceMessage = Now;
   Out.push_back(
-      SendPeer{Sources[SourceIndex], Subscribe{State.appliedOffset() + 1}});
+      SendPeer{Sources[SourceIndex],
+               Subscribe{State.appliedOffset() + 1, Arriving.pieces()}});
   NextRenewal = Now + RenewalInterval;
 }
 
@@ -203,28 +211,50 @@
   }
 }
 
+void Replication::sendSnapshot(Child &Receiver, EffectList &Out) {
+  std::string Text = State.snapshot();
+  Offset At = State.appliedOffset();
+  auto Count =
+      static_cast<std::uint32_t>((Text.size() + PieceBytes - 1) / PieceBytes);
+  for (std::uint32_t Index = 0; Index < Count; ++Index)
+    Out.push_back(
+        SendPeer{Receiver.Peer.Host,
+                 Snapshot{At, Text.substr(Index * PieceBytes, PieceBytes),
+                          Index, Count}});
+  Receiver.Next = At + 1;
+  Receiver.MaxStalled = std::clamp(2 * Receiver.MaxStalled,
+                                   MaxStalledSnapshotRenewals, LongestStall);
+}
+
+/// Sends what the child has not been sent yet. Always: sends a message even if
+/// that is nothing, to show that the link is alive.
 void Replication::sendRecords(Child &Receiver, bool Always, EffectList &Out) {
   bool TailCovers = !Tail.empty() && Tail.front().At <= Receiver.Next;
   bool Behind = Receiver.Next <= State.appliedOffset();
-  if (Behind && !TailCovers) {
-    Out.push_back(SendPeer{Receiver.Peer.Host,
-                           Snapshot{State.appliedOffset(), State.snapshot()}});
-    Receiver.Next = State.appliedOffset() + 1;
+  if (Behind && !TailCovers)
+    return sendSnapshot(Receiver, Out);
+  if (!Behind) {
+    if (Always)
+      Out.push_back(SendPeer{Receiver.Peer.Host, Records{}});
     return;
   }
   Records Message;
-  for (auto It = Tail.rbegin(); It != Tail.rend() && It->At >= Receiver.Next;
-       ++It)
-    Message.Batch.push_back(*It);
-  std::ranges::reverse(Message.Batch);
-  if (Message.Batch.size() > MaxBatchRecords)
-    Message.Batch.resize(MaxBatchRecords);
-  if (Message.Batch.empty() && !Always)
-    return;
-  if (!Message.Batch.empty())
-    Receiver.Next = Message.Batch.back().At + 1;
-  Out.push_back(Count{Counter::RecordsForwarded, Message.Batch.size()});
-  Out.push_back(SendPeer{Receiver.Peer.Host, std::move(Message)});
+  std::size_t Bytes = 0;
+  auto Send = [&] {
+    Out.push_back(Count{Counter::RecordsForwarded, Message.Batch.size()});
+    Out.push_back(SendPeer{Receiver.Peer.Host, std::exchange(Message, {})});
+    Bytes = 0;
+  };
+  for (const LogRecord &Record : Tail) {
+    if (Record.At < Receiver.Next)
+      continue;
+    if (!Message.Batch.empty() && Bytes + Record.Data.size() > PieceBytes)
+      Send();
+    Message.Batch.push_back(Record);
+    Bytes += Record.Data.size();
+  }
+  Receiver.Next = Tail.back().At + 1;
+  Send();
 }
 
 void Replication::subscribe(TimePoint Now, const PeerRef &From,
@@ -239,10 +269,13 @@
   Receiver.Peer = From;
   Receiver.LastSubscription = Now;
   bool Waits = Message.From < Receiver.Next;
-  bool Progress = Message.From != Receiver.LastFrom;
-  Receiver.LastFrom = Message.From;
+  bool Progress = Message.From != Receiver.Last.From ||
+                  Message.Pieces != Receiver.Last.Pieces;
+  if (New || Restarted || Message.From != Receiver.Last.From)
+    Receiver.MaxStalled = MaxStalledRenewals;
+  Receiver.Last = Message;
   Receiver.Stalled = Waits && !Progress ? Receiver.Stalled + 1 : 0;
-  if (New || Restarted || Receiver.Stalled >= MaxStalledRenewals) {
+  if (New || Restarted || Receiver.Stalled >= Receiver.MaxStalled) {
     Receiver.Next = Message.From;
     Receiver.Stalled = 0;
   }
@@ -268,12 +301,13 @@
 }
 
 bool Replication::snapshot(TimePoint Now, const PeerRef &From,
-                           const Snapshot &Message, EffectList &Out) {
+                           const Snapshot &Piece, EffectList &Out) {
   if (SourceIndex < Sources.size() && Sources[SourceIndex] == From.Host)
     LastSourceMessage = Now;
-  if (Message.At <= State.appliedOffset())
+  if (Piece.At <= State.appliedOffset())
     return false;
-  if (State.restore(Now, Message.At, Message.State))
+  std::optional<std::string> Text = Arriving.add(From, Piece);
+  if (!Text || State.restore(Now, Piece.At, *Text))
     return false;
   Tail.clear();
   TailBytes = 0;
@@ -285,6 +319,7 @@
 
 void Replication::peerLost(TimePoint Now, const HostId &Host, EffectList &Out) {
   Children.erase(Host);
+  Arriving.linkLost(Host);
   if (SourceIndex < Sources.size() && Sources[SourceIndex] == Host)
     switchToNextSource(Now, Out);
 }
--- a/src/core/Replication.h
+++ b/src/core/Replication.h
@@ -7,6 +7,8 @@
 #include "figsail/Node.h"
 #include "figsail/ReplicatedState.h"
 
+#include "SnapshotAssembly.h"
+
 #include <deque>
 #include <functional>
 #include <map>
@@ -35,8 +37,8 @@
                  EffectList &Out);
   void records(TimePoint Now, const PeerRef &From, const Records &Message,
                const OnApplied &Applied, EffectList &Out);
-  /// Returns whether the state was replaced.
-  bool snapshot(TimePoint Now, const PeerRef &From, const Snapshot &Message,
+  /// A piece of a snapshot has arrived. Returns whether the state was replaced.
+  bool snapshot(TimePoint Now, const PeerRef &From, const Snapshot &Piece,
                 EffectList &Out);
   void peerLost(TimePoint Now, const HostId &Host, EffectList &Out);
   /// To be called when the member list has changed: the position in the tree
@@ -63,8 +65,9 @@
     PeerRef Peer;
     Offset Next = 0;            ///< Offset to send next.
     TimePoint LastSubscription; ///< When it last sent Subscribe.
-    Offset LastFrom = NoOffset; ///< The offset in it.
+    Subscribe Last;             ///< Its content.
     unsigned Stalled = 0;       ///< Renewals in a row without progress.
+    unsigned MaxStalled = 0;    ///< Then it is sent everything again.
   };
 
   void updateTreePosition();
@@ -73,6 +76,7 @@
   void apply(TimePoint Now, const std::vector<LogRecord> &Batch,
              const OnApplied &Applied, EffectList &Out);
   void sendRecords(Child &Receiver, bool Always, EffectList &Out);
+  void sendSnapshot(Child &Receiver, EffectList &Out);
   void addToTail(const LogRecord &Record);
 
   HostId Self;
@@ -103,6 +107,7 @@
   std::deque<LogRecord> Tail; ///< Latest records without gaps, for children.
   std::size_t TailBytes = 0;
   std::map<HostId, Child> Children;
+  SnapshotAssembly Arriving; ///< The snapshot that the source sends.
   std::map<std::string, std::vector<SnapshotRecord>>
       Parts; ///< Snapshots being read, by id.
 };
--- a/tests/PeerCodecTest.cpp
+++ b/tests/PeerCodecTest.cpp
@@ -145,11 +145,12 @@
   case 17:
     return ProbeReply{anyPeer(), any<bool>()};
   case 18:
-    return Subscribe{any<std::int64_t>()};
+    return Subscribe{any<std::int64_t>(), any<std::uint32_t>()};
   case 19:
     return Records{anyLogRecords()};
   case 20:
-    return Snapshot{any<std::int64_t>(), anyText()};
+    return Snapshot{any<std::int64_t>(), anyText(), any<std::uint32_t>(),
+                    any<std::uint32_t>()};
   case 21:
     return SuspectReport{any<std::uint64_t>(), any<std::uint32_t>(),
                          any<bool>()};
