Feature: a run whose call a service refused is not retried elsewhere

The budget was charged, not used: 12% of the calling service's runs were retries of runs that had failed early, and each call of such a host is charged with that share (0.12, against 0.2 x 0.88 earned a call).

Ruled out: MaxServers (2; most refused calls had reached one server), the slack (7.7 a gate), the limit on refusals (3, reached with this reason only).

Now a daemon remembers the refused calls that runs of its server have made. Each explains one run that fails while it is under way; the answer says so, and its ingress delivers it instead of trying another server. The caller of a marked run is marked in turn, so it holds for chains of calls. A run that fails by itself is retried as before.

--- a/include/figsail/PeerMessages.h
+++ b/include/figsail/PeerMessages.h
@@ -100,8 +100,10 @@
   CallId Call;
   HttpResponse Response;
   LoadReport Load;
+  /// The run failed since a service refused a call that the run made.
+  bool CallRefused = false;
   template <class Archive> void serialize(Archive &Ar) {
-    Ar(Call, Response, Load);
+    Ar(Call, Response, Load, CallRefused);
   }
 };
 
--- a/src/sidecar/CallRouter.cpp
+++ b/src/sidecar/CallRouter.cpp
@@ -45,6 +45,10 @@
 /// give up when it is later.
 static constexpr double MaxRetryAfterFraction = 1.0 / 3;
 
+/// Fraction of a route's requests that are nested calls, from which on each of
+/// them counts as one.
+static constexpr double NestedThreshold = 0.5;
+
 CallRouter::CallRouter(const SidecarSettings &Settings)
     : Self{Settings.Host, Settings.Inc},
       CallingService(Settings.Service), OwnLocality{Settings.Region,
@@ -154,8 +158,9 @@
   New.Deadline = Step.Now + std::min(Limit, Route->Timeout);
   New.Route = std::move(Route);
   ByCaller[New.Caller] = Number;
-  New.RetryFraction = static_cast<float>(
-      Step.RetryFraction * Origins.addRequest(Step.Now, New.Route->Name));
+  double Nested = Origins.addRequest(Step.Now, New.Route->Name);
+  New.Nested = Nested >= NestedThreshold;
+  New.RetryFraction = static_cast<float>(Step.RetryFraction * Nested);
   tryNextServer(Step, New);
 }
 
@@ -446,6 +451,8 @@
   if (Current.MayHaveRun && errorEntry(Kind).Run == RunState::No)
     Kind = ErrorKind::BackendFailed;
   bool NotRun = errorEntry(Kind).Run == RunState::No;
+  if (NotRun && Current.Nested)
+    RefusedByServices.add(Step.Now);
   Step.Out.emplace_back(
       Count{NotRun ? Counter::CallsRefused : Counter::CallsUnknown});
   Step.Out.emplace_back(CountRefusal{RefusedBy::Ingress, Kind});
--- a/src/sidecar/CallRouter.h
+++ b/src/sidecar/CallRouter.h
@@ -6,6 +6,7 @@
 #include "Instance.h"
 #include "NestedCallEstimator.h"
 #include "PeerHealth.h"
+#include "RefusedCalls.h"
 #include "RunTimes.h"
 #include "ServerNotices.h"
 #include "ServiceConfig.h"
@@ -62,6 +63,12 @@
     Notices.received(Now, Host, Load.Notice, false);
     Selector.loadReported(Now, Host, Load);
   }
+  /// A run of this host's server has failed. Returns whether a service refused
+  /// one of the server's calls since the start of the run; each call explains
+  /// one run.
+  bool explainFailedRun(TimePoint RunStart) {
+    return RefusedByServices.explain(RunStart);
+  }
 
   /// Sets the number of hosts that share the link between regions.
   void setRegionHosts(std::size_t Count) { Link.setHostCount(Count); }
@@ -116,6 +123,7 @@
     std::vector<HostId> TriedHosts;
     /// Backend servers that may have received it.
     std::uint32_t ServersReached = 0;
+    bool Nested = false; ///< A run of this host's server has probably made it.
     float RetryFraction = 0;    ///< Probability that a retried run made it.
     bool MayHaveRun = false;    ///< A backend server may have run it.
     std::uint32_t Refusals = 0; ///< By daemons, before any server received it.
@@ -180,6 +188,7 @@
   Locality OwnLocality;
   Balancer Selector;
   ServerNotices Notices;
+  RefusedCalls RefusedByServices;
   StopTime Stop;
   RegionLink Link;
   NestedCallEstimator Origins;
--- a/src/sidecar/CallRouterReplies.cpp
+++ b/src/sidecar/CallRouterReplies.cpp
@@ -48,7 +48,12 @@
   endAttempt(Step, *Current, Success, &Message.Load);
   ++Current->ServersReached;
   Current->MayHaveRun = true;
-  if (Success || !Current->Route->Idempotent || !FailedEarly)
+  if (Message.CallRefused && Current->Nested)
+    RefusedByServices.add(Step.Now);
+  // A retry would make the run's calls again, and a service refuses these.
+  bool Retry = !Success && Current->Route->Idempotent && FailedEarly &&
+               !Message.CallRefused;
+  if (!Retry)
     return deliver(Step, *Current, std::move(Message.Response));
   Current->FallbackResponse = std::move(Message.Response);
   retryAfterRun(Step, *Current, ErrorKind::BackendFailed);
--- a/src/sidecar/ServerGate.h
+++ b/src/sidecar/ServerGate.h
@@ -52,7 +52,10 @@
   /// Reports the state of a call to its ingress. A call that has not arrived
   /// yet is refused, and the refusal is final.
   void await(GateStep &Step, const PeerRef &From, const Await &Message);
-  void runEnded(GateStep &Step, ServerRunResult Done);
+  /// CallRefused: the run failed since a service refused one of its calls.
+  void runEnded(GateStep &Step, ServerRunResult Done, bool CallRefused = false);
+  /// Returns when a run started, or nothing if it has ended.
+  std::optional<TimePoint> runStart(RunId Run) const;
   void probeEnded(GateStep &Step, const ServerProbeResult &Probe);
 
   /// Applies a heartbeat. The verdict says whether to announce a change.
@@ -180,7 +183,7 @@
   void reply(GateStep &Step, const PeerRef &To, const CallId &Call,
              PeerMessage Message);
   void finish(GateStep &Step, const AdmittedCall &Call, HttpResponse Response,
-              const ResponseMetadata &Metadata);
+              const ResponseMetadata &Metadata, bool CallRefused);
   void finish(GateStep &Step, const AdmittedCall &Call, BackendError Error);
   void logLateRun(GateStep &Step, const AdmittedCall &Call) const;
   static bool isRetry(const AdmittedCall &Call) {
--- a/src/sidecar/ServerGateRuns.cpp
+++ b/src/sidecar/ServerGateRuns.cpp
@@ -132,7 +132,15 @@
                Call.Deadline - Step.Now, Call.Message.Policy.Idempotent});
 }
 
-void ServerGate::runEnded(GateStep &Step, ServerRunResult Done) {
+std::optional<TimePoint> ServerGate::runStart(RunId Run) const {
+  auto Found = Runs.find(Run);
+  if (Found == Runs.end())
+    return std::nullopt;
+  return Calls.at(Found->second).Started;
+}
+
+void ServerGate::runEnded(GateStep &Step, ServerRunResult Done,
+                          bool CallRefused) {
   auto Found = Runs.find(Done.Run);
   if (Found == Runs.end())
     return;
@@ -148,7 +156,7 @@
   if (Call.Suspect && --SuspectRuns[Call.Message.Fingerprint] == 0)
     SuspectRuns.erase(Call.Message.Fingerprint);
   if (auto *Response = std::get_if<HttpResponse>(&Done.Result))
-    finish(Step, Call, std::move(*Response), Done.Metadata);
+    finish(Step, Call, std::move(*Response), Done.Metadata, CallRefused);
   else
     finish(Step, Call, std::get<BackendError>(Done.Result));
   refuseLate(Step);
@@ -167,8 +175,8 @@
 }
 
 void ServerGate::finish(GateStep &Step, const AdmittedCall &Call,
-                        HttpResponse Response,
-                        const ResponseMetadata &Metadata) {
+                        HttpResponse Response, const ResponseMetadata &Metadata,
+                        bool CallRefused) {
   const CallId &Id = Call.Message.Call;
   if (Metadata.NotExecuted || Metadata.OtherInstance) {
     Decision Line{LogLevel::Warning, "server-refused", {}};
@@ -183,9 +191,18 @@
                  Refused{Id, ErrorKind::ServerRefused, load(Step.Now)});
   }
   logLateRun(Step, Call);
+  if (CallRefused) {
+    Decision Line{LogLevel::Info, "run-call-refused", {}};
+    Line.Fields = {{"call", callText(Id)},
+                   {"route", Call.Message.Policy.Route},
+                   {"instance", Call.Message.Instance},
+                   {"status", std::to_string(Response.Status)}};
+    Step.Out.emplace_back(std::move(Line));
+  }
   Crashes.succeeded(Step.Now, Call.Message.Fingerprint);
   recordRunTime(Call, Step.Now, Response.Status < 500);
-  reply(Step, Call.From, Id, Answer{Id, std::move(Response), load(Step.Now)});
+  reply(Step, Call.From, Id,
+        Answer{Id, std::move(Response), load(Step.Now), CallRefused});
 }
 
 /// Logs for a run that missed its target how long the call waited here and how
--- a/src/sidecar/Sidecar.cpp
+++ b/src/sidecar/Sidecar.cpp
@@ -204,10 +204,20 @@
 
 // The backend server.
 
+/// Returns whether a run failed since a service refused one of its calls.
+bool Sidecar::isCallRefused(const ServerRunResult &Ended) {
+  const auto *Response = std::get_if<HttpResponse>(&Ended.Result);
+  if (!Response || Response->Status < 500 || Ended.Metadata.NotExecuted)
+    return false;
+  std::optional<TimePoint> Start = Gate.runStart(Ended.Run);
+  return Start && Router.explainFailedRun(*Start);
+}
+
 void Sidecar::on(Step &S, ServerRunResult &Body) {
   GateStep Step{S.Now, S.Out};
   InstanceState Before = Gate.server().state();
-  Gate.runEnded(Step, std::move(Body));
+  bool CallRefused = isCallRefused(Body);
+  Gate.runEnded(Step, std::move(Body), CallRefused);
   if (Gate.server().state() != Before)
     announce(S);
 }
--- a/src/sidecar/Sidecar.h
+++ b/src/sidecar/Sidecar.h
@@ -86,6 +86,7 @@
   void on(Step &S, StopRequested &Body);
 
   void handleExecute(Step &S, const PeerRef &From, Execute Message);
+  bool isCallRefused(const ServerRunResult &Ended);
   void handleMessage(Step &S, const PeerRef &From, PeerMessage &Message);
   void applyRecord(Step &S, const RecordOrigin &Origin, UnusableRecord &Body);
   void applyRecord(Step &S, const RecordOrigin &Origin, ConfigPtr &Body);
