--- a/tests/OddRecordsTest.cpp
+++ b/tests/OddRecordsTest.cpp
@@ -230,7 +230,9 @@
            R"({"Key":"b","Value":"dg==","Offset":-4})",
            "{\"Key\":\"\xff\xfe\",\"Value\":\"dg==\",\"Offset\":4}",
            R"({"Key":{"a":[]},"Value":"dg==","Offset":4})", "7", "[[]]"}) {
-    auto Page = platform::decodeNewestPage(newestPage(Odd + "," + Good));
+    std::string Items = Odd;
+    Items.append(",").append(Good);
+    auto Page = platform::decodeNewestPage(newestPage(Items));
     ASSERT_TRUE(Page) << Odd;
     ASSERT_FALSE(Page->Records.empty()) << Odd;
     EXPECT_EQ(Page->Records.back(), (KeyedRecord{"a", "v", 3})) << Odd;
