Count and log answers of the store that are given up

Now the line has the bytes that had arrived, each further answer that is given up is logged as store-read-abandoned (one for each read, which are paced by the backoff), and figsail_topic_abandoned_bytes_total counts them.

HttpExchange reads in parts to know the bytes; its time limit is as before.

--- a/include/figsail/Events.h
+++ b/include/figsail/Events.h
@@ -235,9 +235,11 @@
   RepeatedFromStore,  ///< Those of FromStore that changed nothing.
   RepeatedFromDaemon, ///< Those of FromDaemon that changed nothing.
   Sent,               ///< Sent to other daemons.
+  Abandoned, ///< Answers of the store that broke off or were given up: their
+             ///< number, and the bytes that had arrived.
 };
 inline constexpr std::size_t TopicFlowCount =
-    static_cast<std::size_t>(TopicFlow::Sent) + 1;
+    static_cast<std::size_t>(TopicFlow::Abandoned) + 1;
 
 /// Number of topic records and size of their values. A record without a value
 /// is not counted.
--- a/src/shell/HttpExchange.cpp
+++ b/src/shell/HttpExchange.cpp
@@ -37,6 +37,7 @@
   Done = std::move(WhenDone);
   Timeout = RequestTimeout;
   InterimResponses = 0;
+  Received = 0;
   if (Stream.socket().is_open() && hasNothingToRead(Stream.socket()))
     return write();
   closeConnection();
@@ -97,16 +98,27 @@
 void HttpExchange::readResponse() {
   Parser.emplace();
   Parser->body_limit(MaxResponseBytes);
-  http::async_read(
+  readMore();
+}
+
+void HttpExchange::readMore() {
+  http::async_read_some(
       Stream, Buffer, *Parser,
-      [Self = shared_from_this()](const error_code &Error, std::size_t) {
-        Self->responseRead(Error);
+      [Self = shared_from_this()](const error_code &Error, std::size_t Bytes) {
+        Self->someRead(Error, Bytes);
       });
 }
 
-void HttpExchange::responseRead(const error_code &Error) {
+void HttpExchange::someRead(const error_code &Error, std::size_t Bytes) {
+  Received += Bytes;
   if (Error)
     return finish(std::nullopt);
+  if (!Parser->is_done())
+    return readMore();
+  responseRead();
+}
+
+void HttpExchange::responseRead() {
   // The response to the request is not an interim one but the one after it.
   if (Parser->get().result_int() < 200)
     return ++InterimResponses > MaxInterimResponses ? finish(std::nullopt)
--- a/src/shell/HttpExchange.h
+++ b/src/shell/HttpExchange.h
@@ -32,6 +32,9 @@
   /// Starts an exchange; Done is called once, from the event loop. No other
   /// exchange may be in flight.
   void start(Request Next, Duration Timeout, Callback Done);
+  /// Returns the bytes of the response to the present or last request that have
+  /// arrived.
+  std::uint64_t receivedBytes() const { return Received; }
   /// Changes the address and closes the connection. An exchange in flight
   /// fails.
   void moveTo(std::string NewAddress);
@@ -44,7 +47,9 @@
   void write();
   void requestWritten(const boost::system::error_code &Error);
   void readResponse();
-  void responseRead(const boost::system::error_code &Error);
+  void readMore();
+  void someRead(const boost::system::error_code &Error, std::size_t Bytes);
+  void responseRead();
   void finish(ExchangeResult Result);
   void closeConnection();
 
@@ -55,6 +60,7 @@
   std::optional<
       boost::beast::http::response_parser<boost::beast::http::string_body>>
       Parser;
+  std::uint64_t Received = 0;    ///< Bytes of the response.
   unsigned InterimResponses = 0; ///< Before the response to this request.
   Duration Timeout{0};           ///< Excludes the connection attempt.
   Callback Done;
--- a/src/shell/MetricsText.cpp
+++ b/src/shell/MetricsText.cpp
@@ -78,6 +78,7 @@
       {TopicFlow::RepeatedFromStore, "topic_repeated", "{from=\"store\"}"},
       {TopicFlow::RepeatedFromDaemon, "topic_repeated", "{from=\"daemon\"}"},
       {TopicFlow::Sent, "topic_sent", ""},
+      {TopicFlow::Abandoned, "topic_abandoned", ""},
   }};
   for (const auto &[Which, Name, Labels] : Flows) {
     const RecordVolume &Volume = Source.topicRecords(Which);
--- a/src/sidecar/SidecarEvents.h
+++ b/src/sidecar/SidecarEvents.h
@@ -152,6 +152,7 @@
   Topic Which = Topic::Operator;
   std::string Reason;
   StoreHistory History = 0; ///< 0: the store did not answer.
+  std::uint64_t Bytes = 0;  ///< Of the answer that had arrived by then.
 };
 
 /// An append of Announce or RemoveHost ended. After a failure it is not known
--- a/src/sidecar/SidecarTopics.cpp
+++ b/src/sidecar/SidecarTopics.cpp
@@ -91,7 +91,11 @@
 
 void Sidecar::on(Step &S, TopicReadFailed &Body) {
   isFromEndedHistory(S, Body.History);
-  topicState(Body.Which).Follower.readFailed(S.Now, S.Seed, Body.Reason, S.Out);
+  // Such a read costs the links as much as one that succeeds.
+  if (Body.Bytes > 0)
+    S.Out.emplace_back(
+        CountTopicRecords{TopicFlow::Abandoned, {1, Body.Bytes}});
+  topicState(Body.Which).Follower.readFailed(S.Now, S.Seed, Body, S.Out);
 }
 
 /// Counts the records that were received and those of them that changed
--- a/src/sidecar/TopicFollower.cpp
+++ b/src/sidecar/TopicFollower.cpp
@@ -108,13 +108,17 @@
 }
 
 void TopicFollower::readFailed(TimePoint Now, std::uint64_t Seed,
-                               const std::string &Reason, SidecarEffects &Out) {
+                               const TopicReadFailed &Failure,
+                               SidecarEffects &Out) {
   Reading = false;
   ReadIsStale = false;
-  if (Failures == 0) {
-    Decision Line{LogLevel::Warning, "store-lost", {}};
+  if (Failures == 0 || Failure.Bytes > 0) {
+    Decision Line{LogLevel::Warning,
+                  Failures == 0 ? "store-lost" : "store-read-abandoned",
+                  {}};
     Line.Fields = {{"topic", std::string(topicName(Which))},
-                   {"reason", Reason}};
+                   {"reason", Failure.Reason},
+                   {"bytes", std::to_string(Failure.Bytes)}};
     Out.emplace_back(std::move(Line));
   }
   StoreReached = false;
--- a/src/sidecar/TopicFollower.h
+++ b/src/sidecar/TopicFollower.h
@@ -28,10 +28,11 @@
   /// Returns whether the read that has just ended began in another history. If
   /// so, starts it again.
   bool discardStaleRead(TimePoint Now, SidecarEffects &Out);
-  /// A read has failed. The next one starts after a backoff. Only the first of
-  /// several failures in a row is logged.
-  void readFailed(TimePoint Now, std::uint64_t Seed, const std::string &Reason,
-                  SidecarEffects &Out);
+  /// A read has failed. The next one starts after a backoff. Of several
+  /// failures in a row, the first one is logged and those that broke off an
+  /// answer.
+  void readFailed(TimePoint Now, std::uint64_t Seed,
+                  const TopicReadFailed &Failure, SidecarEffects &Out);
   /// Starts a read at offset Next if one is due.
   void timer(TimePoint Now, Offset Next, SidecarEffects &Out);
   /// Sets whether this daemon reads the store or relies on another one. A read
--- a/tests/MetricsTest.cpp
+++ b/tests/MetricsTest.cpp
@@ -113,6 +113,7 @@
         "figsail_topic_repeated_bytes_total{from=\"daemon\"} 500\n",
         "figsail_topic_sent_records_total 8\n",
         "figsail_topic_sent_bytes_total 4000\n",
+        "figsail_topic_abandoned_bytes_total 0\n",
         "figsail_store_calls_total{kind=\"read\"} 1\n",
         "figsail_store_calls_total{kind=\"snapshot\"} 0\n"})
     EXPECT_NE(Text.find(Line), std::string::npos) << Line << Text;
--- a/tests/TopicsTest.cpp
+++ b/tests/TopicsTest.cpp
@@ -134,6 +134,11 @@
 
 // Reading.
 
+static TopicReadFailed failedRead(const std::string &Reason,
+                                  std::uint64_t Bytes = 0) {
+  return {Topic::Operator, Reason, 0, Bytes};
+}
+
 // A store that loses a delayed read must not delay a configuration beyond the
 // time in which it must be in force.
 TEST(TopicFollower, BoundsTheLongPollTimeout) {
@@ -158,7 +163,7 @@
   Follower.timer(TestStart + 100ms, 0, Out);
   Follower.readDone(TestStart, 4, true, Out);
   for (int I = 0; I < 20; ++I)
-    Follower.readFailed(TestStart, 12345, "no answer", Out);
+    Follower.readFailed(TestStart, 12345, failedRead("no answer"), Out);
   EXPECT_FALSE(Follower.live());
   EXPECT_LE(Follower.nextWake(), TestStart + 1s);
   Out.clear();
@@ -172,17 +177,29 @@
   TopicFollower Follower(Topic::Members);
   SidecarEffects Out;
   Follower.timer(TestStart, 0, Out);
-  Follower.readFailed(TestStart, 1, "status 503", Out);
+  Follower.readFailed(TestStart, 1, failedRead("status 503"), Out);
   EXPECT_TRUE(logged(Out, "store-lost"));
   Out.clear();
   Follower.timer(TestStart + 2s, 0, Out);
-  Follower.readFailed(TestStart + 2s, 1, "status 503", Out);
+  Follower.readFailed(TestStart + 2s, 1, failedRead("status 503"), Out);
   EXPECT_FALSE(logged(Out, "store-lost"));
   Follower.timer(TestStart + 4s, 0, Out);
   Follower.readDone(TestStart + 4s, 0, false, Out);
   EXPECT_TRUE(logged(Out, "store-reached"));
 }
 
+// Guards against answers that are given up one after the other, unseen, while
+// they fill a link: the log said once that the store does not answer.
+TEST(TopicFollower, EachAnswerThatIsGivenUpIsLogged) {
+  TopicFollower Follower(Topic::Operator);
+  SidecarEffects Out;
+  Follower.readFailed(TestStart, 1, failedRead("no answer", 900000), Out);
+  EXPECT_EQ(loggedField(Out, "store-lost", "bytes"), "900000");
+  Out.clear();
+  Follower.readFailed(TestStart + 2s, 1, failedRead("no answer", 700000), Out);
+  EXPECT_EQ(loggedField(Out, "store-read-abandoned", "bytes"), "700000");
+}
+
 TEST(TopicFollower, StartsOverWhenRecordsAreTruncated) {
   TopicFollower Follower(Topic::Operator);
   SidecarEffects Out;
