Test: after an outage of the store, all hosts have the newest configuration

On the present code, 100 hosts: the 50 of the far region have none of them 4 s after the store serves again, 22,392,832 bytes of answers were given up, 51 hosts still read the store 4 to 10 s after it, all 100 did during the outage. With 24 hosts all recover, but all 24 read the store.

The simulation gets a link between the regions that calls and the store's answers share, answers that are sent as the connection's window allows and end when they are given up, pages, and a store that refuses reads.

--- a/tests/LargeConfigurationTest.cpp
+++ b/tests/LargeConfigurationTest.cpp
@@ -313,8 +313,104 @@
 };
 std::unique_ptr<Spread> FrequentLargeChangesTest::Run;
 
+/// Time from the moment when the store serves reads again until the newest
+/// configuration must be in force, and calls must not fail any more.
+constexpr Duration RecoveryLimit = 4s;
+/// Bytes a second of the link between the regions: 60 Mbit/s.
+constexpr double RegionLinkBytes = 60e6 / 8;
+/// Hosts of a domain that may read the store at once while it does not serve
+/// them all: their number must not grow with the domain.
+constexpr std::size_t MaxReadersPerDomain = 8;
+
+/// Hosts in two regions with 720 routes. The store refuses to read the operator
+/// topic for 4 s, during which five versions are written.
+struct OutageRun {
+  explicit OutageRun(std::size_t HostCount) : Run(HostCount) {
+    Run.Cluster.limitRegionLink(RegionLinkBytes);
+    Run.Operator.addRoutes(700);
+    Run.send();
+    Run.Cluster.run(4s);
+    Run.Cluster.resetCounts();
+    Run.Cluster.refuseReads(Topic::Operator, true);
+    for (int I = 0; I < 5; ++I) {
+      Run.Operator.changeWeights();
+      Run.send();
+      Run.Cluster.run(800ms);
+    }
+    Readers = Run.Cluster.readerCount();
+    Run.Cluster.refuseReads(Topic::Operator, false);
+    ServedFrom = Run.Cluster.now();
+    Run.Cluster.run(RecoveryLimit);
+    Abandoned = Run.Cluster.abandonedBytes();
+    Run.Cluster.resetCounts();
+    Run.Cluster.run(6s);
+  }
+
+  Spread Run;
+  TimePoint ServedFrom;
+  std::size_t Readers = 0;   ///< Hosts that asked the store during the outage.
+  std::size_t Abandoned = 0; ///< Bytes, from the outage to the limit.
+};
+
+struct StoreOutageTest : testing::TestWithParam<std::size_t> {
+  /// The runs, by number of hosts.
+  static OutageRun &run() {
+    auto &Run = Runs[GetParam()];
+    if (!Run)
+      Run = std::make_unique<OutageRun>(GetParam());
+    return *Run;
+  }
+  static void TearDownTestSuite() { Runs.clear(); }
+  static std::map<std::size_t, std::unique_ptr<OutageRun>> Runs;
+};
+std::map<std::size_t, std::unique_ptr<OutageRun>> StoreOutageTest::Runs;
+
 } // namespace
 
+// Guards against CONFIG after an outage of the store (issue 38): all hosts read
+// the store at once, none of the answers was whole before it was given up, and
+// half of the hosts kept an old version for good.
+TEST_P(StoreOutageTest, TheNewestVersionIsInForceSoonAfterTheStoreServesAgain) {
+  const OutageRun &Outage = run();
+  const PacedCluster &Cluster = Outage.Run.Cluster;
+  std::uint64_t Newest = Cluster.Versions.back().Version;
+  std::size_t Late = 0;
+  for (std::size_t Host = 0; Host < Cluster.hostCount(); ++Host)
+    if (Cluster.inForceAt(Host, Newest) > Outage.ServedFrom + RecoveryLimit)
+      ++Late;
+  EXPECT_EQ(Late, 0U) << "hosts without version " << Newest;
+}
+
+// Guards against answers of the store that are received in part, thrown away
+// and asked for again: their load delays the answers.
+TEST_P(StoreOutageTest, NoAnswerOfTheStoreIsGivenUp) {
+  EXPECT_EQ(run().Abandoned, 0U) << "bytes";
+}
+
+// Guards against a whole domain that turns to the store when its reader finds
+// it refusing.
+TEST_P(StoreOutageTest, FewHostsReadTheStoreMeanwhile) {
+  EXPECT_LE(run().Readers, 2 * MaxReadersPerDomain);
+}
+
+// Guards against an outage whose effects do not end with it: calls failed, and
+// every host read the store, as long as the run lasted.
+TEST_P(StoreOutageTest, TheClusterIsSoundAgainAfterwards) {
+  const OutageRun &Outage = run();
+  TimePoint From = Outage.ServedFrom + RecoveryLimit;
+  TimePoint AnswerDue = Outage.Run.Cluster.now() - RouteTimeout;
+  std::map<unsigned, std::size_t> Answers;
+  for (const PacedRequest &Request : Outage.Run.Cluster.Requests)
+    if (Request.SentAt >= From && Request.SentAt < AnswerDue)
+      ++Answers[Request.Status];
+  EXPECT_GT(Answers[200], 20 * Outage.Run.Cluster.hostCount());
+  EXPECT_EQ(Answers.size(), 1U) << "kinds of answers";
+  EXPECT_LE(Outage.Run.Cluster.readerCount(), 2U) << "one for each domain";
+  expectNoPeerLost(Outage.Run);
+}
+
+INSTANTIATE_TEST_SUITE_P(Hosts, StoreOutageTest, testing::Values(24, 100));
+
 // Guards against a simulation that shows nothing: without a change, every call
 // is answered, no daemon is lost, and the texts are large.
 TEST_F(LargeConfigurationTest, TheClusterIsSoundBeforeTheChange) {
--- a/tests/PacedCluster.h
+++ b/tests/PacedCluster.h
@@ -9,6 +9,7 @@
 #include "PeerSendQueue.h"
 #include "Sidecar.h"
 #include "SidecarTestSupport.h"
+#include "StoreClient.h"
 
 #include <algorithm>
 #include <array>
@@ -36,6 +37,9 @@
 /// Time after which a read or an append of the store counts as failed, beyond
 /// the time that a read asks the store to wait.
 inline constexpr Duration StoreCallTimeout = 1500ms;
+/// Bytes of an answer of the store that one host has under way at most: the
+/// window of its connection.
+inline constexpr std::size_t StoreWindowBytes = std::size_t{64} * 1024;
 /// Smallest time between two TimerFired events of one reducer.
 inline constexpr Duration TimerResolution = 1ms;
 inline constexpr Duration ServerRunTime = 20ms;
@@ -191,6 +195,27 @@
     return Hosts[Self]->Described.Name;
   }
 
+  /// Limits each direction of the link between the regions, for calls and for
+  /// the store's answers together. Unlimited before.
+  void limitRegionLink(double BytesPerSecond) {
+    for (const auto &[Domain, Region] : RegionOfDomain)
+      RegionPorts.try_emplace(
+          Region, std::make_unique<PacedPort>(Time, BytesPerSecond));
+  }
+  /// Lets the store refuse all reads of a topic, or serve them again.
+  void refuseReads(Topic Which, bool Refused) {
+    ReadsRefused[static_cast<std::size_t>(Which)] = Refused;
+  }
+  /// Returns the hosts that have asked the store to read a topic since the last
+  /// resetCounts().
+  std::size_t readerCount() const {
+    return static_cast<std::size_t>(std::ranges::count_if(
+        Hosts, [](const auto &Self) { return Self->StoreReads > 0; }));
+  }
+  /// Returns the bytes of the store's answers that were given up since the last
+  /// resetCounts().
+  std::size_t abandonedBytes() const { return AbandonedBytes; }
+
   /// Sends a configuration to the store, as the operator does.
   void sendConfig(std::uint64_t Version, const std::string &Text) {
     append(Topic::Operator, "config", Text);
@@ -223,8 +248,11 @@
   /// Starts the counts of bytes and decisions anew.
   void resetCounts() {
     Decisions.clear();
-    for (auto &Self : Hosts)
+    AbandonedBytes = 0;
+    for (auto &Self : Hosts) {
       Self->TopicBytes = 0;
+      Self->StoreReads = 0;
+    }
   }
   /// Returns the bytes of topics that a host has received from daemons and from
   /// the store since the last resetCounts().
@@ -258,7 +286,18 @@
     std::set<RunId> Runs;                       ///< In progress.
     std::map<std::uint64_t, TimePoint> InForce; ///< By version.
     std::size_t TopicBytes = 0;
+    std::size_t StoreReads = 0;
+  };
+
+  /// An answer of the store to one read.
+  struct StoreRead {
+    std::size_t Left = 0;     ///< Bytes that the store has not sent.
+    std::size_t UnderWay = 0; ///< Sent, not received.
+    std::size_t Received = 0;
+    bool Ended = false; ///< Whole, or given up.
+    VirtualTime::Action OnWhole;
   };
+  using StoreReadPtr = std::shared_ptr<StoreRead>;
 
   /// What one side of a link writes.
   struct LinkSide {
@@ -387,6 +426,19 @@
     return delayBetween(Hosts[From]->Described.Region,
                         Hosts[To]->Described.Region);
   }
+  /// Runs OnPassed when a segment has arrived in the other region, or at once
+  /// after the delay within one.
+  void passRegions(const std::string &From, const std::string &To,
+                   std::size_t Flow, std::size_t Bytes,
+                   const VirtualTime::Action &OnPassed) {
+    Duration Delay = delayBetween(From, To);
+    auto Port = RegionPorts.find(To);
+    if (From == To || Port == RegionPorts.end())
+      return Time.schedule(Delay, OnPassed);
+    Port->second->enqueue(Flow, Bytes, [this, Delay, OnPassed] {
+      Time.schedule(Delay, OnPassed);
+    });
+  }
   Link &link(std::size_t One, std::size_t Other) {
     return Links[std::minmax(One, Other)];
   }
@@ -445,9 +497,10 @@
       Hosts[From]->Sending.enqueue(
           To, Bytes, [this, From, To, Number, Written, Bytes, Last] {
             Written->Begun = true;
-            Time.schedule(delay(From, To), [=, this] {
-              receive(From, To, Number, Written, Bytes, Last);
-            });
+            passRegions(Hosts[From]->Described.Region,
+                        Hosts[To]->Described.Region, From, Bytes, [=, this] {
+                          receive(From, To, Number, Written, Bytes, Last);
+                        });
             if (Last)
               messageLeft(From, To, Number, Written);
           });
@@ -510,6 +563,10 @@
   // The store.
 
   static constexpr StoreHistory History = 1;
+  static constexpr std::size_t RefusalBytes = 100;
+  /// Bytes of records in an answer; the first record is always sent.
+  static constexpr std::size_t PageBytes =
+      platform::ReadPageKilobytes * std::size_t{1024};
 
   std::vector<KeyedRecord> &log(Topic Which) {
     return Logs[static_cast<std::size_t>(Which)];
@@ -571,8 +628,72 @@
     });
   }
 
+  /// Starts a read. Ask runs when the request has arrived, unless the store
+  /// refuses it; the read is given up when it takes too long.
+  StoreReadPtr startRead(std::size_t Self, Topic Which, Duration Wait,
+                         std::function<void(const StoreReadPtr &)> Ask) {
+    ++Hosts[Self]->StoreReads;
+    auto Read = std::make_shared<StoreRead>();
+    giveUpLater(Self, Which, Read, Wait + StoreCallTimeout);
+    Time.schedule(
+        storeDelay(Self), [this, Self, Which, Read, Ask = std::move(Ask)] {
+          if (!ReadsRefused[static_cast<std::size_t>(Which)])
+            return Ask(Read);
+          Read->OnWhole = [this, Self, Which] {
+            apply(Self, TopicReadFailed{Which, "status 503", History, 0});
+          };
+          sendAnswer(Self, Read, RefusalBytes);
+        });
+    return Read;
+  }
+
+  void giveUpLater(std::size_t Self, Topic Which, const StoreReadPtr &Read,
+                   Duration After) {
+    Time.schedule(After, [this, Self, Which, Read] {
+      if (std::exchange(Read->Ended, true))
+        return;
+      AbandonedBytes += Read->Received;
+      apply(Self, TopicReadFailed{Which, "no answer", 0, Read->Received});
+    });
+  }
+
+  void sendAnswer(std::size_t Self, const StoreReadPtr &Read,
+                  std::size_t Bytes) {
+    Read->Left = Bytes;
+    continueAnswer(Self, Read);
+  }
+
+  /// Sends what the window allows. An answer that was given up is not sent on.
+  void continueAnswer(std::size_t Self, const StoreReadPtr &Read) {
+    while (!Read->Ended && Read->Left > 0 &&
+           Read->UnderWay < StoreWindowBytes) {
+      std::size_t Part = std::min(Read->Left, SegmentBytes);
+      Read->Left -= Part;
+      Read->UnderWay += Part;
+      passRegions(StoreRegion, Hosts[Self]->Described.Region,
+                  storeFlow() + Self, Part, [this, Self, Read, Part] {
+                    Hosts[Self]->Receiving.enqueue(
+                        storeFlow(), Part,
+                        [=, this] { answerReceived(Self, Read, Part); });
+                  });
+    }
+  }
+
+  void answerReceived(std::size_t Self, const StoreReadPtr &Read,
+                      std::size_t Part) {
+    Hosts[Self]->TopicBytes += Part;
+    Read->UnderWay -= Part;
+    Read->Received += Part;
+    if (Read->Ended)
+      return;
+    if (Read->Left > 0 || Read->UnderWay > 0)
+      return continueAnswer(Self, Read);
+    Read->Ended = true;
+    Read->OnWhole();
+  }
+
   void readSnapshot(std::size_t Self, Topic Which) {
-    Time.schedule(storeDelay(Self), [this, Self, Which] {
+    startRead(Self, Which, 0us, [this, Self, Which](const StoreReadPtr &Read) {
       std::map<std::string, KeyedRecord> Newest;
       for (const KeyedRecord &Record : log(Which))
         Newest[Record.Key] = Record;
@@ -587,47 +708,51 @@
         Bytes += 50 + Key.size() + Record.Value->size() * 4 / 3;
         Page->Records.push_back(Record);
       }
-      answer(Self, Bytes,
-             [this, Self, Page] { apply(Self, std::move(*Page)); });
+      Read->OnWhole = [this, Self, Page] { apply(Self, std::move(*Page)); };
+      sendAnswer(Self, Read, Bytes);
     });
   }
 
   void readRecords(std::size_t Self, const ReadTopic &Wanted) {
-    auto Done = std::make_shared<bool>(false);
-    Time.schedule(Wanted.Wait + StoreCallTimeout, [this, Self, Wanted, Done] {
-      if (!std::exchange(*Done, true))
-        apply(Self, TopicReadFailed{Wanted.Which, "no answer", 0});
-    });
-    Time.schedule(storeDelay(Self), [this, Self, Wanted, Done] {
-      if (static_cast<std::size_t>(Wanted.From) < log(Wanted.Which).size())
-        return answerRecords(Self, Wanted, Done);
-      auto Answered = std::make_shared<bool>(false);
-      auto EndRead = [this, Self, Wanted, Done, Answered] {
-        if (!std::exchange(*Answered, true))
-          answerRecords(Self, Wanted, Done);
-      };
-      Waiting[static_cast<std::size_t>(Wanted.Which)].emplace_back(EndRead);
-      Time.schedule(Wanted.Wait, EndRead);
-    });
+    startRead(Self, Wanted.Which, Wanted.Wait,
+              [this, Self, Wanted](const StoreReadPtr &Read) {
+                if (static_cast<std::size_t>(Wanted.From) <
+                    log(Wanted.Which).size())
+                  return answerRecords(Self, Wanted, Read);
+                awaitRecords(Self, Wanted, Read);
+              });
+  }
+
+  void awaitRecords(std::size_t Self, const ReadTopic &Wanted,
+                    const StoreReadPtr &Read) {
+    auto Answered = std::make_shared<bool>(false);
+    auto EndRead = [this, Self, Wanted, Read, Answered] {
+      if (!std::exchange(*Answered, true))
+        answerRecords(Self, Wanted, Read);
+    };
+    Waiting[static_cast<std::size_t>(Wanted.Which)].emplace_back(EndRead);
+    Time.schedule(Wanted.Wait, EndRead);
   }
 
   void answerRecords(std::size_t Self, const ReadTopic &Wanted,
-                     const std::shared_ptr<bool> &Done) {
+                     const StoreReadPtr &Read) {
     const std::vector<KeyedRecord> &Log = log(Wanted.Which);
-    auto Page = std::make_shared<TopicRecords>(
-        TopicRecords{Wanted.Which, {}, Wanted.From, History});
-    Page->Next = std::max(Wanted.From, static_cast<Offset>(Log.size()));
+    auto Page = std::make_shared<TopicRecords>();
+    Page->Which = Wanted.Which;
+    Page->History = History;
     std::size_t Bytes = 100;
-    for (auto At = static_cast<std::size_t>(Wanted.From); At < Log.size();
-         ++At) {
-      Bytes +=
+    auto At = static_cast<std::size_t>(Wanted.From);
+    for (; At < Log.size(); ++At) {
+      std::size_t Record =
           5 + Log[At].Key.size() + (Log[At].Value ? Log[At].Value->size() : 0);
+      if (!Page->Records.empty() && Bytes + Record > PageBytes)
+        break;
+      Bytes += Record;
       Page->Records.push_back(Log[At]);
     }
-    answer(Self, Bytes, [this, Self, Page, Done] {
-      if (!std::exchange(*Done, true))
-        apply(Self, std::move(*Page));
-    });
+    Page->Next = static_cast<Offset>(At);
+    Read->OnWhole = [this, Self, Page] { apply(Self, std::move(*Page)); };
+    sendAnswer(Self, Read, Bytes);
   }
 
   // Tools.
@@ -651,6 +776,10 @@
   std::map<std::pair<std::size_t, std::size_t>, Link> Links;
   std::array<std::vector<KeyedRecord>, TopicCount> Logs;
   std::array<std::vector<VirtualTime::Action>, TopicCount> Waiting;
+  std::array<bool, TopicCount> ReadsRefused{};
+  /// By the region that receives.
+  std::map<std::string, std::unique_ptr<PacedPort>> RegionPorts;
+  std::size_t AbandonedBytes = 0;
 };
 
 } // namespace figsail::test
