A read of the store is received once, and holds only what counts (CONFIG)

Cause: overload that sustains itself. Each daemon that was behind asked for up to 1 MB of old versions, though only the newest counts. The answers to 34 (50) daemons didn't fit through the link between the regions in 1.5 s; then each was given up, whole or not, and asked for again from the same offset.

Ruled out for this test: lost sources (no daemon is lost before the reads fail).

Why it works: the work of a recovery is finite now.

Still red: all hosts read the store meanwhile (StoreOutageTest.FewHosts..).

--- a/src/shell/HttpExchange.cpp
+++ b/src/shell/HttpExchange.cpp
@@ -109,10 +109,25 @@
       });
 }
 
+void HttpExchange::allowTransfer(Duration Pause, Duration MaxTime) {
+  MaxPause = Pause;
+  MaxTransfer = MaxTime;
+}
+
+/// Bytes of the response have arrived.
+void HttpExchange::extendTransfer() {
+  Stream.expires_at(
+      std::min(std::chrono::steady_clock::now() + MaxPause, TransferEnd));
+}
+
 void HttpExchange::someRead(const error_code &Error, std::size_t Bytes) {
+  if (Received == 0)
+    TransferEnd = std::chrono::steady_clock::now() + MaxTransfer;
   Received += Bytes;
   if (Error)
     return finish(std::nullopt);
+  if (MaxPause > Duration(0))
+    extendTransfer();
   if (!Parser->is_done())
     return readMore();
   responseRead();
--- a/src/shell/HttpExchange.h
+++ b/src/shell/HttpExchange.h
@@ -32,6 +32,11 @@
   /// Starts an exchange; Done is called once, from the event loop. No other
   /// exchange may be in flight.
   void start(Request Next, Duration Timeout, Callback Done);
+  /// Lets a response take longer than the timeout of its exchange once it has
+  /// begun to arrive: up to MaxTime from then on, while no pause is longer than
+  /// MaxPause. A large response over a full link is then received once, and not
+  /// given up and requested again.
+  void allowTransfer(Duration MaxPause, Duration MaxTime);
   /// Returns the bytes of the response to the present or last request that have
   /// arrived.
   std::uint64_t receivedBytes() const { return Received; }
@@ -48,6 +53,7 @@
   void requestWritten(const boost::system::error_code &Error);
   void readResponse();
   void readMore();
+  void extendTransfer();
   void someRead(const boost::system::error_code &Error, std::size_t Bytes);
   void responseRead();
   void finish(ExchangeResult Result);
@@ -63,6 +69,9 @@
   std::uint64_t Received = 0;    ///< Bytes of the response.
   unsigned InterimResponses = 0; ///< Before the response to this request.
   Duration Timeout{0};           ///< Excludes the connection attempt.
+  Duration MaxPause{0}; ///< Within a response; 0: only the timeout applies.
+  Duration MaxTransfer{0};
+  std::chrono::steady_clock::time_point TransferEnd;
   Callback Done;
 };
 
--- a/src/sidecar/SidecarEvents.h
+++ b/src/sidecar/SidecarEvents.h
@@ -137,6 +137,7 @@
   std::vector<KeyedRecord> Records;
   Offset Next = 0;
   StoreHistory History = 0;
+  Offset End = 0; ///< Of the topic. Beyond Next, there are more records.
 };
 
 /// The requested records of a topic do not exist: they are no longer kept, or
--- a/src/sidecar/SidecarTopics.cpp
+++ b/src/sidecar/SidecarTopics.cpp
@@ -75,6 +75,9 @@
   RecordSource Source{{}, volumeOf(Body.Records)};
   applyRecords(S, Body.Which, Source,
                State.Image.apply({Body.Next, std::move(Body.Records)}));
+  // In a replay, a snapshot would begin the replay again.
+  if (Body.End > State.Image.next() && !State.Image.isReplaying())
+    return State.Follower.pageDone(S.Now, State.Image.next(), S.Out);
   State.Follower.readDone(S.Now, State.Image.next(), AnyRecords, S.Out);
 }
 
--- a/src/sidecar/TopicFollower.cpp
+++ b/src/sidecar/TopicFollower.cpp
@@ -55,8 +55,7 @@
   Out.emplace_back(ReadTopic{Which, Next, First ? Duration(0) : Wait});
 }
 
-void TopicFollower::readDone(TimePoint Now, Offset Next, bool Records,
-                             SidecarEffects &Out) {
+void TopicFollower::noteSuccess(Offset Next, SidecarEffects &Out) {
   Reading = false;
   if (!StoreReached) {
     Decision Line{LogLevel::Info, "store-reached", {}};
@@ -65,12 +64,25 @@
                    {"next", std::to_string(Next)}};
     Out.emplace_back(std::move(Line));
   }
-  bool First = !Complete;
   StoreReached = true;
   ReadIsStale = false;
   Failures = 0;
-  Complete = true;
   NeedsSnapshot = false;
+}
+
+void TopicFollower::pageDone(TimePoint Now, Offset Next, SidecarEffects &Out) {
+  noteSuccess(Next, Out);
+  NeedsSnapshot = Which == Topic::Operator;
+  if (!Active)
+    return;
+  ReadAt = Now;
+  timer(Now, Next, Out);
+}
+
+void TopicFollower::readDone(TimePoint Now, Offset Next, bool Records,
+                             SidecarEffects &Out) {
+  noteSuccess(Next, Out);
+  bool First = !std::exchange(Complete, true);
   ReadSinceActive = true;
   if (!Active)
     return;
--- a/src/sidecar/TopicFollower.h
+++ b/src/sidecar/TopicFollower.h
@@ -19,6 +19,10 @@
   /// A read has succeeded. The next one starts at offset Next, after a pause
   /// that depends on the topic. Records: the read returned any.
   void readDone(TimePoint Now, Offset Next, bool Records, SidecarEffects &Out);
+  /// A read has succeeded, and the store has more records. The next read
+  /// follows at once. From the operator topic it takes the newest record of
+  /// each key, since only these count and each one is large.
+  void pageDone(TimePoint Now, Offset Next, SidecarEffects &Out);
   /// The store no longer keeps the requested records. Starts over from a
   /// snapshot.
   void readTruncated(SidecarEffects &Out);
@@ -58,6 +62,7 @@
 
 private:
   void read(Offset Next, SidecarEffects &Out);
+  void noteSuccess(Offset Next, SidecarEffects &Out);
 
   Topic Which;
   bool Active = true;
--- a/tests/TopicsTest.cpp
+++ b/tests/TopicsTest.cpp
@@ -210,6 +210,38 @@
   EXPECT_EQ(effects<ReadTopicSnapshot>(Out).size(), 1U);
 }
 
+// Guards against a daemon that reads every version of a large configuration
+// after an outage, although only the newest counts.
+TEST(TopicFollower, AReaderThatIsFarBehindReadsTheNewestRecords) {
+  TopicFollower Follower(Topic::Operator);
+  SidecarEffects Out;
+  Follower.skipSnapshot();
+  Follower.readDone(TestStart, 4, true, Out);
+  Out.clear();
+  Follower.pageDone(TestStart, 5, Out);
+  EXPECT_EQ(effects<ReadTopicSnapshot>(Out).size(), 1U);
+  EXPECT_FALSE(Follower.live()) << "it lacks records";
+  Out.clear();
+  Follower.readDone(TestStart, 9, false, Out);
+  auto Reads = effects<ReadTopic>(Out);
+  ASSERT_EQ(Reads.size(), 1U);
+  EXPECT_EQ(Reads[0].From, 9);
+  EXPECT_TRUE(Follower.live());
+}
+
+// Guards against a pause after each page of a long list of hosts.
+TEST(TopicFollower, ThePagesOfTheMembersFollowEachOther) {
+  TopicFollower Follower(Topic::Members);
+  SidecarEffects Out;
+  Follower.skipSnapshot();
+  Follower.readDone(TestStart, 4, false, Out);
+  Out.clear();
+  Follower.pageDone(TestStart, 900, Out);
+  auto Reads = effects<ReadTopic>(Out);
+  ASSERT_EQ(Reads.size(), 1U);
+  EXPECT_EQ(Reads[0].From, 900);
+}
+
 // Sharing of reads.
 
 struct TopicRelayTest : testing::Test {
