--- a/src/sidecar/LocalServer.cpp
+++ b/src/sidecar/LocalServer.cpp
@@ -70,11 +70,10 @@
 }
 
 ReportVerdict LocalServer::leave(const ServerLeave &Report) {
-  if (Report.Instance != Instance) {
-    if (Instance.empty())
-      LeftInstance = Report.Instance;
+  if (Instance.empty())
+    return leaveBeforeHeartbeat(Report);
+  if (Report.Instance != Instance)
     return ReportVerdict::Stale;
-  }
   if (Report.StartMillis != 0 && Report.StartMillis < StartMillis)
     return ReportVerdict::Stale;
   bool Changed = State != InstanceState::Absent || !LeftForGood;
@@ -83,6 +82,16 @@
   return Changed ? ReportVerdict::Changed : ReportVerdict::Unchanged;
 }
 
+/// The first that this daemon hears of its server is that it leaves. That has
+/// to be announced, since the next daemon may get a late heartbeat.
+ReportVerdict LocalServer::leaveBeforeHeartbeat(const ServerLeave &Report) {
+  bool Known = Report.Instance == LeftInstance &&
+               (Report.StartMillis == LeftStartMillis || LeftStartMillis == 0);
+  LeftInstance = Report.Instance;
+  LeftStartMillis = Report.StartMillis;
+  return Known ? ReportVerdict::Unchanged : ReportVerdict::Changed;
+}
+
 void LocalServer::recover(TimePoint Now, const AnnouncedServer &Announced) {
   if (!Instance.empty() || Announced.Instance == LeftInstance)
     return;
@@ -108,7 +117,8 @@
     setLeaving();
     return;
   }
-  if (!Instance.empty())
+  // A leave that this daemon has acknowledged itself is the newer one.
+  if (!Instance.empty() || !LeftInstance.empty())
     return;
   LeftInstance = Gone.Instance;
   LeftStartMillis = Gone.StartMillis;
--- a/src/sidecar/LocalServer.h
+++ b/src/sidecar/LocalServer.h
@@ -54,6 +54,11 @@
   /// Returns the start of the present incarnation in Unix milliseconds.
   std::int64_t startMillis() const { return StartMillis; }
   ServerIncarnation incarnation() const { return {Instance, StartMillis}; }
+  /// Returns the incarnation that had left before this daemon had a report of
+  /// the server; without an instance, none is known.
+  ServerIncarnation leftBefore() const {
+    return {LeftInstance, LeftStartMillis};
+  }
   const std::string &service() const { return Service; }
   std::uint32_t slots() const { return Slots; }
   /// Returns whether the present incarnation has left or is leaving.
@@ -72,6 +77,7 @@
     TimePoint At;         ///< Its time.
     unsigned Heartbeats = 0;
   };
+  ReportVerdict leaveBeforeHeartbeat(const ServerLeave &Report);
   bool keepsReporting(TimePoint Now, const ServerHeartbeat &Report);
 
   InstanceState State = InstanceState::Absent;
--- a/src/sidecar/Sidecar.cpp
+++ b/src/sidecar/Sidecar.cpp
@@ -293,11 +293,17 @@
   Own.State = Gate.server().state();
   if (PauseAnnounced && Own.State == InstanceState::Ready)
     Own.State = InstanceState::Paused;
-  Own.Instance = Gate.server().instance();
-  Own.StartMillis = Gate.server().startMillis();
   Own.Service = Gate.server().service();
   Own.Slots = Gate.server().slots();
   Own.Left = Gate.server().leaving();
+  ServerIncarnation Described = Gate.server().incarnation();
+  // The next daemon must know of the leave too, however often they restart.
+  if (Described.Instance.empty()) {
+    Described = Gate.server().leftBefore();
+    Own.Left = !Described.Instance.empty();
+  }
+  Own.Instance = Described.Instance;
+  Own.StartMillis = Described.StartMillis;
   return Own;
 }
 
--- a/tests/PacedCluster.h
+++ b/tests/PacedCluster.h
@@ -629,8 +629,8 @@
 
   /// Starts a read. Ask runs when the request has arrived, unless the store
   /// refuses it; the read is given up when it takes too long.
-  StoreReadPtr startRead(std::size_t Self, Topic Which, Duration Wait,
-                         std::function<void(const StoreReadPtr &)> Ask) {
+  void startRead(std::size_t Self, Topic Which, Duration Wait,
+                 std::function<void(const StoreReadPtr &)> Ask) {
     ++Hosts[Self]->StoreReads;
     auto Read = std::make_shared<StoreRead>();
     giveUpLater(Self, Which, Read, Wait + platform::CallTimeout);
@@ -643,7 +643,6 @@
           };
           sendAnswer(Self, Read, RefusalBytes);
         });
-    return Read;
   }
 
   void giveUpLater(std::size_t Self, Topic Which, const StoreReadPtr &Read,
--- a/tests/ServerLeavingTest.cpp
+++ b/tests/ServerLeavingTest.cpp
@@ -100,7 +100,7 @@
 
 /// A daemon that starts while its predecessor's announcement is in the store.
 struct LeftServerTest : SidecarTest {
-  void start(InstanceState State) {
+  SidecarEffects start(InstanceState State) {
     tick();
     apply(TopicSnapshot{Topic::Operator, {}, 0});
     operatorRecord("config", 1, config(5));
@@ -110,8 +110,19 @@
     Own.State = State;
     Own.Left = true;
     Decoder.Contents["10.0.0.1:7000@5"] = Own;
-    apply(TopicSnapshot{Topic::Members, {{"10.0.0.1:7000", "x", 5}}, 6});
-    tick();
+    SidecarEffects Out =
+        apply(TopicSnapshot{Topic::Members, {{"10.0.0.1:7000", "x", 5}}, 6});
+    std::ranges::move(tick(), std::back_inserter(Out));
+    return Out;
+  }
+  static void expectLeaveAnnounced(const SidecarEffects &Out) {
+    auto Announced = effects<Announce>(Out);
+    ASSERT_EQ(Announced.size(), 1U);
+    const Announcement &Own = Announced[0].Content;
+    EXPECT_EQ(Own.State, InstanceState::Absent);
+    EXPECT_TRUE(Own.Left);
+    EXPECT_EQ(Own.Instance, "i-1");
+    EXPECT_EQ(Own.StartMillis, 1000);
   }
   bool runs(const std::string &Instance) {
     Execute Message;
@@ -141,6 +152,24 @@
   }
 }
 
+// Guards against DRAIN (review/2): the second daemon after a leave announced
+// its server as absent, without the leave, so the third one took a late
+// heartbeat for a new server's.
+TEST_F(LeftServerTest, ALeaveIsAnnouncedAgainAfterEachRestart) {
+  expectLeaveAnnounced(start(InstanceState::Absent));
+}
+
+// Guards against a leave that is acknowledged by a daemon that has just
+// started, and that its successor knows nothing of.
+TEST_F(LeftServerTest, ALeaveBeforeTheFirstHeartbeatIsAnnounced) {
+  loadTopics();
+  apply(AnnouncementResult{true, ""});
+  expectLeaveAnnounced(apply(ServerLeave{1, "i-1", 1000}));
+  EXPECT_TRUE(effects<Announce>(apply(ServerLeave{2, "i-1", 1000})).empty());
+  apply(heartbeat(7));
+  EXPECT_FALSE(runs("i-1"));
+}
+
 // The same when the heartbeat is there before the topics are.
 TEST_F(LeftServerTest, AHeartbeatBeforeTheTopicsBringsNoLeftServerBack) {
   apply(heartbeat(7));
