--- a/include/figsail/PeerMessages.h
+++ b/include/figsail/PeerMessages.h
@@ -15,7 +15,7 @@
 namespace figsail {
 
 /// Version of the peer protocol; links between different versions are refused.
-inline constexpr std::uint32_t PeerProtocolVersion = 7;
+inline constexpr std::uint32_t PeerProtocolVersion = 8;
 
 /// Permission to run one attempt of one keyed request on one executor.
 struct GrantToken {
--- a/src/sidecar/ServiceConfig.h
+++ b/src/sidecar/ServiceConfig.h
@@ -7,6 +7,7 @@
 
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -35,6 +36,18 @@
 };
 using RoutePtr = std::shared_ptr<const ServiceRoute>;
 
+/// A workspace: the callers that share a set of keys, a rank and a quota.
+struct Workspace {
+  std::string Name;
+  /// Rank of its requests, before that of their routes; none: that of the
+  /// route.
+  std::optional<std::uint32_t> Priority;
+  double RatePerSecond = 0; ///< Of requests, at all daemons; 0: no limit.
+  double Burst = 0;         ///< Requests beyond the rate.
+  std::vector<std::string> HomeRegions; ///< Empty: any region.
+};
+using WorkspacePtr = std::shared_ptr<const Workspace>;
+
 /// The settings that all backend servers of a service share.
 struct ServiceSettings {
   std::string Name;
