--- a/src/shell/BackendExchange.cpp
+++ b/src/shell/BackendExchange.cpp
@@ -31,6 +31,11 @@
 // Refusals have a status from this one.
 static constexpr unsigned FirstErrorStatus = 400;
 
+// Bounds of the status codes that HTTP defines (RFC 9110, section 15). The
+// parser accepts any three digits.
+static constexpr unsigned FirstStatus = 100;
+static constexpr unsigned LastStatus = 599;
+
 // Bytes of a request that LastBytesDelay holds back. Fewer than the end of a
 // head, so that they are part of the head if there is no body.
 static constexpr std::size_t LateBytes = 2;
@@ -187,7 +192,10 @@
     return;
   }
   const auto &Head = Response->get();
-  if (holdsAnotherHead(Head)) {
+  bool ValidStatus =
+      Head.result_int() >= FirstStatus && Head.result_int() <= LastStatus;
+  // What follows such a head may look like the response and must not be read.
+  if (!ValidStatus || holdsAnotherHead(Head)) {
     end(BackendError::Malformed, false);
     return;
   }
--- a/tests/BackendClientTest.cpp
+++ b/tests/BackendClientTest.cpp
@@ -261,6 +261,27 @@
   }
 }
 
+// Guards against a faulty server that answers with status 000 (MIXED). It was
+// skipped like an interim response: the call waited until its deadline, or what
+// followed became its response.
+TEST_F(BackendClientTest, AStatusOutsideOfHttpIsMalformed) {
+  for (const char *Status : {"000", "001", "099", "600", "999"}) {
+    for (const std::string &Rest :
+         {std::string("Content-Length: 0\r\n\r\n"),
+          "Content-Length: 2\r\n\r\nok" + OkResponse, "\r\n" + OkResponse}) {
+      Outcomes.clear();
+      ScriptedServer Server(Client, [&](RawConnection &Peer, std::size_t) {
+        Peer.request();
+        Peer.send("HTTP/1.1 " + std::string(Status) + " odd\r\n" + Rest);
+        Peer.isClosedByPeer();
+      });
+      connectTo(Server.port());
+      EXPECT_EQ(errorOf(run(1)), BackendError::Malformed)
+          << Status << ", then " << Rest;
+    }
+  }
+}
+
 // A response without a length ends with the stream. A reset is not such an end.
 TEST_F(BackendClientTest, ResetDoesNotEndAResponseWithoutLength) {
   std::promise<void> Sent;
