--- a/include/figsail/PeerMessages.h
+++ b/include/figsail/PeerMessages.h
@@ -312,8 +312,9 @@
   std::uint32_t Crashes =
       0; ///< Crashes while the request ran; 0 clears the suspicion.
   bool Alone = false; ///< No other suspect was running at the last crash.
+  std::int64_t AgeMicros = 0; ///< Since the last crash that the sender counted.
   template <class Archive> void serialize(Archive &Ar) {
-    Ar(Fingerprint, Crashes, Alone);
+    Ar(Fingerprint, Crashes, Alone, AgeMicros);
   }
 };
 
--- a/src/core/Quarantine.cpp
+++ b/src/core/Quarantine.cpp
@@ -2,6 +2,8 @@
 
 #include "Quarantine.h"
 
+#include <algorithm>
+
 namespace figsail {
 
 Suspicion Quarantine::check(TimePoint Now, std::uint64_t Fingerprint) const {
@@ -29,7 +31,26 @@
   Entry &Known = recordCrash(Now, Fingerprint);
   ++Known.Crashes;
   Known.Alone = Alone;
-  return SuspectReport{Fingerprint, Known.Crashes, Alone};
+  return reportOf(Now, Fingerprint, Known);
+}
+
+SuspectReport Quarantine::reportOf(TimePoint Now, std::uint64_t Fingerprint,
+                                   const Entry &Known) {
+  return {Fingerprint, Known.Crashes, Known.Alone,
+          (Now - Known.LastCrash).count()};
+}
+
+std::vector<SuspectReport> Quarantine::reports(TimePoint Now,
+                                               std::size_t Limit) const {
+  std::vector<SuspectReport> Reports;
+  for (auto At = ByOrder.rbegin(); At != ByOrder.rend(); ++At) {
+    if (Reports.size() >= Limit)
+      break;
+    const Entry &Known = Entries.at(At->second);
+    if (Known.LastCrash + Lifetime > Now)
+      Reports.push_back(reportOf(Now, At->second, Known));
+  }
+  return Reports;
 }
 
 std::optional<SuspectReport> Quarantine::succeeded(TimePoint Now,
@@ -38,27 +59,37 @@
   if (check(Now, Fingerprint) != Suspicion::Suspect)
     return std::nullopt;
   erase(Fingerprint);
-  return SuspectReport{Fingerprint, 0, false};
+  return SuspectReport{Fingerprint, 0, false, 0};
 }
 
-void Quarantine::merge(TimePoint Now, const SuspectReport &Report) {
+std::optional<SuspectReport> Quarantine::merge(TimePoint Now,
+                                               const SuspectReport &Report) {
   if (Report.Fingerprint == 0)
-    return;
+    return std::nullopt;
   if (Report.Crashes == 0) {
     if (check(Now, Report.Fingerprint) == Suspicion::Suspect)
       erase(Report.Fingerprint);
-    return;
+    return std::nullopt;
   }
   expire(Now);
+  // Reports are sent again to members that start. Their age keeps them from
+  // extending the lifetime of what they report.
+  TimePoint CrashedAt =
+      Now - Duration(std::max<std::int64_t>(0, Report.AgeMicros));
+  if (CrashedAt + Lifetime <= Now)
+    return std::nullopt;
   auto Found = Entries.find(Report.Fingerprint);
   if (Found != Entries.end() && Found->second.Crashes > Report.Crashes)
-    return;
-  Entry &Known = recordCrash(Now, Report.Fingerprint);
+    return reportOf(Now, Report.Fingerprint, Found->second);
+  if (Found != Entries.end())
+    CrashedAt = std::max(CrashedAt, Found->second.LastCrash);
+  Entry &Known = recordCrash(CrashedAt, Report.Fingerprint);
   // With equal counts, a crash without another suspect counts, since it
   // identifies the request.
   Known.Alone =
       Report.Alone || (Known.Crashes == Report.Crashes && Known.Alone);
   Known.Crashes = Report.Crashes;
+  return std::nullopt;
 }
 
 void Quarantine::expire(TimePoint Now) {
--- a/src/core/Quarantine.h
+++ b/src/core/Quarantine.h
@@ -9,6 +9,7 @@
 #include <optional>
 #include <unordered_map>
 #include <utility>
+#include <vector>
 
 namespace figsail {
 
@@ -42,8 +43,14 @@
   std::optional<SuspectReport> succeeded(TimePoint Now,
                                          std::uint64_t Fingerprint);
 
-  /// Merges the report of another member.
-  void merge(TimePoint Now, const SuspectReport &Report);
+  /// Merges the report of another member. Returns the report that this member
+  /// would send it, if it has counted more crashes; otherwise nothing.
+  std::optional<SuspectReport> merge(TimePoint Now,
+                                     const SuspectReport &Report);
+
+  /// Returns the reports of the newest suspects, at most Limit, for a member
+  /// that has started since they were sent.
+  std::vector<SuspectReport> reports(TimePoint Now, std::size_t Limit) const;
 
   void expire(TimePoint Now);
   std::size_t size() const { return Entries.size(); }
@@ -56,6 +63,8 @@
     std::uint64_t Order = 0;
   };
   Entry &recordCrash(TimePoint Now, std::uint64_t Fingerprint);
+  static SuspectReport reportOf(TimePoint Now, std::uint64_t Fingerprint,
+                                const Entry &Known);
   void erase(std::uint64_t Fingerprint);
 
   std::unordered_map<std::uint64_t, Entry> Entries; ///< By fingerprint.
--- a/src/sidecar/CrashDetector.h
+++ b/src/sidecar/CrashDetector.h
@@ -30,9 +30,15 @@
   void serverLost(TimePoint Now);
   /// Records that a run got a response.
   void succeeded(TimePoint Now, std::uint64_t Fingerprint);
-  /// Merges the report of another server's daemon.
-  void merge(TimePoint Now, const SuspectReport &Report) {
-    Suspects.merge(Now, Report);
+  /// Merges the report of another server's daemon. Returns the report for it,
+  /// if this daemon knows of more crashes.
+  std::optional<SuspectReport> merge(TimePoint Now,
+                                     const SuspectReport &Report) {
+    return Suspects.merge(Now, Report);
+  }
+  /// Returns the reports for a daemon that has started since they were sent.
+  std::vector<SuspectReport> knownReports(TimePoint Now) const {
+    return Suspects.reports(Now, MaxKnownReports);
   }
   Suspicion check(TimePoint Now, std::uint64_t Fingerprint) const {
     return Suspects.check(Now, Fingerprint);
@@ -42,6 +48,9 @@
   std::vector<SuspectReport> takeReports();
 
 private:
+  /// Bound on the reports for one daemon that starts.
+  static constexpr std::size_t MaxKnownReports = 64;
+
   struct BrokenRun {
     TimePoint BrokenAt;
     std::uint64_t Fingerprint = 0;
--- a/src/sidecar/ServerGate.h
+++ b/src/sidecar/ServerGate.h
@@ -113,9 +113,16 @@
   /// changed since the last notification; otherwise none.
   std::vector<HostId> takeLoadRecipients(TimePoint Now);
   /// Merges a report from the daemon of another server of the service: a
-  /// request may crash servers.
-  void mergeSuspicion(TimePoint Now, const SuspectReport &Report) {
-    Crashes.merge(Now, Report);
+  /// request may crash servers. Returns the report for that daemon, if this one
+  /// knows of more crashes.
+  std::optional<SuspectReport> mergeSuspicion(TimePoint Now,
+                                              const SuspectReport &Report) {
+    return Crashes.merge(Now, Report);
+  }
+  /// Returns the reports for the daemon of another server of the service that
+  /// has just started.
+  std::vector<SuspectReport> knownSuspicions(TimePoint Now) const {
+    return Crashes.knownReports(Now);
   }
   /// Returns the reports to send to the daemons of the service's other servers,
   /// each one once.
--- a/src/sidecar/Sidecar.cpp
+++ b/src/sidecar/Sidecar.cpp
@@ -144,6 +144,7 @@
 void Sidecar::on(Step &S, PeerConnected &Body) {
   Peers.markReachable(Body.Peer.Host, S.Out);
   Expiry.markReachable(S.Now, Body.Peer.Host);
+  sendKnownSuspects(S, Body.Peer.Host);
   if (topicsComplete() || !isAnyReadFailing() || S.Now < PeerQueryAt)
     return;
   PeerQueryAt = S.Now + PeerQueryInterval;
@@ -178,7 +179,7 @@
   else if (auto *Body = std::get_if<Heartbeat>(&Message))
     Router.loadReported(S.Now, From.Host, Body->Load);
   else if (auto *Body = std::get_if<SuspectReport>(&Message))
-    Gate.mergeSuspicion(S.Now, *Body);
+    handleSuspicion(S, From, *Body);
   else if (auto *Body = std::get_if<TopicSubscribe>(&Message))
     handleSubscribe(S, From, *Body);
   else if (auto *Body = std::get_if<TopicUpdate>(&Message))
@@ -191,6 +192,24 @@
     S.Out.emplace_back(Count{Counter::StaleMessages});
 }
 
+/// A daemon that counts fewer crashes than this one has missed reports.
+void Sidecar::handleSuspicion(Step &S, const PeerRef &From,
+                              const SuspectReport &Message) {
+  if (auto Known = Gate.mergeSuspicion(S.Now, Message))
+    S.Out.emplace_back(SendPeer{From.Host, *Known});
+}
+
+/// Sends what is known of requests that crash servers to a daemon that may have
+/// started since it was reported.
+void Sidecar::sendKnownSuspects(Step &S, const HostId &Host) {
+  const Announcement *Peer = Directory.find(Host);
+  if (!Peer || Host == Settings.Host ||
+      Peer->Service != Gate.server().service())
+    return;
+  for (const SuspectReport &Report : Gate.knownSuspicions(S.Now))
+    S.Out.emplace_back(SendPeer{Host, Report});
+}
+
 /// Passes a call to the gate. What its ingress knows of the server may change
 /// the server's state.
 void Sidecar::handleExecute(Step &S, const PeerRef &From, Execute Message) {
--- a/src/sidecar/Sidecar.h
+++ b/src/sidecar/Sidecar.h
@@ -87,6 +87,9 @@
 
   void handleExecute(Step &S, const PeerRef &From, Execute Message);
   bool isCallRefused(const ServerRunResult &Ended);
+  void handleSuspicion(Step &S, const PeerRef &From,
+                       const SuspectReport &Message);
+  void sendKnownSuspects(Step &S, const HostId &Host);
   void handleMessage(Step &S, const PeerRef &From, PeerMessage &Message);
   void applyRecord(Step &S, const RecordOrigin &Origin, UnusableRecord &Body);
   void applyRecord(Step &S, const RecordOrigin &Origin, ConfigPtr &Body);
--- a/src/sidecar/SidecarTopics.cpp
+++ b/src/sidecar/SidecarTopics.cpp
@@ -404,8 +404,12 @@
       rememberLeftServer(S, Body);
     return announce(S);
   }
+  const Announcement *Before = Directory.find(Body.Host);
+  bool OtherDaemon = Before && Before->Order.Inc != Body.Order.Inc;
   if (!Directory.merge(Body))
     return;
+  if (OtherDaemon)
+    sendKnownSuspects(S, Body.Host);
   Router.hostChanged(Body);
   updateHostCounts();
   // A probe opens a link before the first request needs it.
--- a/tests/PeerCodecTest.cpp
+++ b/tests/PeerCodecTest.cpp
@@ -153,7 +153,7 @@
                     any<std::uint32_t>()};
   case 21:
     return SuspectReport{any<std::uint64_t>(), any<std::uint32_t>(),
-                         any<bool>()};
+                         any<bool>(), any<std::int64_t>()};
   case 22:
     return TopicSubscribe{any<std::vector<std::int64_t>>()};
   case 24:
--- a/tests/QuarantineTest.cpp
+++ b/tests/QuarantineTest.cpp
@@ -71,6 +71,22 @@
   EXPECT_EQ(Report->Crashes, 2U);
 }
 
+// Guards against a suspicion that never ends, since daemons that restart are
+// told of it again and again.
+TEST(Quarantine, ARepeatedReportDoesNotExtendItsLifetime) {
+  Quarantine First;
+  Quarantine Second;
+  First.merge(Start, SuspectReport{7, 2, true});
+  TimePoint Now = Start;
+  for (; Now < Start + 2 * Quarantine::Lifetime; Now += 1min)
+    for (const SuspectReport &Report : First.reports(Now, 8)) {
+      Second.merge(Now, Report);
+      std::swap(First, Second);
+    }
+  EXPECT_EQ(First.check(Now, 7), Suspicion::None);
+  EXPECT_EQ(Second.check(Now, 7), Suspicion::None);
+}
+
 // A stream of crashing requests must not exhaust memory.
 RC_GTEST_PROP(QuarantineProperty, MemoryIsBounded, ()) {
   Quarantine Suspects;
--- a/tests/SidecarLifeTest.cpp
+++ b/tests/SidecarLifeTest.cpp
@@ -487,6 +487,30 @@
   EXPECT_EQ(Reports[0].second.Fingerprint, 7U);
 }
 
+// Guards against BUDGET (review/3): what was known of a request that crashes
+// servers ended with each daemon that restarted, and the request crashed its
+// server again.
+TEST_F(SidecarTest, ARestartedDaemonLearnsOfSuspects) {
+  loadTopics();
+  apply(heartbeat(1));
+  reply("a", SuspectReport{7, 3, true});
+  PeerRef Restarted{"b", 99};
+  auto Told = messages<SuspectReport>(apply(PeerConnected{Restarted}));
+  ASSERT_EQ(Told.size(), 1U);
+  EXPECT_EQ(Told[0].first, "b");
+  EXPECT_EQ(Told[0].second.Fingerprint, 7U);
+  EXPECT_EQ(Told[0].second.Crashes, 3U);
+  Announcement Next = announcement("c");
+  Next.Order.Generation += 1;
+  Next.Order.Inc = 100;
+  Told = messages<SuspectReport>(memberRecord(Next));
+  ASSERT_EQ(Told.size(), 1U) << "also without a link to it";
+  EXPECT_EQ(Told[0].first, "c");
+  Told = messages<SuspectReport>(reply("a", SuspectReport{7, 1, true}));
+  ASSERT_EQ(Told.size(), 1U) << "a daemon that has counted fewer crashes";
+  EXPECT_EQ(Told[0].second.Crashes, 3U);
+}
+
 // The client must not be told to resend such a request soon.
 TEST_F(SidecarTest, AQuarantinedRequestIsRefusedWithoutRetry) {
   loadTopics();
