--- a/src/sidecar/ServerGate.cpp
+++ b/src/sidecar/ServerGate.cpp
@@ -23,6 +23,11 @@
 /// both may fall into the same second.
 static constexpr double ColdRateFraction = 0.5;
 static constexpr double ColdBurstFraction = 0.4;
+/// Fraction of the requests that a cold server may get in one second, after
+/// which it is probed again.
+static constexpr double UncheckedStartFraction = 0.5;
+/// Shortest time between two probes that many starts cause.
+static constexpr Duration StartsProbeInterval = 20ms;
 /// How long a server counts as cold after its failure domain returns to
 /// service, unless it reports otherwise. Longer than the time between two
 /// heartbeats.
@@ -85,6 +90,26 @@
                        std::max(1.0, Overage * ColdBurstFraction));
 }
 
+/// Returns the number of runs after whose start the server is probed again. It
+/// may have become cold since the last probe, and together with those of the
+/// cold rate they must stay within what a cold server may get in one second.
+std::size_t ServerGate::maxStartsBetweenProbes() const {
+  double Allowed = ColdPerSecond * Bounds.ColdOverage + Bounds.ColdSlack;
+  return static_cast<std::size_t>(
+      std::max(1.0, Allowed * UncheckedStartFraction));
+}
+
+/// Takes the runs that started while the server may already have been cold from
+/// the tokens of the cold rate.
+///
+/// Load pattern: a server that gets many requests a second becomes cold between
+/// two probes. What it got by then and what the cold rate allows fall into the
+/// same second.
+void ServerGate::chargeStartsWhileCold(TimePoint Now, bool WasCold) {
+  if (Server.cold(Now) && !WasCold)
+    ColdTokens.spend(Now, static_cast<double>(StartsSinceProbe));
+}
+
 std::uint32_t ServerGate::usableSlots() const {
   auto Usable = static_cast<std::size_t>(Server.slots() * UsableSlotFraction);
   // Each run takes a connection, and a probe one more.
@@ -410,12 +435,16 @@
                                     const ServerHeartbeat &Report) {
   std::string PreviousInstance = Server.instance();
   std::int64_t PreviousStart = Server.startMillis();
+  bool WasCold = Server.cold(Step.Now);
   ReportVerdict Verdict = Server.heartbeat(Step.Now, Report);
   ExpectedServer.reset();
   bool OtherInstance = Server.instance() != PreviousInstance;
   bool OtherStart = PreviousStart != 0 && Server.startMillis() != PreviousStart;
-  if (OtherInstance || OtherStart)
+  if (OtherInstance || OtherStart) {
     RateLimit.reset();
+    StartsSinceProbe = 0;
+  }
+  chargeStartsWhileCold(Step.Now, WasCold);
   if (!PreviousInstance.empty() && PreviousStart != 0 &&
       (OtherInstance || OtherStart))
     Crashes.serverLost(Step.Now);
@@ -479,8 +508,12 @@
       !Probe.Instance.empty() && Probe.Instance == Server.instance();
   if (SameInstance)
     Unreachable = false;
+  bool WasCold = Server.cold(Step.Now);
   if (SameInstance && Probe.Cold)
     Server.setCold(Step.Now, *Probe.Cold);
+  chargeStartsWhileCold(Step.Now, WasCold);
+  if (SameInstance)
+    StartsSinceProbe = 0;
   if (SameInstance)
     applyTerms(Step, Step.Now, Probe.Terms, TermsSource::Probe);
   startWaiting(Step);
@@ -539,6 +572,8 @@
     return LastProbeAt + RateLimit.probeInterval();
   TimePoint ForLoad = std::max(LastProbeAt, LastLoadAt) + LoadProbeInterval;
   TimePoint ForCold = LastProbeAt + ProbeInterval;
+  if (StartsSinceProbe >= maxStartsBetweenProbes())
+    ForCold = LastProbeAt + StartsProbeInterval;
   bool LoadWanted = ForLoad <= LastCallAt + LoadProbeDuration;
   if (Slowdown.isSlow() && Waiting > 0)
     return std::max(LastProbeAt, LastLoadAt) + DelayedProbeInterval;
--- a/src/sidecar/ServerGate.h
+++ b/src/sidecar/ServerGate.h
@@ -152,6 +152,8 @@
   AdmittedCall remove(CallMap::iterator At);
 
   void configureColdRate();
+  std::size_t maxStartsBetweenProbes() const;
+  void chargeStartsWhileCold(TimePoint Now, bool WasCold);
   void recoverExpectedServer(TimePoint Now, const ServerProbeResult &Probe);
   std::optional<ErrorKind> checkAvailability(const Execute &Message) const;
   std::optional<ErrorKind> checkCapacity(TimePoint Now,
@@ -215,6 +217,9 @@
   double ColdPerSecond = 1;
   std::size_t MaxConnections = 1; ///< Accepted by the server.
   mutable TokenBucket ColdTokens;
+  /// Runs that have started since a probe last showed whether the server is
+  /// cold.
+  std::size_t StartsSinceProbe = 0;
   /// Of the server's own statements. Refilling it does not change what it
   /// holds.
   mutable ServerRateLimit RateLimit;
--- a/src/sidecar/ServerGateRuns.cpp
+++ b/src/sidecar/ServerGateRuns.cpp
@@ -125,6 +125,7 @@
   --Waiting;
   if (!isRetry(Call))
     Retries.addFirstArrival(Step.Now, Call.Message.RetryFraction);
+  ++StartsSinceProbe;
   Runs.emplace(Call.Run, Call.Message.Call);
   Step.Out.emplace_back(Count{Counter::RunsStarted});
   Step.Out.emplace_back(
--- a/tests/ServerGateTest.cpp
+++ b/tests/ServerGateTest.cpp
@@ -127,6 +127,56 @@
   }
 }
 
+namespace {
+/// Moment at which the server becomes cold, in milliseconds.
+struct ColdUnderLoadTest : ServerGateTest, testing::WithParamInterface<int> {};
+} // namespace
+
+// Guards against FAILBACK (review/4): a server that gets 150 requests a second
+// becomes cold between two probes, and what it got by then came on top of the
+// cold rate in the same second.
+TEST_P(ColdUnderLoadTest, TheServerStaysWithinItsRate) {
+  const Duration ProbeTime = 5ms; ///< Until the result of a probe.
+  const TimePoint ColdFrom = Now + std::chrono::milliseconds(GetParam());
+  std::multimap<TimePoint, RunId> Running;
+  std::optional<TimePoint> ProbeDue;
+  long InOneSecond = 0;
+  auto Process = [&](const SidecarEffects &Out) {
+    for (const StartRun &Run : effects<StartRun>(Out)) {
+      Running.emplace(Now + 20ms, Run.Run);
+      if (Now >= ColdFrom && Now < ColdFrom + 1s)
+        ++InOneSecond;
+    }
+    if (!effects<ProbeServer>(Out).empty())
+      ProbeDue = Now + ProbeTime;
+  };
+  for (; Now < ColdFrom + 1s; Now += 1ms) {
+    if (Now.time_since_epoch() % 20ms < 3ms)
+      Process(execute(call()));
+    if (ProbeDue && Now >= *ProbeDue) {
+      ProbeDue.reset();
+      ServerProbeResult Probe{true, "i-1", Duration(0), {}, {}};
+      if (Now - ProbeTime >= ColdFrom)
+        Probe.Cold = 3s;
+      Process(step([&](GateStep &Step) { Gate.probeEnded(Step, Probe); }));
+    }
+    while (!Running.empty() && Running.begin()->first <= Now) {
+      RunId Ended = Running.begin()->second;
+      Running.erase(Running.begin());
+      // With the load in each response, no probe is needed for it.
+      ServerRunResult Result;
+      Result.Metadata.Load = ServerLoad{3, 0, 10, 1};
+      Process(endRun(Ended, Result));
+    }
+    Process(step([&](GateStep &Step) { Gate.timer(Step); }));
+  }
+  EXPECT_GT(InOneSecond, 20) << "the server is in use";
+  EXPECT_LE(InOneSecond, 40 * 1.5 + 5) << "rate x overage + slack";
+}
+
+INSTANTIATE_TEST_SUITE_P(Moments, ColdUnderLoadTest,
+                         testing::Range(2000, 2500, 50));
+
 // Load pattern: three times the capacity for three seconds. In order of arrival
 // all answers would be late. Admitted calls must meet their target, and the
 // others must be refused at once.
