Add: workspaces on the path of figsail-sidecar

Before, the client's key was passed on to the backend server, the server was not told the workspace, and any key was accepted.

Where the configuration holds Tenants, a request is now accepted only with a key of a workspace, or without one on a route with AllowAnonymous. A key that is missing or unknown is refused with 401, not run; an unknown one with 503 while a newer configuration may exist. The key is removed, and the backend server gets the workspace's name in Figsail-Tenant. Priority and home regions of the workspace bind its calls.

--- a/include/figsail/Events.h
+++ b/include/figsail/Events.h
@@ -206,6 +206,8 @@
   StoreHistories,
   ResponsesRejected,
   RecordsUnusable,
+  KeysMissing, ///< Requests refused without a key where one is required.
+  KeysUnknown, ///< Requests refused with a key of no workspace.
 };
 
 /// Increment a counter.
@@ -283,7 +285,7 @@
 std::string_view counterName(Counter Which);
 
 inline constexpr std::size_t CounterCount =
-    static_cast<std::size_t>(Counter::RecordsUnusable) + 1;
+    static_cast<std::size_t>(Counter::KeysUnknown) + 1;
 
 } // namespace figsail
 
--- a/include/figsail/HttpMessage.h
+++ b/include/figsail/HttpMessage.h
@@ -19,6 +19,9 @@
 /// an empty view.
 std::string_view findHeader(const HeaderList &Headers, std::string_view Name);
 
+/// Removes all fields with that name (case-insensitive).
+void removeHeader(HeaderList &Headers, std::string_view Name);
+
 /// Request with its complete body.
 struct HttpRequest {
   std::string Method;
--- a/src/core/ErrorTable.cpp
+++ b/src/core/ErrorTable.cpp
@@ -9,6 +9,9 @@
 
 using std::chrono::seconds;
 
+/// HTTP status whose answers must name the way to authenticate.
+static constexpr unsigned UnauthorizedStatus = 401;
+
 static constexpr std::array<ErrorEntry, ErrorKindCount> ErrorTable{{
     // clang-format off
     {ErrorKind::BadRequest,             "bad-request",             400, RunState::No,      seconds(0),   "The request is not valid HTTP."},
@@ -44,6 +47,8 @@
     {ErrorKind::ServerSlow,             "server-slow",             503, RunState::No,      seconds(1),   "The backend server is slow at this moment."},
     {ErrorKind::RateLimited,            "rate-limited",            503, RunState::No,      seconds(1),   "The backend servers have named a rate limit, and it is used up."},
     {ErrorKind::ConfigurationBehind,    "configuration-behind",    503, RunState::No,      seconds(1),   "No route matches the request; a newer configuration is being read."},
+    {ErrorKind::Unauthorized,           "unauthorized",            401, RunState::No,      seconds(0),   "The request carries no key of a workspace."},
+    {ErrorKind::KeyUnconfirmed,         "key-unconfirmed",         503, RunState::No,      seconds(1),   "The key is not known here; a newer configuration is being read."},
     // clang-format on
 }};
 
@@ -78,6 +83,8 @@
   Response.Headers = {{"Content-Type", "text/plain"},
                       {"Figsail-Error", std::string(Entry.Name)},
                       {"Figsail-Run", std::string(runStateName(Entry.Run))}};
+  if (Entry.Status == UnauthorizedStatus)
+    Response.Headers.emplace_back("WWW-Authenticate", "Bearer");
   if (Entry.RetryAfter.count() > 0)
     Response.Headers.emplace_back("Retry-After",
                                   std::to_string(Entry.RetryAfter.count()));
--- a/src/core/HttpMessage.cpp
+++ b/src/core/HttpMessage.cpp
@@ -1,4 +1,4 @@
-// HttpMessage.cpp - Lookup of header fields.
+// HttpMessage.cpp - Lookup and removal of header fields.
 
 #include "figsail/HttpMessage.h"
 
@@ -13,4 +13,10 @@
   return {};
 }
 
+void removeHeader(HeaderList &Headers, std::string_view Name) {
+  std::erase_if(Headers, [&](const auto &Field) {
+    return boost::beast::iequals(Field.first, Name);
+  });
+}
+
 } // namespace figsail
--- a/src/shell/SidecarDaemon.cpp
+++ b/src/shell/SidecarDaemon.cpp
@@ -358,6 +358,7 @@
 void SidecarDaemon::perform(StartRun &Action) {
   RunStarts[Action.Run] = now();
   Platform.Fields->requireInstance(Action.Request, Action.Instance);
+  Platform.Fields->setWorkspace(Action.Request, Action.Workspace);
   Backend.run(Action.Run, std::move(Action.Request), Action.Budget);
 }
 
--- a/src/shell/SidecarPlatform.h
+++ b/src/shell/SidecarPlatform.h
@@ -30,6 +30,10 @@
   /// request.
   virtual void requireInstance(HttpRequest &Request,
                                const std::string &Instance) const = 0;
+  /// Sets the field with the name of the client's workspace; removes it if the
+  /// name is empty.
+  virtual void setWorkspace(HttpRequest &Request,
+                            const std::string &Workspace) const = 0;
   /// Reads the fields that a backend server adds to a response for figsail.
   virtual ResponseMetadata readMetadata(const HttpResponse &Response) const = 0;
   /// Reads the fields of a health response.
--- a/src/sidecar/CallRouter.cpp
+++ b/src/sidecar/CallRouter.cpp
@@ -96,8 +96,9 @@
   Step.Out.emplace_back(std::move(Line));
   Step.Out.emplace_back(Count{Counter::CallsRefused});
   Step.Out.emplace_back(CountRefusal{RefusedBy::Ingress, Kind});
-  Duration Delay =
-      Kind == ErrorKind::ConfigurationBehind ? ConfigurationDelay : Duration(0);
+  bool Awaited = Kind == ErrorKind::ConfigurationBehind ||
+                 Kind == ErrorKind::KeyUnconfirmed;
+  Duration Delay = Awaited ? ConfigurationDelay : Duration(0);
   Step.Out.emplace_back(ReplyCaller{
       Arrived.Caller, refusalResponse(Step, Kind, Deadline, Delay)});
 }
@@ -135,6 +136,18 @@
   if (!Route)
     return refuseRequest(Step, Arrived, unknownRouteKind(Step),
                          Step.Now + Limit);
+  Authentication Checked =
+      authenticate(*Step.Config, *Route, Arrived.Credential, Step.ConfigBehind);
+  if (Checked.RefusalCount)
+    Step.Out.emplace_back(Count{*Checked.RefusalCount});
+  if (Checked.Refusal)
+    return refuseRequest(Step, Arrived, *Checked.Refusal, Step.Now + Limit);
+  std::optional<CallTerms> Terms = callTerms(*Route, Checked.Client.get());
+  if (!Terms)
+    return refuseRequest(Step, Arrived, ErrorKind::WrongRegion,
+                         Step.Now + Limit);
+  if (Step.Config->hasWorkspaces())
+    removeHeader(Arrived.Request.Headers, "Authorization");
   std::size_t Bytes =
       messageSize(Arrived.Request.Headers, Arrived.Request.Body);
   if (BufferedBytes + Bytes > MaxBufferedBytes)
@@ -148,6 +161,8 @@
   New.ClientId = std::move(Arrived.Id);
   New.Request = std::move(Arrived.Request);
   New.Bytes = Bytes;
+  New.Client = std::move(Checked.Client);
+  New.Terms = std::move(*Terms);
   New.Service = Splits.next(*Route);
   UsedServices.insert(New.Service);
   New.Fingerprint = fingerprintOf(CallingService, Arrived.Host, New.Request);
@@ -195,7 +210,7 @@
 
 const Member *CallRouter::chooseServer(RouterStep &Step, const Call &Current) {
   std::vector<const Member *> Eligible;
-  const std::vector<std::string> &Home = Current.Route->HomeRegions;
+  const std::vector<std::string> &Home = Current.Terms.HomeRegions;
   for (const Member &Server : Step.Directory.ready(Current.Service)) {
     if (Step.Evacuated.contains(Server.FailureDomain) ||
         Step.Peers.isSuspected(Server.Host) ||
@@ -278,9 +293,11 @@
   Message.Target = To.Inc;
   Message.Policy.Route = Current.Route->Name;
   Message.Policy.Service = Current.Service;
-  Message.Policy.HomeRegions = Current.Route->HomeRegions;
+  if (Current.Client)
+    Message.Policy.Workspace = Current.Client->Name;
+  Message.Policy.HomeRegions = Current.Terms.HomeRegions;
   Message.Policy.Idempotent = Current.Route->Idempotent;
-  Message.Policy.Priority = Current.Route->Priority;
+  Message.Policy.Priority = Current.Terms.Priority;
   Message.BudgetMicros = (Current.Deadline - Step.Now).count();
   Message.Fingerprint = Current.Fingerprint;
   Message.TargetMicros = (Current.Target - Step.Now).count();
--- a/src/sidecar/CallRouter.h
+++ b/src/sidecar/CallRouter.h
@@ -3,6 +3,7 @@
 #ifndef FIGSAIL_SIDECAR_CALLROUTER_H
 #define FIGSAIL_SIDECAR_CALLROUTER_H
 
+#include "Authentication.h"
 #include "Instance.h"
 #include "NestedCallEstimator.h"
 #include "PeerHealth.h"
@@ -111,6 +112,8 @@
     HttpRequest Request;
     std::size_t Bytes = 0; ///< Size of the request.
     RoutePtr Route;
+    WorkspacePtr Client; ///< Null: anonymous.
+    CallTerms Terms;
     std::string Service;
     std::uint64_t Fingerprint = 0; ///< Equal whenever the request is resent.
     TimePoint Arrived;
--- a/src/sidecar/ServerGateRuns.cpp
+++ b/src/sidecar/ServerGateRuns.cpp
@@ -129,7 +129,8 @@
   Step.Out.emplace_back(Count{Counter::RunsStarted});
   Step.Out.emplace_back(
       StartRun{Call.Run, std::move(Call.Message.Request), Call.Message.Instance,
-               Call.Deadline - Step.Now, Call.Message.Policy.Idempotent});
+               Call.Deadline - Step.Now, Call.Message.Policy.Idempotent,
+               Call.Message.Policy.Workspace});
 }
 
 std::optional<TimePoint> ServerGate::runStart(RunId Run) const {
--- a/src/sidecar/ServiceConfig.cpp
+++ b/src/sidecar/ServiceConfig.cpp
@@ -1,4 +1,5 @@
-// ServiceConfig.cpp - Lookup of routes by host and longest path prefix.
+// ServiceConfig.cpp - Lookup of routes by host and longest path prefix, and of
+// workspaces by key.
 
 #include "ServiceConfig.h"
 
@@ -34,6 +35,21 @@
   Services.insert_or_assign(std::move(Name), std::move(Service));
 }
 
+bool ServiceConfig::add(Workspace Added, const std::vector<KeyDigest> &Keys) {
+  auto Shared = std::make_shared<const Workspace>(std::move(Added));
+  bool NewName = Workspaces.try_emplace(Shared->Name, Shared).second;
+  if (!NewName)
+    return false;
+  return std::ranges::all_of(Keys, [&](const KeyDigest &Key) {
+    return ByKey.try_emplace(Key, Shared).first->second == Shared;
+  });
+}
+
+WorkspacePtr ServiceConfig::findWorkspace(const KeyDigest &Key) const {
+  auto Found = ByKey.find(Key);
+  return Found == ByKey.end() ? nullptr : Found->second;
+}
+
 RoutePtr ServiceConfig::findRoute(std::string_view Host,
                                   std::string_view Target) const {
   auto Found = Hosts.find(normalizedHost(Host));
--- a/src/sidecar/ServiceConfig.h
+++ b/src/sidecar/ServiceConfig.h
@@ -3,6 +3,8 @@
 #ifndef FIGSAIL_SIDECAR_SERVICECONFIG_H
 #define FIGSAIL_SIDECAR_SERVICECONFIG_H
 
+#include "KeyDigest.h"
+
 #include "figsail/Types.h"
 
 #include <map>
@@ -33,6 +35,7 @@
   std::uint32_t MaxServers = 1; ///< Backend servers that one call may reach.
   std::vector<SplitPart> Parts; ///< Traffic split; never empty.
   std::vector<std::string> HomeRegions; ///< Empty: any region.
+  bool AllowAnonymous = false; ///< Serves requests without a workspace.
 };
 using RoutePtr = std::shared_ptr<const ServiceRoute>;
 
@@ -72,12 +75,20 @@
 
   void add(ServiceRoute Route);
   void add(ServiceSettings Service);
+  /// Adds a workspace and the digests of its keys. Returns false, and the
+  /// configuration is unusable, if another workspace has the name or a key.
+  [[nodiscard]] bool add(Workspace Added, const std::vector<KeyDigest> &Keys);
 
   /// Returns the host's route with the longest prefix that matches the path of
   /// Target, or null. A port in Host and a query in Target are ignored.
   RoutePtr findRoute(std::string_view Host, std::string_view Target) const;
   /// Returns the service with that name, or null.
   const ServiceSettings *findService(const std::string &Name) const;
+  /// Returns the workspace that a key belongs to, or null.
+  WorkspacePtr findWorkspace(const KeyDigest &Key) const;
+  /// Returns whether requests identify their workspaces by keys.
+  bool hasWorkspaces() const { return !Workspaces.empty(); }
+  std::size_t workspaceCount() const { return Workspaces.size(); }
   std::size_t routeCount() const { return RouteCount; }
 
 private:
@@ -85,6 +96,8 @@
 
   std::unordered_map<std::string, PrefixMap> Hosts;
   std::map<std::string, ServiceSettings> Services;
+  std::unordered_map<std::string, WorkspacePtr> Workspaces; ///< By name.
+  std::unordered_map<KeyDigest, WorkspacePtr, KeyDigestHash> ByKey;
   std::size_t RouteCount = 0;
 };
 using ConfigPtr = std::shared_ptr<const ServiceConfig>;
--- a/src/sidecar/SidecarEvents.h
+++ b/src/sidecar/SidecarEvents.h
@@ -31,6 +31,9 @@
   HttpRequest Request;                   ///< Includes the calling service.
   /// Its last byte arrived after CloseClients, on a kept connection.
   bool Late = false;
+  /// Key of the client's workspace; none: the request has no Authorization
+  /// field; empty: it has several, or one that names no key.
+  std::optional<std::string> Credential;
 };
 
 /// Heartbeat of the backend server beside this daemon.
@@ -195,6 +198,7 @@
   std::string Instance; ///< Only this backend server may run it.
   Duration Budget{0};   ///< Until the client's deadline.
   bool Idempotent = false;
+  std::string Workspace; ///< Name of the client's workspace; empty: none.
 };
 
 /// Probe the health endpoint of the backend server.
