Add: safe requests that a client pipelines are handled together

Cause: these clients send further requests before the first is answered, and the frontend handled one request of a connection at a time. So a request waited for the whole run of the one before it, which takes 0.5 to 0.8 s here and the target latency 2 s, and no log shows that wait.

Safe requests without a body, up to 16 on a connection, are now passed on as they arrive; their responses are written in order. Any other request still runs alone (RFC 9112, 9.3.2). A connection closes with the last request that was passed on; a client that leaves cancels all of them. figsaild and the stand-ins keep handling one at a time (FrontendSettings::MaxPipelined).

--- a/src/shell/FrontendConnection.cpp
+++ b/src/shell/FrontendConnection.cpp
@@ -103,6 +103,8 @@
     processHead();
   else if (CurrentPhase == Phase::Body)
     processBody();
+  if (CurrentPhase == Phase::Handling || CurrentPhase == Phase::Writing)
+    dispatchAhead();
   switch (CurrentPhase) {
   case Phase::Idle:
   case Phase::Head:
@@ -260,10 +262,65 @@
   Request.Body = std::move(Parsed.body());
   RequestParser.reset();
   RequestFullyRead = true;
+  Safe = isSafe(Request);
   Late = Kept && Owner->draining();
   CurrentPhase = Phase::Handling;
   Timer.cancel();
-  Owner->dispatch(shared_from_this(), std::move(Request));
+  Caller = Owner->nextCaller();
+  Owner->dispatch(shared_from_this(), Caller, std::move(Request));
+}
+
+bool FrontendConnection::mayDispatchAhead() const {
+  if (!Safe || Closing || Unparsed.empty() || Owner->draining())
+    return false;
+  bool MayFollow = Ahead.empty() ? KeepAlive : Ahead.back().KeepAlive;
+  return MayFollow && Ahead.size() + 1 < Owner->settings().MaxPipelined;
+}
+
+/// Dispatches the safe requests that follow the current one. A request that is
+/// not safe waits until those before it are answered, and those behind it wait
+/// for it.
+void FrontendConnection::dispatchAhead() {
+  while (mayDispatchAhead()) {
+    auto Next = readSafeRequest(Unparsed, Owner->settings().MaxHead);
+    if (!Next)
+      return;
+    HeadDecision Verdict =
+        Owner->checkHead(Next->Request.Method, Next->Request.Target);
+    if (!std::holds_alternative<ReadBody>(Verdict))
+      return;
+    Unparsed.erase(0, Next->Size);
+    bool IsHead = Next->Request.Method == "HEAD";
+    CallerId Added = Owner->nextCaller();
+    Ahead.push_back(
+        {Added, Next->Version, IsHead, Next->KeepAlive, std::nullopt});
+    Owner->dispatch(shared_from_this(), Added, std::move(Next->Request));
+    if (CurrentPhase == Phase::Closed)
+      return;
+  }
+}
+
+/// Continues with the request that was dispatched first after the one that has
+/// been answered.
+void FrontendConnection::handleNextDispatched() {
+  PipelinedRequest Next = std::move(Ahead.front());
+  Ahead.pop_front();
+  Caller = Next.Caller;
+  Version = Next.Version;
+  IsHeadRequest = Next.IsHead;
+  KeepAlive = Next.KeepAlive;
+  CurrentPhase = Phase::Handling;
+  Timer.cancel();
+  if (Next.Response)
+    write(std::move(*Next.Response));
+  process();
+}
+
+std::vector<CallerId> FrontendConnection::unanswered() const {
+  std::vector<CallerId> Callers{Caller};
+  for (const PipelinedRequest &Later : Ahead)
+    Callers.push_back(Later.Caller);
+  return Callers;
 }
 
 void FrontendConnection::handleEndOfInput() {
@@ -278,9 +335,12 @@
   write(errorResponse(Kind, Detail));
 }
 
-void FrontendConnection::reply(HttpResponse Response) {
-  if (CurrentPhase == Phase::Handling)
-    write(std::move(Response));
+void FrontendConnection::reply(CallerId Replied, HttpResponse Response) {
+  if (Replied == Caller && CurrentPhase == Phase::Handling)
+    return write(std::move(Response));
+  for (PipelinedRequest &Later : Ahead)
+    if (Later.Caller == Replied)
+      Later.Response = std::move(Response);
 }
 
 template <class Body>
@@ -332,8 +392,11 @@
   bool MoreInput = !InputEnded || !Unparsed.empty();
   bool HandlerCloses =
       listContains(findHeader(Response.Headers, "Connection"), "close");
-  KeepAlive = KeepAlive && RequestFullyRead && MoreInput && !HandlerCloses &&
-              !Owner->draining();
+  Closing = Closing || HandlerCloses || Owner->draining();
+  // The connection closes with the last request that was dispatched.
+  bool IsLast = Ahead.empty();
+  KeepAlive =
+      !IsLast || (KeepAlive && RequestFullyRead && MoreInput && !Closing);
   HeaderList Headers = Response.Headers;
   removeHopByHopFields(Headers);
   if (IsHeadRequest || Response.Status == 204 || Response.Status == 304) {
@@ -383,10 +446,12 @@
 void FrontendConnection::responseWritten() {
   Outgoing.reset();
   Kept = true;
-  if (KeepAlive)
+  if (!KeepAlive)
+    linger();
+  else if (Ahead.empty())
     nextRequest();
   else
-    linger();
+    handleNextDispatched();
 }
 
 void FrontendConnection::linger() {
--- a/src/shell/FrontendConnection.h
+++ b/src/shell/FrontendConnection.h
@@ -4,6 +4,7 @@
 #define FIGSAIL_FRONTENDCONNECTION_H
 
 #include "HttpFrontend.h"
+#include "PipelinedRequest.h"
 #include "RequestHead.h"
 
 #include <array>
@@ -12,8 +13,10 @@
 #include <boost/beast/http/message_generator.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
+#include <deque>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace figsail {
 
@@ -28,18 +31,24 @@
   virtual bool draining() const = 0;
   virtual HeadDecision checkHead(std::string_view Method,
                                  std::string_view Target) = 0;
+  /// Returns the id for the next request.
+  virtual CallerId nextCaller() = 0;
   /// Passes a complete request to the handler and returns without waiting for
   /// the reply.
   virtual void dispatch(const std::shared_ptr<FrontendConnection> &Connection,
-                        HttpRequest Request) = 0;
+                        CallerId Caller, HttpRequest Request) = 0;
   /// Called once, after the connection was closed.
   virtual void
   closed(const std::shared_ptr<FrontendConnection> &Connection) = 0;
 };
 
 /// Server side of one client connection. It reads requests in sequence and
-/// writes their responses in order. At most one request is being handled; later
-/// ones wait in a bounded buffer.
+/// writes their responses in order. While a safe request is being handled, the
+/// safe ones that follow it are handled too, up to
+/// FrontendSettings::MaxPipelined together; others wait in a bounded buffer.
+///
+/// Load pattern: clients send several requests at once, and the work of one
+/// takes most of the target latency of the next.
 class FrontendConnection
     : public std::enable_shared_from_this<FrontendConnection> {
 public:
@@ -47,12 +56,12 @@
                      std::shared_ptr<ConnectionOwner> Owner);
 
   void start();
-  /// Sends the response to the request that was dispatched last.
-  void reply(HttpResponse Response);
+  /// Sends the response to a request, once those before it are answered.
+  void reply(CallerId Replied, HttpResponse Response);
   /// Writes bytes outside any response, as far as the socket accepts them.
   void writeRaw(std::string_view Bytes);
   /// Ends the connection with these bytes in place of the response to the
-  /// request that was dispatched last.
+  /// request that is being handled.
   void endRaw(std::string_view Bytes);
   /// Closes the connection if it is idle. A connection with an unfinished
   /// request, with bytes to read or without a first request stays open for that
@@ -71,7 +80,8 @@
   /// Returns whether the handler has not replied to a request yet.
   bool handling() const { return CurrentPhase == Phase::Handling; }
 
-  CallerId Caller = 0; ///< Identifies the request that was dispatched last.
+  /// Returns the requests that have been dispatched and not yet answered.
+  std::vector<CallerId> unanswered() const;
 
 private:
   enum class Phase : std::uint8_t {
@@ -93,6 +103,9 @@
   void startBody(std::size_t MaxBody);
   void processBody();
   void requestComplete();
+  bool mayDispatchAhead() const;
+  void dispatchAhead();
+  void handleNextDispatched();
   bool hasClientDisconnected();
   void handleEndOfInput();
   void sendContinue();
@@ -124,6 +137,8 @@
   unsigned Version = 11; ///< HTTP version of the current request: 10 or 11.
   bool IsHeadRequest = false;   ///< The method of the current request is HEAD.
   bool KeepAlive = false;       ///< Another request may follow.
+  bool Safe = false;            ///< The current request is safe.
+  bool Closing = false;         ///< No further request is dispatched ahead.
   bool RequestFullyRead = true; ///< The current request was read to its end.
   bool Kept = false;            ///< An earlier request was answered.
   bool Late = false;            ///< See arrivedLate().
@@ -131,6 +146,8 @@
   bool ResetWatchPending = false; ///< A wait for a connection reset is pending.
   bool InputEnded = false;        ///< The client closed its sending side.
   bool AwaitsFirstByte = true;    ///< No byte has arrived yet.
+  CallerId Caller = 0;            ///< Of the current request.
+  std::deque<PipelinedRequest> Ahead; ///< Dispatched after the current one.
 };
 
 } // namespace figsail
--- a/src/shell/HttpFrontend.cpp
+++ b/src/shell/HttpFrontend.cpp
@@ -34,11 +34,12 @@
     return Handler->checkHead(Method, Target);
   }
 
+  CallerId nextCaller() override { return ++LastCallerId; }
+
   void dispatch(const std::shared_ptr<FrontendConnection> &Connection,
-                HttpRequest Request) override {
-    Connection->Caller = ++LastCallerId;
-    PendingRequests[LastCallerId] = Connection;
-    Handler->requestReceived(LastCallerId, std::move(Request));
+                CallerId Caller, HttpRequest Request) override {
+    PendingRequests[Caller] = Connection;
+    Handler->requestReceived(Caller, std::move(Request));
   }
 
   /// Returns the connection of a request that waits for its reply, which then
@@ -54,12 +55,11 @@
 
   void closed(const std::shared_ptr<FrontendConnection> &Connection) override {
     Connections.erase(Connection);
-    bool ReplyPending = PendingRequests.erase(Connection->Caller) > 0;
-    if (Handler == nullptr)
-      return;
-    if (ReplyPending)
-      Handler->clientDisconnected(Connection->Caller);
-    accept();
+    for (CallerId Caller : Connection->unanswered())
+      if (PendingRequests.erase(Caller) > 0 && Handler != nullptr)
+        Handler->clientDisconnected(Caller);
+    if (Handler != nullptr)
+      accept();
   }
 
   void accept() {
@@ -181,7 +181,7 @@
 
 void HttpFrontend::reply(CallerId Caller, HttpResponse Response) {
   if (auto Connection = Impl->takeRequest(Caller))
-    Connection->reply(std::move(Response));
+    Connection->reply(Caller, std::move(Response));
 }
 
 void HttpFrontend::endRaw(CallerId Caller, std::string_view Bytes) {
--- a/src/shell/HttpFrontend.h
+++ b/src/shell/HttpFrontend.h
@@ -40,6 +40,9 @@
   Duration BodyTimeout{
       std::chrono::seconds(30)}; ///< From the head to the end of the body.
   Duration IdleTimeout{std::chrono::seconds(60)}; ///< Between requests.
+  /// Requests of one connection that are handled together. Only safe requests
+  /// are handled beside others.
+  std::size_t MaxPipelined = 1;
   bool ServeHalfClosed = true; ///< Reply to clients that closed their sending
                                ///< side. Otherwise they count as disconnected.
 };
--- a/src/shell/SidecarDaemon.cpp
+++ b/src/shell/SidecarDaemon.cpp
@@ -17,6 +17,9 @@
 /// Largest request body that is accepted from a client. Each body is buffered
 /// completely, and a host has a few hundred megabytes for all of them.
 static constexpr std::size_t MaxBufferedBody = std::size_t{8} * 1024 * 1024;
+/// Requests of one client connection that are handled together. Bounds the
+/// responses that wait for an earlier one.
+static constexpr std::size_t MaxPipelinedRequests = 16;
 /// Largest number of connections to the backend server. The gate admits at most
 /// 512 runs, and fewer when the service's limit is lower, so this bound only
 /// guards against leaked connections.
@@ -58,6 +61,7 @@
   // These clients close a connection only when they no longer wait for a
   // response.
   Settings.ServeHalfClosed = false;
+  Settings.MaxPipelined = MaxPipelinedRequests;
   return Settings;
 }
 
--- a/tests/HttpFrontendTest.cpp
+++ b/tests/HttpFrontendTest.cpp
@@ -6,6 +6,7 @@
 #include "figsail/ErrorKind.h"
 
 #include <gtest/gtest.h>
+#include <set>
 
 using namespace figsail;
 using namespace figsail::test;
@@ -35,8 +36,10 @@
     reply(Caller, Request);
   }
 
-  void clientDisconnected(CallerId /*Caller*/) override {
-    Disconnected.set_value();
+  void clientDisconnected(CallerId Caller) override {
+    EXPECT_TRUE(Gone.insert(Caller).second) << "reported twice";
+    if (Gone.size() >= ExpectedGone)
+      Disconnected.set_value();
   }
 
   void release() {
@@ -63,7 +66,9 @@
   HttpRequest LastRequest;
   std::size_t RequestCount = 0;
   std::vector<std::pair<CallerId, HttpRequest>> Held;
-  std::promise<void> Disconnected; ///< A second clientDisconnected() throws.
+  std::set<CallerId> Gone; ///< Requests whose client has disconnected.
+  std::size_t ExpectedGone = 1;
+  std::promise<void> Disconnected; ///< Of that many; one more throws.
 };
 
 class HttpFrontendTest : public testing::Test {
@@ -275,6 +280,114 @@
   EXPECT_EQ(Client.response().body(), "GET /b ");
 }
 
+struct PipelinedFrontendTest : HttpFrontendTest {
+  PipelinedFrontendTest() : HttpFrontendTest(settings()) {}
+  static FrontendSettings settings() {
+    FrontendSettings Settings;
+    Settings.MaxPipelined = 4;
+    return Settings;
+  }
+  static std::string get(const std::string &Target) {
+    return "GET " + Target + " HTTP/1.1\r\nHost: h\r\n\r\n";
+  }
+  std::size_t requestCount() {
+    return Loop.on([&] { return Handler.RequestCount; });
+  }
+};
+
+// Guards against requests that wait for the work of the one before them on
+// their connection, and against responses out of order.
+TEST_F(PipelinedFrontendTest, SafeRequestsAreHandledTogether) {
+  RawConnection Client(Port);
+  Client.send(get("/hold/1") + get("/b") + "\r\n" + get("/hold/3"));
+  awaitHeld(2);
+  EXPECT_EQ(requestCount(), 3U);
+  release();
+  EXPECT_EQ(Client.response().body(), "GET /hold/1 ");
+  EXPECT_EQ(Client.response().body(), "GET /b ");
+  EXPECT_EQ(Client.response().body(), "GET /hold/3 ");
+  Client.send(get("/hold/4"));
+  awaitHeld(1);
+  Client.send(get("/e"));
+  while (requestCount() < 5)
+    std::this_thread::yield();
+  release();
+  EXPECT_EQ(Client.response().body(), "GET /hold/4 ");
+  EXPECT_EQ(Client.response().body(), "GET /e ");
+}
+
+// Guards against an unsafe request that runs beside a request before or behind
+// it, whose effects the client meant to have an order.
+TEST_F(PipelinedFrontendTest, AnUnsafeRequestRunsAlone) {
+  RawConnection Client(Port);
+  Client.send(get("/hold/1") +
+              "POST /hold/2 HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\n\r\nx" +
+              get("/c"));
+  awaitHeld(1);
+  EXPECT_EQ(requestCount(), 1U);
+  release();
+  EXPECT_EQ(Client.response().body(), "GET /hold/1 ");
+  awaitHeld(1);
+  EXPECT_EQ(requestCount(), 2U);
+  release();
+  EXPECT_EQ(Client.response().body(), "POST /hold/2 x");
+  EXPECT_EQ(Client.response().body(), "GET /c ");
+}
+
+// Guards against a connection that is closed before a request that has been
+// passed on is answered.
+TEST_F(PipelinedFrontendTest, AllDispatchedRequestsAreAnsweredBeforeAClose) {
+  RawConnection Client(Port);
+  Client.send(get("/hold/1") + get("/last") + get("/hold/3"));
+  awaitHeld(2);
+  Loop.on([&] { Frontend->drain(); });
+  Client.send(get("/late"));
+  release();
+  EXPECT_EQ(Client.response().body(), "GET /hold/1 ");
+  EXPECT_EQ(Client.response().body(), "GET /last ");
+  Response Last = Client.response();
+  EXPECT_EQ(Last.body(), "GET /hold/3 ");
+  EXPECT_EQ(Last[http::field::connection], "close");
+  EXPECT_TRUE(Client.isClosedByPeer());
+  EXPECT_EQ(requestCount(), 3U);
+}
+
+// Guards against memory that a client fills with requests, and against requests
+// behind one that closes the connection.
+TEST_F(PipelinedFrontendTest, FewRequestsAreHandledAtOnce) {
+  RawConnection Client(Port);
+  std::string Pipelined;
+  for (int I = 0; I < 9; ++I)
+    Pipelined += get("/hold/" + std::to_string(I));
+  Client.send(Pipelined +
+              "GET /end HTTP/1.1\r\nHost: h\r\nConnection: "
+              "close\r\n\r\n" +
+              get("/behind"));
+  for (std::size_t Expected : {4U, 8U, 10U}) {
+    awaitHeld(
+        std::min<std::size_t>(4, 9 - (Expected == 10 ? 8 : Expected - 4)));
+    EXPECT_LE(requestCount(), Expected);
+    release();
+  }
+  for (int I = 0; I < 9; ++I)
+    EXPECT_EQ(Client.response().body(), "GET /hold/" + std::to_string(I) + " ");
+  EXPECT_EQ(Client.response().body(), "GET /end ");
+  EXPECT_TRUE(Client.isClosedByPeer());
+  EXPECT_EQ(requestCount(), 10U);
+}
+
+// Guards against runs that go on for a client that has left.
+TEST_F(PipelinedFrontendTest, ADisconnectEndsAllRequests) {
+  RawConnection Client(Port);
+  Handler.ExpectedGone = 2;
+  Client.send(get("/hold/1") + get("/hold/2"));
+  awaitHeld(2);
+  Client.reset();
+  EXPECT_EQ(
+      Handler.Disconnected.get_future().wait_for(std::chrono::seconds(30)),
+      std::future_status::ready);
+}
+
 TEST_F(HttpFrontendTest, TruncatedRequestIsRejected) {
   for (const char *Partial :
        {"GET / HTTP/1.1\r\nHo", "POST / HTTP/1.1\r\nHost: h\r\n"
