Test: workspaces, from the record to the backend server

The line config-in-force has the number of workspaces, if any. A call whose home regions have none in common gets 503 no-backend-server, as one whose home regions have no server.

--- a/fuzz/FuzzTargets.cpp
+++ b/fuzz/FuzzTargets.cpp
@@ -56,6 +56,10 @@
     return;
   if (RoutePtr Route = (*Config)->findRoute("a.example", "/x/1"))
     require(Route->Timeout >= Duration(0) && Route->Timeout <= MaxDuration);
+  // The names of workspaces are sent as values of header fields.
+  if (WorkspacePtr Client = (*Config)->findWorkspace(*digestOfKey("k1")))
+    require(!Client->Name.empty() &&
+            Client->Name.find_first_of("\r\n") == std::string::npos);
 }
 
 static void decodeStorePages(std::string_view Input) {
--- a/src/sidecar/CallRouter.cpp
+++ b/src/sidecar/CallRouter.cpp
@@ -144,7 +144,7 @@
     return refuseRequest(Step, Arrived, *Checked.Refusal, Step.Now + Limit);
   std::optional<CallTerms> Terms = callTerms(*Route, Checked.Client.get());
   if (!Terms)
-    return refuseRequest(Step, Arrived, ErrorKind::WrongRegion,
+    return refuseRequest(Step, Arrived, ErrorKind::NoBackendServer,
                          Step.Now + Limit);
   if (Step.Config->hasWorkspaces())
     removeHeader(Arrived.Request.Headers, "Authorization");
--- a/src/sidecar/SidecarTopics.cpp
+++ b/src/sidecar/SidecarTopics.cpp
@@ -347,6 +347,9 @@
       {"bytes", std::to_string(Origin.ValueBytes)},
       {"from", Origin.From},
       {"previous", Config ? std::to_string(Config->Version) : "none"}};
+  if (Body->hasWorkspaces())
+    Line.Fields.emplace_back("workspaces",
+                             std::to_string(Body->workspaceCount()));
   S.Out.emplace_back(std::move(Line));
   if (!Newer)
     return;
--- a/tests/SidecarProcessTest.cpp
+++ b/tests/SidecarProcessTest.cpp
@@ -207,6 +207,8 @@
     for (const auto &[Name, Value] : ServerFields)
       if (!IsProbe || ProbesNameFields)
         Answer.set(Name, Value);
+    if (!IsProbe)
+      LastRequest = Incoming;
     if (!IsProbe)
       Arrivals.push_back(std::chrono::steady_clock::now());
     if (HoldsReplies && !IsProbe)
@@ -236,7 +238,8 @@
   /// Whether health responses have these fields too.
   std::atomic<bool> ProbesNameFields = true;
   std::vector<std::chrono::steady_clock::time_point>
-      Arrivals; ///< Requests at the server, without probes.
+      Arrivals;                     ///< Requests at the server, without probes.
+  HttpService::Request LastRequest; ///< Of the server's thread.
   std::string Directory;
   pid_t SidecarPid = 0;
   int Heartbeats = 0;
@@ -263,6 +266,40 @@
   EXPECT_EQ(countLogLines("stopped"), 1U);
 }
 
+// Guards against a key that reaches the backend server, the log or the metrics,
+// and against a workspace that the backend server is not told.
+TEST_F(SidecarProcessTest, OnlyTheNameOfTheWorkspaceLeavesTheDaemon) {
+  ASSERT_TRUE(becomesTrue([&] { return isReady(); }));
+  EXPECT_EQ(sendHeartbeat(), 200U);
+  std::string Changed = Config;
+  Changed.replace(Changed.find("00000001"), 8, "00000002");
+  Changed.insert(1, R"("Tenants":[{"Name":"press","ApiKeys":["k-9f3a"]}],)");
+  Loop.on([&] { Store->put("keyed.op", "config", Changed); });
+  ASSERT_TRUE(becomesTrue([&] {
+    return countLogLines("config-in-force", "\"workspaces\":\"1\"") == 1;
+  }));
+  EXPECT_EQ(call().result_int(), 401U);
+  boost::asio::io_context Blocking;
+  tcp::socket Socket(Blocking);
+  Socket.connect(*parseEndpoint(loopbackAddress(ClientPort)));
+  RawConnection Client(std::move(Socket));
+  Client.send("GET /x/1 HTTP/1.1\r\nHost: desk.example\r\n"
+              "Authorization: Bearer k-9f3a\r\nFigsail-Tenant: forged\r\n"
+              "Figsail-Attempt-Id: a1\r\n\r\n");
+  EXPECT_EQ(Client.response().result_int(), 200U);
+  HttpService::Request Seen = Loop.on([&] { return LastRequest; });
+  EXPECT_EQ(Seen["Figsail-Tenant"], "press");
+  EXPECT_EQ(Seen.count("Figsail-Tenant"), 1U);
+  EXPECT_EQ(Seen.count("Authorization"), 0U);
+  std::string Metrics = send(MetricsPort, "GET", "/metrics", "").body();
+  EXPECT_NE(Metrics.find("figsail_keys_missing_total 1\n"), std::string::npos);
+  EXPECT_EQ(Metrics.find("k-9f3a"), std::string::npos);
+  EXPECT_EQ(stop(SIGTERM), 0) << "the log is complete";
+  std::stringstream Log;
+  Log << std::ifstream(Directory + "/log").rdbuf();
+  EXPECT_EQ(Log.str().find("k-9f3a"), std::string::npos);
+}
+
 // Guards against metrics that do not say which configuration a host has.
 TEST_F(SidecarProcessTest, TheMetricsShowTheConfigurationInForce) {
   ASSERT_TRUE(becomesTrue([&] { return isReady(); }));
