--- a/include/figsail/Events.h
+++ b/include/figsail/Events.h
@@ -206,6 +206,7 @@
   StoreHistories,
   ResponsesRejected,
   RecordsUnusable,
+  RolloutSteps, ///< Steps of rollouts that this daemon has decided.
 };
 
 /// Increment a counter.
@@ -283,7 +284,7 @@
 std::string_view counterName(Counter Which);
 
 inline constexpr std::size_t CounterCount =
-    static_cast<std::size_t>(Counter::RecordsUnusable) + 1;
+    static_cast<std::size_t>(Counter::RolloutSteps) + 1;
 
 } // namespace figsail
 
--- a/include/figsail/PeerMessages.h
+++ b/include/figsail/PeerMessages.h
@@ -407,13 +407,57 @@
   }
 };
 
+/// Runs of one route at a server's gate since the start of a rollout order.
+struct RolloutRouteCounts {
+  std::string Route;
+  std::uint32_t Runs = 0;     ///< That ended with a response.
+  std::uint32_t Failures = 0; ///< Of them, by the server's own fault.
+  /// Number of runs by duration at the usual speed, in steps of the square root
+  /// of 2. Runs of a cold server are left out.
+  std::vector<std::uint32_t> Times;
+  template <class Archive> void serialize(Archive &Ar) {
+    Ar(Route, Runs, Failures, Times);
+  }
+};
+
+/// Gate to controller: what has run here since the start of a rollout order.
+struct RolloutReport {
+  std::string Service;
+  Offset Order = NoOffset;        ///< Of the order.
+  std::int64_t ElapsedMicros = 0; ///< Of the order's time, at the sender.
+  std::uint64_t Epoch = 0;        ///< All counts begin at zero with each.
+  bool IsTarget = false;          ///< The server has the target version.
+  bool Ready = false;             ///< The server accepts requests.
+  std::uint32_t Started = 0;      ///< Runs.
+  std::uint32_t Refused = 0;      ///< Calls refused for lack of capacity.
+  std::uint32_t Late = 0;         ///< Runs that ended after their target.
+  std::vector<RolloutRouteCounts> Routes;
+  template <class Archive> void serialize(Archive &Ar) {
+    Ar(Service, Order, ElapsedMicros, Epoch, IsTarget, Ready, Started, Refused,
+       Late, Routes);
+  }
+};
+
+/// Controller to gate: reply to RolloutReport.
+struct RolloutVerdict {
+  std::string Service;
+  Offset Order = NoOffset;        ///< Of the order.
+  std::int64_t ElapsedMicros = 0; ///< Of the order's time, at the sender.
+  std::uint64_t Epoch = 0;        ///< Of the report.
+  std::uint8_t Progress = 0;      ///< A RolloutState.
+  std::uint32_t Grant = 0; ///< Runs that the gate may start in this epoch.
+  template <class Archive> void serialize(Archive &Ar) {
+    Ar(Service, Order, ElapsedMicros, Epoch, Progress, Grant);
+  }
+};
+
 /// The order is the wire encoding: append only.
 using PeerMessage =
     std::variant<Execute, Received, Answer, Refused, Failed, Cancel, Await,
                  Claim, Granted, ClaimHeld, ClaimDone, ClaimRefused, Completed,
                  Fence, FenceAck, Heartbeat, Probe, ProbeReply, Subscribe,
                  Records, Snapshot, SuspectReport, TopicSubscribe, TopicUpdate,
-                 TopicPiece>;
+                 TopicPiece, RolloutReport, RolloutVerdict>;
 
 /// Returns whether the message is control traffic, which is sent ahead of
 /// queued calls.
--- a/src/core/Names.cpp
+++ b/src/core/Names.cpp
@@ -7,13 +7,14 @@
 namespace figsail {
 
 static constexpr std::array<std::string_view, std::variant_size_v<PeerMessage>>
-    MessageNames{"Execute",   "Received",      "Answer",         "Refused",
-                 "Failed",    "Cancel",        "Await",          "Claim",
-                 "Granted",   "ClaimHeld",     "ClaimDone",      "ClaimRefused",
-                 "Completed", "Fence",         "FenceAck",       "Heartbeat",
-                 "Probe",     "ProbeReply",    "Subscribe",      "Records",
-                 "Snapshot",  "SuspectReport", "TopicSubscribe", "TopicUpdate",
-                 "TopicPiece"};
+    MessageNames{
+        "Execute",    "Received",      "Answer",         "Refused",
+        "Failed",     "Cancel",        "Await",          "Claim",
+        "Granted",    "ClaimHeld",     "ClaimDone",      "ClaimRefused",
+        "Completed",  "Fence",         "FenceAck",       "Heartbeat",
+        "Probe",      "ProbeReply",    "Subscribe",      "Records",
+        "Snapshot",   "SuspectReport", "TopicSubscribe", "TopicUpdate",
+        "TopicPiece", "RolloutReport", "RolloutVerdict"};
 
 bool isControl(const PeerMessage &Message) {
   return !std::holds_alternative<Execute>(Message) &&
@@ -45,15 +46,32 @@
 }
 
 static constexpr std::array<std::string_view, CounterCount> CounterNames{
-    "calls",           "calls_answered",  "calls_refused",
-    "calls_unknown",   "retries",         "retries_denied",
-    "cross_domain",    "cross_region",    "cross_region_bytes",
-    "runs_started",    "runs_refused",    "runs_failed",
-    "claims",          "claims_replayed", "fences",
-    "probes",          "heartbeats",      "records_forwarded",
-    "suspects",        "quarantined",     "wrong_region",
-    "stale_messages",  "store_histories", "responses_rejected",
-    "records_unusable"};
+    "calls",
+    "calls_answered",
+    "calls_refused",
+    "calls_unknown",
+    "retries",
+    "retries_denied",
+    "cross_domain",
+    "cross_region",
+    "cross_region_bytes",
+    "runs_started",
+    "runs_refused",
+    "runs_failed",
+    "claims",
+    "claims_replayed",
+    "fences",
+    "probes",
+    "heartbeats",
+    "records_forwarded",
+    "suspects",
+    "quarantined",
+    "wrong_region",
+    "stale_messages",
+    "store_histories",
+    "responses_rejected",
+    "records_unusable",
+    "rollout_steps"};
 
 std::string_view counterName(Counter Which) {
   return CounterNames[static_cast<std::size_t>(Which)];
--- a/src/core/Node.cpp
+++ b/src/core/Node.cpp
@@ -77,6 +77,8 @@
   void message(const PeerRef &From, TopicSubscribe &Message);
   void message(const PeerRef &From, TopicUpdate &Message);
   void message(const PeerRef &From, TopicPiece &Message);
+  void message(const PeerRef &From, RolloutReport &Message);
+  void message(const PeerRef &From, RolloutVerdict &Message);
 
   bool detectPause();
   void afterEvent();
@@ -389,6 +391,14 @@
   Out.emplace_back(Count{Counter::StaleMessages});
 }
 
+void Node::State::message(const PeerRef &, RolloutReport &) {
+  Out.emplace_back(Count{Counter::StaleMessages});
+}
+
+void Node::State::message(const PeerRef &, RolloutVerdict &) {
+  Out.emplace_back(Count{Counter::StaleMessages});
+}
+
 /// Reports requests that may crash backend servers to the members of the
 /// service.
 void Node::State::sendReports() {
--- a/src/shell/SidecarDaemon.cpp
+++ b/src/shell/SidecarDaemon.cpp
@@ -399,6 +399,21 @@
   Platform.Store->removeHost(Action.Host);
 }
 
+void SidecarDaemon::perform(AppendRolloutShare &Action) {
+  ProcessMetrics.countStoreCall(StoreCall::Append);
+  Platform.Store->appendShare(Action.Content);
+}
+
+void SidecarDaemon::perform(ReadRolloutStatus &) {
+  ProcessMetrics.countStoreCall(StoreCall::Snapshot);
+  Platform.Store->readRolloutStatus();
+}
+
+void SidecarDaemon::perform(WriteRolloutStatus &Action) {
+  ProcessMetrics.countStoreCall(StoreCall::Append);
+  Platform.Store->writeRolloutStatus(Action.Content, Action.End);
+}
+
 void SidecarDaemon::perform(SetClientLimits &Action) {
   ClientSettings.MaxHead = Action.Limits.HeadBytes;
   ClientSettings.HeadTimeout = Action.Limits.HeadTimeout;
--- a/src/shell/SidecarDaemon.h
+++ b/src/shell/SidecarDaemon.h
@@ -97,6 +97,9 @@
   void perform(CountRefusal &Action);
   void perform(CountTopicRecords &Action);
   void perform(ExitProcess &Action);
+  void perform(AppendRolloutShare &Action);
+  void perform(ReadRolloutStatus &Action);
+  void perform(WriteRolloutStatus &Action);
   void waitForClients();
   void finishOutput(TimePoint Deadline);
 
--- a/src/shell/SidecarPlatform.h
+++ b/src/shell/SidecarPlatform.h
@@ -73,6 +73,13 @@
   virtual void append(const Announcement &Content) = 0;
   /// Removes the announcement of a host. Counts as an append.
   virtual void removeHost(const HostId &Host) = 0;
+  /// Appends the share record of a rollout. Counts as an append.
+  virtual void appendShare(const RolloutShare &Share) = 0;
+  /// Reads the rollout status of all services. At most one read or write of the
+  /// status is in flight at any time.
+  virtual void readRolloutStatus() = 0;
+  /// Writes a rollout status if the status topic ends at End.
+  virtual void writeRolloutStatus(const RolloutStatus &Status, Offset End) = 0;
   /// Changes the address of the store, from the next request on.
   virtual void setAddress(const std::string &Address) = 0;
 };
--- a/src/sidecar/CallRouter.cpp
+++ b/src/sidecar/CallRouter.cpp
@@ -29,6 +29,9 @@
 /// Refusals by rate limits before the call fails. They cost little and are
 /// exact, so more of them are worth a try.
 static constexpr std::uint32_t MaxLimitRefusals = 6;
+/// Refusals by servers of a new version before the call fails. After the first
+/// one, the call goes to the old version.
+static constexpr std::uint32_t MaxRolloutRefusals = 4;
 /// Bound on the requests that are buffered for retries. The smallest host has
 /// 160 MB and also needs memory for as many requests at the gate.
 static constexpr std::size_t MaxBufferedBytes = std::size_t{32} * 1024 * 1024;
@@ -205,6 +208,9 @@
       continue;
     Eligible.push_back(&Server);
   }
+  Step.Versions.restrictServers(Step.Now, Current.Service, Step.Seed,
+                                Current.RolloutRefusals > 0, Step.Directory,
+                                Eligible);
   if (Eligible.empty())
     return nullptr;
   if (Current.LimitRefusals > 0)
@@ -221,7 +227,8 @@
     return deadlinePassed(Step, Current);
   bool EndsInTime = endsBeforeStop(Step, Current);
   bool MaySend = EndsInTime && Current.Refusals < MaxRefusals &&
-                 Current.LimitRefusals < MaxLimitRefusals;
+                 Current.LimitRefusals < MaxLimitRefusals &&
+                 Current.RolloutRefusals < MaxRolloutRefusals;
   const Member *To = MaySend ? chooseServer(Step, Current) : nullptr;
   if (To)
     return sendExecute(Step, Current, *To, true);
--- a/src/sidecar/CallRouter.h
+++ b/src/sidecar/CallRouter.h
@@ -7,6 +7,7 @@
 #include "NestedCallEstimator.h"
 #include "PeerHealth.h"
 #include "RefusedCalls.h"
+#include "Rollouts.h"
 #include "RunTimes.h"
 #include "ServerNotices.h"
 #include "ServiceConfig.h"
@@ -36,6 +37,7 @@
   const InstanceDirectory &Directory;
   const std::set<std::string> &Evacuated; ///< Failure domains.
   PeerHealth &Peers;
+  const Rollouts &Versions; ///< Which versions of a service get calls.
   /// Fraction of the runs at this host's server that are retries. A request
   /// that arrives now may be a call made by one of them.
   float RetryFraction;
@@ -129,6 +131,8 @@
     std::uint32_t Refusals = 0; ///< By daemons, before any server received it.
     /// Refused only by a rate limit, not counted in Refusals.
     std::uint32_t LimitRefusals = 0;
+    /// Refused since a new version takes no more calls, not counted above.
+    std::uint32_t RolloutRefusals = 0;
     std::vector<FallbackServer> Fallbacks;
     bool HasAlternative = false; ///< As sent with the current attempt.
     std::uint32_t UnansweredQueries = 0;
--- a/src/sidecar/CallRouterReplies.cpp
+++ b/src/sidecar/CallRouterReplies.cpp
@@ -151,6 +151,10 @@
     Current.Fallbacks.push_back(
         {Current.Executor.Host, Now + Load.TimeToStart,
          Now + Load.TimeToStart + expectedRun(Current, Load)});
+  if (Message.Kind == ErrorKind::RolloutClosed) {
+    ++Current.RolloutRefusals;
+    return;
+  }
   if (Limited) {
     bool First = Current.LimitRefusals++ == 0;
     Current.BacklogTime = First
--- a/src/sidecar/Instance.cpp
+++ b/src/sidecar/Instance.cpp
@@ -27,6 +27,8 @@
   Record["service"] = Announced.Service;
   Record["slots"] = Announced.Slots;
   Record["left"] = Announced.Left;
+  if (!Announced.Version.empty())
+    Record["version"] = Announced.Version;
   return json::serialize(Record);
 }
 
@@ -52,6 +54,8 @@
     Announced.Left = Left->as_bool();
   if (const json::value *Start = Record.if_contains("start"))
     Announced.StartMillis = Start->to_number<std::int64_t>();
+  if (Record.contains("version"))
+    Announced.Version = stringField(Record, "version");
   Announced.Service = stringField(Record, "service");
   Announced.Slots = Record.at("slots").to_number<std::uint32_t>();
   Announced.State =
--- a/src/sidecar/Instance.h
+++ b/src/sidecar/Instance.h
@@ -61,7 +61,8 @@
   std::int64_t StartMillis = 0; ///< Its start, Unix time; 0: not known.
   std::string Service;
   std::uint32_t Slots = 0;
-  bool Left = false; ///< The instance has left or is leaving for good.
+  bool Left = false;   ///< The instance has left or is leaving for good.
+  std::string Version; ///< Of the backend server; empty: it states none.
 
   ServerIncarnation incarnation() const { return {Instance, StartMillis}; }
 };
--- a/src/sidecar/LocalServer.cpp
+++ b/src/sidecar/LocalServer.cpp
@@ -56,10 +56,12 @@
   if (SameIncarnation && (Leaving || State == InstanceState::Draining))
     Next = InstanceState::Draining;
   bool Changed = !SameIncarnation || Next != State ||
-                 Report.Service != Service || Report.Slots != Slots;
+                 Report.Service != Service || Report.Slots != Slots ||
+                 Report.Version != Version;
   Instance = Report.Instance;
   Service = Report.Service;
   Slots = Report.Slots;
+  Version = Report.Version;
   StartMillis = Report.StartMillis;
   Sequence = Report.Sequence;
   LeftForGood = false;
@@ -99,6 +101,7 @@
   StartMillis = Announced.StartMillis;
   Service = Announced.Service;
   Slots = Announced.Slots;
+  Version = Announced.Version;
   State = InstanceState::Ready;
   LastReportAt = Now;
 }
--- a/src/sidecar/LocalServer.h
+++ b/src/sidecar/LocalServer.h
@@ -14,7 +14,7 @@
 /// Effect of a heartbeat or a leave report.
 enum class ReportVerdict : std::uint8_t {
   Unchanged, ///< Valid, without a change to announce.
-  Changed,   ///< Another instance, state, service or number of slots.
+  Changed,   ///< Another instance, state, service, version or slots.
   Stale,     ///< Older than the present state; ignored.
   Invalid,   ///< Lacks an instance, a service or slots.
 };
@@ -25,6 +25,7 @@
   std::int64_t StartMillis = 0; ///< 0: not known.
   std::string Service;
   std::uint32_t Slots = 0;
+  std::string Version; ///< Empty: it stated none.
 };
 
 /// State of the local backend server, updated by its heartbeats and leave
@@ -61,6 +62,8 @@
   }
   const std::string &service() const { return Service; }
   std::uint32_t slots() const { return Slots; }
+  /// Returns the version that the server states, or an empty text.
+  const std::string &version() const { return Version; }
   /// Returns whether the present incarnation has left or is leaving.
   bool leaving() const {
     return Leaving || LeftForGood || State == InstanceState::Draining;
@@ -84,6 +87,7 @@
   std::string Instance;
   std::string Service;
   std::uint32_t Slots = 0;
+  std::string Version;
   std::int64_t StartMillis = 0; ///< 0: not known yet.
   std::uint64_t Sequence = 0;
   bool LeftForGood = false; ///< The present incarnation has left for good.
--- a/src/sidecar/ServerGate.cpp
+++ b/src/sidecar/ServerGate.cpp
@@ -369,6 +369,8 @@
   Call.Bytes = messageSize(Message.Request.Headers, Message.Request.Body);
   Call.Message = std::move(Message);
   std::optional<ErrorKind> Reason = checkAvailability(Call.Message);
+  if (!Reason && !Rollout.admits(Step.Now, Waiting))
+    Reason = ErrorKind::RolloutClosed;
   if (!Reason)
     Reason = checkSuspicion(Step.Now, Call.Message);
   if (!Reason)
--- a/src/sidecar/ServerGate.h
+++ b/src/sidecar/ServerGate.h
@@ -6,6 +6,7 @@
 #include "CrashDetector.h"
 #include "LocalServer.h"
 #include "ReplyCache.h"
+#include "RolloutGate.h"
 #include "RunTimes.h"
 #include "ServerRateLimit.h"
 #include "ServerRetryBudget.h"
@@ -97,6 +98,8 @@
   TimePoint nextWake(TimePoint Now) const;
 
   const LocalServer &server() const { return Server; }
+  /// Returns the limit on the runs of a new version.
+  RolloutGate &rollout() { return Rollout; }
   /// Returns the requests a second that the server takes, if it names a limit.
   const std::optional<double> &rateLimit() const {
     return RateLimit.perSecond();
@@ -135,7 +138,8 @@
     TimePoint Started;
     TimePoint
         DelayedUntil; ///< Until then it may wait for the slow period to end.
-    double StartFactor = 1; ///< Slowdown factor when the run started.
+    double StartFactor = 1;   ///< Slowdown factor when the run started.
+    bool StartedCold = false; ///< The server was cold when the run started.
     bool Cancelled = false;
     bool Suspect = false; ///< Its content is suspected of crashing servers.
     bool BesideSuspect =
@@ -190,6 +194,7 @@
     return Call.Message.RetryFraction >= 1;
   }
   void recordRunTime(const AdmittedCall &Call, TimePoint Now, bool Success);
+  void countForRollout(const AdmittedCall &Call, TimePoint Now, bool Failed);
   void updateLoad(TimePoint Now, const ServerLoad &Load);
   std::optional<ServerNotice> notice(TimePoint Now) const;
   void applyNotice(GateStep &Step, const ServerNotice &Notice);
@@ -212,6 +217,7 @@
   /// holds.
   mutable ServerRateLimit RateLimit;
   ServerRetryBudget Retries;
+  RolloutGate Rollout;
   SlowdownTracker Slowdown; ///< From the server's load reports.
   double SentSlowdown = 1;  ///< Factor last sent to the ingresses.
   TimePoint LastLoadAt;     ///< Time of the last load report.
--- a/src/sidecar/ServerGateRuns.cpp
+++ b/src/sidecar/ServerGateRuns.cpp
@@ -23,6 +23,8 @@
                         ErrorKind Kind) {
   Step.Out.emplace_back(Count{Counter::RunsRefused});
   Step.Out.emplace_back(CountRefusal{RefusedBy::Gate, Kind});
+  if (Kind == ErrorKind::Overloaded || Kind == ErrorKind::RateLimited)
+    Rollout.refused();
   Decision Line{LogLevel::Info, "gate-refused", {}};
   Line.Fields = {{"call", callText(Call.Message.Call)},
                  {"route", Call.Message.Policy.Route},
@@ -98,6 +100,9 @@
 }
 
 void ServerGate::startWaiting(GateStep &Step) {
+  // Calls that were admitted before their version was judged bad.
+  if (Waiting > 0 && !Rollout.admits(Step.Now, 0))
+    return refuseWaiting(Step, ErrorKind::RolloutClosed);
   while (Waiting > 0) {
     AdmittedCall *Next = nullptr;
     for (auto &[Id, Call] : Calls) {
@@ -117,6 +122,8 @@
   Call.Run = ++LastRun;
   Call.Started = Step.Now;
   Call.StartFactor = Slowdown.factor();
+  Call.StartedCold = Server.cold(Step.Now);
+  Rollout.started();
   Call.BesideSuspect = isOtherSuspectRunning(Call.Message.Fingerprint);
   Call.Suspect =
       Crashes.check(Step.Now, Call.Message.Fingerprint) == Suspicion::Suspect;
@@ -174,6 +181,22 @@
             Duration(static_cast<Duration::rep>(Took / Call.StartFactor)));
 }
 
+/// Counts a run that has ended for the comparison of two versions. A run keeps
+/// the speed at which it starts, which is known with a delay.
+void ServerGate::countForRollout(const AdmittedCall &Call, TimePoint Now,
+                                 bool Failed) {
+  const std::string &Route = Call.Message.Policy.Route;
+  Rollout.ended(Route, Failed);
+  if (Now > Call.Target)
+    Rollout.late();
+  // A failure may be fast, and a cold server is slow in any version.
+  if (Failed || Call.StartedCold)
+    return;
+  double Factor = std::max(Call.StartFactor, Slowdown.factor());
+  auto Took = static_cast<double>((Now - Call.Started).count());
+  Rollout.timed(Route, Duration(static_cast<Duration::rep>(Took / Factor)));
+}
+
 void ServerGate::finish(GateStep &Step, const AdmittedCall &Call,
                         HttpResponse Response, const ResponseMetadata &Metadata,
                         bool CallRefused) {
@@ -201,6 +224,8 @@
   }
   Crashes.succeeded(Step.Now, Call.Message.Fingerprint);
   recordRunTime(Call, Step.Now, Response.Status < 500);
+  if (!CallRefused)
+    countForRollout(Call, Step.Now, Response.Status >= 500);
   reply(Step, Call.From, Id,
         Answer{Id, std::move(Response), load(Step.Now), CallRefused});
 }
@@ -260,6 +285,9 @@
   if (Error == BackendError::Broken && !Call.Cancelled)
     Crashes.connectionBroken(Step.Now, Call.Message.Fingerprint, Call.Started,
                              !Call.BesideSuspect);
+  // The server is slow: its run has outlasted the deadline.
+  if (Error == BackendError::TimedOut)
+    countForRollout(Call, Step.Now, false);
   Step.Out.emplace_back(Count{Counter::RunsFailed});
   ErrorKind Kind = Error == BackendError::TimedOut ? ErrorKind::DeadlineUnknown
                                                    : ErrorKind::BackendFailed;
--- a/src/sidecar/Sidecar.cpp
+++ b/src/sidecar/Sidecar.cpp
@@ -31,8 +31,8 @@
 
 Sidecar::Sidecar(SidecarSettings InitialSettings, const RecordDecoder &Decoder)
     : Settings(std::move(InitialSettings)), Router(Settings), Gate(Settings),
-      Decoder(Decoder), Topics{{{Topic::Operator, Decoder},
-                                {Topic::Members, Decoder}}},
+      Versions(Settings), Decoder(Decoder), Topics{{{Topic::Operator, Decoder},
+                                                    {Topic::Members, Decoder}}},
       Relay(Settings.Host, Settings.FailureDomain) {
   Order.Inc = Settings.Inc;
 }
@@ -48,6 +48,8 @@
   reportLoad(S);
   reportSuspects(S);
   Router.setServerRuns(S.Now, Gate.runs());
+  RolloutStep AtRollouts = rolloutStep(S);
+  Versions.update(AtRollouts);
   sendAnnouncement(S);
   updateReadiness(S);
   continueStop(S);
@@ -60,6 +62,7 @@
     Due = std::min(Due, State.Follower.nextWake());
   Due = std::min(Due, Gate.nextWake(LastNow));
   Due = std::min(Due, Peers.nextWake());
+  Due = std::min(Due, Versions.nextWake());
   if (topicsComplete() && Relay.readsStore(LastNow))
     Due = std::min(Due, Expiry.nextWake());
   if (AnnounceNeeded && !AppendInFlight && topicsComplete())
@@ -106,9 +109,14 @@
 }
 
 RouterStep Sidecar::routerStep(Step &S) {
-  return {S.Now,     S.Seed,    Config.get(), isConfigBehind(S.Now),
-          Directory, Evacuated, Peers,        Gate.retryFraction(),
-          S.Out};
+  return {S.Now,     S.Seed, Config.get(), isConfigBehind(S.Now), Directory,
+          Evacuated, Peers,  Versions,     Gate.retryFraction(),  S.Out};
+}
+
+RolloutStep Sidecar::rolloutStep(Step &S) {
+  bool UpToDate = topicsComplete() && !isConfigBehind(S.Now);
+  return {S.Now,          Directory, Peers, Gate.server(),
+          Gate.rollout(), UpToDate,  S.Out};
 }
 
 // Clients and peers.
@@ -116,6 +124,7 @@
 void Sidecar::on(Step &, BoundsChanged &Body) {
   Settings.Bounds = Body.Bounds;
   Gate.configure(Body.Bounds);
+  Versions.configure(Body.Bounds);
   if (Stopping)
     setStopEnd();
 }
@@ -185,6 +194,10 @@
     handleUpdate(S, From, *Body);
   else if (const auto *Body = std::get_if<TopicPiece>(&Message))
     handlePiece(S, From, *Body);
+  else if (const auto *Body = std::get_if<RolloutReport>(&Message))
+    handleRollout(S, From, *Body);
+  else if (const auto *Body = std::get_if<RolloutVerdict>(&Message))
+    handleRollout(S, From, *Body);
   else if (auto *Body = std::get_if<Probe>(&Message))
     S.Out.emplace_back(SendPeer{From.Host, ProbeReply{Body->Target, true}});
   else if (!std::holds_alternative<ProbeReply>(Message))
@@ -201,6 +214,30 @@
     announce(S);
 }
 
+// Rollouts.
+
+void Sidecar::handleRollout(Step &S, const PeerRef &From,
+                            const RolloutReport &Message) {
+  RolloutStep AtRollouts = rolloutStep(S);
+  Versions.report(AtRollouts, From.Host, Message);
+}
+
+void Sidecar::handleRollout(Step &S, const PeerRef &From,
+                            const RolloutVerdict &Message) {
+  RolloutStep AtRollouts = rolloutStep(S);
+  Versions.verdict(AtRollouts, From.Host, Message);
+}
+
+void Sidecar::on(Step &S, RolloutStatusRead &Body) {
+  RolloutStep AtRollouts = rolloutStep(S);
+  Versions.statusRead(AtRollouts, Body);
+}
+
+void Sidecar::on(Step &S, RolloutStatusWritten &Body) {
+  RolloutStep AtRollouts = rolloutStep(S);
+  Versions.statusWritten(AtRollouts, Body);
+}
+
 // The backend server.
 
 /// Returns whether a run failed since a service refused one of its calls.
@@ -295,6 +332,7 @@
     Own.State = InstanceState::Paused;
   Own.Service = Gate.server().service();
   Own.Slots = Gate.server().slots();
+  Own.Version = Gate.server().version();
   Own.Left = Gate.server().leaving();
   ServerIncarnation Described = Gate.server().incarnation();
   // The next daemon must know of the leave too, however often they restart.
@@ -320,6 +358,15 @@
 /// the topics are complete. If nothing needs to be announced, removes an
 /// expired host.
 void Sidecar::sendAnnouncement(Step &S) {
+  if (auto Share = Versions.takeShare())
+    ShareToAppend = std::move(Share);
+  if (ShareToAppend && !AppendInFlight) {
+    AppendInFlight = true;
+    ShareInFlight = true;
+    S.Out.emplace_back(AppendRolloutShare{std::move(*ShareToAppend)});
+    ShareToAppend.reset();
+    return;
+  }
   if (HostToDrop && !AnnounceNeeded && !AppendInFlight) {
     AppendInFlight = true;
     S.Out.emplace_back(RemoveHost{*HostToDrop});
@@ -337,6 +384,11 @@
 
 void Sidecar::on(Step &S, AnnouncementResult &Body) {
   AppendInFlight = false;
+  // The controller writes a share record again that it does not see.
+  if (std::exchange(ShareInFlight, false)) {
+    isFromEndedHistory(S, Body.History);
+    return;
+  }
   // An announcement that was appended to an ended history may be lost.
   if (Body.Appended && !isFromEndedHistory(S, Body.History)) {
     AnnounceFailures = 0;
--- a/src/sidecar/Sidecar.h
+++ b/src/sidecar/Sidecar.h
@@ -10,6 +10,7 @@
 #include "HostExpiry.h"
 #include "Instance.h"
 #include "RecordSource.h"
+#include "Rollouts.h"
 #include "ServerGate.h"
 #include "SidecarEvents.h"
 #include "SidecarSettings.h"
@@ -84,6 +85,8 @@
   void on(Step &S, AnnouncementResult &Body);
   void on(Step &S, TimerFired &Body);
   void on(Step &S, StopRequested &Body);
+  void on(Step &S, RolloutStatusRead &Body);
+  void on(Step &S, RolloutStatusWritten &Body);
 
   void handleExecute(Step &S, const PeerRef &From, Execute Message);
   bool isCallRefused(const ServerRunResult &Ended);
@@ -93,6 +96,8 @@
   void applyRecord(Step &S, const RecordOrigin &Origin, Evacuation &Body);
   void applyRecord(Step &S, const RecordOrigin &Origin, Announcement &Body);
   void applyRecord(Step &S, const RecordOrigin &Origin, HostRemoved &Body);
+  void applyRecord(Step &S, const RecordOrigin &Origin, RolloutOrder &Body);
+  void applyRecord(Step &S, const RecordOrigin &Origin, RolloutShare &Body);
   void rememberLeftServer(Step &S, const Announcement &Own);
   /// The state of one topic.
   struct TopicState {
@@ -134,6 +139,11 @@
   void reportLoad(Step &S);
   void reportSuspects(Step &S);
   RouterStep routerStep(Step &S);
+  RolloutStep rolloutStep(Step &S);
+  void handleRollout(Step &S, const PeerRef &From,
+                     const RolloutReport &Message);
+  void handleRollout(Step &S, const PeerRef &From,
+                     const RolloutVerdict &Message);
   void acknowledgeReport(Step &S, ReportId Report, ReportVerdict Verdict,
                          const std::string &Instance);
   void announce(Step &S);
@@ -157,6 +167,7 @@
   HostExpiry Expiry;
   CallRouter Router;
   ServerGate Gate;
+  Rollouts Versions;
   const RecordDecoder &Decoder;
   std::array<TopicState, TopicCount> Topics;
   StoreHistory History = 0; ///< The history that the images belong to.
@@ -172,6 +183,9 @@
   AnnouncementOrder Order;     ///< Of the next announcement.
   bool AnnounceNeeded = false; ///< The newest announcement is not in the store.
   bool AppendInFlight = false; ///< An append or a removal is in flight.
+  /// Waits for an append of another kind to end.
+  std::optional<RolloutShare> ShareToAppend;
+  bool ShareInFlight = false;       ///< The append is that of a share record.
   std::optional<HostId> HostToDrop; ///< Expired; still in the store.
   TimePoint PeerQueryAt{};       ///< Earliest time of the next query to a peer.
   unsigned AnnounceFailures = 0; ///< In a row.
--- a/src/sidecar/SidecarEvents.h
+++ b/src/sidecar/SidecarEvents.h
@@ -4,6 +4,7 @@
 #define FIGSAIL_SIDECAR_SIDECAREVENTS_H
 
 #include "Instance.h"
+#include "Rollout.h"
 #include "ServiceConfig.h"
 #include "SidecarSettings.h"
 
@@ -44,6 +45,7 @@
   Duration Cold{0};             ///< How much longer it stays cold.
   std::uint64_t Sequence = 0;   ///< Increases from the server's start on.
   std::int64_t StartMillis = 0; ///< Start, Unix time; orders incarnations.
+  std::string Version;          ///< Empty: it states none.
 };
 
 /// Report of the backend server that it leaves for good.
@@ -112,8 +114,9 @@
 };
 
 /// Decoded record of a topic.
-using TopicContent = std::variant<UnusableRecord, ConfigPtr, Evacuation,
-                                  Announcement, HostRemoved>;
+using TopicContent =
+    std::variant<UnusableRecord, ConfigPtr, Evacuation, Announcement,
+                 HostRemoved, RolloutOrder, RolloutShare>;
 
 /// Decoder of the topics' records. A record without a value marks its key as
 /// removed.
@@ -164,6 +167,21 @@
   StoreHistory History = 0; ///< 0: the store did not answer.
 };
 
+/// The rollout status of all services was read.
+struct RolloutStatusRead {
+  bool Success = false;
+  std::vector<RolloutStatus> Entries;
+  Offset End = 0; ///< Of the topic.
+};
+
+/// End of a conditional write of a rollout status.
+struct RolloutStatusWritten {
+  /// Result of the write. After Failed it is not known whether the store has
+  /// applied it.
+  enum class Outcome : std::uint8_t { Written, Conflict, Failed };
+  Outcome Result = Outcome::Failed;
+};
+
 /// The bounds of the process settings have changed.
 struct BoundsChanged {
   SidecarBounds Bounds;
@@ -172,11 +190,13 @@
 /// End of CloseClients: no client connection has a request left to answer.
 struct ClientsDrained {};
 
-using SidecarEventBody = std::variant<
-    BoundsChanged, ClientRequest, CallerDisconnected, ClientsDrained,
-    PeerReceived, PeerConnected, PeerLost, ServerRunResult, ServerProbeResult,
-    ServerHeartbeat, ServerLeave, TopicSnapshot, TopicRecords, TopicTruncated,
-    TopicReadFailed, AnnouncementResult, TimerFired, StopRequested>;
+using SidecarEventBody =
+    std::variant<BoundsChanged, ClientRequest, CallerDisconnected,
+                 ClientsDrained, PeerReceived, PeerConnected, PeerLost,
+                 ServerRunResult, ServerProbeResult, ServerHeartbeat,
+                 ServerLeave, TopicSnapshot, TopicRecords, TopicTruncated,
+                 TopicReadFailed, AnnouncementResult, TimerFired, StopRequested,
+                 RolloutStatusRead, RolloutStatusWritten>;
 
 /// One event with the inputs that the reducer must not obtain itself: time and
 /// random bits.
@@ -232,6 +252,22 @@
   HostId Host;
 };
 
+/// Append the share record of a rollout. Ends in AnnouncementResult, like
+/// Announce.
+struct AppendRolloutShare {
+  RolloutShare Content;
+};
+
+/// Read the rollout status of all services. Ends in RolloutStatusRead.
+struct ReadRolloutStatus {};
+
+/// Write a rollout status, unless the topic does not end at End. Ends in
+/// RolloutStatusWritten.
+struct WriteRolloutStatus {
+  RolloutStatus Content;
+  Offset End = 0;
+};
+
 /// Apply changed limits for clients.
 struct SetClientLimits {
   ClientLimits Limits;
@@ -263,7 +299,8 @@
                  ProbeServer, AnswerReport, ReadTopicSnapshot, ReadTopic,
                  Announce, RemoveHost, SetClientLimits, SetReadiness,
                  CloseClients, Decision, Count, CountRefusal, CountTopicRecords,
-                 ExitProcess>;
+                 ExitProcess, AppendRolloutShare, ReadRolloutStatus,
+                 WriteRolloutStatus>;
 using SidecarEffects = std::vector<SidecarEffect>;
 
 } // namespace figsail
--- a/src/sidecar/SidecarSettings.h
+++ b/src/sidecar/SidecarSettings.h
@@ -19,6 +19,12 @@
   double ColdSlack = 0;   ///< Additional requests a second.
   Duration StopLimit{std::chrono::seconds(6)}; ///< From SIGTERM to SIGKILL.
   Duration HeartbeatInterval{std::chrono::milliseconds(1500)};
+  bool UsesRollouts = false; ///< The settings name a bound of rollouts.
+  /// Part of a service's requests that a bad new version may get.
+  double ExposureShare = 0.1;
+  double ExposureSlack = 50; ///< Additional requests.
+  /// Until a version gets no request, from its 50th bad answer on.
+  Duration RollbackTime{std::chrono::seconds(5)};
 
   bool operator==(const SidecarBounds &) const = default;
 };
--- a/src/sidecar/SidecarTopics.cpp
+++ b/src/sidecar/SidecarTopics.cpp
@@ -398,8 +398,8 @@
     bool Served = Body.State == InstanceState::Ready ||
                   Body.State == InstanceState::Paused;
     if (Served && Body.Service == Settings.Service)
-      Gate.expectServer(
-          S.Now, {Body.Instance, Body.StartMillis, Body.Service, Body.Slots});
+      Gate.expectServer(S.Now, {Body.Instance, Body.StartMillis, Body.Service,
+                                Body.Slots, Body.Version});
     if (Body.Left)
       rememberLeftServer(S, Body);
     return announce(S);
@@ -407,6 +407,7 @@
   if (!Directory.merge(Body))
     return;
   Router.hostChanged(Body);
+  Versions.announced(S.Now, Body);
   updateHostCounts();
   // A probe opens a link before the first request needs it.
   bool Wanted = Directory.all().size() <= MaxEagerHosts ||
@@ -425,6 +426,17 @@
   updateHostCounts();
 }
 
+void Sidecar::applyRecord(Step &S, const RecordOrigin &Origin,
+                          RolloutOrder &Body) {
+  RolloutStep AtRollouts = rolloutStep(S);
+  Versions.apply(AtRollouts, Body, Origin.At);
+}
+
+void Sidecar::applyRecord(Step &S, const RecordOrigin &, RolloutShare &Body) {
+  RolloutStep AtRollouts = rolloutStep(S);
+  Versions.apply(AtRollouts, Body);
+}
+
 void Sidecar::updateHostCounts() {
   Router.setRegionHosts(Directory.countHosts(Settings.Region));
   Gate.setServerCount(LastNow, Directory.countServers(Settings.Service));
