--- a/src/sidecar/RolloutController.cpp
+++ b/src/sidecar/RolloutController.cpp
@@ -138,10 +138,15 @@
   sum();
   judge(Now);
   Reporter.Grant = grantFor(Now, From, Reporter);
+  return reply(Now, Reporter);
+}
+
+RolloutVerdict RolloutController::reply(const RolloutControllerStep &Now,
+                                        const Gate &Reporter) const {
   RolloutVerdict Reply;
-  Reply.Service = Message.Service;
-  Reply.Order = Message.Order;
-  Reply.Epoch = Message.Epoch;
+  Reply.Service = Reporter.Last.Service;
+  Reply.Order = Reporter.Last.Order;
+  Reply.Epoch = Reporter.Last.Epoch;
   Reply.ElapsedMicros = Now.Rollout.elapsed(Now.Now).count();
   Reply.Progress = static_cast<std::uint8_t>(state(Now.Rollout));
   Reply.Grant = Reporter.Grant;
@@ -254,6 +259,16 @@
                  {"runs", std::to_string(New.Started)},
                  {"requests", std::to_string(Old.Started + New.Started)}};
   Now.Out.emplace_back(std::move(Line));
+  for (auto &[Host, Reporter] : Gates)
+    Reporter.Grant = 0;
+  notifyTargets(Now);
+}
+
+/// Closes the gates of the target version before their next reports.
+void RolloutController::notifyTargets(RolloutControllerStep &Now) const {
+  for (const auto &[Host, Reporter] : Gates)
+    if (Reporter.Last.IsTarget)
+      Now.Out.emplace_back(SendPeer{Host, reply(Now, Reporter)});
 }
 
 /// Returns why time is up for the order, or an empty text.
--- a/src/sidecar/RolloutController.h
+++ b/src/sidecar/RolloutController.h
@@ -99,6 +99,9 @@
   void judge(RolloutControllerStep &Step);
   void observeStep(const RolloutControllerStep &Step);
   void close(RolloutControllerStep &Step, std::string_view Reason);
+  void notifyTargets(RolloutControllerStep &Step) const;
+  RolloutVerdict reply(const RolloutControllerStep &Step,
+                       const Gate &Reporter) const;
   std::string_view closeReason(const RolloutControllerStep &Step) const;
   void decide(RolloutControllerStep &Step);
   bool mayAdvance(const RolloutControllerStep &Step) const;
--- a/src/sidecar/Rollouts.cpp
+++ b/src/sidecar/Rollouts.cpp
@@ -16,14 +16,16 @@
 
 /// Controllers of one order.
 static constexpr std::size_t MaxControllers = 3;
-/// Interval of reports: while the target version gets few calls, and while it
-/// gets many.
+/// Intervals of reports: of the old version, of the target version, and of both
+/// while the target version gets many calls. In these few seconds each tenth of
+/// a second until a verdict costs as much exposure as a second of the trial.
 static constexpr Duration ReportInterval = 500ms;
-static constexpr Duration FastReportInterval = 250ms;
+static constexpr Duration TargetReportInterval = 250ms;
+static constexpr Duration FastReportInterval = 125ms;
 /// Step of the share record from which reports are sent more often.
 static constexpr unsigned FastReportStep = 2;
 /// Interval at which controllers decide.
-static constexpr Duration TickInterval = 100ms;
+static constexpr Duration TickInterval = 50ms;
 /// A controller without reports for this long is dropped when its order has
 /// ended.
 static constexpr Duration ControllerLifetime = 10s;
@@ -226,9 +228,12 @@
     ReportAt = Step.Now;
   if (Step.Now < ReportAt)
     return;
-  bool Fast = Rollout->step() >= FastReportStep ||
-              Step.Gate.role() == RolloutRole::Target;
-  ReportAt = Step.Now + (Fast ? FastReportInterval : ReportInterval);
+  bool IsTarget = Step.Gate.role() == RolloutRole::Target;
+  bool Fast = Rollout->state() == RolloutState::Running &&
+              Rollout->step() >= FastReportStep;
+  ReportAt = Step.Now + (Fast       ? FastReportInterval
+                         : IsTarget ? TargetReportInterval
+                                    : ReportInterval);
   RolloutReport Message = Step.Gate.report();
   Message.Service = Service;
   Message.ElapsedMicros = Rollout->elapsed(Step.Now).count();
