--- a/include/figsail/ErrorKind.h
+++ b/include/figsail/ErrorKind.h
@@ -49,9 +49,10 @@
   ConfigurationBehind,
   Unauthorized,
   KeyUnconfirmed,
+  RolloutClosed,
 };
 inline constexpr std::size_t ErrorKindCount =
-    static_cast<std::size_t>(ErrorKind::KeyUnconfirmed) + 1;
+    static_cast<std::size_t>(ErrorKind::RolloutClosed) + 1;
 
 /// Tells whether the request ran on a backend server.
 enum class RunState : std::uint8_t { No, Unknown, Yes };
--- a/src/core/ErrorTable.cpp
+++ b/src/core/ErrorTable.cpp
@@ -49,6 +49,7 @@
     {ErrorKind::ConfigurationBehind,    "configuration-behind",    503, RunState::No,      seconds(1),   "No route matches the request; a newer configuration is being read."},
     {ErrorKind::Unauthorized,           "unauthorized",            401, RunState::No,      seconds(0),   "The request carries no key of a workspace."},
     {ErrorKind::KeyUnconfirmed,         "key-unconfirmed",         503, RunState::No,      seconds(1),   "The key is not known here; a newer configuration is being read."},
+    {ErrorKind::RolloutClosed,          "rollout-closed",          503, RunState::No,      seconds(1),   "The backend server has a version that takes no more requests at present."},
     // clang-format on
 }};
 
--- a/src/core/Names.cpp
+++ b/src/core/Names.cpp
@@ -7,13 +7,14 @@
 namespace figsail {
 
 static constexpr std::array<std::string_view, std::variant_size_v<PeerMessage>>
-    MessageNames{"Execute",   "Received",      "Answer",         "Refused",
-                 "Failed",    "Cancel",        "Await",          "Claim",
-                 "Granted",   "ClaimHeld",     "ClaimDone",      "ClaimRefused",
-                 "Completed", "Fence",         "FenceAck",       "Heartbeat",
-                 "Probe",     "ProbeReply",    "Subscribe",      "Records",
-                 "Snapshot",  "SuspectReport", "TopicSubscribe", "TopicUpdate",
-                 "TopicPiece"};
+    MessageNames{
+        "Execute",    "Received",      "Answer",         "Refused",
+        "Failed",     "Cancel",        "Await",          "Claim",
+        "Granted",    "ClaimHeld",     "ClaimDone",      "ClaimRefused",
+        "Completed",  "Fence",         "FenceAck",       "Heartbeat",
+        "Probe",      "ProbeReply",    "Subscribe",      "Records",
+        "Snapshot",   "SuspectReport", "TopicSubscribe", "TopicUpdate",
+        "TopicPiece", "RolloutReport", "RolloutVerdict"};
 
 bool isControl(const PeerMessage &Message) {
   return !std::holds_alternative<Execute>(Message) &&
@@ -71,7 +72,8 @@
     "responses_rejected",
     "records_unusable",
     "keys_missing",
-    "keys_unknown"};
+    "keys_unknown",
+    "rollout_steps"};
 
 std::string_view counterName(Counter Which) {
   return CounterNames[static_cast<std::size_t>(Which)];
