--- a/include/figsail/PeerMessages.h
+++ b/include/figsail/PeerMessages.h
@@ -407,13 +407,62 @@
   }
 };
 
+/// Use of one workspace's quota at one ingress.
+struct QuotaUsage {
+  std::string Workspace;
+  /// Requests admitted and not refunded since the ingress keeps the workspace.
+  std::int64_t Admitted = 0;
+  std::int64_t Acknowledged = 0; ///< Value of Admitted in the newest grant.
+  std::uint32_t Requested = 0;   ///< Requests since the last report.
+  float Rate = 0;             ///< Share of the quota, in requests a second.
+  std::uint32_t Sequence = 0; ///< Newest grant of the recipient; 0: none.
+  bool Limited = false;
+  bool Released = false; ///< The ingress gives up its share.
+  bool operator==(const QuotaUsage &) const = default;
+  template <class Archive> void serialize(Archive &Ar) {
+    Ar(Workspace, Admitted, Acknowledged, Requested, Rate, Sequence, Limited,
+       Released);
+  }
+};
+
+/// Ingress to quota coordinator.
+struct QuotaReport {
+  std::vector<QuotaUsage> Usage;
+  template <class Archive> void serialize(Archive &Ar) { Ar(Usage); }
+};
+
+/// Share of one workspace's quota for one ingress.
+struct QuotaGrant {
+  std::string Workspace;
+  std::int64_t Admitted = 0;  ///< Value that the coordinator has counted.
+  /// Of the coordinator, for this ingress; 0: only asks for a report.
+  std::uint32_t Sequence = 0;
+  float Rate = 0;             ///< Requests a second.
+  float Burst = 0;            ///< Requests beyond the rate.
+  float Extra = 0; ///< Requests beyond the share that may be uncounted.
+  bool Limited = false;
+  std::uint32_t IntervalMillis = 0; ///< Between reports while Limited.
+  bool operator==(const QuotaGrant &) const = default;
+  template <class Archive> void serialize(Archive &Ar) {
+    Ar(Workspace, Admitted, Sequence, Rate, Burst, Extra, Limited,
+       IntervalMillis);
+  }
+};
+
+/// Quota coordinator to ingress: reply to QuotaReport, or sent unrequested when
+/// a workspace becomes limited or an ingress has been silent.
+struct QuotaReply {
+  std::vector<QuotaGrant> Grants;
+  template <class Archive> void serialize(Archive &Ar) { Ar(Grants); }
+};
+
 /// The order is the wire encoding: append only.
 using PeerMessage =
     std::variant<Execute, Received, Answer, Refused, Failed, Cancel, Await,
                  Claim, Granted, ClaimHeld, ClaimDone, ClaimRefused, Completed,
                  Fence, FenceAck, Heartbeat, Probe, ProbeReply, Subscribe,
                  Records, Snapshot, SuspectReport, TopicSubscribe, TopicUpdate,
-                 TopicPiece>;
+                 TopicPiece, QuotaReport, QuotaReply>;
 
 /// Returns whether the message is control traffic, which is sent ahead of
 /// queued calls.
--- a/src/core/Names.cpp
+++ b/src/core/Names.cpp
@@ -13,7 +13,7 @@
                  "Completed", "Fence",         "FenceAck",       "Heartbeat",
                  "Probe",     "ProbeReply",    "Subscribe",      "Records",
                  "Snapshot",  "SuspectReport", "TopicSubscribe", "TopicUpdate",
-                 "TopicPiece"};
+                 "TopicPiece", "QuotaReport",   "QuotaReply"};
 
 bool isControl(const PeerMessage &Message) {
   return !std::holds_alternative<Execute>(Message) &&
--- a/src/core/Node.cpp
+++ b/src/core/Node.cpp
@@ -77,6 +77,8 @@
   void message(const PeerRef &From, TopicSubscribe &Message);
   void message(const PeerRef &From, TopicUpdate &Message);
   void message(const PeerRef &From, TopicPiece &Message);
+  void message(const PeerRef &From, QuotaReport &Message);
+  void message(const PeerRef &From, QuotaReply &Message);
 
   bool detectPause();
   void afterEvent();
@@ -389,6 +391,15 @@
   Out.emplace_back(Count{Counter::StaleMessages});
 }
 
+// Only figsail-sidecar has quotas over all daemons.
+void Node::State::message(const PeerRef &, QuotaReport &) {
+  Out.emplace_back(Count{Counter::StaleMessages});
+}
+
+void Node::State::message(const PeerRef &, QuotaReply &) {
+  Out.emplace_back(Count{Counter::StaleMessages});
+}
+
 /// Reports requests that may crash backend servers to the members of the
 /// service.
 void Node::State::sendReports() {
--- a/src/shell/PeerCodec.cpp
+++ b/src/shell/PeerCodec.cpp
@@ -180,6 +180,20 @@
   return Message.Bytes.size();
 }
 
+static std::size_t estimateVariableSize(const QuotaReport &Message) {
+  std::size_t Size = 0;
+  for (const QuotaUsage &Usage : Message.Usage)
+    Size += Usage.Workspace.size() + sizeof(Usage);
+  return Size;
+}
+
+static std::size_t estimateVariableSize(const QuotaReply &Message) {
+  std::size_t Size = 0;
+  for (const QuotaGrant &Grant : Message.Grants)
+    Size += Grant.Workspace.size() + sizeof(Grant);
+  return Size;
+}
+
 static std::size_t estimateVariableSize(const Snapshot &Message) {
   return Message.State.size();
 }
--- /dev/null
+++ b/src/sidecar/QuotaCoordinator.cpp
@@ -0,0 +1,396 @@
+// QuotaCoordinator.cpp - Division of the quotas of workspaces among ingresses.
+
+#include "QuotaCoordinator.h"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+#include <vector>
+
+namespace figsail {
+
+using namespace std::chrono_literals;
+
+/// Time without a report after which an ingress counts as using all that it
+/// holds. Reports are at most 700 ms apart while there are requests.
+static constexpr Duration SilentTime = 1500ms;
+/// Time between two queries of a silent ingress, and between timer runs.
+static constexpr Duration QueryInterval = 1s;
+/// Time that a new coordinator waits for the reports of all hosts.
+static constexpr Duration LearningTime = 5s;
+/// Hosts that a new coordinator asks for their shares. A larger system waits
+/// for LearningTime.
+static constexpr std::size_t MaxQueriedHosts = 256;
+/// Time for which a workspace is kept whose shares have all been given back.
+static constexpr Duration IdleTime = 60s;
+/// Time constant of the average demand of an ingress.
+static constexpr Duration DemandTime = 500ms;
+/// Time in which the requests of a first report count as made.
+static constexpr Duration FirstDemandTime = 2s;
+/// Time between two divisions of a quota.
+static constexpr Duration DivisionInterval = 100ms;
+/// Reports a second of all ingresses for one limited workspace. A coordinator
+/// with a tenth of a core counts them with 1% of it.
+static constexpr double MaxReportsPerSecond = 200;
+static constexpr Duration MinReportInterval = 100ms;
+static constexpr Duration MaxReportInterval = 1s;
+/// Fraction of the overage and slack that is added to the burst. It covers
+/// the unevenness of arrivals; the remainder covers the delay of reports.
+static constexpr double BurstHeadroomFraction = 0.25;
+/// The same for requests that are not counted yet.
+static constexpr double ExtraHeadroomFraction = 0.5;
+/// Bounds of the change of the rate that is given out. What ingresses leave
+/// unused is given out in addition, and what was admitted beyond is repaid.
+static constexpr double MaxRateRaise = 0.05;
+static constexpr double MaxRateCut = 0.7;
+/// Time in which a balance is to be given out or repaid.
+static constexpr Duration BalanceTime = 1s;
+/// Fraction of the burst below which a workspace is limited, and that above
+/// which it no longer is.
+static constexpr double LimitedBelow = 0.1;
+static constexpr double OpenAbove = 0.5;
+/// Time in which requests are counted and all ingresses hear of it. A workspace
+/// that would use up its burst within it is limited.
+static constexpr Duration ReportDelay = 200ms;
+/// Factor on the demand of an ingress that is satisfied.
+static constexpr double DemandMargin = 1.25;
+/// Demand that counts for each ingress with requests, in requests a second.
+static constexpr double MinDemand = 0.02;
+/// Part of the uncounted requests that is divided equally.
+static constexpr double EqualPart = 0.5;
+/// Fewest uncounted requests of an ingress.
+static constexpr double MinExtra = 2;
+
+static double seconds(Duration Time) {
+  return std::chrono::duration<double>(Time).count();
+}
+
+std::size_t QuotaCoordinator::size() const {
+  std::size_t Count = 0;
+  for (const auto &[Name, Current] : Pools)
+    Count += Current.Shares.size();
+  return Count;
+}
+
+bool QuotaCoordinator::isSilent(TimePoint Now, const Share &Held) {
+  return Held.Reserved > 0 && Now - Held.HeardAt > SilentTime;
+}
+
+double QuotaCoordinator::headroom(const Pool &Current) const {
+  double Quota = Current.Of->RatePerSecond * seconds(Bounds.QuotaWindow) +
+                 Current.Of->Burst;
+  return Quota * Bounds.QuotaOverage + Bounds.QuotaSlack;
+}
+
+/// Returns the largest balance.
+double QuotaCoordinator::capacity(const Pool &Current) const {
+  return Current.Of->Burst + headroom(Current) * BurstHeadroomFraction;
+}
+
+/// Adds the tokens since the last call. Silent ingresses are charged what they
+/// hold.
+void QuotaCoordinator::refill(TimePoint Now, Pool &Current) const {
+  Current.Balance =
+      std::min(capacity(Current),
+               Current.Balance + Current.Of->RatePerSecond *
+                                     seconds(Now - Current.BalanceAt));
+  Current.BalanceAt = Now;
+  for (auto &[Host, Held] : Current.Shares) {
+    if (!isSilent(Now, Held))
+      continue;
+    double Charge = Held.Reserved * seconds(Now - Held.ChargedUntil);
+    Held.ChargedUntil = Now;
+    Held.ChargedSilent += Charge;
+    Current.Balance -= Charge;
+  }
+}
+
+/// Returns the state of a workspace. If the first report shows that there was
+/// another coordinator, nothing is known of the balance.
+QuotaCoordinator::Pool &QuotaCoordinator::find(QuotaStep &Step,
+                                               const Workspace &Of,
+                                               const QuotaUsage &First) {
+  auto [Found, Inserted] = Pools.try_emplace(Of.Name);
+  Pool &Current = Found->second;
+  Current.Of = &Of;
+  if (!Inserted)
+    return Current;
+  Current.Since = Step.Now;
+  Current.BalanceAt = Step.Now;
+  Current.Limited = First.Limited;
+  Current.Balance = First.Limited ? 0 : capacity(Current);
+  for (const auto &[Host, Announced] : Step.Directory.all())
+    Current.Awaited.insert(Host);
+  if (Current.Awaited.size() <= MaxQueriedHosts)
+    queryAwaited(Step, Of.Name, Current);
+  return Current;
+}
+
+/// Asks the hosts that have not reported for their shares. A host that holds
+/// none gives it back.
+void QuotaCoordinator::queryAwaited(QuotaStep &Step, const std::string &Name,
+                                    const Pool &Current) const {
+  for (const HostId &Host : Current.Awaited) {
+    if (Step.Peers.isSuspected(Host))
+      continue;
+    QuotaReply Query;
+    Query.Grants.emplace_back().Workspace = Name;
+    Step.Out.emplace_back(SendPeer{Host, std::move(Query)});
+  }
+}
+
+/// Returns the rate that hosts may hold beyond what is reserved for them. If
+/// another coordinator has given out shares, that is all that is left.
+/// Otherwise it is an equal part of the quota for each unreachable host, since
+/// these may have a coordinator of their own.
+double QuotaCoordinator::withheld(const QuotaStep &Step,
+                                  const Pool &Current) const {
+  double Rate = Current.Of->RatePerSecond;
+  bool Learning =
+      !Current.Awaited.empty() && Step.Now - Current.Since < LearningTime;
+  bool AnyUnreachable =
+      std::ranges::any_of(Current.Awaited, [&](const HostId &Host) {
+        return Step.Peers.isSuspected(Host);
+      });
+  if (Learning || (Current.Taken && AnyUnreachable))
+    return Rate * (1 + MaxRateRaise);
+  double Sum = 0;
+  double Part = Rate / static_cast<double>(Step.Directory.all().size());
+  for (const auto &[Host, Announced] : Step.Directory.all()) {
+    if (!Step.Peers.isSuspected(Host))
+      continue;
+    auto Found = Current.Shares.find(Host);
+    double Held = Found == Current.Shares.end() ? 0 : Found->second.Reserved;
+    Sum += std::max(0.0, Part - Held);
+  }
+  return Sum;
+}
+
+/// Counts what an ingress reports.
+void QuotaCoordinator::count(QuotaStep &Step, Pool &Current,
+                             const PeerRef &From, const QuotaUsage &Usage) {
+  Current.Awaited.erase(From.Host);
+  auto [Found, Inserted] = Current.Shares.try_emplace(From.Host);
+  Share &Held = Found->second;
+  if (!Inserted && Held.Inc != From.Inc) {
+    Held = Share();
+    Inserted = true;
+  }
+  std::int64_t Known = Inserted ? Usage.Acknowledged : Held.Admitted;
+  // A counter that went back: the ingress has dropped its state meanwhile.
+  if (!Inserted && Usage.Acknowledged == 0 && Usage.Sequence == 0)
+    Known = 0;
+  auto News = static_cast<double>(Usage.Admitted - Known);
+  Current.Balance -= News - Held.ChargedSilent;
+  Held.ChargedSilent = 0;
+  Duration Elapsed = Inserted ? FirstDemandTime : Step.Now - Held.HeardAt;
+  double Span = std::max(seconds(Elapsed), 1e-3);
+  double Weight = 1 - std::exp(-Span / seconds(DemandTime));
+  Held.Demand += (Usage.Requested / Span - Held.Demand) * Weight;
+  bool Confirms =
+      Inserted || Usage.Sequence == 0 || Usage.Sequence == Held.Sequence;
+  auto Rate = static_cast<double>(Usage.Rate);
+  Held.Reserved = Confirms ? Rate : std::max(Held.Reserved, Rate);
+  Current.Taken = Current.Taken || (Usage.Sequence == 0 && Rate > 0);
+  Held.Inc = From.Inc;
+  Held.Admitted = Usage.Admitted;
+  Held.HeardAt = Held.ChargedUntil = Step.Now;
+  Current.UsedAt = Step.Now;
+  if (Usage.Released)
+    Current.Shares.erase(Found);
+}
+
+/// Decides whether the workspace is limited: its balance is used up, and
+/// remains so until the demand is below the rate and the balance has recovered.
+void QuotaCoordinator::updateState(TimePoint Now, Pool &Current) const {
+  double Demand = 0;
+  for (const auto &[Host, Held] : Current.Shares)
+    if (!isSilent(Now, Held))
+      Demand += Held.Demand;
+  double Capacity = capacity(Current);
+  double Excess = std::max(0.0, Demand - Current.Of->RatePerSecond);
+  if (!Current.Limited)
+    Current.Limited = Current.Balance <
+                      Capacity * LimitedBelow + Excess * seconds(ReportDelay);
+  else if (Demand < Current.Of->RatePerSecond)
+    Current.Limited = Current.Balance < Capacity * OpenAbove;
+}
+
+/// Returns the rate that may be given out, with what is reserved.
+double QuotaCoordinator::total(const Pool &Current) const {
+  double Rate = Current.Of->RatePerSecond;
+  if (!Current.Limited)
+    return Rate;
+  double Change = Current.Balance / (Rate * seconds(BalanceTime));
+  return Rate * (1 + std::clamp(Change, -MaxRateCut, MaxRateRaise));
+}
+
+/// Returns the level above which demands are cut, so that they add up to Total.
+static double fairLevel(std::vector<double> Demands, double Total) {
+  std::ranges::sort(Demands);
+  std::size_t Left = Demands.size();
+  for (double Demand : Demands) {
+    if (Demand * static_cast<double>(Left) >= Total)
+      return Total / static_cast<double>(Left);
+    Total -= Demand;
+    --Left;
+  }
+  return Demands.empty() ? 0 : Demands.back();
+}
+
+/// Divides the rate among the heard ingresses, max-min fair by demand. What
+/// remains of a limited workspace's rate is added in proportion. That of an
+/// open one is kept: it would stay reserved if its holder were lost.
+void QuotaCoordinator::divide(const QuotaStep &Step, Pool &Current) const {
+  TimePoint Now = Step.Now;
+  if (Now - Current.DividedAt < DivisionInterval)
+    return;
+  Current.DividedAt = Now;
+  Current.Withheld = withheld(Step, Current);
+  double Total = total(Current);
+  if (Current.Withheld < Current.Of->RatePerSecond)
+    Total -= Current.Withheld;
+  std::vector<double> Demands;
+  for (const auto &[Host, Held] : Current.Shares) {
+    if (isSilent(Now, Held))
+      Total -= Held.Reserved;
+    else
+      Demands.push_back(std::max(Held.Demand, MinDemand) * DemandMargin);
+  }
+  Total = std::max(Total, 0.0);
+  double Level = fairLevel(Demands, Total);
+  double Sum = 0;
+  for (double Demand : Demands)
+    Sum += std::min(Demand, Level);
+  double Factor = Current.Limited && Sum > 0 ? std::max(1.0, Total / Sum) : 1;
+  for (auto &[Host, Held] : Current.Shares)
+    if (!isSilent(Now, Held))
+      Held.Target =
+          std::min(std::max(Held.Demand, MinDemand) * DemandMargin, Level) *
+          Factor;
+}
+
+/// Builds the grant for an ingress and reserves its share.
+QuotaGrant QuotaCoordinator::grant(QuotaStep &Step, Pool &Current,
+                                   const HostId &To) {
+  divide(Step, Current);
+  Share &Held = Current.Shares.at(To);
+  double Reserved = 0;
+  double Demand = 0;
+  for (const auto &[Host, Other] : Current.Shares) {
+    Reserved += Other.Reserved;
+    Demand += std::max(Other.Demand, MinDemand);
+  }
+  double Free = std::max(0.0, total(Current) - Reserved - Current.Withheld);
+  double Rate = std::min(Held.Target, Held.Reserved + Free);
+  if (isSilent(Step.Now, Held))
+    Rate = Held.Reserved;
+  Held.Reserved = std::max(Held.Reserved, Rate);
+  double Part = Rate / Current.Of->RatePerSecond;
+  double Uncounted = std::max(0.0, Current.Balance);
+  if (!Current.Limited)
+    Uncounted += headroom(Current) * ExtraHeadroomFraction;
+  auto Hosts = static_cast<double>(
+      std::max<std::size_t>(1, Step.Directory.all().size()));
+  double Weight = EqualPart / Hosts +
+                  (1 - EqualPart) * std::max(Held.Demand, MinDemand) / Demand;
+  QuotaGrant Grant;
+  Grant.Workspace = Current.Of->Name;
+  Grant.Admitted = Held.Admitted;
+  Grant.Sequence = ++Held.Sequence;
+  Grant.Rate = static_cast<float>(Rate);
+  Grant.Burst = static_cast<float>(Current.Of->Burst * Part);
+  Grant.Extra = static_cast<float>(
+      std::max(Current.Limited ? 0 : MinExtra, Uncounted * Weight));
+  Grant.Limited = Current.Limited;
+  auto Interval =
+      std::chrono::duration_cast<Duration>(std::chrono::duration<double>(
+          static_cast<double>(Current.Shares.size()) / MaxReportsPerSecond));
+  Interval = std::clamp(Interval, MinReportInterval, MaxReportInterval);
+  Grant.IntervalMillis = static_cast<std::uint32_t>(Interval / 1ms);
+  return Grant;
+}
+
+/// Tells all ingresses that a workspace has become limited. Those that report
+/// less often would admit beyond their shares until then.
+void QuotaCoordinator::limitAll(QuotaStep &Step, Pool &Current,
+                                const HostId &But) {
+  Current.DividedAt = TimePoint{};
+  for (const auto &[Host, Held] : Current.Shares)
+    if (Host != But && !isSilent(Step.Now, Held))
+      Step.Out.emplace_back(
+          SendPeer{Host, QuotaReply{{grant(Step, Current, Host)}}});
+}
+
+/// Logs that a workspace has become limited, or no longer is.
+static void logState(QuotaStep &Step, const std::string &Name, bool Limited,
+                     double Balance, std::size_t Hosts) {
+  Decision Line{Limited ? LogLevel::Warning : LogLevel::Info,
+                Limited ? "quota-limited" : "quota-open",
+                {}};
+  Line.Fields = {{"workspace", Name},
+                 {"balance", std::to_string(Balance)},
+                 {"hosts", std::to_string(Hosts)}};
+  Step.Out.emplace_back(std::move(Line));
+}
+
+void QuotaCoordinator::received(QuotaStep &Step, const PeerRef &From,
+                                const QuotaReport &Message) {
+  WakeAt = std::min(WakeAt, Step.Now + QueryInterval);
+  QuotaReply Reply;
+  for (const QuotaUsage &Usage : Message.Usage) {
+    const Workspace *Of = Step.Find(Usage.Workspace);
+    if (!Of || Of->RatePerSecond <= 0)
+      continue;
+    Pool &Current = find(Step, *Of, Usage);
+    refill(Step.Now, Current);
+    count(Step, Current, From, Usage);
+    bool Before = Current.Limited;
+    updateState(Step.Now, Current);
+    if (Current.Limited != Before)
+      logState(Step, Of->Name, Current.Limited, Current.Balance,
+               Current.Shares.size());
+    if (Current.Limited && !Before)
+      limitAll(Step, Current, From.Host);
+    if (!Usage.Released)
+      Reply.Grants.push_back(grant(Step, Current, From.Host));
+  }
+  if (!Reply.Grants.empty())
+    Step.Out.emplace_back(SendPeer{From.Host, std::move(Reply)});
+}
+
+void QuotaCoordinator::hostRemoved(const HostId &Host) {
+  for (auto &[Name, Current] : Pools) {
+    Current.Shares.erase(Host);
+    Current.Awaited.erase(Host);
+  }
+}
+
+void QuotaCoordinator::timer(QuotaStep &Step) {
+  if (Step.Now < WakeAt)
+    return;
+  for (auto At = Pools.begin(); At != Pools.end();) {
+    auto &[Name, Current] = *At;
+    Current.Of = Step.Find(Name);
+    bool Idle = Current.Shares.empty() && Step.Now - Current.UsedAt > IdleTime;
+    if (!Current.Of || Current.Of->RatePerSecond <= 0 || Idle) {
+      At = Pools.erase(At);
+      continue;
+    }
+    refill(Step.Now, Current);
+    for (auto &[Host, Held] : Current.Shares) {
+      bool Due = isSilent(Step.Now, Held) &&
+                 Step.Now - Held.QueriedAt >= QueryInterval &&
+                 !Step.Peers.isSuspected(Host);
+      if (!Due)
+        continue;
+      Held.QueriedAt = Step.Now;
+      Step.Out.emplace_back(
+          SendPeer{Host, QuotaReply{{grant(Step, Current, Host)}}});
+    }
+    ++At;
+  }
+  WakeAt = Pools.empty() ? TimePoint::max() : Step.Now + QueryInterval;
+}
+
+} // namespace figsail
--- a/src/sidecar/SidecarSettings.h
+++ b/src/sidecar/SidecarSettings.h
@@ -17,6 +17,9 @@
   Duration RetryWindow{std::chrono::seconds(10)};
   double ColdOverage = 1; ///< Factor on the rate of a cold backend server.
   double ColdSlack = 0;   ///< Additional requests a second.
+  Duration QuotaWindow{std::chrono::seconds(5)};
+  double QuotaOverage = 0.1; ///< Factor on the quota of a workspace.
+  double QuotaSlack = 20;    ///< Additional requests in one window.
   Duration StopLimit{std::chrono::seconds(6)}; ///< From SIGTERM to SIGKILL.
   Duration HeartbeatInterval{std::chrono::milliseconds(1500)};
 
