--- a/include/figsail/PeerMessages.h
+++ b/include/figsail/PeerMessages.h
@@ -414,13 +414,13 @@
   std::int64_t Admitted = 0;
   std::int64_t Acknowledged = 0; ///< Value of Admitted in the newest grant.
   std::uint32_t Requested = 0;   ///< Requests since the last report.
-  float Rate = 0;             ///< Share of the quota, in requests a second.
-  std::uint32_t Sequence = 0; ///< Newest grant of the recipient; 0: none.
+  float Share = 0;               ///< Held share, in requests a second.
+  std::uint32_t Sequence = 0;    ///< Newest grant of the recipient; 0: none.
   bool Limited = false;
   bool Released = false; ///< The ingress gives up its share.
   bool operator==(const QuotaUsage &) const = default;
   template <class Archive> void serialize(Archive &Ar) {
-    Ar(Workspace, Admitted, Acknowledged, Requested, Rate, Sequence, Limited,
+    Ar(Workspace, Admitted, Acknowledged, Requested, Share, Sequence, Limited,
        Released);
   }
 };
@@ -434,17 +434,20 @@
 /// Share of one workspace's quota for one ingress.
 struct QuotaGrant {
   std::string Workspace;
-  std::int64_t Admitted = 0;  ///< Value that the coordinator has counted.
-  /// Of the coordinator, for this ingress; 0: only asks for a report.
+  std::int64_t Admitted = 0; ///< Value that the coordinator has counted.
+  /// Of the coordinator, for this ingress; 0: there is no grant, only a notice
+  /// whether the workspace is limited.
   std::uint32_t Sequence = 0;
-  float Rate = 0;             ///< Requests a second.
-  float Burst = 0;            ///< Requests beyond the rate.
+  float Rate = 0;  ///< Requests a second, while a coordinator is heard.
+  float Share = 0; ///< The same without a coordinator.
+  float Burst = 0; ///< Requests beyond the rate.
   float Extra = 0; ///< Requests beyond the share that may be uncounted.
   bool Limited = false;
+  bool Query = false;               ///< A report is to be sent.
   std::uint32_t IntervalMillis = 0; ///< Between reports while Limited.
   bool operator==(const QuotaGrant &) const = default;
   template <class Archive> void serialize(Archive &Ar) {
-    Ar(Workspace, Admitted, Sequence, Rate, Burst, Extra, Limited,
+    Ar(Workspace, Admitted, Sequence, Rate, Share, Burst, Extra, Limited, Query,
        IntervalMillis);
   }
 };
--- a/src/sidecar/QuotaCoordinator.cpp
+++ b/src/sidecar/QuotaCoordinator.cpp
@@ -12,15 +12,19 @@
 using namespace std::chrono_literals;
 
 /// Time without a report after which an ingress counts as using all that it
-/// holds. Reports are at most 700 ms apart while there are requests.
-static constexpr Duration SilentTime = 1500ms;
+/// holds. Reports are at most 2 s apart while there are requests.
+static constexpr Duration SilentTime = 2500ms;
 /// Time between two queries of a silent ingress, and between timer runs.
 static constexpr Duration QueryInterval = 1s;
 /// Time that a new coordinator waits for the reports of all hosts.
 static constexpr Duration LearningTime = 5s;
-/// Hosts that a new coordinator asks for their shares. A larger system waits
-/// for LearningTime.
-static constexpr std::size_t MaxQueriedHosts = 256;
+/// Time until hosts have replied to the first query.
+static constexpr Duration QueryTime = 300ms;
+/// Hosts of a system in which a coordinator asks all for their shares and tells
+/// all that a workspace is limited. In a larger one it tells those with shares.
+static constexpr std::size_t MaxNoticedHosts = 256;
+/// Time between two notices that a workspace is limited.
+static constexpr Duration NoticeInterval = 10s;
 /// Time for which a workspace is kept whose shares have all been given back.
 static constexpr Duration IdleTime = 60s;
 /// Time constant of the average demand of an ingress.
@@ -36,15 +40,18 @@
 static constexpr Duration MaxReportInterval = 1s;
 /// Fraction of the overage and slack that is added to the burst. It covers
 /// the unevenness of arrivals; the remainder covers the delay of reports.
-static constexpr double BurstHeadroomFraction = 0.25;
+static constexpr double BurstHeadroomFraction = 0.5;
 /// The same for requests that are not counted yet.
 static constexpr double ExtraHeadroomFraction = 0.5;
 /// Bounds of the change of the rate that is given out. What ingresses leave
 /// unused is given out in addition, and what was admitted beyond is repaid.
-static constexpr double MaxRateRaise = 0.05;
+static constexpr double MaxRateRaise = 1;
 static constexpr double MaxRateCut = 0.7;
-/// Time in which a balance is to be given out or repaid.
-static constexpr Duration BalanceTime = 1s;
+/// Time in which a negative balance is repaid.
+static constexpr Duration RepayTime = 1s;
+/// Factor on the uncounted requests of all ingresses, which rarely use them up
+/// together.
+static constexpr double ExtraFactor = 2;
 /// Fraction of the burst below which a workspace is limited, and that above
 /// which it no longer is.
 static constexpr double LimitedBelow = 0.1;
@@ -59,7 +66,7 @@
 /// Part of the uncounted requests that is divided equally.
 static constexpr double EqualPart = 0.5;
 /// Fewest uncounted requests of an ingress.
-static constexpr double MinExtra = 2;
+static constexpr double MinExtra = 4;
 
 static double seconds(Duration Time) {
   return std::chrono::duration<double>(Time).count();
@@ -82,18 +89,53 @@
   return Quota * Bounds.QuotaOverage + Bounds.QuotaSlack;
 }
 
+/// Returns the rate that this coordinator may give out, with the charges of
+/// silent ingresses. It is less than the quota while other hosts may hold
+/// shares that it does not know. If another coordinator has given out shares,
+/// it is what ingresses have brought along. Otherwise it lacks an equal part
+/// for each host that has not reported or is unreachable, since these may have
+/// a coordinator of their own.
+double QuotaCoordinator::budget(const QuotaStep &Step,
+                                const Pool &Current) const {
+  double Rate = Current.Of->RatePerSecond;
+  Duration Age = Step.Now - Current.Since;
+  auto IsSuspected = [&](const HostId &Host) {
+    return Step.Peers.isSuspected(Host);
+  };
+  bool Learning = !Current.Awaited.empty() && Age < LearningTime;
+  if (Current.Taken &&
+      (Learning || std::ranges::any_of(Current.Awaited, IsSuspected)))
+    return std::min(Rate, Current.Acquired);
+  if (Learning && Age < QueryTime)
+    return Rate;
+  double Missing = 0;
+  double Part = Rate / static_cast<double>(Step.Directory.all().size());
+  for (const auto &[Host, Announced] : Step.Directory.all()) {
+    if (!IsSuspected(Host) && !(Learning && Current.Awaited.contains(Host)))
+      continue;
+    auto Found = Current.Shares.find(Host);
+    double Held = Found == Current.Shares.end() ? 0 : Found->second.Reserved;
+    Missing += std::max(0.0, Part - Held);
+  }
+  return std::max(0.0, Rate - Missing);
+}
+
 /// Returns the largest balance.
 double QuotaCoordinator::capacity(const Pool &Current) const {
-  return Current.Of->Burst + headroom(Current) * BurstHeadroomFraction;
+  return (Current.Of->Burst + headroom(Current) * BurstHeadroomFraction) *
+         Current.Budget / Current.Of->RatePerSecond;
 }
 
 /// Adds the tokens since the last call. Silent ingresses are charged what they
 /// hold.
-void QuotaCoordinator::refill(TimePoint Now, Pool &Current) const {
-  Current.Balance =
-      std::min(capacity(Current),
-               Current.Balance + Current.Of->RatePerSecond *
-                                     seconds(Now - Current.BalanceAt));
+void QuotaCoordinator::refill(const QuotaStep &Step, Pool &Current) const {
+  TimePoint Now = Step.Now;
+  if (Now - Current.BudgetAt >= DivisionInterval) {
+    Current.BudgetAt = Now;
+    Current.Budget = budget(Step, Current);
+  }
+  double Gained = Current.Budget * seconds(Now - Current.BalanceAt);
+  Current.Balance = std::min(capacity(Current), Current.Balance + Gained);
   Current.BalanceAt = Now;
   for (auto &[Host, Held] : Current.Shares) {
     if (!isSilent(Now, Held))
@@ -103,6 +145,8 @@
     Held.ChargedSilent += Charge;
     Current.Balance -= Charge;
   }
+  // More debt than that cannot have been admitted.
+  Current.Balance = std::max(Current.Balance, -headroom(Current));
 }
 
 /// Returns the state of a workspace. If the first report shows that there was
@@ -118,52 +162,44 @@
   Current.Since = Step.Now;
   Current.BalanceAt = Step.Now;
   Current.Limited = First.Limited;
-  Current.Balance = First.Limited ? 0 : capacity(Current);
+  Current.Taken = First.Share > 0;
+  Current.Budget = Current.Taken ? 0 : Of.RatePerSecond;
+  Current.Balance = capacity(Current);
   for (const auto &[Host, Announced] : Step.Directory.all())
     Current.Awaited.insert(Host);
-  if (Current.Awaited.size() <= MaxQueriedHosts)
-    queryAwaited(Step, Of.Name, Current);
+  queryAwaited(Step, Of.Name, Current);
   return Current;
 }
 
 /// Asks the hosts that have not reported for their shares. A host that holds
 /// none gives it back.
 void QuotaCoordinator::queryAwaited(QuotaStep &Step, const std::string &Name,
-                                    const Pool &Current) const {
+                                    const Pool &Current) {
+  if (Current.Awaited.size() > MaxNoticedHosts)
+    return;
   for (const HostId &Host : Current.Awaited) {
-    if (Step.Peers.isSuspected(Host))
-      continue;
-    QuotaReply Query;
-    Query.Grants.emplace_back().Workspace = Name;
-    Step.Out.emplace_back(SendPeer{Host, std::move(Query)});
+    QuotaReply Message;
+    QuotaGrant &Query = Message.Grants.emplace_back();
+    Query.Workspace = Name;
+    Query.Query = true;
+    Step.Out.emplace_back(SendPeer{Host, std::move(Message)});
   }
 }
 
-/// Returns the rate that hosts may hold beyond what is reserved for them. If
-/// another coordinator has given out shares, that is all that is left.
-/// Otherwise it is an equal part of the quota for each unreachable host, since
-/// these may have a coordinator of their own.
-double QuotaCoordinator::withheld(const QuotaStep &Step,
-                                  const Pool &Current) const {
-  double Rate = Current.Of->RatePerSecond;
-  bool Learning =
-      !Current.Awaited.empty() && Step.Now - Current.Since < LearningTime;
-  bool AnyUnreachable =
-      std::ranges::any_of(Current.Awaited, [&](const HostId &Host) {
-        return Step.Peers.isSuspected(Host);
-      });
-  if (Learning || (Current.Taken && AnyUnreachable))
-    return Rate * (1 + MaxRateRaise);
-  double Sum = 0;
-  double Part = Rate / static_cast<double>(Step.Directory.all().size());
+/// Tells the hosts without a share whether the workspace is limited.
+void QuotaCoordinator::noticeOthers(QuotaStep &Step, Pool &Current) {
+  Current.NoticedAt = Step.Now;
+  if (Step.Directory.all().size() > MaxNoticedHosts)
+    return;
   for (const auto &[Host, Announced] : Step.Directory.all()) {
-    if (!Step.Peers.isSuspected(Host))
+    if (Current.Shares.contains(Host) || Step.Peers.isSuspected(Host))
       continue;
-    auto Found = Current.Shares.find(Host);
-    double Held = Found == Current.Shares.end() ? 0 : Found->second.Reserved;
-    Sum += std::max(0.0, Part - Held);
+    QuotaReply Message;
+    QuotaGrant &Notice = Message.Grants.emplace_back();
+    Notice.Workspace = Current.Of->Name;
+    Notice.Limited = Current.Limited;
+    Step.Out.emplace_back(SendPeer{Host, std::move(Message)});
   }
-  return Sum;
 }
 
 /// Counts what an ingress reports.
@@ -189,9 +225,13 @@
   Held.Demand += (Usage.Requested / Span - Held.Demand) * Weight;
   bool Confirms =
       Inserted || Usage.Sequence == 0 || Usage.Sequence == Held.Sequence;
-  auto Rate = static_cast<double>(Usage.Rate);
+  auto Rate = static_cast<double>(Usage.Share);
+  if (Usage.Sequence == 0 && Rate > 0) {
+    Current.Taken = true;
+    Current.Acquired += Rate - Held.Reserved;
+  }
   Held.Reserved = Confirms ? Rate : std::max(Held.Reserved, Rate);
-  Current.Taken = Current.Taken || (Usage.Sequence == 0 && Rate > 0);
+
   Held.Inc = From.Inc;
   Held.Admitted = Usage.Admitted;
   Held.HeardAt = Held.ChargedUntil = Step.Now;
@@ -216,13 +256,15 @@
     Current.Limited = Current.Balance < Capacity * OpenAbove;
 }
 
-/// Returns the rate that may be given out, with what is reserved.
-double QuotaCoordinator::total(const Pool &Current) const {
-  double Rate = Current.Of->RatePerSecond;
+/// Returns the factor on the rate that is given out.
+double QuotaCoordinator::correction(const Pool &Current) const {
   if (!Current.Limited)
-    return Rate;
-  double Change = Current.Balance / (Rate * seconds(BalanceTime));
-  return Rate * (1 + std::clamp(Change, -MaxRateCut, MaxRateRaise));
+    return 1;
+  double Capacity = capacity(Current);
+  if (Current.Balance >= 0)
+    return Capacity > 0 ? 1 + MaxRateRaise * Current.Balance / Capacity : 1;
+  double Repaid = Current.Of->RatePerSecond * seconds(RepayTime);
+  return 1 - std::min(MaxRateCut, -Current.Balance / Repaid);
 }
 
 /// Returns the level above which demands are cut, so that they add up to Total.
@@ -246,10 +288,7 @@
   if (Now - Current.DividedAt < DivisionInterval)
     return;
   Current.DividedAt = Now;
-  Current.Withheld = withheld(Step, Current);
-  double Total = total(Current);
-  if (Current.Withheld < Current.Of->RatePerSecond)
-    Total -= Current.Withheld;
+  double Total = Current.Budget;
   std::vector<double> Demands;
   for (const auto &[Host, Held] : Current.Shares) {
     if (isSilent(Now, Held))
@@ -281,12 +320,12 @@
     Reserved += Other.Reserved;
     Demand += std::max(Other.Demand, MinDemand);
   }
-  double Free = std::max(0.0, total(Current) - Reserved - Current.Withheld);
-  double Rate = std::min(Held.Target, Held.Reserved + Free);
+  double Free = std::max(0.0, Current.Budget - Reserved);
+  double Granted = std::min(Held.Target, Held.Reserved + Free);
   if (isSilent(Step.Now, Held))
-    Rate = Held.Reserved;
-  Held.Reserved = std::max(Held.Reserved, Rate);
-  double Part = Rate / Current.Of->RatePerSecond;
+    Granted = Held.Reserved;
+  Held.Reserved = std::max(Held.Reserved, Granted);
+  double Part = Granted / Current.Of->RatePerSecond;
   double Uncounted = std::max(0.0, Current.Balance);
   if (!Current.Limited)
     Uncounted += headroom(Current) * ExtraHeadroomFraction;
@@ -298,10 +337,11 @@
   Grant.Workspace = Current.Of->Name;
   Grant.Admitted = Held.Admitted;
   Grant.Sequence = ++Held.Sequence;
-  Grant.Rate = static_cast<float>(Rate);
+  Grant.Rate = static_cast<float>(Held.Target * correction(Current));
+  Grant.Share = static_cast<float>(Granted);
   Grant.Burst = static_cast<float>(Current.Of->Burst * Part);
-  Grant.Extra = static_cast<float>(
-      std::max(Current.Limited ? 0 : MinExtra, Uncounted * Weight));
+  Grant.Extra = static_cast<float>(std::max(Current.Limited ? 0 : MinExtra,
+                                            Uncounted * Weight * ExtraFactor));
   Grant.Limited = Current.Limited;
   auto Interval =
       std::chrono::duration_cast<Duration>(std::chrono::duration<double>(
@@ -343,7 +383,7 @@
     if (!Of || Of->RatePerSecond <= 0)
       continue;
     Pool &Current = find(Step, *Of, Usage);
-    refill(Step.Now, Current);
+    refill(Step, Current);
     count(Step, Current, From, Usage);
     bool Before = Current.Limited;
     updateState(Step.Now, Current);
@@ -352,6 +392,8 @@
                Current.Shares.size());
     if (Current.Limited && !Before)
       limitAll(Step, Current, From.Host);
+    if (Current.Limited != Before)
+      noticeOthers(Step, Current);
     if (!Usage.Released)
       Reply.Grants.push_back(grant(Step, Current, From.Host));
   }
@@ -377,7 +419,7 @@
       At = Pools.erase(At);
       continue;
     }
-    refill(Step.Now, Current);
+    refill(Step, Current);
     for (auto &[Host, Held] : Current.Shares) {
       bool Due = isSilent(Step.Now, Held) &&
                  Step.Now - Held.QueriedAt >= QueryInterval &&
@@ -385,9 +427,12 @@
       if (!Due)
         continue;
       Held.QueriedAt = Step.Now;
-      Step.Out.emplace_back(
-          SendPeer{Host, QuotaReply{{grant(Step, Current, Host)}}});
+      QuotaReply Query{{grant(Step, Current, Host)}};
+      Query.Grants[0].Query = true;
+      Step.Out.emplace_back(SendPeer{Host, std::move(Query)});
     }
+    if (Current.Limited && Step.Now - Current.NoticedAt >= NoticeInterval)
+      noticeOthers(Step, Current);
     ++At;
   }
   WakeAt = Pools.empty() ? TimePoint::max() : Step.Now + QueryInterval;
--- a/src/sidecar/QuotaCoordinator.h
+++ b/src/sidecar/QuotaCoordinator.h
@@ -71,7 +71,10 @@
     TimePoint BalanceAt;
     bool Limited = false;
     bool Taken = false;  ///< Another coordinator has given out shares.
-    double Withheld = 0; ///< Rate that is not given out; see withheld().
+    double Budget = 0;   ///< See budget().
+    double Acquired = 0; ///< Shares of other coordinators that were reported.
+    TimePoint BudgetAt;
+    TimePoint NoticedAt;
     TimePoint Since;
     TimePoint DividedAt;
     TimePoint UsedAt;
@@ -82,17 +85,19 @@
   Pool &find(QuotaStep &Step, const Workspace &Of, const QuotaUsage &First);
   void count(QuotaStep &Step, Pool &Current, const PeerRef &From,
              const QuotaUsage &Usage);
-  void refill(TimePoint Now, Pool &Current) const;
+  void refill(const QuotaStep &Step, Pool &Current) const;
+  double budget(const QuotaStep &Step, const Pool &Current) const;
   double headroom(const Pool &Current) const;
   double capacity(const Pool &Current) const;
-  double total(const Pool &Current) const;
+  double correction(const Pool &Current) const;
   void updateState(TimePoint Now, Pool &Current) const;
   void divide(const QuotaStep &Step, Pool &Current) const;
-  double withheld(const QuotaStep &Step, const Pool &Current) const;
+
   QuotaGrant grant(QuotaStep &Step, Pool &Current, const HostId &To);
   void limitAll(QuotaStep &Step, Pool &Current, const HostId &But);
-  void queryAwaited(QuotaStep &Step, const std::string &Name,
-                    const Pool &Current) const;
+  static void noticeOthers(QuotaStep &Step, Pool &Current);
+  static void queryAwaited(QuotaStep &Step, const std::string &Name,
+                           const Pool &Current);
   static bool isSilent(TimePoint Now, const Share &Held);
 
   HostId Self;
--- a/src/sidecar/WorkspaceQuota.cpp
+++ b/src/sidecar/WorkspaceQuota.cpp
@@ -7,7 +7,6 @@
 #include "figsail/Epoch.h"
 
 #include <algorithm>
-#include <cmath>
 #include <vector>
 
 namespace figsail {
@@ -17,7 +16,7 @@
 /// Time between two reports to one coordinator, at least.
 static constexpr Duration MinReportInterval = 100ms;
 /// Time until a request is reported while its workspace is far below its limit.
-static constexpr Duration RelaxedReportDelay = 700ms;
+static constexpr Duration RelaxedReportDelay = 1s;
 /// Fraction of the granted extra requests that is reported at once.
 static constexpr double ReportFraction = 0.5;
 /// A coordinator without a reply for so long is not heard.
@@ -27,15 +26,18 @@
 /// Time until a silent coordinator is used again.
 static constexpr Duration SilentPause = 10s;
 /// Time without a request after which an open workspace's share is given back.
-static constexpr Duration OpenIdleTime = 1s;
+static constexpr Duration OpenIdleTime = 2s;
 /// The same for a limited workspace: without a share, each first request would
 /// be admitted beyond it.
 static constexpr Duration LimitedIdleTime = 10s;
-/// Requests that an ingress without a share admits before the first reply, at
-/// least. A client often sends two together.
-static constexpr double MinFirstExtra = 2;
-/// Fraction of burst and overage that is used for first requests.
-static constexpr double FirstExtraFraction = 0.5;
+/// Requests that an ingress without a share admits before the first reply. A
+/// client often sends several together.
+static constexpr double FirstExtra = 4;
+/// Lowest rate from which a Retry-After is derived.
+static constexpr double MinTokenRate = 1e-3;
+/// Time for which a notice counts that a workspace is limited. Coordinators
+/// repeat it within that time.
+static constexpr Duration NoticeTime = 30s;
 
 static double seconds(Duration Time) {
   return std::chrono::duration<double>(Time).count();
@@ -66,38 +68,53 @@
   return Best;
 }
 
+/// Returns this host's part of the slack, in requests a second.
+double WorkspaceQuota::slackRate() const {
+  return Bounds.QuotaSlack / static_cast<double>(HostCount) /
+         seconds(Bounds.QuotaWindow);
+}
+
 /// Returns the state of a workspace. A lowered limit lowers the share at once,
 /// without a message.
 WorkspaceQuota::Entry &WorkspaceQuota::find(TimePoint Now,
                                             const Workspace &Of) {
   auto [Found, Inserted] = Entries.try_emplace(Of.Name);
   Entry &Current = Found->second;
-  auto Hosts = static_cast<double>(HostCount);
   if (Inserted) {
-    double Window = seconds(Bounds.QuotaWindow);
-    double Overage =
-        (Of.RatePerSecond * Window + Of.Burst) * Bounds.QuotaOverage +
-        Bounds.QuotaSlack;
-    Current.Extra = std::max(MinFirstExtra,
-                             (Of.Burst + Overage) * FirstExtraFraction / Hosts);
+    auto Limit = LimitedUntil.find(Of.Name);
+    Current.Limited = Limit != LimitedUntil.end() && Limit->second > Now;
+    if (Limit != LimitedUntil.end())
+      LimitedUntil.erase(Limit);
+    Current.Extra = Current.Limited ? 0 : FirstExtra;
     // The buckets of all hosts begin with different fractions of a token, so
     // that together they admit the slack in one window.
     Current.Tokens.available(Now);
-    Current.Tokens.spend(Now, hostFraction(Self, Of.Name));
-    Current.Tokens.configure(Bounds.QuotaSlack / Hosts / Window, 1);
+    Current.Tokens.configure(slackRate(), 1);
+    Current.Tokens.put(hostFraction(Self, Of.Name));
     Current.LimitRate = Of.RatePerSecond;
     Current.LastReport = Now - MinReportInterval;
   }
   if (Of.RatePerSecond < Current.LimitRate) {
-    Current.Rate *= Of.RatePerSecond / Current.LimitRate;
-    if (Current.Sequence > 0)
-      Current.Tokens.configure(Current.Rate, 1);
-    Current.Extra = MinFirstExtra;
+    double Factor = Of.RatePerSecond / Current.LimitRate;
+    Current.Rate *= Factor;
+    Current.Share *= Factor;
+    Current.Extra = std::min(Current.Extra, FirstExtra);
   }
   Current.LimitRate = Of.RatePerSecond;
   return Current;
 }
 
+double WorkspaceQuota::currentRate(TimePoint Now, const Entry &Current) const {
+  if (Current.Sequence == 0)
+    return slackRate();
+  return isHeard(Now, Current) ? Current.Rate : Current.Share;
+}
+
+void WorkspaceQuota::updateTokens(TimePoint Now, Entry &Current) const {
+  Current.Tokens.available(Now); // Adds the tokens of the time before.
+  Current.Tokens.configure(currentRate(Now, Current), Current.Burst);
+}
+
 bool WorkspaceQuota::isHeard(TimePoint Now, const Entry &Current) {
   return Current.UnansweredSince == TimePoint::max() ||
          Now - Current.UnansweredSince < HeardTimeout;
@@ -108,11 +125,7 @@
   bool AwaitsGrant = isHeard(Now, Current) && !Current.Limited;
   if (AwaitsGrant)
     return MinReportInterval;
-  double Rate = Current.Sequence > 0
-                    ? Current.Rate
-                    : Bounds.QuotaSlack / static_cast<double>(HostCount) /
-                          seconds(Bounds.QuotaWindow);
-  Rate = std::max(Rate, 1e-3);
+  double Rate = std::max(currentRate(Now, Current), MinTokenRate);
   Duration Token = boundedDuration(std::chrono::duration<double>(1 / Rate));
   double Missing = std::max(0.0, 1 - Current.Tokens.available(Now));
   TimePoint First =
@@ -127,6 +140,7 @@
   if (Of.RatePerSecond <= 0)
     return std::nullopt;
   Entry &Current = find(Now, Of);
+  updateTokens(Now, Current);
   if (Current.Requested++ == 0)
     Current.FirstRequest = Now;
   Current.LastRequest = Now;
@@ -160,17 +174,35 @@
                            const QuotaGrant &Grant, Entry &Current) {
   Current.GrantedBy = From;
   Current.Sequence = Grant.Sequence;
-  Current.Changed = Current.Changed || Current.Rate != Grant.Rate;
+  Current.Changed = Current.Changed || Current.Share != Grant.Share;
   Current.Rate = Grant.Rate;
+  Current.Share = Grant.Share;
+  Current.Burst = std::max(1.0F, Grant.Burst);
   Current.Extra = Grant.Extra;
   Current.Limited = Grant.Limited;
   Current.Interval = std::chrono::milliseconds(Grant.IntervalMillis);
   Current.Acknowledged = std::max(Current.Acknowledged, Grant.Admitted);
-  double Tokens = Current.Tokens.available(Now);
-  Current.Tokens.configure(Grant.Rate, std::max(1.0F, Grant.Burst));
-  if (Tokens < 0)
-    Current.Tokens.put(-Tokens);
   Current.UnansweredSince = TimePoint::max();
+  updateTokens(Now, Current);
+  if (double Tokens = Current.Tokens.available(Now); Tokens < 0)
+    Current.Tokens.put(-Tokens);
+}
+
+/// Keeps whether a workspace without a share here is limited. Otherwise each
+/// host's first request would be admitted.
+void WorkspaceQuota::noticed(TimePoint Now, const QuotaGrant &Notice) {
+  auto Found = Entries.find(Notice.Workspace);
+  if (Found == Entries.end()) {
+    LimitedUntil.erase(Notice.Workspace);
+    if (Notice.Limited)
+      LimitedUntil[Notice.Workspace] = Now + NoticeTime;
+    return;
+  }
+  Entry &Current = Found->second;
+  if (Current.Sequence > 0)
+    return;
+  Current.Limited = Notice.Limited;
+  Current.Extra = Notice.Limited ? 0 : FirstExtra;
 }
 
 void WorkspaceQuota::received(TimePoint Now, const HostId &From,
@@ -179,6 +211,10 @@
   Silent.erase(From);
   QuotaReport Unknown;
   for (const QuotaGrant &Grant : Message.Grants) {
+    if (Grant.Sequence == 0 && !Grant.Query) {
+      noticed(Now, Grant);
+      continue;
+    }
     auto Found = Entries.find(Grant.Workspace);
     if (Found == Entries.end()) {
       QuotaUsage Released;
@@ -193,10 +229,9 @@
     // up with those of the one that this host reports to.
     if (!Current.Coordinator.empty() && Current.Coordinator != From)
       continue;
+    Current.Asked = Current.Asked || Grant.Query;
     if (Grant.Sequence > 0)
       apply(Now, From, Grant, Current);
-    else
-      Current.Asked = true;
     WakeAt = std::min(WakeAt, reportAt(Current));
   }
   if (!Unknown.Usage.empty())
@@ -238,7 +273,7 @@
   Usage.Admitted = Current.Admitted;
   Usage.Acknowledged = Current.Acknowledged;
   Usage.Requested = Current.Requested;
-  Usage.Rate = static_cast<float>(Current.Rate);
+  Usage.Share = static_cast<float>(Current.Share);
   Usage.Sequence = Current.GrantedBy == To ? Current.Sequence : 0;
   Usage.Limited = Current.Limited;
   return Usage;
@@ -246,7 +281,9 @@
 
 /// Sets coordinators aside that do not reply.
 void WorkspaceQuota::markSilent(TimePoint Now) {
-  std::erase_if(Silent, [&](const auto &Item) { return Item.second <= Now; });
+  auto IsOver = [&](const auto &Item) { return Item.second <= Now; };
+  std::erase_if(Silent, IsOver);
+  std::erase_if(LimitedUntil, IsOver);
   for (auto &[Host, Current] : Links) {
     if (Current.UnansweredSince == TimePoint::max() ||
         Now - Current.UnansweredSince < SilentTimeout)
@@ -284,6 +321,8 @@
                 !Current.Asked && Current.UnansweredSince == TimePoint::max();
     Usage.Released = Idle;
     Reports[To].Usage.push_back(std::move(Usage));
+    if (Idle && Current.Limited)
+      LimitedUntil[Name] = Now + NoticeTime;
     if (Idle) {
       At = Entries.erase(At);
       continue;
--- a/src/sidecar/WorkspaceQuota.h
+++ b/src/sidecar/WorkspaceQuota.h
@@ -69,11 +69,13 @@
     HostId Coordinator;         ///< Receives the reports; empty: none yet.
     HostId GrantedBy;           ///< Sender of the newest grant.
     std::uint32_t Sequence = 0; ///< Of the newest grant.
-    double Rate = 0;            ///< Share, in requests a second.
-    double Extra = 0;           ///< See QuotaGrant.
+    double Rate = 0;  ///< Requests a second while a coordinator is heard.
+    double Share = 0; ///< The same without one.
+    double Burst = 1; ///< Capacity of Tokens.
+    double Extra = 0; ///< See QuotaGrant.
     bool Limited = false;
     Duration Interval{0}; ///< Between reports while Limited.
-    TokenBucket Tokens{0, 1};
+    TokenBucket Tokens{0, 0};
     std::int64_t Admitted = 0;
     std::int64_t Acknowledged = 0;
     std::uint32_t Requested = 0; ///< Since the last report.
@@ -93,6 +95,10 @@
 
   Entry &find(TimePoint Now, const Workspace &Of);
   static bool isHeard(TimePoint Now, const Entry &Current);
+  double slackRate() const;
+  double currentRate(TimePoint Now, const Entry &Current) const;
+  void noticed(TimePoint Now, const QuotaGrant &Notice);
+  void updateTokens(TimePoint Now, Entry &Current) const;
   Duration timeToToken(TimePoint Now, Entry &Current) const;
   static TimePoint reportAt(const Entry &Current);
   static TimePoint releaseAt(const Entry &Current);
@@ -108,6 +114,9 @@
   std::map<std::string, Entry> Entries; ///< By workspace.
   std::map<HostId, Link> Links;         ///< By coordinator.
   std::map<HostId, TimePoint> Silent;   ///< Coordinators not used until then.
+  /// Workspaces that are limited, without state here, and until when that
+  /// counts.
+  std::map<std::string, TimePoint> LimitedUntil;
   TimePoint WakeAt = TimePoint::max();
 };
 
--- a/tests/PeerCodecTest.cpp
+++ b/tests/PeerCodecTest.cpp
@@ -162,14 +162,14 @@
         any<std::uint32_t>(), any<std::uint64_t>(), any<std::uint64_t>(),
         any<std::uint64_t>(), any<std::int64_t>(),  anyText()};
   case 25:
-    return QuotaReport{{QuotaUsage{anyText(), any<std::int64_t>(),
-                                   any<std::int64_t>(), any<std::uint32_t>(),
-                                   0.5F, any<std::uint32_t>(), any<bool>(),
-                                   any<bool>()}}};
+    return QuotaReport{
+        {QuotaUsage{anyText(), any<std::int64_t>(), any<std::int64_t>(),
+                    any<std::uint32_t>(), 0.5F, any<std::uint32_t>(),
+                    any<bool>(), any<bool>()}}};
   case 26:
-    return QuotaReply{{QuotaGrant{anyText(), any<std::int64_t>(),
-                                  any<std::uint32_t>(), 0.5F, 1.5F, 2.5F,
-                                  any<bool>(), any<std::uint32_t>()}}};
+    return QuotaReply{{QuotaGrant{
+        anyText(), any<std::int64_t>(), any<std::uint32_t>(), 0.5F, 0.25F, 1.5F,
+        2.5F, any<bool>(), any<bool>(), any<std::uint32_t>()}}};
   default: {
     KeyedRecord Present{anyText(), anyText(), any<std::int64_t>()};
     KeyedRecord Removed{anyText(), std::nullopt, any<std::int64_t>()};
