--- a/src/core/ErrorTable.cpp
+++ b/src/core/ErrorTable.cpp
@@ -50,6 +50,7 @@
     {ErrorKind::Unauthorized,           "unauthorized",            401, RunState::No,      seconds(0),   "The request carries no key of a workspace."},
     {ErrorKind::KeyUnconfirmed,         "key-unconfirmed",         503, RunState::No,      seconds(1),   "The key is not known here; a newer configuration is being read."},
     {ErrorKind::RolloutClosed,          "rollout-closed",          503, RunState::No,      seconds(1),   "The backend server has a version that takes no more requests at present."},
+    {ErrorKind::QuotaExceeded,          "quota-exceeded",          429, RunState::No,      seconds(1),   "The workspace has used up its quota."},
     // clang-format on
 }};
 
--- a/src/core/Names.cpp
+++ b/src/core/Names.cpp
@@ -14,7 +14,8 @@
         "Completed",  "Fence",         "FenceAck",       "Heartbeat",
         "Probe",      "ProbeReply",    "Subscribe",      "Records",
         "Snapshot",   "SuspectReport", "TopicSubscribe", "TopicUpdate",
-        "TopicPiece", "RolloutReport", "RolloutVerdict"};
+        "TopicPiece", "RolloutReport", "RolloutVerdict", "QuotaReport",
+        "QuotaReply"};
 
 bool isControl(const PeerMessage &Message) {
   return !std::holds_alternative<Execute>(Message) &&
--- a/src/core/Node.cpp
+++ b/src/core/Node.cpp
@@ -79,6 +79,8 @@
   void message(const PeerRef &From, TopicPiece &Message);
   void message(const PeerRef &From, RolloutReport &Message);
   void message(const PeerRef &From, RolloutVerdict &Message);
+  void message(const PeerRef &From, QuotaReport &Message);
+  void message(const PeerRef &From, QuotaReply &Message);
 
   bool detectPause();
   void afterEvent();
@@ -399,6 +401,15 @@
   Out.emplace_back(Count{Counter::StaleMessages});
 }
 
+// Only figsail-sidecar has quotas over all daemons.
+void Node::State::message(const PeerRef &, QuotaReport &) {
+  Out.emplace_back(Count{Counter::StaleMessages});
+}
+
+void Node::State::message(const PeerRef &, QuotaReply &) {
+  Out.emplace_back(Count{Counter::StaleMessages});
+}
+
 /// Reports requests that may crash backend servers to the members of the
 /// service.
 void Node::State::sendReports() {
