Add: bytes of an unfinished message are a sign of life of their daemon

The replies to two status queries were queued behind the answer on a link of 10 Mbit/s, and the ingress abandoned the call with 502 while the answer arrived.

A link now reports, at most once in 50 ms for each host, that a part of a frame of 8 KB or more has arrived. The router does not count a request or a query as unanswered if such bytes came since; it checks again after another confirm timeout, until the deadline of the call. Without bytes nothing changes: a silent link is found out after the same time, and small frames cause no event.

--- a/include/figsail/Events.h
+++ b/include/figsail/Events.h
@@ -41,6 +41,12 @@
   PeerRef Peer;
 };
 
+/// Bytes of a large message that is not complete yet have arrived on a peer
+/// link.
+struct PeerReceiving {
+  PeerRef From;
+};
+
 /// A peer link broke or could not be opened.
 struct PeerLost {
   HostId Host;
--- a/src/shell/PeerLink.cpp
+++ b/src/shell/PeerLink.cpp
@@ -28,6 +28,11 @@
 static constexpr std::size_t MaxRetainedBufferBytes = 4096;
 static constexpr std::size_t MaxRetainedMessages = 16;
 
+/// Payload of a frame from which on the arrival of its parts is reported. It
+/// takes 6 ms on a link of 10 Mbit/s; other messages hardly wait behind smaller
+/// ones.
+static constexpr std::size_t MinReportedFrameBytes = std::size_t(8) * 1024;
+
 static void clearBuffer(std::string &Buffer) {
   if (Buffer.capacity() > MaxRetainedBufferBytes)
     Buffer = std::string();
@@ -290,10 +295,20 @@
     return closeNow(CurrentPhase == Phase::Closing ? LinkCloseReason::Orderly
                                                    : LinkCloseReason::Broken);
   processInput({Context->ReadBuffer.data(), Bytes});
+  reportUnfinishedFrame();
   if (CurrentPhase != Phase::Closed)
     waitUntilReadable();
 }
 
+/// Reports that a part of a large frame has arrived.
+void PeerLink::reportUnfinishedFrame() {
+  bool HasHeader = PartialFrame.size() >= FrameHeaderBytes;
+  if (!HasHeader || CurrentPhase != Phase::Open || !Context->Owner)
+    return;
+  if (readFrameHeader(PartialFrame).Length >= MinReportedFrameBytes)
+    Context->Owner->linkReceiving(shared_from_this());
+}
+
 void PeerLink::processInput(std::string_view Data) {
   if (Decompressor)
     return decompress(Data);
--- a/src/shell/PeerLink.h
+++ b/src/shell/PeerLink.h
@@ -36,6 +36,8 @@
   /// A message has arrived.
   virtual void linkReceived(const std::shared_ptr<PeerLink> &Link,
                             PeerMessage Message) = 0;
+  /// Bytes of a large message that is not complete yet have arrived.
+  virtual void linkReceiving(const std::shared_ptr<PeerLink> &Link) = 0;
   /// The peer has announced a close while a write is unfinished. Queued:
   /// messages that are not encoded yet, to be sent over another link.
   virtual void linkClosingByPeer(const std::shared_ptr<PeerLink> &Link,
@@ -118,6 +120,7 @@
   void decompress(std::string_view Data);
   void processFrames(std::string_view Data);
   std::size_t handleCompleteFrames(std::string_view Data);
+  void reportUnfinishedFrame();
   void handleFrame(std::uint64_t Lamport, std::string_view Payload);
   void handleHello(std::string_view Payload);
   bool acceptsHello(const Hello &PeerHello);
--- a/src/shell/PeerTransport.cpp
+++ b/src/shell/PeerTransport.cpp
@@ -24,6 +24,10 @@
 /// would spin while the process has no free file descriptor.
 static constexpr std::chrono::milliseconds AcceptRetryDelay{100};
 
+/// Time between two notifications of a host that unfinished messages arrive
+/// from. A fraction of the time after which a silent host is suspected.
+static constexpr std::chrono::milliseconds ReceivingInterval{50};
+
 namespace {
 
 /// All links to one host.
@@ -31,6 +35,7 @@
   std::vector<LinkPtr> Links;
   LinkPtr LastReceivedOn; ///< Delivered the last Hello or message; null once
                           ///< it is closed.
+  std::chrono::steady_clock::time_point LastReceivingAt{}; ///< Notified.
 };
 
 } // namespace
@@ -48,6 +53,7 @@
 
   void linkOpened(const LinkPtr &Link) override;
   void linkReceived(const LinkPtr &Link, PeerMessage Message) override;
+  void linkReceiving(const LinkPtr &Link) override;
   void linkClosingByPeer(const LinkPtr &Link,
                          std::vector<PeerMessage> Queued) override;
   void linkClosed(const LinkPtr &Link, LinkCloseReason Reason,
@@ -109,6 +115,15 @@
   Handler.peerReceived({Link->peer(), std::move(Message)});
 }
 
+void PeerTransport::Implementation::linkReceiving(const LinkPtr &Link) {
+  HostLinks &Entry = Hosts[Link->peer().Host];
+  auto Now = std::chrono::steady_clock::now();
+  if (Now < Entry.LastReceivingAt + ReceivingInterval)
+    return;
+  Entry.LastReceivingAt = Now;
+  Handler.peerReceiving({Link->peer()});
+}
+
 void PeerTransport::Implementation::linkClosingByPeer(
     const LinkPtr &Link, std::vector<PeerMessage> Queued) {
   for (PeerMessage &Message : Queued)
--- a/src/sidecar/CallRouter.cpp
+++ b/src/sidecar/CallRouter.cpp
@@ -263,6 +263,7 @@
   Current.UnansweredQueries = 0;
   Current.Outstanding = true;
   Current.SentAt = Step.Now;
+  Current.CheckedAt = Step.Now;
   Selector.callSent(Step.Now, To.Host);
   if (To.FailureDomain != OwnLocality.FailureDomain)
     Step.Out.emplace_back(Count{Counter::CrossDomain});
@@ -382,6 +383,7 @@
 void CallRouter::queryExecutor(RouterStep &Step, Call &Current) {
   Current.QueryInFlight = true;
   ++Current.UnansweredQueries;
+  Current.CheckedAt = Step.Now;
   Step.Out.emplace_back(
       SendPeer{Current.Executor.Host,
                Await{Current.Id, std::nullopt, Current.Executor.Inc}});
@@ -389,10 +391,16 @@
 }
 
 /// Queries the daemon of a confirmed call. An unconfirmed call, or a query
-/// without a reply, means that the link is silent.
+/// without a reply, means that the link is silent. A link on which bytes of a
+/// large message have arrived since is not silent: the reply is queued behind
+/// that message.
 void CallRouter::checkExecutor(RouterStep &Step, Call &Current) {
   if (Current.Confirmed && !Current.QueryInFlight)
     return queryExecutor(Step, Current);
+  if (Activity.isActiveSince(Current.Executor.Host, Current.CheckedAt)) {
+    Current.CheckedAt = Step.Now;
+    return scheduleWake(Current, Step.Now + confirmTimeout(Current));
+  }
   Decision Line{LogLevel::Warning, "peer-silent", {}};
   Line.Fields = {{"id", Current.ClientId},
                  {"peer", Current.Executor.Host},
--- a/src/sidecar/CallRouter.h
+++ b/src/sidecar/CallRouter.h
@@ -3,6 +3,7 @@
 #ifndef FIGSAIL_SIDECAR_CALLROUTER_H
 #define FIGSAIL_SIDECAR_CALLROUTER_H
 
+#include "HostActivity.h"
 #include "Instance.h"
 #include "NestedCallEstimator.h"
 #include "PeerHealth.h"
@@ -58,6 +59,10 @@
   void refused(RouterStep &Step, const PeerRef &From, const Refused &Message);
   void failed(RouterStep &Step, const PeerRef &From, const Failed &Message);
   void peerLost(RouterStep &Step, const PeerLost &Lost);
+  /// Bytes of a large message that is not complete yet have arrived.
+  void bytesReceived(TimePoint Now, const HostId &Host) {
+    Activity.add(Now, Host);
+  }
   /// A daemon has reported the load of its server outside a reply.
   void loadReported(TimePoint Now, const HostId &Host, const LoadReport &Load) {
     Notices.received(Now, Host, Load.Notice, false);
@@ -118,6 +123,8 @@
     TimePoint Target; ///< When the target latency of the route ends.
     TimePoint SentAt; ///< Of the current attempt.
     TimePoint WakeAt;
+    /// When the request, the last query or the last check was made.
+    TimePoint CheckedAt;
     PeerRef Executor;
     std::string Instance;
     std::vector<HostId> TriedHosts;
@@ -191,6 +198,7 @@
   RefusedCalls RefusedByServices;
   StopTime Stop;
   RegionLink Link;
+  HostActivity Activity;
   NestedCallEstimator Origins;
   SplitSchedule Splits;
   std::set<std::string> UsedServices;
--- a/src/sidecar/Sidecar.cpp
+++ b/src/sidecar/Sidecar.cpp
@@ -157,6 +157,12 @@
   Router.peerLost(Step, Body);
 }
 
+void Sidecar::on(Step &S, PeerReceiving &Body) {
+  Peers.markReachable(Body.From.Host, S.Out);
+  Expiry.markReachable(S.Now, Body.From.Host);
+  Router.bytesReceived(S.Now, Body.From.Host);
+}
+
 void Sidecar::handleMessage(Step &S, const PeerRef &From,
                             PeerMessage &Message) {
   GateStep AtGate{S.Now, S.Out};
--- a/src/sidecar/Sidecar.h
+++ b/src/sidecar/Sidecar.h
@@ -73,6 +73,7 @@
   void on(Step &S, PeerReceived &Body);
   void on(Step &S, PeerConnected &Body);
   void on(Step &S, PeerLost &Body);
+  void on(Step &S, PeerReceiving &Body);
   void on(Step &S, ServerRunResult &Body);
   void on(Step &S, ServerProbeResult &Body);
   void on(Step &S, ServerHeartbeat &Body);
--- a/src/sidecar/SidecarEvents.h
+++ b/src/sidecar/SidecarEvents.h
@@ -172,11 +172,13 @@
 /// End of CloseClients: no client connection has a request left to answer.
 struct ClientsDrained {};
 
-using SidecarEventBody = std::variant<
-    BoundsChanged, ClientRequest, CallerDisconnected, ClientsDrained,
-    PeerReceived, PeerConnected, PeerLost, ServerRunResult, ServerProbeResult,
-    ServerHeartbeat, ServerLeave, TopicSnapshot, TopicRecords, TopicTruncated,
-    TopicReadFailed, AnnouncementResult, TimerFired, StopRequested>;
+using SidecarEventBody =
+    std::variant<BoundsChanged, ClientRequest, CallerDisconnected,
+                 ClientsDrained, PeerReceived, PeerConnected, PeerLost,
+                 ServerRunResult, ServerProbeResult, ServerHeartbeat,
+                 ServerLeave, TopicSnapshot, TopicRecords, TopicTruncated,
+                 TopicReadFailed, AnnouncementResult, TimerFired, StopRequested,
+                 PeerReceiving>;
 
 /// One event with the inputs that the reducer must not obtain itself: time and
 /// random bits.
--- a/tests/PeerTransportTest.cpp
+++ b/tests/PeerTransportTest.cpp
@@ -48,6 +48,9 @@
   void peerReceived(PeerReceived Message) override {
     Received.push_back(std::move(Message));
   }
+  void peerReceiving(PeerReceiving Peer) override {
+    Receiving.push_back(std::move(Peer));
+  }
   void peerConnected(PeerConnected Peer) override {
     Connected.push_back(std::move(Peer));
   }
@@ -58,6 +61,7 @@
   PeerRef Self;
   LamportClock Clock;
   std::vector<PeerReceived> Received;
+  std::vector<PeerReceiving> Receiving;
   std::vector<PeerConnected> Connected;
   std::vector<PeerLost> Lost;
   PeerTransport Transport;
@@ -232,6 +236,29 @@
   EXPECT_EQ(sequenceOf(Remote.Received[1].Message), 2U);
 }
 
+// A host whose large answer arrives over seconds would count as silent. Small
+// frames must not cost an event each.
+TEST_F(PeerTransportTest, BytesOfALargeUnfinishedFrameAreReported) {
+  Peer Local(Loop, LocalAddress, 11);
+  Local.listen();
+  RawPeer Remote(Loop);
+  Remote.connect(LocalAddress);
+  Remote.sendHello(RemoteAddress, 22);
+  std::string Small;
+  appendFrame(Small, 1, callMessage(1, 4'000));
+  Remote.send(Small.substr(0, 3'000));
+  runUntil([&] { return Local.Connected.size() == 1; });
+  runReadyHandlers();
+  EXPECT_TRUE(Local.Receiving.empty());
+  std::string Large;
+  appendFrame(Large, 1, callMessage(2, 500'000));
+  Remote.send(Small.substr(3'000) + Large.substr(0, 10'000));
+  runUntil([&] { return Local.Receiving.size() == 1; });
+  EXPECT_EQ(Local.Receiving[0].From, (PeerRef{RemoteAddress, 22}));
+  Remote.send(Large.substr(10'000));
+  runUntil([&] { return Local.Received.size() == 2; });
+}
+
 // A heartbeat that waits behind queued calls would make a busy member look
 // unreachable.
 TEST_F(PeerTransportTest, ControlMessagesOvertakeQueuedCalls) {
