--- a/src/sidecar/SidecarEvents.h
+++ b/src/sidecar/SidecarEvents.h
@@ -199,7 +199,7 @@
                  ServerRunResult, ServerProbeResult, ServerHeartbeat,
                  ServerLeave, TopicSnapshot, TopicRecords, TopicTruncated,
                  TopicReadFailed, AnnouncementResult, TimerFired, StopRequested,
-                 RolloutStatusRead, RolloutStatusWritten>;
+                 RolloutStatusRead, RolloutStatusWritten, PeerReceiving>;
 
 /// One event with the inputs that the reducer must not obtain itself: time and
 /// random bits.
