Fix: a request that certainly reached no server ends with 503 (REFUSED)

Callers saw 502 or 504 for requests that no backend server received. The ingress gave up an attempt as 'may have run' when it reset a silent link, and ignored what it learned afterwards: the transport's report that the request was never written, or the refusal by the same incarnation of the daemon. Such attempts are now kept in LostAttempts and settled by either.

An idempotent call that may reach no further server and was never confirmed is queried like one that is not idempotent. A call that is not idempotent, past its target and close to its deadline, is withdrawn: its gate refuses it unless it has started.

--- a/src/sidecar/CallRouter.cpp
+++ b/src/sidecar/CallRouter.cpp
@@ -70,7 +70,7 @@
 
 void CallRouter::scheduleWake(Call &Current, TimePoint At) {
   WakeOrder.erase({Current.WakeAt, Current.Number});
-  Current.WakeAt = std::min(At, Current.Deadline);
+  Current.WakeAt = std::min({At, withdrawAt(Current), Current.Deadline});
   WakeOrder.insert({Current.WakeAt, Current.Number});
 }
 
@@ -80,6 +80,7 @@
   WakeOrder.erase({Current.WakeAt, Number});
   ByAttempt.erase(Current.Id.Sequence);
   ByCaller.erase(Current.Caller);
+  Lost.removeCall(Number);
   Calls.erase(Number);
 }
 
@@ -219,6 +220,9 @@
 void CallRouter::tryNextServer(RouterStep &Step, Call &Current) {
   if (Step.Now >= Current.Deadline)
     return deadlinePassed(Step, Current);
+  if (Current.Withdrawn)
+    return fail(Step, Current,
+                Stop.isSet() ? ErrorKind::Draining : ErrorKind::Overloaded);
   bool EndsInTime = endsBeforeStop(Step, Current);
   bool MaySend = EndsInTime && Current.Refusals < MaxRefusals &&
                  Current.LimitRefusals < MaxLimitRefusals;
@@ -323,16 +327,18 @@
 
 // Lost daemons.
 
-void CallRouter::peerLost(RouterStep &Step, const PeerLost &Lost) {
-  Step.Peers.markUnreachable(Step.Now, Lost.Host, Step.Out);
-  Selector.linkLost(Step.Now, Lost.Host);
+void CallRouter::peerLost(RouterStep &Step, const PeerLost &Link) {
+  Step.Peers.markUnreachable(Step.Now, Link.Host, Step.Out);
+  Selector.linkLost(Step.Now, Link.Host);
   std::vector<CallId> Unsent;
-  for (const PeerMessage &Message : Lost.Unsent)
+  for (const PeerMessage &Message : Link.Unsent)
     if (const auto *Sent = std::get_if<Execute>(&Message))
       Unsent.push_back(Sent->Call);
+  for (const CallId &Attempt : Unsent)
+    settleUnsent(Link.Host, Attempt);
   std::vector<std::uint64_t> Affected;
   for (const auto &[Number, Current] : Calls)
-    if (Current.Executor.Host == Lost.Host)
+    if (Current.Executor.Host == Link.Host)
       Affected.push_back(Number);
   for (std::uint64_t Number : Affected) {
     auto Found = Calls.find(Number);
@@ -351,12 +357,22 @@
 /// of other calls reset links that are still being opened. The query is sent
 /// again when the reply is overdue.
 bool CallRouter::isQueryPending(const Call &Current) {
-  return Current.QueryInFlight && !Current.Route->Idempotent;
+  return Current.QueryInFlight && isQueryUseful(Current);
+}
+
+/// Returns whether the reply of an unreachable daemon is awaited: the call may
+/// not be sent to another server, and it may turn out not to have arrived.
+bool CallRouter::isQueryUseful(const Call &Current) {
+  if (!Current.Route->Idempotent)
+    return true;
+  bool LastServer = Current.ServersReached + 1 >= Current.Route->MaxServers;
+  return LastServer && !Current.Confirmed;
 }
 
 /// Handles a call whose daemon is unreachable. A call that was never sent, or
 /// is idempotent, goes to another server. For any other call, which may have
-/// run, the daemon is queried over a new link.
+/// run, the daemon is queried over a new link. That includes an idempotent call
+/// that may reach no further server and was never confirmed.
 void CallRouter::executorLost(RouterStep &Step, Call &Current, bool Unsent) {
   if (Unsent) {
     endAttempt(Step, Current, false, nullptr);
@@ -365,16 +381,17 @@
     ++Current.Refusals;
     return tryNextServer(Step, Current);
   }
+  if (isQueryUseful(Current) &&
+      Current.UnansweredQueries < MaxUnansweredQueries)
+    return queryExecutor(Step, Current);
   if (Current.Route->Idempotent) {
     // The request may still arrive there, or run without a receiver.
     Step.Out.emplace_back(SendPeer{Current.Executor.Host, Cancel{Current.Id}});
     endAttempt(Step, Current, false, nullptr);
     ++Current.ServersReached;
-    Current.MayHaveRun = true;
+    Lost.add(Current.Number, Current.Id, Current.Executor);
     return retryAfterRun(Step, Current, ErrorKind::BackendFailed);
   }
-  if (Current.UnansweredQueries < MaxUnansweredQueries)
-    return queryExecutor(Step, Current);
   endAttempt(Step, Current, false, nullptr);
   fail(Step, Current, ErrorKind::OutcomeUnknown);
 }
@@ -409,6 +426,8 @@
     Call &Current = Calls.at(WakeOrder.begin()->second);
     if (Step.Now >= Current.Deadline)
       deadlinePassed(Step, Current);
+    else if (Step.Now >= withdrawAt(Current))
+      withdraw(Step, Current);
     else
       checkExecutor(Step, Current);
   }
@@ -426,7 +445,8 @@
   Current.MayHaveRun = Current.MayHaveRun || Current.Outstanding;
   endAttempt(Step, Current, false, nullptr);
   fail(Step, Current,
-       Current.MayHaveRun ? ErrorKind::DeadlineUnknown : ErrorKind::Overloaded);
+       mayHaveRun(Current) ? ErrorKind::DeadlineUnknown
+                           : ErrorKind::Overloaded);
 }
 
 void CallRouter::endAttempt(RouterStep &Step, Call &Current, bool Success,
@@ -448,7 +468,7 @@
 /// Ends a call with an error response of the router. A call that may have run
 /// is never reported as "not run".
 void CallRouter::fail(RouterStep &Step, Call &Current, ErrorKind Kind) {
-  if (Current.MayHaveRun && errorEntry(Kind).Run == RunState::No)
+  if (mayHaveRun(Current) && errorEntry(Kind).Run == RunState::No)
     Kind = ErrorKind::BackendFailed;
   bool NotRun = errorEntry(Kind).Run == RunState::No;
   if (NotRun && Current.Nested)
--- a/src/sidecar/CallRouter.h
+++ b/src/sidecar/CallRouter.h
@@ -4,6 +4,7 @@
 #define FIGSAIL_SIDECAR_CALLROUTER_H
 
 #include "Instance.h"
+#include "LostAttempts.h"
 #include "NestedCallEstimator.h"
 #include "PeerHealth.h"
 #include "RefusedCalls.h"
@@ -95,6 +96,9 @@
   /// Ends all calls, since the process ends. Every client gets an answer that
   /// says whether its request may have run.
   void endAll(RouterStep &Step);
+  /// Withdraws the calls that are not idempotent and have not started yet: the
+  /// process ends soon. The others continue.
+  void withdrawAll(RouterStep &Step);
 
 private:
   /// A server that refused a call because another one would serve it earlier.
@@ -124,8 +128,10 @@
     /// Backend servers that may have received it.
     std::uint32_t ServersReached = 0;
     bool Nested = false; ///< A run of this host's server has probably made it.
-    float RetryFraction = 0;    ///< Probability that a retried run made it.
-    bool MayHaveRun = false;    ///< A backend server may have run it.
+    float RetryFraction = 0; ///< Probability that a retried run made it.
+    bool MayHaveRun = false; ///< A backend server may have run it, apart
+                             ///< from its attempts in LostAttempts.
+    bool Withdrawn = false;  ///< Its daemon was asked not to start it any more.
     std::uint32_t Refusals = 0; ///< By daemons, before any server received it.
     /// Refused only by a rate limit, not counted in Refusals.
     std::uint32_t LimitRefusals = 0;
@@ -168,9 +174,18 @@
   void queryExecutor(RouterStep &Step, Call &Current);
   void checkExecutor(RouterStep &Step, Call &Current);
   static bool isQueryPending(const Call &Current);
+  static bool isQueryUseful(const Call &Current);
   void executorLost(RouterStep &Step, Call &Current, bool Unsent);
   void retryAfterRun(RouterStep &Step, Call &Current, ErrorKind Why);
   static bool mayRetry(const Call &Current);
+  bool mayHaveRun(const Call &Current) const {
+    return Current.MayHaveRun || Lost.mayHaveRun(Current.Number);
+  }
+  void settleUnsent(const HostId &Host, const CallId &Attempt);
+  bool settleRefused(const PeerRef &From, const CallId &Attempt);
+  void attemptSettled(std::optional<std::uint64_t> Number);
+  TimePoint withdrawAt(const Call &Current) const;
+  void withdraw(RouterStep &Step, Call &Current);
   void deadlinePassed(RouterStep &Step, Call &Current);
   void endCall(RouterStep &Step, Call &Current);
   bool endsBeforeStop(const RouterStep &Step, Call &Current) const;
@@ -189,6 +204,7 @@
   Balancer Selector;
   ServerNotices Notices;
   RefusedCalls RefusedByServices;
+  LostAttempts Lost;
   StopTime Stop;
   RegionLink Link;
   NestedCallEstimator Origins;
--- a/src/sidecar/CallRouterReplies.cpp
+++ b/src/sidecar/CallRouterReplies.cpp
@@ -100,7 +100,8 @@
   Notices.received(Step.Now, From.Host, Message.Load.Notice, false);
   Call *Current = find(Message.Call, From);
   if (!Current) {
-    Step.Out.emplace_back(Count{Counter::StaleMessages});
+    if (!settleRefused(From, Message.Call))
+      Step.Out.emplace_back(Count{Counter::StaleMessages});
     return;
   }
   // A new incarnation cannot answer a query about the previous one.
--- a/src/sidecar/CallRouterStop.cpp
+++ b/src/sidecar/CallRouterStop.cpp
@@ -10,7 +10,7 @@
   Duration Usual = RouteTimes.expected(Current.Route->Name);
   if (Stop.allows(Step.Now, Usual, Current.Deadline))
     return true;
-  if (!Current.MayHaveRun)
+  if (!mayHaveRun(Current))
     Current.LastError = ErrorKind::Draining;
   return false;
 }
@@ -23,6 +23,12 @@
     endCall(Step, Calls.at(Number));
 }
 
+void CallRouter::withdrawAll(RouterStep &Step) {
+  for (auto &[Number, Current] : Calls)
+    if (Current.Outstanding && !Current.Route->Idempotent)
+      withdraw(Step, Current);
+}
+
 void CallRouter::endCall(RouterStep &Step, Call &Current) {
   // A run that is not idempotent ends by itself, so that its outcome is known.
   if (Current.Outstanding && Current.Route->Idempotent)
@@ -32,7 +38,7 @@
   if (Current.FallbackResponse)
     return deliver(Step, Current, std::move(*Current.FallbackResponse));
   fail(Step, Current,
-       Current.MayHaveRun ? ErrorKind::OutcomeUnknown : ErrorKind::Draining);
+       mayHaveRun(Current) ? ErrorKind::OutcomeUnknown : ErrorKind::Draining);
 }
 
 } // namespace figsail
--- a/src/sidecar/Sidecar.cpp
+++ b/src/sidecar/Sidecar.cpp
@@ -409,6 +409,8 @@
     RunsReturned = true;
     GateStep AtGate{S.Now, S.Out};
     Gate.returnIdempotentRuns(AtGate);
+    RouterStep AtRouter = routerStep(S);
+    Router.withdrawAll(AtRouter);
   }
   bool Idle = ClientsDisconnected && Router.inFlight() == 0 && Gate.idle();
   bool OutOfTime = S.Now >= stopEnd();
@@ -436,8 +438,25 @@
   S.Out.emplace_back(std::move(Line));
   GateStep AtGate{S.Now, S.Out};
   Gate.endAll(AtGate);
+  applyOwnRefusals(S);
   RouterStep AtRouter = routerStep(S);
   Router.endAll(AtRouter);
 }
 
+/// Applies the refusals that the gate sends in this event to this host's own
+/// ingress. The process ends before they arrive.
+void Sidecar::applyOwnRefusals(Step &S) {
+  std::vector<Refused> Own;
+  for (const SidecarEffect &Action : S.Out) {
+    const auto *Sent = std::get_if<SendPeer>(&Action);
+    if (!Sent || Sent->Host != Settings.Host)
+      continue;
+    if (const auto *Message = std::get_if<Refused>(&Sent->Message))
+      Own.push_back(*Message);
+  }
+  RouterStep AtRouter = routerStep(S);
+  for (const Refused &Message : Own)
+    Router.refused(AtRouter, {Settings.Host, Settings.Inc}, Message);
+}
+
 } // namespace figsail
--- a/src/sidecar/Sidecar.h
+++ b/src/sidecar/Sidecar.h
@@ -147,6 +147,7 @@
   void setStopEnd();
   TimePoint stopEnd() const;
   void endOpenCalls(Step &S);
+  void applyOwnRefusals(Step &S);
 
   SidecarSettings Settings;
   ConfigPtr Config;                ///< Null until one has been read.
