Add: calls that runs make inherit the priority of the runs (work across chains)

A call that a run of this host's server makes takes the most urgent priority of its own route and of the calls that run at this host's gate, and goes before new work of the same priority at the gate of the called service. Which run makes a call is not known, hence the most urgent one. Execute carries the flag Nested, one byte; the order of waiting calls moves to AdmissionPolicy.

With equal priorities and no nested calls it is as before.

--- a/include/figsail/PeerMessages.h
+++ b/include/figsail/PeerMessages.h
@@ -80,12 +80,13 @@
   std::uint32_t ReceiptDelayMicros = 0; ///< Received is sent if the call has
                                         ///< not ended this long after receipt.
   std::optional<ServerNotice>
-      Notice{}; ///< What the ingress knows of the server.
+      Notice{};        ///< What the ingress knows of the server.
+  bool Nested = false; ///< A run of the server beside the ingress makes it.
 
   template <class Archive> void serialize(Archive &Ar) {
     Ar(Call, Target, Policy, BudgetMicros, Fingerprint, Grant, Request,
        Instance, TargetMicros, HasAlternative, RetryFraction,
-       ReceiptDelayMicros, Notice);
+       ReceiptDelayMicros, Notice, Nested);
   }
 };
 
--- a/src/sidecar/CallRouter.cpp
+++ b/src/sidecar/CallRouter.cpp
@@ -125,6 +125,14 @@
                            : ErrorKind::NoRoute;
 }
 
+/// Returns the priority of a call that a run of this host's server makes. Which
+/// run makes it is not known, and the most urgent one must not wait for it.
+static std::uint32_t
+nestedPriority(const ServiceRoute &Route,
+               const std::optional<std::uint32_t> &Running) {
+  return std::min(Route.Priority, Running.value_or(Route.Priority));
+}
+
 void CallRouter::request(RouterStep &Step, ClientRequest Arrived) {
   Step.Out.emplace_back(Count{Counter::Calls});
   RoutePtr Route;
@@ -161,6 +169,8 @@
   ByCaller[New.Caller] = Number;
   double Nested = Origins.addRequest(Step.Now, New.Route->Name);
   New.Nested = Nested >= NestedThreshold;
+  New.Priority = New.Nested ? nestedPriority(*New.Route, Step.RunningPriority)
+                            : New.Route->Priority;
   New.RetryFraction = static_cast<float>(Step.RetryFraction * Nested);
   tryNextServer(Step, New);
 }
@@ -284,7 +294,8 @@
   Message.Policy.Service = Current.Service;
   Message.Policy.HomeRegions = Current.Route->HomeRegions;
   Message.Policy.Idempotent = Current.Route->Idempotent;
-  Message.Policy.Priority = Current.Route->Priority;
+  Message.Policy.Priority = Current.Priority;
+  Message.Nested = Current.Nested;
   Message.BudgetMicros = (Current.Deadline - Step.Now).count();
   Message.Fingerprint = Current.Fingerprint;
   Message.TargetMicros = (Current.Target - Step.Now).count();
--- a/src/sidecar/CallRouter.h
+++ b/src/sidecar/CallRouter.h
@@ -41,6 +41,8 @@
   /// that arrives now may be a call made by one of them.
   float RetryFraction;
   SidecarEffects &Out;
+  /// Most urgent priority of the runs at this host's server, if there are any.
+  std::optional<std::uint32_t> RunningPriority{};
 };
 
 /// Router of client calls. It finds the route, chooses a backend server and
@@ -116,6 +118,7 @@
     std::size_t Bytes = 0; ///< Size of the request.
     RoutePtr Route;
     std::string Service;
+    std::uint32_t Priority = 0;    ///< 0 is the most urgent.
     std::uint64_t Fingerprint = 0; ///< Equal whenever the request is resent.
     TimePoint Arrived;
     TimePoint Deadline;
--- a/src/sidecar/ServerGate.cpp
+++ b/src/sidecar/ServerGate.cpp
@@ -108,6 +108,15 @@
   return Sum / static_cast<float>(Runs.size());
 }
 
+std::optional<std::uint32_t> ServerGate::mostUrgentRun() const {
+  std::optional<std::uint32_t> Most;
+  for (const auto &[Run, Id] : Runs) {
+    std::uint32_t Priority = Calls.at(Id).Message.Policy.Priority;
+    Most = std::min(Most.value_or(Priority), Priority);
+  }
+  return Most;
+}
+
 LoadReport ServerGate::load(TimePoint Now) const {
   LoadReport Report;
   bool Open = Server.state() == InstanceState::Ready && !Evacuated &&
@@ -227,17 +236,10 @@
   return std::nullopt;
 }
 
-/// Returns whether One is served before Other: first calls that can still meet
-/// their target, then by priority, then by the earlier target.
 bool ServerGate::precedes(TimePoint Now, const AdmittedCall &One,
                           const AdmittedCall &Other) const {
-  bool OneLate = One.Target <= Now;
-  bool OtherLate = Other.Target <= Now;
-  if (OneLate != OtherLate)
-    return OtherLate;
-  if (One.Message.Policy.Priority != Other.Message.Policy.Priority)
-    return One.Message.Policy.Priority < Other.Message.Policy.Priority;
-  return One.Target < Other.Target;
+  return figsail::precedes(Now, {&One.Message, One.Target},
+                           {&Other.Message, Other.Target});
 }
 
 /// Returns how long a call waits behind the calls that it does not precede, at
--- a/src/sidecar/ServerGate.h
+++ b/src/sidecar/ServerGate.h
@@ -3,6 +3,7 @@
 #ifndef FIGSAIL_SIDECAR_SERVERGATE_H
 #define FIGSAIL_SIDECAR_SERVERGATE_H
 
+#include "AdmissionPolicy.h"
 #include "CrashDetector.h"
 #include "LocalServer.h"
 #include "ReplyCache.h"
@@ -106,6 +107,8 @@
   /// these runs; which run makes a call is not known.
   float retryFraction() const;
   std::size_t runs() const { return Runs.size(); }
+  /// Returns the most urgent priority of the present runs, if there are any.
+  std::optional<std::uint32_t> mostUrgentRun() const;
   /// Returns whether no call is waiting or running.
   bool idle() const { return Calls.empty(); }
   LoadReport load(TimePoint Now) const;
--- a/src/sidecar/Sidecar.cpp
+++ b/src/sidecar/Sidecar.cpp
@@ -122,6 +122,7 @@
 
 void Sidecar::on(Step &S, ClientRequest &Body) {
   RouterStep Step = routerStep(S);
+  Step.RunningPriority = Gate.mostUrgentRun();
   Router.request(Step, std::move(Body));
 }
 
