Add: urgent calls displace the least valuable waiting ones (admission control)

Less urgent calls that an urgent arrival made late waited until half of their run time before the target and were refused when it was too late for another server. They are now refused at once as overloaded: of the least urgent ones the one that needs the most slot time, as many as the arrival makes late. A full gate makes room the same way. Less urgent calls do not count in the wait for the tokens of a cold server.

With equal priorities nothing is displaced.

--- a/include/figsail/ErrorKind.h
+++ b/include/figsail/ErrorKind.h
@@ -47,9 +47,10 @@
   ServerSlow,
   RateLimited,
   ConfigurationBehind,
+  CalledServiceRefuses,
 };
 inline constexpr std::size_t ErrorKindCount =
-    static_cast<std::size_t>(ErrorKind::ConfigurationBehind) + 1;
+    static_cast<std::size_t>(ErrorKind::CalledServiceRefuses) + 1;
 
 /// Tells whether the request ran on a backend server.
 enum class RunState : std::uint8_t { No, Unknown, Yes };
--- a/include/figsail/Events.h
+++ b/include/figsail/Events.h
@@ -206,6 +206,9 @@
   StoreHistories,
   ResponsesRejected,
   RecordsUnusable,
+  RunsDisplaced,
+  RefusedAtDoor,
+  DoorTrials,
 };
 
 /// Increment a counter.
@@ -283,7 +286,7 @@
 std::string_view counterName(Counter Which);
 
 inline constexpr std::size_t CounterCount =
-    static_cast<std::size_t>(Counter::RecordsUnusable) + 1;
+    static_cast<std::size_t>(Counter::DoorTrials) + 1;
 
 } // namespace figsail
 
--- a/src/core/ErrorTable.cpp
+++ b/src/core/ErrorTable.cpp
@@ -44,6 +44,7 @@
     {ErrorKind::ServerSlow,             "server-slow",             503, RunState::No,      seconds(1),   "The backend server is slow at this moment."},
     {ErrorKind::RateLimited,            "rate-limited",            503, RunState::No,      seconds(1),   "The backend servers have named a rate limit, and it is used up."},
     {ErrorKind::ConfigurationBehind,    "configuration-behind",    503, RunState::No,      seconds(1),   "No route matches the request; a newer configuration is being read."},
+    {ErrorKind::CalledServiceRefuses,   "called-service-refuses",  503, RunState::No,      seconds(1),   "A service that the request needs refuses calls at this moment."},
     // clang-format on
 }};
 
--- a/src/core/Names.cpp
+++ b/src/core/Names.cpp
@@ -45,15 +45,34 @@
 }
 
 static constexpr std::array<std::string_view, CounterCount> CounterNames{
-    "calls",           "calls_answered",  "calls_refused",
-    "calls_unknown",   "retries",         "retries_denied",
-    "cross_domain",    "cross_region",    "cross_region_bytes",
-    "runs_started",    "runs_refused",    "runs_failed",
-    "claims",          "claims_replayed", "fences",
-    "probes",          "heartbeats",      "records_forwarded",
-    "suspects",        "quarantined",     "wrong_region",
-    "stale_messages",  "store_histories", "responses_rejected",
-    "records_unusable"};
+    "calls",
+    "calls_answered",
+    "calls_refused",
+    "calls_unknown",
+    "retries",
+    "retries_denied",
+    "cross_domain",
+    "cross_region",
+    "cross_region_bytes",
+    "runs_started",
+    "runs_refused",
+    "runs_failed",
+    "claims",
+    "claims_replayed",
+    "fences",
+    "probes",
+    "heartbeats",
+    "records_forwarded",
+    "suspects",
+    "quarantined",
+    "wrong_region",
+    "stale_messages",
+    "store_histories",
+    "responses_rejected",
+    "records_unusable",
+    "runs_displaced",
+    "refused_at_door",
+    "door_trials"};
 
 std::string_view counterName(Counter Which) {
   return CounterNames[static_cast<std::size_t>(Which)];
--- a/src/sidecar/ServerGate.cpp
+++ b/src/sidecar/ServerGate.cpp
@@ -249,7 +249,10 @@
                                   double Factor) const {
   Duration Ahead{0};
   std::size_t CallsAhead = 0;
+  std::size_t LessUrgent = 0;
   for (const auto &[Id, Other] : Calls) {
+    if (Other.Run == 0 && mayDisplace(Call.Message, Other.Message))
+      ++LessUrgent;
     if (Other.Run != 0 || Id == Call.Message.Call || precedes(Now, Call, Other))
       continue;
     ++CallsAhead;
@@ -267,7 +270,8 @@
   Duration Wait = std::max<Duration>(Ahead / Slots, LimitWait);
   if (!Server.cold(Now))
     return Wait;
-  double Missing = static_cast<double>(Waiting) + 1 - ColdTokens.available(Now);
+  double Missing =
+      static_cast<double>(Waiting - LessUrgent) + 1 - ColdTokens.available(Now);
   // The operator may allow a cold server no requests at all.
   Duration TokenWait = boundedDuration(
       std::chrono::duration<double>(std::max(0.0, Missing) / ColdPerSecond));
@@ -310,7 +314,7 @@
 /// target.
 std::optional<ErrorKind>
 ServerGate::checkCapacity(TimePoint Now, const AdmittedCall &Call) const {
-  if (Calls.size() >= MaxCalls || BufferedBytes + Call.Bytes > MaxBufferedBytes)
+  if (isFull(Call) && callsToMakeRoom(Call).empty())
     return ErrorKind::Overloaded;
   if (isFasterElsewhere(Now, Call))
     return ErrorKind::ServerSlow;
@@ -329,6 +333,29 @@
   return std::nullopt;
 }
 
+bool ServerGate::isFull(const AdmittedCall &Call) const {
+  return Calls.size() >= MaxCalls ||
+         BufferedBytes + Call.Bytes > MaxBufferedBytes;
+}
+
+/// Returns the waiting calls to refuse so that New can be admitted to a full
+/// gate; none if that is not possible.
+std::vector<CallId> ServerGate::callsToMakeRoom(const AdmittedCall &New) const {
+  WaitingCalls Candidates = waitingCalls(New.Arrived);
+  std::vector<CallId> Displaced;
+  std::size_t Bytes = BufferedBytes + New.Bytes;
+  while (Calls.size() - Displaced.size() >= MaxCalls ||
+         Bytes > MaxBufferedBytes) {
+    const WaitingCall *Victim = leastValuable(New.Message, Candidates);
+    if (Victim == nullptr)
+      return {};
+    Displaced.push_back(Victim->Message->Call);
+    Bytes -= Calls.at(Displaced.back()).Bytes;
+    Candidates.erase(Candidates.begin() + (Victim - Candidates.data()));
+  }
+  return Displaced;
+}
+
 bool ServerGate::isOtherSuspectRunning(std::uint64_t Fingerprint) const {
   return SuspectRuns.size() > (SuspectRuns.contains(Fingerprint) ? 1U : 0U);
 }
@@ -381,11 +408,14 @@
     Reason = ErrorKind::RetryBudgetSpent;
   if (Reason)
     return refuse(Step, Call, *Reason);
+  if (isFull(Call))
+    displace(Step, callsToMakeRoom(Call), Id);
   BufferedBytes += Call.Bytes;
   Call.DelayedUntil = delayUntil(Step.Now, Call).value_or(TimePoint{});
   Calls.emplace(Id, std::move(Call));
   ++Waiting;
   startWaiting(Step);
+  displaceOvertaken(Step, Id);
   // For a call that has already ended, the final reply confirms the arrival.
   if (Calls.contains(Id))
     ReceiptsDue.emplace(Step.Now + Receipt, Id);
--- a/src/sidecar/ServerGate.h
+++ b/src/sidecar/ServerGate.h
@@ -171,6 +171,13 @@
   }
   bool precedes(TimePoint Now, const AdmittedCall &One,
                 const AdmittedCall &Other) const;
+  bool isFull(const AdmittedCall &Call) const;
+  WaitingCall describe(const AdmittedCall &Call) const;
+  WaitingCalls waitingCalls(TimePoint Now) const;
+  std::vector<CallId> callsToMakeRoom(const AdmittedCall &New) const;
+  void displace(GateStep &Step, const std::vector<CallId> &Displaced,
+                const CallId &By);
+  void displaceOvertaken(GateStep &Step, const CallId &New);
   bool acquireStartPermit(TimePoint Now);
   void startWaiting(GateStep &Step);
   void start(GateStep &Step, AdmittedCall &Call);
