Add: requests whose calls would be refused are refused on arrival (work across chains)

Runs of a route whose called service sheds calls took slots for their whole time and ended with 500. The ingress now keeps, by route, the fraction of recent runs that failed for that reason, from Answer::CallRefused and from the runs at its own gate, and refuses this fraction of new requests with 503 called-service-refuses and a Retry-After: none below a third, none on less than four recent runs, and at least one request in 300 ms is let through.

--- a/src/sidecar/CallRouter.cpp
+++ b/src/sidecar/CallRouter.cpp
@@ -41,6 +41,9 @@
 /// The same for a request whose route this daemon does not know yet. A newer
 /// configuration takes about as long to arrive.
 static constexpr Duration ConfigurationDelay = 500ms;
+/// The same for a request that a called service keeps from being served. About
+/// the time in which recent failures lose their weight.
+static constexpr Duration DependencyDelay = 500ms;
 /// Retry-After is at most this fraction of the client's remaining time. Clients
 /// give up when it is later.
 static constexpr double MaxRetryAfterFraction = 1.0 / 3;
@@ -172,7 +175,10 @@
   New.Priority = New.Nested ? nestedPriority(*New.Route, Step.RunningPriority)
                             : New.Route->Priority;
   New.RetryFraction = static_cast<float>(Step.RetryFraction * Nested);
-  tryNextServer(Step, New);
+  if (!Dependencies.refusesRequest(Step.Now, New.Route->Name, Step.Out))
+    return tryNextServer(Step, New);
+  New.BacklogTime = DependencyDelay;
+  fail(Step, New, ErrorKind::CalledServiceRefuses);
 }
 
 void CallRouter::clientDisconnected(RouterStep &Step, CallerId Caller) {
--- a/src/sidecar/CallRouter.h
+++ b/src/sidecar/CallRouter.h
@@ -3,6 +3,7 @@
 #ifndef FIGSAIL_SIDECAR_CALLROUTER_H
 #define FIGSAIL_SIDECAR_CALLROUTER_H
 
+#include "CallDependencies.h"
 #include "Instance.h"
 #include "LostAttempts.h"
 #include "NestedCallEstimator.h"
@@ -73,6 +74,12 @@
     return RefusedByServices.explain(RunStart);
   }
 
+  /// A run of this host's server for another ingress has ended.
+  void remoteRunEnded(TimePoint Now, const std::string &Route,
+                      bool CallRefused) {
+    Dependencies.runEnded(Now, Route, CallRefused);
+  }
+
   /// Sets the number of hosts that share the link between regions.
   void setRegionHosts(std::size_t Count) { Link.setHostCount(Count); }
   /// A host has another backend server or daemon. Discards its load reports.
@@ -208,6 +215,7 @@
   ServerNotices Notices;
   RefusedCalls RefusedByServices;
   LostAttempts Lost;
+  CallDependencies Dependencies;
   StopTime Stop;
   RegionLink Link;
   NestedCallEstimator Origins;
--- a/src/sidecar/CallRouterReplies.cpp
+++ b/src/sidecar/CallRouterReplies.cpp
@@ -48,6 +48,7 @@
   endAttempt(Step, *Current, Success, &Message.Load);
   ++Current->ServersReached;
   Current->MayHaveRun = true;
+  Dependencies.runEnded(Step.Now, Current->Route->Name, Message.CallRefused);
   if (Message.CallRefused && Current->Nested)
     RefusedByServices.add(Step.Now);
   // A retry would make the run's calls again, and a service refuses these.
--- a/src/sidecar/ServerGate.h
+++ b/src/sidecar/ServerGate.h
@@ -57,6 +57,8 @@
   void runEnded(GateStep &Step, ServerRunResult Done, bool CallRefused = false);
   /// Returns when a run started, or nothing if it has ended.
   std::optional<TimePoint> runStart(RunId Run) const;
+  /// Returns the route of a run for another host's ingress, or nothing.
+  std::optional<std::string> remoteRoute(RunId Run) const;
   void probeEnded(GateStep &Step, const ServerProbeResult &Probe);
 
   /// Applies a heartbeat. The verdict says whether to announce a change.
--- a/src/sidecar/ServerGateRuns.cpp
+++ b/src/sidecar/ServerGateRuns.cpp
@@ -139,6 +139,16 @@
   return Calls.at(Found->second).Started;
 }
 
+std::optional<std::string> ServerGate::remoteRoute(RunId Run) const {
+  auto Found = Runs.find(Run);
+  if (Found == Runs.end())
+    return std::nullopt;
+  const AdmittedCall &Call = Calls.at(Found->second);
+  if (Call.From.Host == Self.Host)
+    return std::nullopt;
+  return Call.Message.Policy.Route;
+}
+
 void ServerGate::runEnded(GateStep &Step, ServerRunResult Done,
                           bool CallRefused) {
   auto Found = Runs.find(Done.Run);
--- a/src/sidecar/Sidecar.cpp
+++ b/src/sidecar/Sidecar.cpp
@@ -217,6 +217,9 @@
   GateStep Step{S.Now, S.Out};
   InstanceState Before = Gate.server().state();
   bool CallRefused = isCallRefused(Body);
+  std::optional<std::string> Route = Gate.remoteRoute(Body.Run);
+  if (Route && std::holds_alternative<HttpResponse>(Body.Result))
+    Router.remoteRunEnded(S.Now, *Route, CallRefused);
   Gate.runEnded(Step, std::move(Body), CallRefused);
   if (Gate.server().state() != Before)
     announce(S);
--- a/tests/CallDependenciesTest.cpp
+++ b/tests/CallDependenciesTest.cpp
@@ -64,4 +64,78 @@
   EXPECT_EQ(Nested.Policy.Priority, 1U);
 }
 
+/// Adds runs of the route that end with or without a refused call.
+struct RefusedAtDoorTest : SidecarTest {
+  RefusedAtDoorTest() { loadTopics(true); }
+
+  /// Sends one request in 20 ms. Of the runs, Failed of ten fail since a
+  /// service refuses a call. Returns the number of refused requests.
+  int refusedOf(int Requests, int Failed) {
+    int Refused = 0;
+    for (int I = 0; I < Requests; ++I) {
+      Now += 20ms;
+      auto Out = request(++LastCaller);
+      if (messages<Execute>(Out).empty()) {
+        ++Refused;
+        EXPECT_EQ(answer(Out)->Status, 503U);
+        EXPECT_GT(retryAfter(*answer(Out)), 0);
+        continue;
+      }
+      auto [Host, Call] = sent(Out);
+      bool Fails = ++Runs * 7 % 10 < Failed;
+      Answer Ended{Call.Call, {Fails ? 500U : 200U, {}, "x"}, {}, Fails};
+      EXPECT_TRUE(answer(reply(Host, Ended))) << "every run is delivered";
+    }
+    return Refused;
+  }
+
+  CallerId LastCaller = 0;
+  int Runs = 0;
+};
+
+// Load pattern: the service of the downloads sheds everything, and every run of
+// a release fails. Guards against runs that take slots in vain, and against a
+// route that stays closed.
+TEST_F(RefusedAtDoorTest, RequestsAreRefusedWhileTheirCallsAreRefused) {
+  refusedOf(10, 10);
+  int Refused = refusedOf(100, 10);
+  EXPECT_GE(Refused, 90);
+  EXPECT_LE(Refused, 95) << "trials are let through, one in 300 ms";
+  refusedOf(200, 0);
+  EXPECT_EQ(refusedOf(100, 0), 0) << "the service serves again";
+}
+
+// Guards against the refusal of runs that would succeed.
+TEST_F(RefusedAtDoorTest, TheFractionRefusedFollowsTheFractionThatFails) {
+  EXPECT_EQ(refusedOf(200, 2), 0) << "a fifth of the runs fails";
+  refusedOf(200, 6);
+  int Refused = refusedOf(200, 6);
+  EXPECT_GE(Refused, 90);
+  EXPECT_LE(Refused, 140);
+}
+
+// An ingress also learns from the runs at the server on its host. Guards
+// against a host that learns nothing since it gets few requests itself.
+TEST_F(CallDependenciesTest, TheDoorLearnsFromTheOwnGate) {
+  for (int I = 0; I < 10; ++I) {
+    Execute Message;
+    Message.Call = {88, ++LastCall};
+    Message.Policy.Route = "book";
+    Message.Policy.Service = "booking";
+    Message.BudgetMicros = Message.TargetMicros = 1000000;
+    RunId Run = effects<StartRun>(reply("b", Message)).at(0).Run;
+    Now += 10ms;
+    auto Sent = messages<Execute>(request(static_cast<CallerId>(I + 1)));
+    while (!Sent.empty())
+      Sent = messages<Execute>(
+          reply(Sent[0].first,
+                Refused{Sent[0].second.Call, ErrorKind::Overloaded, {}}));
+    apply(ServerRunResult{Run, HttpResponse{500, {}, "x"}, {}});
+  }
+  auto Out = request(100);
+  ASSERT_TRUE(answer(Out));
+  EXPECT_EQ(findHeader(answer(Out)->Headers, "Figsail-Error"),
+            "called-service-refuses");
+}
+
 } // namespace
