Add: workspaces take turns at the gate (shares of the workspaces)

A workspace that sent ten times as much as another took the slots in the order of targets.

Without a workspace in any waiting call the order is as before. AdmissionPolicyTest.AWorkspaceWithinItsShareIsServedInTime: of 45 requests of the workspace within its share 45 are in time, at twice the capacity.

--- a/src/sidecar/AdmissionPolicy.cpp
+++ b/src/sidecar/AdmissionPolicy.cpp
@@ -3,6 +3,9 @@
 #include "AdmissionPolicy.h"
 
 #include <algorithm>
+#include <map>
+#include <span>
+#include <string_view>
 #include <tuple>
 
 namespace figsail {
@@ -15,48 +18,139 @@
   return Call.Message->Policy.Priority;
 }
 
+static bool isLate(TimePoint Now, const WaitingCall &Call) {
+  return Call.Target <= Now;
+}
+
+bool haveSameRank(TimePoint Now, const WaitingCall &One,
+                  const WaitingCall &Other) {
+  return priority(One) == priority(Other) &&
+         isLate(Now, One) == isLate(Now, Other) &&
+         One.Message->Nested == Other.Message->Nested;
+}
+
 bool precedes(TimePoint Now, const WaitingCall &One, const WaitingCall &Other) {
   if (priority(One) != priority(Other))
     return priority(One) < priority(Other);
-  bool OneLate = One.Target <= Now;
-  bool OtherLate = Other.Target <= Now;
-  if (OneLate != OtherLate)
-    return OtherLate;
+  if (isLate(Now, One) != isLate(Now, Other))
+    return isLate(Now, Other);
   if (One.Message->Nested != Other.Message->Nested)
     return One.Message->Nested;
   return One.Target < Other.Target;
 }
 
-bool mayDisplace(const Execute &New, const Execute &Waiting) {
+bool isLessUrgent(const Execute &Waiting, const Execute &New) {
   return Waiting.Policy.Priority > New.Policy.Priority;
 }
 
+bool mightDisplace(const Execute &New, const Execute &Waiting) {
+  if (isLessUrgent(Waiting, New))
+    return true;
+  return Waiting.Policy.Priority == New.Policy.Priority && !Waiting.Nested &&
+         Waiting.Policy.Workspace != New.Policy.Workspace;
+}
+
+/// Waiting calls of each workspace over its share.
+using Excess = std::map<std::string_view, double>;
+
+static Excess excessOf(const WaitingCalls &Calls) {
+  Excess Sums;
+  for (const WaitingCall &Call : Calls) {
+    const CallPolicy &Policy = Call.Message->Policy;
+    Sums[Policy.Workspace] += 1.0 / std::max(1U, Policy.Share);
+  }
+  return Sums;
+}
+
+/// Returns the excess of a workspace that has one more call than those that
+/// wait.
+static double excessWith(const Excess &Sums, const CallPolicy &Policy) {
+  auto Found = Sums.find(Policy.Workspace);
+  double Own = Found == Sums.end() ? 0 : Found->second;
+  return Own + 1.0 / std::max(1U, Policy.Share);
+}
+
+static bool mayDisplace(const Execute &New, const Execute &Waiting,
+                        const Excess &Sums) {
+  if (!mightDisplace(New, Waiting))
+    return false;
+  return isLessUrgent(Waiting, New) ||
+         Sums.at(Waiting.Policy.Workspace) > excessWith(Sums, New.Policy);
+}
+
 /// Returns whether One is worth less than Other.
-static bool isLessValuable(const WaitingCall &One, const WaitingCall &Other) {
-  auto Rank = [](const WaitingCall &Call) {
-    return std::tuple(priority(Call), !Call.Message->Nested, Call.Work,
+static bool isLessValuable(const WaitingCall &One, const WaitingCall &Other,
+                           const Excess &Sums) {
+  auto Rank = [&](const WaitingCall &Call) {
+    return std::tuple(priority(Call), !Call.Message->Nested,
+                      Sums.at(Call.Message->Policy.Workspace), Call.Work,
                       Call.Target);
   };
   return Rank(One) > Rank(Other);
 }
 
-const WaitingCall *leastValuable(const Execute &New,
-                                 const WaitingCalls &Calls) {
+static const WaitingCall *leastValuable(const Execute &New,
+                                        std::span<const WaitingCall> Calls,
+                                        const Excess &Sums) {
   const WaitingCall *Least = nullptr;
   for (const WaitingCall &Call : Calls) {
-    if (!mayDisplace(New, *Call.Message))
+    if (!mayDisplace(New, *Call.Message, Sums))
       continue;
-    if (Least == nullptr || isLessValuable(Call, *Least))
+    if (Least == nullptr || isLessValuable(Call, *Least, Sums))
       Least = &Call;
   }
   return Least;
 }
 
+const WaitingCall *leastValuable(const Execute &New,
+                                 const WaitingCalls &Calls) {
+  return leastValuable(New, Calls, excessOf(Calls));
+}
+
+/// Sorts calls in the order in which they are served. Of calls of the same rank
+/// the n-th of a workspace is served with the n-th ones of the others, n
+/// divided by the share.
+static void sortInTurns(TimePoint Now, WaitingCalls &Calls) {
+  std::ranges::stable_sort(Calls, [&](const auto &One, const auto &Other) {
+    return precedes(Now, One, Other);
+  });
+  std::map<std::string_view, double> Rounds;
+  std::map<const Execute *, double> RoundOf;
+  for (std::size_t I = 0; I < Calls.size(); ++I) {
+    if (I > 0 && !haveSameRank(Now, Calls[I - 1], Calls[I]))
+      Rounds.clear();
+    const CallPolicy &Policy = Calls[I].Message->Policy;
+    double &Round = Rounds[Policy.Workspace];
+    Round += 1.0 / std::max(1U, Policy.Share);
+    RoundOf[Calls[I].Message] = Round;
+  }
+  std::ranges::stable_sort(Calls, [&](const auto &One, const auto &Other) {
+    if (!haveSameRank(Now, One, Other))
+      return precedes(Now, One, Other);
+    return RoundOf.at(One.Message) < RoundOf.at(Other.Message);
+  });
+}
+
+QueueAhead aheadInTurns(TimePoint Now, const WaitingCall &New,
+                        WaitingCalls Waiting) {
+  Waiting.push_back(New);
+  sortInTurns(Now, Waiting);
+  QueueAhead Ahead;
+  for (const WaitingCall &Call : Waiting) {
+    if (Call.Message == New.Message)
+      break;
+    ++Ahead.Calls;
+    Ahead.Work += Call.Work;
+  }
+  return Ahead;
+}
+
 /// Returns the calls up to the first one that is late and that New may
 /// displace; none if there is no such call.
-static WaitingCalls callsUpToFirstLate(TimePoint Now, const Execute &New,
-                                       const WaitingCalls &Ordered,
-                                       const SlotState &Slots) {
+static std::span<const WaitingCall>
+callsUpToFirstLate(TimePoint Now, const Execute &New,
+                   const WaitingCalls &Ordered, const SlotState &Slots,
+                   const Excess &Sums) {
   Duration Ahead{0};
   for (std::size_t I = 0; I < Ordered.size(); ++I) {
     const WaitingCall &Call = Ordered[I];
@@ -65,28 +159,24 @@
     Duration Wait =
         (Ahead + (Slots.AllTaken ? Call.Work : Duration(0))) / Slots.Usable;
     Ahead += Call.Work;
-    if (Now + Wait > Call.LatestStart && mayDisplace(New, *Call.Message))
-      return {Ordered.begin(),
-              Ordered.begin() + static_cast<std::ptrdiff_t>(I) + 1};
+    if (Now + Wait > Call.LatestStart && mayDisplace(New, *Call.Message, Sums))
+      return std::span(Ordered).first(I + 1);
   }
   return {};
 }
 
 std::vector<CallId> displacedBy(TimePoint Now, const Execute &New,
                                 WaitingCalls Waiting, const SlotState &Slots) {
-  std::ranges::stable_sort(Waiting, [&](const auto &One, const auto &Other) {
-    return precedes(Now, One, Other);
-  });
+  sortInTurns(Now, Waiting);
   std::vector<CallId> Displaced;
   while (Displaced.size() < MaxDisplaced) {
-    WaitingCalls Ahead = callsUpToFirstLate(Now, New, Waiting, Slots);
-    const WaitingCall *Victim = leastValuable(New, Ahead);
+    Excess Sums = excessOf(Waiting);
+    auto Ahead = callsUpToFirstLate(Now, New, Waiting, Slots, Sums);
+    const WaitingCall *Victim = leastValuable(New, Ahead, Sums);
     if (Victim == nullptr)
       break;
     Displaced.push_back(Victim->Message->Call);
-    std::erase_if(Waiting, [&](const WaitingCall &Call) {
-      return Call.Message == Victim->Message;
-    });
+    Waiting.erase(Waiting.begin() + (Victim - Waiting.data()));
   }
   return Displaced;
 }
--- a/src/sidecar/AdmissionPolicy.h
+++ b/src/sidecar/AdmissionPolicy.h
@@ -29,13 +29,32 @@
 /// still meet their target, then nested calls, then by the earlier target.
 bool precedes(TimePoint Now, const WaitingCall &One, const WaitingCall &Other);
 
-/// Returns whether New may displace Waiting, a less urgent call.
-bool mayDisplace(const Execute &New, const Execute &Waiting);
+/// Returns whether both are of the same rank, so that only their workspaces and
+/// targets decide which one is served first.
+bool haveSameRank(TimePoint Now, const WaitingCall &One,
+                  const WaitingCall &Other);
+
+/// Returns whether Waiting is less urgent than New.
+bool isLessUrgent(const Execute &Waiting, const Execute &New);
+
+/// Returns whether New may displace Waiting: a less urgent call, or one of the
+/// same priority whose workspace may be further over its share.
+bool mightDisplace(const Execute &New, const Execute &Waiting);
 
 /// Returns the least valuable of the calls that New may displace, or null: of
-/// the least urgent ones the one that needs the most work for its answer.
+/// the least urgent ones, those of the workspace that is most over its share,
+/// and of these the one that needs the most work for its answer.
 const WaitingCall *leastValuable(const Execute &New, const WaitingCalls &Calls);
 
+/// The calls that are served before a new one.
+struct QueueAhead {
+  std::size_t Calls = 0;
+  Duration Work{0};
+};
+/// Returns what is served before New if the workspaces take turns.
+QueueAhead aheadInTurns(TimePoint Now, const WaitingCall &New,
+                        WaitingCalls Waiting);
+
 /// Returns the calls that are refused at once since New, which has been
 /// admitted, makes calls late that it may displace.
 ///
--- a/src/sidecar/ServerGate.cpp
+++ b/src/sidecar/ServerGate.cpp
@@ -251,7 +251,7 @@
   std::size_t CallsAhead = 0;
   std::size_t LessUrgent = 0;
   for (const auto &[Id, Other] : Calls) {
-    if (Other.Run == 0 && mayDisplace(Call.Message, Other.Message))
+    if (Other.Run == 0 && isLessUrgent(Other.Message, Call.Message))
       ++LessUrgent;
     if (Other.Run != 0 || Id == Call.Message.Call || precedes(Now, Call, Other))
       continue;
@@ -261,6 +261,13 @@
       continue;
     Ahead += expectedRun(Other.Message.Policy.Route, Factor);
   }
+  if (Turns.inUse()) {
+    QueueAhead InTurns = aheadInTurns(Now, describe(Call), waitingCalls(Now));
+    CallsAhead = InTurns.Calls;
+    Ahead = Duration(
+        static_cast<Duration::rep>(static_cast<double>(InTurns.Work.count()) *
+                                   Factor / Slowdown.factor()));
+  }
   std::uint32_t Slots = usableSlots();
   Duration LimitWait = RateLimit.timeToStart(Now, CallsAhead);
   // With all slots taken, the next one is freed after about the duration of a
@@ -412,6 +419,7 @@
     displace(Step, callsToMakeRoom(Call), Id);
   BufferedBytes += Call.Bytes;
   Call.DelayedUntil = delayUntil(Step.Now, Call).value_or(TimePoint{});
+  Turns.add(Call.Message, Call.Deadline);
   Calls.emplace(Id, std::move(Call));
   ++Waiting;
   startWaiting(Step);
--- a/src/sidecar/ServerGate.h
+++ b/src/sidecar/ServerGate.h
@@ -14,6 +14,7 @@
 #include "SidecarSettings.h"
 #include "SlowdownTracker.h"
 #include "StopTime.h"
+#include "WorkspaceTurns.h"
 
 #include "figsail/TokenBucket.h"
 
@@ -179,6 +180,7 @@
   std::vector<CallId> callsToMakeRoom(const AdmittedCall &New) const;
   void displace(GateStep &Step, const std::vector<CallId> &Displaced,
                 const CallId &By);
+  AdmittedCall &callInTurn(TimePoint Now, AdmittedCall &Best);
   void displaceOvertaken(GateStep &Step, const CallId &New);
   bool acquireStartPermit(TimePoint Now);
   void startWaiting(GateStep &Step);
@@ -233,6 +235,7 @@
   CallMap Calls;                                ///< Waiting or running.
   std::multimap<TimePoint, CallId> ReceiptsDue; ///< By due time.
   std::size_t Waiting = 0;
+  WorkspaceTurns Turns;          ///< Of the waiting calls.
   std::size_t BufferedBytes = 0; ///< Requests of all calls.
   std::unordered_map<RunId, CallId> Runs;
   RunId LastRun = 0;
--- a/src/sidecar/ServerGateDisplacement.cpp
+++ b/src/sidecar/ServerGateDisplacement.cpp
@@ -4,6 +4,8 @@
 #include "ServerGate.h"
 
 #include <algorithm>
+#include <map>
+#include <set>
 
 namespace figsail {
 
@@ -43,7 +45,8 @@
     return;
   const Execute &Message = Calls.at(New).Message;
   bool Any = std::ranges::any_of(Calls, [&](const auto &Entry) {
-    return Entry.second.Run == 0 && mayDisplace(Message, Entry.second.Message);
+    return Entry.second.Run == 0 &&
+           mightDisplace(Message, Entry.second.Message);
   });
   if (!Any)
     return;
@@ -52,4 +55,24 @@
            New);
 }
 
+/// Returns the call whose turn it is among those of the rank of Best.
+ServerGate::AdmittedCall &ServerGate::callInTurn(TimePoint Now,
+                                                 AdmittedCall &Best) {
+  std::map<std::string_view, AdmittedCall *> First;
+  for (auto &[Id, Call] : Calls) {
+    if (Call.Run != 0 || isDelayed(Now, Call) ||
+        !haveSameRank(Now, {&Best.Message, Best.Target},
+                      {&Call.Message, Call.Target}))
+      continue;
+    AdmittedCall *&Earliest = First[Call.Message.Policy.Workspace];
+    if (Earliest == nullptr || precedes(Now, Call, *Earliest))
+      Earliest = &Call;
+  }
+  std::set<CallId> Candidates;
+  for (const auto &[Workspace, Call] : First)
+    Candidates.insert(Call->Message.Call);
+  std::optional<CallId> Taken = Turns.take(Candidates);
+  return Taken ? Calls.at(*Taken) : Best;
+}
+
 } // namespace figsail
--- a/src/sidecar/ServerGateRuns.cpp
+++ b/src/sidecar/ServerGateRuns.cpp
@@ -51,6 +51,7 @@
   if (Removed.Run != 0)
     return Removed;
   --Waiting;
+  Turns.remove(Removed.Message.Call);
   if (isRetry(Removed))
     Retries.returnRetry();
   return Removed;
@@ -108,7 +109,7 @@
     }
     if (Next == nullptr || !acquireStartPermit(Step.Now))
       return;
-    start(Step, *Next);
+    start(Step, Turns.inUse() ? callInTurn(Step.Now, *Next) : *Next);
   }
 }
 
@@ -123,6 +124,7 @@
   if (Call.Suspect)
     ++SuspectRuns[Call.Message.Fingerprint];
   --Waiting;
+  Turns.remove(Call.Message.Call);
   if (!isRetry(Call))
     Retries.addFirstArrival(Step.Now, Call.Message.RetryFraction);
   Runs.emplace(Call.Run, Call.Message.Call);
--- a/tests/AdmissionPolicyTest.cpp
+++ b/tests/AdmissionPolicyTest.cpp
@@ -113,4 +113,50 @@
     EXPECT_NE(Refusal.Call, Urgent.Call);
 }
 
+// Load pattern: one workspace sends ten times what another one sends, which
+// stays within its share of a server at twice its capacity. Guards against a
+// workspace that is delayed or refused since another one sends too much.
+TEST_F(AdmissionPolicyTest, AWorkspaceWithinItsShareIsServedInTime) {
+  const Duration Run = 100ms;
+  learn("read", Run);
+  sendHeartbeat(2);
+  TimePoint Start = Now;
+  std::multimap<TimePoint, RunId> Running;
+  std::map<CallId, TimePoint> Small;
+  std::size_t SmallInTime = 0, SmallSent = 0, Answers = 0;
+  auto Process = [&](const SidecarEffects &Out) {
+    for (const StartRun &Started : effects<StartRun>(Out))
+      Running.emplace(Now + Run, Started.Run);
+    for (auto &[Host, Reply] : messages<Answer>(Out)) {
+      ++Answers;
+      auto Found = Small.find(Reply.Call);
+      if (Found != Small.end() && Now - Found->second <= 300ms)
+        ++SmallInTime;
+    }
+  };
+  for (int Millis = 0; Millis < 3000; ++Millis) {
+    Now = Start + std::chrono::milliseconds(Millis);
+    while (!Running.empty() && Running.begin()->first <= Now) {
+      RunId Ended = Running.begin()->second;
+      Running.erase(Running.begin());
+      Process(endRun(Ended));
+    }
+    if (Millis % 6 == 0) { // 167 a second; 8 slots serve 80.
+      Execute Next = callOf("read", 1, 300ms);
+      Next.Policy.Workspace = "large";
+      Process(execute(std::move(Next)));
+    }
+    if (Millis % 60 == 0 && Millis < 2700) {
+      Execute Next = callOf("read", 1, 300ms);
+      Next.Policy.Workspace = "small";
+      Small[Next.Call] = Now;
+      ++SmallSent;
+      Process(execute(std::move(Next)));
+    }
+    Process(step([&](GateStep &Step) { Gate.timer(Step); }));
+  }
+  EXPECT_EQ(SmallInTime, SmallSent);
+  EXPECT_GE(Answers, 200U) << "the server stays fully used";
+}
+
 } // namespace
