--- a/include/figsail/Events.h
+++ b/include/figsail/Events.h
@@ -215,6 +215,9 @@
   KeysMissing,  ///< Requests refused without a key where one is required.
   KeysUnknown,  ///< Requests refused with a key of no workspace.
   RolloutSteps, ///< Steps of rollouts that this daemon has decided.
+  RunsDisplaced,
+  RefusedAtDoor,
+  DoorTrials,
 };
 
 /// Increment a counter.
@@ -292,7 +295,7 @@
 std::string_view counterName(Counter Which);
 
 inline constexpr std::size_t CounterCount =
-    static_cast<std::size_t>(Counter::RolloutSteps) + 1;
+    static_cast<std::size_t>(Counter::DoorTrials) + 1;
 
 } // namespace figsail
 
--- a/src/core/ErrorTable.cpp
+++ b/src/core/ErrorTable.cpp
@@ -51,6 +51,7 @@
     {ErrorKind::KeyUnconfirmed,         "key-unconfirmed",         503, RunState::No,      seconds(1),   "The key is not known here; a newer configuration is being read."},
     {ErrorKind::RolloutClosed,          "rollout-closed",          503, RunState::No,      seconds(1),   "The backend server has a version that takes no more requests at present."},
     {ErrorKind::QuotaExceeded,          "quota-exceeded",          429, RunState::No,      seconds(1),   "The workspace has used up its quota."},
+    {ErrorKind::CalledServiceRefuses,   "called-service-refuses",  503, RunState::No,      seconds(1),   "A service that the request needs refuses calls at this moment."},
     // clang-format on
 }};
 
--- a/src/core/Names.cpp
+++ b/src/core/Names.cpp
@@ -74,7 +74,10 @@
     "records_unusable",
     "keys_missing",
     "keys_unknown",
-    "rollout_steps"};
+    "rollout_steps",
+    "runs_displaced",
+    "refused_at_door",
+    "door_trials"};
 
 std::string_view counterName(Counter Which) {
   return CounterNames[static_cast<std::size_t>(Which)];
--- a/src/sidecar/CallRouterReplies.cpp
+++ b/src/sidecar/CallRouterReplies.cpp
@@ -48,6 +48,7 @@
   endAttempt(Step, *Current, Success, &Message.Load);
   ++Current->ServersReached;
   Current->MayHaveRun = true;
+  Dependencies.runEnded(Step.Now, Current->Route->Name, Message.CallRefused);
   if (Message.CallRefused && Current->Nested)
     RefusedByServices.add(Step.Now);
   // A retry would make the run's calls again, and a service refuses these.
@@ -100,7 +101,8 @@
   Notices.received(Step.Now, From.Host, Message.Load.Notice, false);
   Call *Current = find(Message.Call, From);
   if (!Current) {
-    Step.Out.emplace_back(Count{Counter::StaleMessages});
+    if (!settleRefused(From, Message.Call))
+      Step.Out.emplace_back(Count{Counter::StaleMessages});
     return;
   }
   // A new incarnation cannot answer a query about the previous one.
--- a/src/sidecar/ServerGate.h
+++ b/src/sidecar/ServerGate.h
@@ -3,6 +3,7 @@
 #ifndef FIGSAIL_SIDECAR_SERVERGATE_H
 #define FIGSAIL_SIDECAR_SERVERGATE_H
 
+#include "AdmissionPolicy.h"
 #include "CrashDetector.h"
 #include "LocalServer.h"
 #include "ReplyCache.h"
@@ -14,6 +15,7 @@
 #include "SidecarSettings.h"
 #include "SlowdownTracker.h"
 #include "StopTime.h"
+#include "WorkspaceTurns.h"
 
 #include "figsail/TokenBucket.h"
 
@@ -57,6 +59,8 @@
   void runEnded(GateStep &Step, ServerRunResult Done, bool CallRefused = false);
   /// Returns when a run started, or nothing if it has ended.
   std::optional<TimePoint> runStart(RunId Run) const;
+  /// Returns the route of a run for another host's ingress, or nothing.
+  std::optional<std::string> remoteRoute(RunId Run) const;
   void probeEnded(GateStep &Step, const ServerProbeResult &Probe);
 
   /// Applies a heartbeat. The verdict says whether to announce a change.
@@ -109,6 +113,8 @@
   /// these runs; which run makes a call is not known.
   float retryFraction() const;
   std::size_t runs() const { return Runs.size(); }
+  /// Returns the most urgent priority of the present runs, if there are any.
+  std::optional<std::uint32_t> mostUrgentRun() const;
   /// Returns whether no call is waiting or running.
   bool idle() const { return Calls.empty(); }
   LoadReport load(TimePoint Now) const;
@@ -181,6 +187,14 @@
   }
   bool precedes(TimePoint Now, const AdmittedCall &One,
                 const AdmittedCall &Other) const;
+  bool isFull(const AdmittedCall &Call) const;
+  WaitingCall describe(const AdmittedCall &Call) const;
+  WaitingCalls waitingCalls(TimePoint Now) const;
+  std::vector<CallId> callsToMakeRoom(const AdmittedCall &New) const;
+  void displace(GateStep &Step, const std::vector<CallId> &Displaced,
+                const CallId &By);
+  AdmittedCall &callInTurn(TimePoint Now, AdmittedCall &Best);
+  void displaceOvertaken(GateStep &Step, const CallId &New);
   bool acquireStartPermit(TimePoint Now);
   void startWaiting(GateStep &Step);
   void start(GateStep &Step, AdmittedCall &Call);
@@ -239,6 +253,7 @@
   CallMap Calls;                                ///< Waiting or running.
   std::multimap<TimePoint, CallId> ReceiptsDue; ///< By due time.
   std::size_t Waiting = 0;
+  WorkspaceTurns Turns;          ///< Of the waiting calls.
   std::size_t BufferedBytes = 0; ///< Requests of all calls.
   std::unordered_map<RunId, CallId> Runs;
   RunId LastRun = 0;
--- a/src/sidecar/ServerGateRuns.cpp
+++ b/src/sidecar/ServerGateRuns.cpp
@@ -53,6 +53,7 @@
   if (Removed.Run != 0)
     return Removed;
   --Waiting;
+  Turns.remove(Removed.Message.Call);
   if (isRetry(Removed))
     Retries.returnRetry();
   return Removed;
@@ -113,7 +114,7 @@
     }
     if (Next == nullptr || !acquireStartPermit(Step.Now))
       return;
-    start(Step, *Next);
+    start(Step, Turns.inUse() ? callInTurn(Step.Now, *Next) : *Next);
   }
 }
 
@@ -130,6 +131,7 @@
   if (Call.Suspect)
     ++SuspectRuns[Call.Message.Fingerprint];
   --Waiting;
+  Turns.remove(Call.Message.Call);
   if (!isRetry(Call))
     Retries.addFirstArrival(Step.Now, Call.Message.RetryFraction);
   ++StartsSinceProbe;
@@ -148,6 +150,16 @@
   return Calls.at(Found->second).Started;
 }
 
+std::optional<std::string> ServerGate::remoteRoute(RunId Run) const {
+  auto Found = Runs.find(Run);
+  if (Found == Runs.end())
+    return std::nullopt;
+  const AdmittedCall &Call = Calls.at(Found->second);
+  if (Call.From.Host == Self.Host)
+    return std::nullopt;
+  return Call.Message.Policy.Route;
+}
+
 void ServerGate::runEnded(GateStep &Step, ServerRunResult Done,
                           bool CallRefused) {
   auto Found = Runs.find(Done.Run);
