--- a/tests/WorkspacesTest.cpp
+++ b/tests/WorkspacesTest.cpp
@@ -19,7 +19,8 @@
     R"("RatePerS":264,"Burst":30,"HomeRegions":["east"]},)"
     R"({"Name":"west-press","ApiKeys":["west-key"],"HomeRegions":["west"]})";
 
-std::string configText(const std::string &Tenants, std::string Version = "6") {
+std::string configText(const std::string &Tenants,
+                       const std::string &Version = "6") {
   std::string Route =
       R"("Host":"desk.example","Kind":"download","TimeoutMs":1000,)"
       R"("TargetLatencyMs":300,"Priority":2,"Service":"booking","Attempts":2)";
@@ -190,11 +191,13 @@
   const std::string Valid = R"({"Name":"a","ApiKeys":["secret"]})";
   EXPECT_FALSE(fault(Valid));
   EXPECT_FALSE(fault(R"({"Name":"a","ApiKeys":[],"Priority":null})"));
+  std::string SameName = Valid;
+  SameName += R"(,{"Name":"a","ApiKeys":["secret2"]})";
   std::string Keys = "\"secret\"";
   for (int I = 0; I < 16; ++I)
     Keys += ",\"secret" + std::to_string(I) + "\"";
   for (const std::string &Bad : std::vector<std::string>{
-           Valid + "," + Valid, Valid + R"(,{"Name":"b","ApiKeys":["secret"]})",
+           SameName, Valid + R"(,{"Name":"b","ApiKeys":["secret"]})",
            R"({"Name":"","ApiKeys":["secret"]})",
            R"({"Name":"a\r\nX: 1","ApiKeys":["secret"]})", R"({"Name":"a"})",
            R"({"ApiKeys":["secret"]})", R"({"Name":"a","ApiKeys":"secret"})",
