Change: the trial of a rollout begins when the rate of requests is known

The first share record said 0.5 while no requests had been reported, so that gates refused most of these calls. A removed order keeps its version rejected unless it was completed, and servers without a version are never held back.

--- a/src/sidecar/RolloutController.cpp
+++ b/src/sidecar/RolloutController.cpp
@@ -28,7 +28,7 @@
 
 // Fractions of the order's time.
 /// End of the trial.
-static constexpr double TrialEnd = 0.40;
+static constexpr double TrialEnd = 0.42;
 /// From here on, a trial with few runs may end.
 static constexpr double ShortTrialEnd = 0.55;
 /// Shortest trial.
@@ -53,11 +53,13 @@
 static constexpr Duration ShortestStep = 300ms;
 static constexpr Duration LongestMinStep = 2s;
 /// The new servers carry all traffic for this long before the completion.
-static constexpr Duration CompleteTime = 1200ms;
+static constexpr Duration CompleteTime = 1100ms;
 /// A gate that has not reported for this long is no longer used.
 static constexpr Duration GateLifetime = 2s;
-/// Time of reports before the rate of requests is known.
-static constexpr Duration RateTime = 600ms;
+/// Time of reports before the rate of requests is known; with none in it, the
+/// service is idle.
+static constexpr Duration RateTime = 1200ms;
+static constexpr Duration IdleRateTime = 3s;
 /// A record or status that is not seen by then is written again.
 static constexpr Duration WriteRetry = 1s;
 static constexpr Duration StatusRetry = 300ms;
@@ -313,7 +315,9 @@
 }
 
 bool RolloutController::mayStartTrial(const RolloutControllerStep &Now) const {
-  return Now.Now - StartedAt >= RateTime && !readyTargets(Now.Now).empty();
+  bool AnyRequests = Old.Started + New.Started > 0;
+  return Now.Now - StartedAt >= (AnyRequests ? RateTime : IdleRateTime) &&
+         !readyTargets(Now.Now).empty();
 }
 
 bool RolloutController::mayEndTrial(const RolloutControllerStep &Now) const {
--- a/src/sidecar/RolloutGate.cpp
+++ b/src/sidecar/RolloutGate.cpp
@@ -6,10 +6,6 @@
 
 namespace figsail {
 
-using namespace std::chrono_literals;
-
-/// A reply of a controller applies for this long.
-static constexpr Duration ReplyLifetime = 2s;
 /// Routes that are counted, so that a report stays small.
 static constexpr std::size_t MaxRoutes = 32;
 
--- a/src/sidecar/RolloutGate.h
+++ b/src/sidecar/RolloutGate.h
@@ -35,6 +35,8 @@
   void setRole(RolloutRole Next, Offset Order, const std::string &Instance,
                std::uint64_t EpochSeed);
   RolloutRole role() const { return Role; }
+  /// Sets how long a reply of a controller applies.
+  void setReplyLifetime(Duration Time) { ReplyLifetime = Time; }
 
   /// A controller has replied to a report.
   void verdict(TimePoint Now, const HostId &From, const RolloutVerdict &Reply);
@@ -69,6 +71,7 @@
   RolloutRouteCounts &route(const std::string &Name);
 
   RolloutRole Role = RolloutRole::None;
+  Duration ReplyLifetime{std::chrono::seconds(2)};
   std::string Instance;
   std::uint64_t Epochs = 0;
   bool Bad = false;
--- a/src/sidecar/RolloutOrders.cpp
+++ b/src/sidecar/RolloutOrders.cpp
@@ -14,7 +14,7 @@
 
 bool RolloutOrders::apply(TimePoint Now, const RolloutOrder &Order, Offset At) {
   if (!Order.Active)
-    return Services.erase(Order.Service) > 0;
+    return remove(Order.Service);
   ServiceOrders &Known = Services[Order.Service];
   if (Known.Active) {
     const RolloutOrder &Before = Known.Active->Order;
@@ -32,6 +32,18 @@
   return true;
 }
 
+/// Removes an order. Its version stays rejected unless the order was completed.
+bool RolloutOrders::remove(const std::string &Service) {
+  auto Found = Services.find(Service);
+  if (Found == Services.end() || !Found->second.Active)
+    return false;
+  ServiceOrders &Known = Found->second;
+  if (Known.Active->state() != RolloutState::Completed)
+    Known.Rejected.insert(Known.Active->Order.TargetVersion);
+  Known.Active.reset();
+  return true;
+}
+
 bool RolloutOrders::apply(TimePoint Now, const RolloutShare &Share) {
   if (Share.TargetVersion.empty())
     return false; // The record was removed.
--- a/src/sidecar/RolloutOrders.h
+++ b/src/sidecar/RolloutOrders.h
@@ -61,6 +61,7 @@
     std::optional<RolloutShare> Newest; ///< Of any order.
     std::set<std::string> Rejected;
   };
+  bool remove(const std::string &Service);
   static bool belongs(const RolloutShare &Share, const ActiveRollout &Rollout);
   static bool adopt(TimePoint Now, ServiceOrders &Known);
 
--- a/src/sidecar/Rollouts.cpp
+++ b/src/sidecar/Rollouts.cpp
@@ -24,6 +24,9 @@
 static constexpr Duration FastReportInterval = 125ms;
 /// Step of the share record from which reports are sent more often.
 static constexpr unsigned FastReportStep = 2;
+/// Replies of controllers apply for this long, and at most for half of the time
+/// in which a bad version must get no more requests.
+static constexpr Duration MaxReplyLifetime = 2s;
 /// Interval at which controllers decide.
 static constexpr Duration TickInterval = 50ms;
 /// A controller without reports for this long is dropped when its order has
@@ -77,7 +80,7 @@
                                const InstanceDirectory &Directory,
                                std::vector<const Member *> &Eligible) const {
   const ActiveRollout *Rollout = Orders.find(Service);
-  if (!Rollout && !Bounds.UsesRollouts)
+  if (Orders.empty() && !Bounds.UsesRollouts)
     return;
   std::vector<const Member *> Target;
   std::vector<const Member *> Old;
@@ -99,8 +102,11 @@
   }
   if (Old.empty())
     Old = std::move(Held);
-  if (!Rollout)
-    return keepOnly(Eligible, std::move(Old));
+  if (!Rollout) {
+    if (!Old.empty())
+      keepOnly(Eligible, std::move(Old));
+    return;
+  }
   RolloutState State = Rollout->state();
   bool Rejected =
       State == RolloutState::Closed || State == RolloutState::RolledBack;
@@ -126,18 +132,25 @@
 
 // The own gate.
 
-/// Returns whether the own server's version may be that of an order that this
-/// daemon has not read, and a server of another version is ready.
+/// Returns whether a server of another version than the own one is ready.
+static bool isOtherVersionReady(const RolloutStep &Step) {
+  return std::ranges::any_of(
+      Step.Directory.ready(Step.Server.service()), [&](const Member &Other) {
+        return Step.Directory.find(Other.Host)->Version !=
+               Step.Server.version();
+      });
+}
+
+/// Returns whether the own server's version was rejected, or may be that of an
+/// order that this daemon has not read.
 bool Rollouts::isHeldBack(const RolloutStep &Step) const {
   const std::string &Service = Step.Server.service();
   const std::string &Version = Step.Server.version();
-  if (!Bounds.UsesRollouts ||
-      !Versions.isHeld(Step.Now, Service, Version, Step.UpToDate))
-    return false;
-  return std::ranges::any_of(
-      Step.Directory.ready(Service), [&](const Member &Other) {
-        return Step.Directory.find(Other.Host)->Version != Version;
-      });
+  if (Orders.isRejected(Service, Version))
+    return Orders.find(Service) || isOtherVersionReady(Step);
+  return Bounds.UsesRollouts &&
+         Versions.isHeld(Step.Now, Service, Version, Step.UpToDate) &&
+         isOtherVersionReady(Step);
 }
 
 RolloutRole Rollouts::roleOf(const RolloutStep &Step) const {
@@ -155,7 +168,7 @@
       return RolloutRole::Closed;
     }
   }
-  if (Orders.isRejected(Service, Version) || isHeldBack(Step))
+  if (isHeldBack(Step))
     return RolloutRole::Closed;
   bool Running = Rollout && !isFinal(Rollout->state());
   return Running ? RolloutRole::Old : RolloutRole::None;
@@ -171,6 +184,8 @@
       Step.Server.state() == InstanceState::Ready)
     Versions.announced(Step.Now + Duration(1), Service, Step.Server.version());
   const ActiveRollout *Rollout = Orders.find(Service);
+  Step.Gate.setReplyLifetime(
+      std::min<Duration>(MaxReplyLifetime, Bounds.RollbackTime / 2));
   RolloutRole Before = Step.Gate.role();
   RolloutRole Next = roleOf(Step);
   Step.Gate.setRole(Next, Rollout ? Rollout->At : NoOffset,
--- a/src/sidecar/VersionWatch.cpp
+++ b/src/sidecar/VersionWatch.cpp
@@ -26,7 +26,8 @@
 bool VersionWatch::isHeld(TimePoint Now, const std::string &Service,
                           const std::string &Version, bool UpToDate) const {
   auto Known = FirstSeen.find(Service);
-  if (Known == FirstSeen.end())
+  // No order can name a server without a version.
+  if (Version.empty() || Known == FirstSeen.end())
     return false;
   auto Own = Known->second.find(Version);
   if (Own == Known->second.end())
