--- a/tests/PlatformTest.cpp
+++ b/tests/PlatformTest.cpp
@@ -183,6 +183,20 @@
   EXPECT_EQ(Heartbeat.StartMillis, 1767225600000);
 }
 
+// Guards against a version that gets lost, or that is required.
+TEST(PlatformReports, ReadsTheVersionOfAServer) {
+  auto Version = [](const std::string &Field) {
+    std::string Text = ValidHeartbeat;
+    Text.insert(Text.find('{') + 1, Field);
+    return std::get<ServerHeartbeat>(platform::JsonReportCodec().decode(
+                                         "PUT", "/v1/instances/i-1", Text))
+        .Version;
+  };
+  EXPECT_EQ(Version(""), "");
+  EXPECT_EQ(Version(R"("Version":null,)"), "");
+  EXPECT_EQ(Version(R"("Version":"v2",)"), "v2");
+}
+
 TEST(PlatformReports, RejectsInvalidReports) {
   auto Status = [](std::string_view Method, std::string_view Target,
                    const std::string &Body) {
@@ -271,6 +285,43 @@
   }
 }
 
+// Guards against an order that is misread, or whose removal is taken for one.
+TEST(PlatformRecords, ReadsARolloutOrder) {
+  auto Decode = [](const std::string &Key, std::optional<std::string> Value) {
+    return platform::JsonRecordDecoder().decode(Topic::Operator,
+                                                {Key, std::move(Value), 3});
+  };
+  auto Read = Decode("rollout/s", R"({"Service":"s","TargetVersion":"v2",
+                                      "DurationS":12})");
+  const auto &Order = std::get<RolloutOrder>(Read);
+  EXPECT_EQ(Order.Service, "s");
+  EXPECT_EQ(Order.TargetVersion, "v2");
+  EXPECT_EQ(Order.Time, Duration(12s));
+  EXPECT_TRUE(Order.Active);
+  EXPECT_FALSE(
+      std::get<RolloutOrder>(Decode("rollout/s", std::nullopt)).Active);
+  for (const char *Text :
+       {R"({"Service":"t","TargetVersion":"v2","DurationS":12})",
+        R"({"Service":"s","TargetVersion":"","DurationS":12})",
+        R"({"Service":"s","TargetVersion":"v2","DurationS":-1})",
+        R"({"Service":"s","TargetVersion":"v2"})", "[]"})
+    EXPECT_TRUE(
+        std::holds_alternative<UnusableRecord>(Decode("rollout/s", Text)))
+        << Text;
+}
+
+// Guards against a share record that another daemon reads differently.
+TEST(PlatformRecords, ReadsTheShareOfARollout) {
+  RolloutShare Share{"s",   "v2",         7,     RolloutState::Running, 3, 0.25,
+                     {"a"}, Duration(4s), {"v0"}};
+  auto Read = platform::JsonRecordDecoder().decode(
+      Topic::Members, {"rollout/s", encodeRolloutShare(Share), 1});
+  EXPECT_EQ(std::get<RolloutShare>(Read), Share);
+  auto Other = platform::JsonRecordDecoder().decode(
+      Topic::Members, {"rollout/t", encodeRolloutShare(Share), 1});
+  EXPECT_TRUE(std::holds_alternative<UnusableRecord>(Other));
+}
+
 TEST(PlatformRecords, ReadsTheStartAndEndOfAnEvacuation) {
   platform::JsonRecordDecoder Decoder;
   auto Started = std::get<Evacuation>(
@@ -443,6 +494,36 @@
   EXPECT_EQ(Bodies[0], std::string("\0\0\0\x0e\x0d", 5) + "10.0.0.1:7000");
 }
 
+// Guards against a status that replaces one which was written meanwhile.
+TEST_F(StoreClientTest, AStatusIsWrittenOnlyAtTheEndThatWasRead) {
+  using Outcome = RolloutStatusWritten::Outcome;
+  addResponse(404, "{}");
+  Client->readRolloutStatus();
+  EXPECT_TRUE(wait<RolloutStatusRead>().Success);
+  // {"State":"running","TargetVersion":"v2"}
+  addResponse(200,
+              R"({"items":[{"Key":"rollout/s","Offset":6,"Value":)"
+              R"("eyJTdGF0ZSI6InJ1bm5pbmciLCJUYXJnZXRWZXJzaW9uIjoidjIifQ=="}],)"
+              R"("HasMore":false,"EndOffset":7})");
+  Client->readRolloutStatus();
+  auto Read = wait<RolloutStatusRead>();
+  RolloutStatus Status{"s", RolloutState::Running, "v2"};
+  EXPECT_EQ(Read.Entries, std::vector<RolloutStatus>{Status});
+  EXPECT_EQ(Read.End, 7);
+  Status.State = RolloutState::RolledBack;
+  addResponse(412, "{}");
+  Client->writeRolloutStatus(Status, Read.End);
+  EXPECT_EQ(wait<RolloutStatusWritten>().Result, Outcome::Conflict);
+  EXPECT_EQ(Targets.back(), "/v1/log-append?Topic=keyed.status&part=0&At=7");
+  EXPECT_EQ(Bodies.back().substr(5),
+            R"(rollout/s{"State":"rolled_back","TargetVersion":"v2"})");
+  addResponse(200, "{}");
+  Client->writeRolloutStatus(Status, Read.End);
+  EXPECT_EQ(wait<RolloutStatusWritten>().Result, Outcome::Written);
+  Client->writeRolloutStatus(Status, Read.End);
+  EXPECT_EQ(wait<RolloutStatusWritten>().Result, Outcome::Failed);
+}
+
 // A connection attempt into a network partition gets no reply, and the kernel
 // sends the next SYN only after seconds. When the attempt had the timeout of a
 // long read, a daemon reached the store again 6 s after the partition had
@@ -492,6 +573,23 @@
   EXPECT_EQ(Parsed.Addresses.Clients, "10.1.0.8:8304");
 }
 
+// Guards against deployments without rollouts that hold back versions.
+TEST(PlatformSettings, TheBoundsOfRolloutsAreOptional) {
+  auto Bounds = [](const std::string &Fields) {
+    std::string Text = ValidSettings;
+    Text.insert(Text.find("Unknown: 7"), Fields);
+    return std::get<SidecarConfiguration>(platform::parseSettings(Text))
+        .Settings.Bounds;
+  };
+  EXPECT_FALSE(Bounds("").UsesRollouts);
+  SidecarBounds Read =
+      Bounds("ExposureShare: 0.2, ExposureSlack: 30, RollbackMs: 4000, ");
+  EXPECT_TRUE(Read.UsesRollouts);
+  EXPECT_EQ(Read.ExposureShare, 0.2);
+  EXPECT_EQ(Read.ExposureSlack, 30);
+  EXPECT_EQ(Read.RollbackTime, Duration(4s));
+}
+
 TEST(PlatformSettings, AnErrorNamesTheField) {
   for (auto [From, To, Name] :
        std::vector<std::tuple<std::string, std::string, std::string>>{
