Change: a trial uses one new server in each region, and others if they stay idle

Routes with home regions would otherwise not be tried, and a trial on hosts that ingresses cannot use would end in a rollback. A server of an evacuated domain does not count as ready.

--- a/src/sidecar/RolloutController.cpp
+++ b/src/sidecar/RolloutController.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <array>
 #include <cmath>
+#include <set>
 
 namespace figsail {
 
@@ -80,6 +81,10 @@
 /// Fraction of the order's time at the last step, from which OldPartLater is
 /// used: an ingress may not get the record.
 static constexpr double OldPartTime = 0.12;
+/// In the trial, a gate may start this many runs without a further reply, and
+/// the runs of this time at the rate of all.
+static constexpr double TrialGrant = 4;
+static constexpr Duration TrialGrantTime = 700ms;
 /// After the trial, a gate may start this many runs without a further reply,
 /// and the runs of this time at its part of the rate.
 static constexpr double GrowthGrant = 10;
@@ -206,6 +211,11 @@
       Left -= std::max(Other.Grant, Other.Last.Started);
   double Each =
       std::floor(Left / static_cast<double>(Now.Rollout.Share->Hosts.size()));
+  // What a host with few calls does not use is left for the others.
+  double Enough = TrialGrant + requestRate(Now.Now) * Now.Rollout.Share->Share *
+                                   seconds(TrialGrantTime);
+  double Unused = static_cast<double>(Reporter.Grant) - Last.Started;
+  Each = std::min(Each, std::ceil(Enough - Unused));
   return Reporter.Grant + static_cast<std::uint32_t>(std::max(0.0, Each));
 }
 
@@ -375,11 +385,49 @@
   std::vector<HostId> Ready = readyTargets(Now.Now);
   if (Step != TrialStep || Ready.empty())
     return false;
+  if (isTrialIdle(Now) && Now.Rollout.Share->Hosts.size() < Ready.size())
+    return true;
   return std::ranges::any_of(Now.Rollout.Share->Hosts, [&](const HostId &Host) {
     return std::ranges::find(Ready, Host) == Ready.end();
   });
 }
 
+/// Returns whether the hosts of the trial get no calls, though there are some.
+/// The ingresses may not reach these hosts.
+bool RolloutController::isTrialIdle(const RolloutControllerStep &Now) const {
+  return Step == TrialStep &&
+         Now.Now - StepSeenAt >= part(Now.Rollout, MinTrial) &&
+         New.Started == AtStep.New.Started && Old.Started > AtStep.Old.Started;
+}
+
+/// Returns the hosts that get the calls of the trial: few, so that they see
+/// their usual load, but one in each region, since a route may be bound to its
+/// home regions.
+std::vector<HostId>
+RolloutController::trialHosts(const RolloutControllerStep &Now,
+                              double Share) const {
+  std::vector<HostId> Ready = readyTargets(Now.Now);
+  if (isTrialIdle(Now))
+    return Ready;
+  std::size_t OldServers = 0;
+  for (const auto &[Host, Reporter] : Gates)
+    OldServers += Reporter.Last.IsTarget ? 0 : 1;
+  auto Wanted = static_cast<std::size_t>(
+      std::max(1.0, std::ceil(Share * static_cast<double>(OldServers))));
+  std::vector<HostId> Chosen;
+  std::set<std::string> Regions;
+  for (const HostId &Host : Ready) {
+    const Announcement *Announced = Now.Directory.find(Host);
+    if (Announced && Regions.insert(Announced->Region).second)
+      Chosen.push_back(Host);
+  }
+  for (const HostId &Host : Ready)
+    if (Chosen.size() < Wanted &&
+        std::ranges::find(Chosen, Host) == Chosen.end())
+      Chosen.push_back(Host);
+  return Chosen;
+}
+
 RolloutShare RolloutController::nextShare(const RolloutControllerStep &Now,
                                           unsigned To) const {
   RolloutShare Next;
@@ -390,16 +438,8 @@
   Next.Share = StepShares[To];
   if (To != TrialStep)
     return Next;
-  // Few servers get the calls of the trial, so that they see their usual load.
   Next.Share = trialShare(Now);
-  Next.Hosts = readyTargets(Now.Now);
-  std::size_t OldServers = 0;
-  for (const auto &[Host, Reporter] : Gates)
-    OldServers += Reporter.Last.IsTarget ? 0 : 1;
-  auto Wanted = static_cast<std::size_t>(
-      std::ceil(Next.Share * static_cast<double>(OldServers)));
-  Next.Hosts.resize(
-      std::min(Next.Hosts.size(), std::max<std::size_t>(1, Wanted)));
+  Next.Hosts = trialHosts(Now, Next.Share);
   return Next;
 }
 
--- a/src/sidecar/RolloutController.h
+++ b/src/sidecar/RolloutController.h
@@ -3,6 +3,7 @@
 #ifndef FIGSAIL_SIDECAR_ROLLOUTCONTROLLER_H
 #define FIGSAIL_SIDECAR_ROLLOUTCONTROLLER_H
 
+#include "Instance.h"
 #include "RolloutJudge.h"
 #include "RolloutOrders.h"
 #include "SidecarEvents.h"
@@ -24,6 +25,7 @@
   /// Position of this daemon in the order of the controllers, from 0 on. Only
   /// the first acts at once; the others act when it does not.
   unsigned Rank = 0;
+  const InstanceDirectory &Directory;
   SidecarEffects &Out;
 };
 
@@ -111,6 +113,9 @@
   bool mayComplete(const RolloutControllerStep &Step) const;
   bool isOverloaded() const;
   bool isTrialHostLost(const RolloutControllerStep &Step) const;
+  bool isTrialIdle(const RolloutControllerStep &Step) const;
+  std::vector<HostId> trialHosts(const RolloutControllerStep &Step,
+                                 double Share) const;
   RolloutShare nextShare(const RolloutControllerStep &Step, unsigned To) const;
   std::vector<HostId> readyTargets(TimePoint Now) const;
   double requestRate(TimePoint Now) const;
--- a/src/sidecar/Rollouts.cpp
+++ b/src/sidecar/Rollouts.cpp
@@ -253,7 +253,7 @@
   Message.Service = Service;
   Message.ElapsedMicros = Rollout->elapsed(Step.Now).count();
   Message.IsTarget = Step.Server.version() == Rollout->Order.TargetVersion;
-  Message.Ready = Step.Server.state() == InstanceState::Ready;
+  Message.Ready = Step.Open;
   for (const HostId &Host : controllersOf(Step, *Rollout))
     Step.Out.emplace_back(SendPeer{Host, Message});
 }
@@ -275,8 +275,9 @@
                          const ActiveRollout &Rollout) const {
   std::vector<HostId> Order = controllersOf(Step, Rollout);
   auto Own = std::ranges::find(Order, Self);
-  return {Step.Now, Rollout, Bounds, static_cast<unsigned>(Own - Order.begin()),
-          Step.Out};
+  return {Step.Now,       Rollout,
+          Bounds,         static_cast<unsigned>(Own - Order.begin()),
+          Step.Directory, Step.Out};
 }
 
 void Rollouts::report(RolloutStep &Step, const HostId &From,
@@ -288,7 +289,8 @@
     return;
   auto Found = Controllers.try_emplace(Message.Service, Step.Now).first;
   // The rank matters to decisions only.
-  RolloutControllerStep AtController{Step.Now, *Rollout, Bounds, 0, Step.Out};
+  RolloutControllerStep AtController{Step.Now, *Rollout,       Bounds,
+                                     0,        Step.Directory, Step.Out};
   Step.Out.emplace_back(
       SendPeer{From, Found->second.report(AtController, From, Message)});
   TickAt = std::min(TickAt, Step.Now + TickInterval);
--- a/src/sidecar/Rollouts.h
+++ b/src/sidecar/Rollouts.h
@@ -28,6 +28,7 @@
   const PeerHealth &Peers;
   const LocalServer &Server; ///< The backend server beside this daemon.
   RolloutGate &Gate;         ///< Of that server.
+  bool Open;                 ///< The server accepts calls.
   bool UpToDate;             ///< This daemon has what the operator topic has.
   SidecarEffects &Out;
 };
--- a/src/sidecar/ServerGate.cpp
+++ b/src/sidecar/ServerGate.cpp
@@ -108,11 +108,14 @@
   return Sum / static_cast<float>(Runs.size());
 }
 
+bool ServerGate::isOpen() const {
+  return Server.state() == InstanceState::Ready && !Evacuated && !Stopping &&
+         !Unreachable;
+}
+
 LoadReport ServerGate::load(TimePoint Now) const {
   LoadReport Report;
-  bool Open = Server.state() == InstanceState::Ready && !Evacuated &&
-              !Stopping && !Unreachable;
-  Report.Draining = !Open;
+  Report.Draining = !isOpen();
   Report.Limit = usableSlots();
   if (Server.cold(Now)) {
     double Busy =
--- a/src/sidecar/ServerGate.h
+++ b/src/sidecar/ServerGate.h
@@ -111,6 +111,9 @@
   std::size_t runs() const { return Runs.size(); }
   /// Returns whether no call is waiting or running.
   bool idle() const { return Calls.empty(); }
+  /// Returns whether the server accepts calls: it is ready, reachable and in
+  /// service.
+  bool isOpen() const;
   LoadReport load(TimePoint Now) const;
   /// Returns the ingresses to notify of the load if the server's speed has
   /// changed since the last notification; otherwise none.
--- a/src/sidecar/Sidecar.cpp
+++ b/src/sidecar/Sidecar.cpp
@@ -115,8 +115,8 @@
 
 RolloutStep Sidecar::rolloutStep(Step &S) {
   bool UpToDate = topicsComplete() && !isConfigBehind(S.Now);
-  return {S.Now,          Directory, Peers, Gate.server(),
-          Gate.rollout(), UpToDate,  S.Out};
+  return {S.Now,          Directory,     Peers,    Gate.server(),
+          Gate.rollout(), Gate.isOpen(), UpToDate, S.Out};
 }
 
 // Clients and peers.
