--- a/src/sidecar/ServerGate.cpp
+++ b/src/sidecar/ServerGate.cpp
@@ -142,11 +142,14 @@
   return Most;
 }
 
+bool ServerGate::isOpen() const {
+  return Server.state() == InstanceState::Ready && !Evacuated && !Stopping &&
+         !Unreachable;
+}
+
 LoadReport ServerGate::load(TimePoint Now) const {
   LoadReport Report;
-  bool Open = Server.state() == InstanceState::Ready && !Evacuated &&
-              !Stopping && !Unreachable;
-  Report.Draining = !Open;
+  Report.Draining = !isOpen();
   Report.Limit = usableSlots();
   if (Server.cold(Now)) {
     double Busy =
--- a/src/sidecar/ServerGate.h
+++ b/src/sidecar/ServerGate.h
@@ -117,6 +117,9 @@
   std::optional<std::uint32_t> mostUrgentRun() const;
   /// Returns whether no call is waiting or running.
   bool idle() const { return Calls.empty(); }
+  /// Returns whether the server accepts calls: it is ready, reachable and in
+  /// service.
+  bool isOpen() const;
   LoadReport load(TimePoint Now) const;
   /// Returns the ingresses to notify of the load if the server's speed has
   /// changed since the last notification; otherwise none.
