Add: quotas of workspaces on the path of figsail-sidecar

The router charges a request at the ingress before it chooses a server and refunds one that certainly did not run; above the quota the client gets 429 with quota-exceeded and the time to the next free request. The reducer passes QuotaReport and QuotaReply on. Without workspaces nothing is sent or counted.

--- a/include/figsail/ErrorKind.h
+++ b/include/figsail/ErrorKind.h
@@ -47,6 +47,8 @@
   ServerSlow,
   RateLimited,
   ConfigurationBehind,
+  Unauthorized,
+  KeyUnconfirmed,
   QuotaExceeded,
 };
 inline constexpr std::size_t ErrorKindCount =
--- a/src/sidecar/CallRouter.cpp
+++ b/src/sidecar/CallRouter.cpp
@@ -96,12 +96,33 @@
   Step.Out.emplace_back(std::move(Line));
   Step.Out.emplace_back(Count{Counter::CallsRefused});
   Step.Out.emplace_back(CountRefusal{RefusedBy::Ingress, Kind});
-  Duration Delay =
-      Kind == ErrorKind::ConfigurationBehind ? ConfigurationDelay : Duration(0);
+  bool Awaited = Kind == ErrorKind::ConfigurationBehind ||
+                 Kind == ErrorKind::KeyUnconfirmed;
+  Duration Delay = Awaited ? ConfigurationDelay : Duration(0);
   Step.Out.emplace_back(ReplyCaller{
       Arrived.Caller, refusalResponse(Step, Kind, Deadline, Delay)});
 }
 
+/// Counts a request against the quota of its workspace. If that is used up,
+/// refuses the request and returns true. Such refusals are not logged one by
+/// one: a workspace may send ten times its limit.
+bool CallRouter::isOverQuota(RouterStep &Step, const ClientRequest &Arrived,
+                             const Workspace *Client,
+                             TimePoint Deadline) const {
+  if (!Client)
+    return false;
+  std::optional<Duration> Wait = Step.Quota.admit(Step.Now, *Client);
+  if (!Wait)
+    return false;
+  Step.Out.emplace_back(Count{Counter::CallsRefused});
+  Step.Out.emplace_back(
+      CountRefusal{RefusedBy::Ingress, ErrorKind::QuotaExceeded});
+  Step.Out.emplace_back(ReplyCaller{
+      Arrived.Caller,
+      refusalResponse(Step, ErrorKind::QuotaExceeded, Deadline, *Wait)});
+  return true;
+}
+
 /// Returns the same hash whenever a request is resent, whichever client and
 /// daemon it comes from. Callers are distinguished by the service on their
 /// host.
@@ -135,11 +156,26 @@
   if (!Route)
     return refuseRequest(Step, Arrived, unknownRouteKind(Step),
                          Step.Now + Limit);
+  Authentication Checked =
+      authenticate(*Step.Config, *Route, Arrived.Credential, Step.ConfigBehind);
+  if (Checked.RefusalCount)
+    Step.Out.emplace_back(Count{*Checked.RefusalCount});
+  if (Checked.Refusal)
+    return refuseRequest(Step, Arrived, *Checked.Refusal, Step.Now + Limit);
+  std::optional<CallTerms> Terms = callTerms(*Route, Checked.Client.get());
+  if (!Terms)
+    return refuseRequest(Step, Arrived, ErrorKind::NoBackendServer,
+                         Step.Now + Limit);
+  if (Step.Config->hasWorkspaces())
+    removeHeader(Arrived.Request.Headers, "Authorization");
   std::size_t Bytes =
       messageSize(Arrived.Request.Headers, Arrived.Request.Body);
   if (BufferedBytes + Bytes > MaxBufferedBytes)
     return refuseRequest(Step, Arrived, ErrorKind::Overloaded,
                          Step.Now + Limit);
+  TimePoint Deadline = Step.Now + std::min(Limit, Route->Timeout);
+  if (isOverQuota(Step, Arrived, Checked.Client.get(), Deadline))
+    return;
   BufferedBytes += Bytes;
   std::uint64_t Number = NextNumber++;
   Call &New = Calls[Number];
@@ -148,6 +184,8 @@
   New.ClientId = std::move(Arrived.Id);
   New.Request = std::move(Arrived.Request);
   New.Bytes = Bytes;
+  New.Client = std::move(Checked.Client);
+  New.Terms = std::move(*Terms);
   New.Service = Splits.next(*Route);
   UsedServices.insert(New.Service);
   New.Fingerprint = fingerprintOf(CallingService, Arrived.Host, New.Request);
@@ -155,7 +193,7 @@
   // A client that has already waited elsewhere sets a shorter time limit.
   Duration Spent = std::max(Duration(0), Route->Timeout - Limit);
   New.Target = Step.Now + Route->TargetLatency - Spent;
-  New.Deadline = Step.Now + std::min(Limit, Route->Timeout);
+  New.Deadline = Deadline;
   New.Route = std::move(Route);
   ByCaller[New.Caller] = Number;
   double Nested = Origins.addRequest(Step.Now, New.Route->Name);
@@ -195,7 +233,7 @@
 
 const Member *CallRouter::chooseServer(RouterStep &Step, const Call &Current) {
   std::vector<const Member *> Eligible;
-  const std::vector<std::string> &Home = Current.Route->HomeRegions;
+  const std::vector<std::string> &Home = Current.Terms.HomeRegions;
   for (const Member &Server : Step.Directory.ready(Current.Service)) {
     if (Step.Evacuated.contains(Server.FailureDomain) ||
         Step.Peers.isSuspected(Server.Host) ||
@@ -278,9 +316,11 @@
   Message.Target = To.Inc;
   Message.Policy.Route = Current.Route->Name;
   Message.Policy.Service = Current.Service;
-  Message.Policy.HomeRegions = Current.Route->HomeRegions;
+  if (Current.Client)
+    Message.Policy.Workspace = Current.Client->Name;
+  Message.Policy.HomeRegions = Current.Terms.HomeRegions;
   Message.Policy.Idempotent = Current.Route->Idempotent;
-  Message.Policy.Priority = Current.Route->Priority;
+  Message.Policy.Priority = Current.Terms.Priority;
   Message.BudgetMicros = (Current.Deadline - Step.Now).count();
   Message.Fingerprint = Current.Fingerprint;
   Message.TargetMicros = (Current.Target - Step.Now).count();
@@ -451,6 +491,8 @@
   if (Current.MayHaveRun && errorEntry(Kind).Run == RunState::No)
     Kind = ErrorKind::BackendFailed;
   bool NotRun = errorEntry(Kind).Run == RunState::No;
+  if (NotRun && Current.Client)
+    Step.Quota.refund(Step.Now, Current.Client->Name);
   if (NotRun && Current.Nested)
     RefusedByServices.add(Step.Now);
   Step.Out.emplace_back(
@@ -491,6 +533,10 @@
                            std::max(0.0, Left) * MaxRetryAfterFraction);
   double Seconds =
       Latest * (1 + uniformFraction(Step.Seed * 0x9e3779b97f4a7c15ULL)) / 2;
+  // An earlier return would be refused again.
+  if (Kind == ErrorKind::QuotaExceeded)
+    Seconds = std::min(std::chrono::duration<double>(BacklogTime).count(),
+                       std::max(0.0, Left) * MaxRetryAfterFraction);
   std::array<char, 32> Text{};
   std::snprintf(Text.data(), Text.size(), "%.3f", Seconds);
   Response.Headers.emplace_back("Retry-After", Text.data());
--- a/src/sidecar/CallRouter.h
+++ b/src/sidecar/CallRouter.h
@@ -3,6 +3,7 @@
 #ifndef FIGSAIL_SIDECAR_CALLROUTER_H
 #define FIGSAIL_SIDECAR_CALLROUTER_H
 
+#include "Authentication.h"
 #include "Instance.h"
 #include "NestedCallEstimator.h"
 #include "PeerHealth.h"
@@ -13,6 +14,7 @@
 #include "SidecarEvents.h"
 #include "SidecarSettings.h"
 #include "StopTime.h"
+#include "WorkspaceQuota.h"
 
 #include "RegionLink.h"
 #include "RequestIdentity.h"
@@ -39,6 +41,7 @@
   /// Fraction of the runs at this host's server that are retries. A request
   /// that arrives now may be a call made by one of them.
   float RetryFraction;
+  WorkspaceQuota &Quota;
   SidecarEffects &Out;
 };
 
@@ -111,6 +114,8 @@
     HttpRequest Request;
     std::size_t Bytes = 0; ///< Size of the request.
     RoutePtr Route;
+    WorkspacePtr Client; ///< Null: anonymous.
+    CallTerms Terms;
     std::string Service;
     std::uint64_t Fingerprint = 0; ///< Equal whenever the request is resent.
     TimePoint Arrived;
@@ -145,6 +150,8 @@
 
   void refuseRequest(RouterStep &Step, const ClientRequest &Arrived,
                      ErrorKind Kind, TimePoint Deadline);
+  bool isOverQuota(RouterStep &Step, const ClientRequest &Arrived,
+                   const Workspace *Client, TimePoint Deadline) const;
   Call *find(const CallId &Id, const PeerRef &From);
   Duration timeAtUsualSpeed(const Call &Current, TimePoint Now,
                             const LoadReport &Load) const;
--- a/src/sidecar/QuotaCoordinator.cpp
+++ b/src/sidecar/QuotaCoordinator.cpp
@@ -2,6 +2,8 @@
 
 #include "QuotaCoordinator.h"
 
+#include "figsail/Epoch.h"
+
 #include <algorithm>
 #include <cmath>
 #include <utility>
@@ -67,6 +69,8 @@
 static constexpr double EqualPart = 0.5;
 /// Fewest uncounted requests of an ingress.
 static constexpr double MinExtra = 4;
+/// 2^64 over the golden ratio: spreads successive grants evenly.
+static constexpr std::uint64_t GoldenRatio = 0x9e3779b97f4a7c15ULL;
 
 static double seconds(Duration Time) {
   return std::chrono::duration<double>(Time).count();
@@ -309,6 +313,27 @@
           Factor;
 }
 
+/// Returns the number of requests of an ingress that may be uncounted. Those of
+/// a limited workspace are what is left of its balance, in whole requests: an
+/// ingress with few requests gets one with some of the grants.
+double QuotaCoordinator::extra(const QuotaStep &Step, const Pool &Current,
+                               const HostId &To, const Share &Held,
+                               double AllDemand) const {
+  auto Hosts = static_cast<double>(
+      std::max<std::size_t>(1, Step.Directory.all().size()));
+  double Equal = EqualPart / Hosts;
+  double Weight =
+      Equal + (1 - EqualPart) * std::max(Held.Demand, MinDemand) / AllDemand;
+  double Left = std::max(0.0, Current.Balance);
+  if (!Current.Limited)
+    return std::max(MinExtra,
+                    ExtraFactor * Weight *
+                        (Left + headroom(Current) * ExtraHeadroomFraction));
+  std::uint64_t Turn = hashText(To) + Held.Sequence * GoldenRatio;
+  double Fraction = static_cast<double>(Turn >> 11) * 0x1.0p-53;
+  return std::floor(Left * Weight + Fraction);
+}
+
 /// Builds the grant for an ingress and reserves its share.
 QuotaGrant QuotaCoordinator::grant(QuotaStep &Step, Pool &Current,
                                    const HostId &To) {
@@ -326,13 +351,6 @@
     Granted = Held.Reserved;
   Held.Reserved = std::max(Held.Reserved, Granted);
   double Part = Granted / Current.Of->RatePerSecond;
-  double Uncounted = std::max(0.0, Current.Balance);
-  if (!Current.Limited)
-    Uncounted += headroom(Current) * ExtraHeadroomFraction;
-  auto Hosts = static_cast<double>(
-      std::max<std::size_t>(1, Step.Directory.all().size()));
-  double Weight = EqualPart / Hosts +
-                  (1 - EqualPart) * std::max(Held.Demand, MinDemand) / Demand;
   QuotaGrant Grant;
   Grant.Workspace = Current.Of->Name;
   Grant.Admitted = Held.Admitted;
@@ -340,8 +358,7 @@
   Grant.Rate = static_cast<float>(Held.Target * correction(Current));
   Grant.Share = static_cast<float>(Granted);
   Grant.Burst = static_cast<float>(Current.Of->Burst * Part);
-  Grant.Extra = static_cast<float>(std::max(Current.Limited ? 0 : MinExtra,
-                                            Uncounted * Weight * ExtraFactor));
+  Grant.Extra = static_cast<float>(extra(Step, Current, To, Held, Demand));
   Grant.Limited = Current.Limited;
   auto Interval =
       std::chrono::duration_cast<Duration>(std::chrono::duration<double>(
--- a/src/sidecar/Sidecar.cpp
+++ b/src/sidecar/Sidecar.cpp
@@ -31,6 +31,8 @@
 
 Sidecar::Sidecar(SidecarSettings InitialSettings, const RecordDecoder &Decoder)
     : Settings(std::move(InitialSettings)), Router(Settings), Gate(Settings),
+      Quota(Settings.Host, Settings.Bounds),
+      Coordinator(Settings.Host, Settings.Bounds),
       Decoder(Decoder), Topics{{{Topic::Operator, Decoder},
                                 {Topic::Members, Decoder}}},
       Relay(Settings.Host, Settings.FailureDomain) {
@@ -60,6 +62,7 @@
     Due = std::min(Due, State.Follower.nextWake());
   Due = std::min(Due, Gate.nextWake(LastNow));
   Due = std::min(Due, Peers.nextWake());
+  Due = std::min({Due, Quota.nextWake(), Coordinator.nextWake()});
   if (topicsComplete() && Relay.readsStore(LastNow))
     Due = std::min(Due, Expiry.nextWake());
   if (AnnounceNeeded && !AppendInFlight && topicsComplete())
@@ -108,7 +111,14 @@
 RouterStep Sidecar::routerStep(Step &S) {
   return {S.Now,     S.Seed,    Config.get(), isConfigBehind(S.Now),
           Directory, Evacuated, Peers,        Gate.retryFraction(),
-          S.Out};
+          Quota,     S.Out};
+}
+
+QuotaStep Sidecar::quotaStep(Step &S) {
+  auto Find = [this](const std::string &Name) {
+    return Config ? Config->findWorkspaceNamed(Name).get() : nullptr;
+  };
+  return {S.Now, Find, Directory, Peers, S.Out};
 }
 
 // Clients and peers.
@@ -116,6 +126,8 @@
 void Sidecar::on(Step &, BoundsChanged &Body) {
   Settings.Bounds = Body.Bounds;
   Gate.configure(Body.Bounds);
+  Quota.configure(Body.Bounds);
+  Coordinator.configure(Body.Bounds);
   if (Stopping)
     setStopEnd();
 }
@@ -185,12 +197,22 @@
     handleUpdate(S, From, *Body);
   else if (const auto *Body = std::get_if<TopicPiece>(&Message))
     handlePiece(S, From, *Body);
+  else if (const auto *Body = std::get_if<QuotaReport>(&Message))
+    handleReport(S, From, *Body);
+  else if (const auto *Body = std::get_if<QuotaReply>(&Message))
+    Quota.received(S.Now, From.Host, *Body, S.Out);
   else if (auto *Body = std::get_if<Probe>(&Message))
     S.Out.emplace_back(SendPeer{From.Host, ProbeReply{Body->Target, true}});
   else if (!std::holds_alternative<ProbeReply>(Message))
     S.Out.emplace_back(Count{Counter::StaleMessages});
 }
 
+void Sidecar::handleReport(Step &S, const PeerRef &From,
+                           const QuotaReport &Message) {
+  QuotaStep Step = quotaStep(S);
+  Coordinator.received(Step, From, Message);
+}
+
 /// Passes a call to the gate. What its ingress knows of the server may change
 /// the server's state.
 void Sidecar::handleExecute(Step &S, const PeerRef &From, Execute Message) {
@@ -363,6 +385,9 @@
   if (Gate.server().state() != Before)
     announce(S);
   Peers.timer(S.Now, S.Out);
+  Quota.timer(S.Now, Directory, Peers, S.Out);
+  QuotaStep AtCoordinator = quotaStep(S);
+  Coordinator.timer(AtCoordinator);
   followTopics(S);
 }
 
--- a/src/sidecar/Sidecar.h
+++ b/src/sidecar/Sidecar.h
@@ -9,6 +9,7 @@
 #include "ContentOrder.h"
 #include "HostExpiry.h"
 #include "Instance.h"
+#include "QuotaCoordinator.h"
 #include "RecordSource.h"
 #include "ServerGate.h"
 #include "SidecarEvents.h"
@@ -19,6 +20,7 @@
 #include "TopicPublisher.h"
 #include "TopicReceiver.h"
 #include "TopicRelay.h"
+#include "WorkspaceQuota.h"
 
 #include <array>
 #include <optional>
@@ -86,6 +88,7 @@
   void on(Step &S, StopRequested &Body);
 
   void handleExecute(Step &S, const PeerRef &From, Execute Message);
+  void handleReport(Step &S, const PeerRef &From, const QuotaReport &Message);
   bool isCallRefused(const ServerRunResult &Ended);
   void handleMessage(Step &S, const PeerRef &From, PeerMessage &Message);
   void applyRecord(Step &S, const RecordOrigin &Origin, UnusableRecord &Body);
@@ -134,6 +137,7 @@
   void reportLoad(Step &S);
   void reportSuspects(Step &S);
   RouterStep routerStep(Step &S);
+  QuotaStep quotaStep(Step &S);
   void acknowledgeReport(Step &S, ReportId Report, ReportVerdict Verdict,
                          const std::string &Instance);
   void announce(Step &S);
@@ -157,6 +161,8 @@
   HostExpiry Expiry;
   CallRouter Router;
   ServerGate Gate;
+  WorkspaceQuota Quota;
+  QuotaCoordinator Coordinator;
   const RecordDecoder &Decoder;
   std::array<TopicState, TopicCount> Topics;
   StoreHistory History = 0; ///< The history that the images belong to.
--- a/src/sidecar/SidecarTopics.cpp
+++ b/src/sidecar/SidecarTopics.cpp
@@ -347,6 +347,9 @@
       {"bytes", std::to_string(Origin.ValueBytes)},
       {"from", Origin.From},
       {"previous", Config ? std::to_string(Config->Version) : "none"}};
+  if (Body->hasWorkspaces())
+    Line.Fields.emplace_back("workspaces",
+                             std::to_string(Body->workspaceCount()));
   S.Out.emplace_back(std::move(Line));
   if (!Newer)
     return;
@@ -422,10 +425,12 @@
   Directory.erase(Body.Host);
   Peers.remove(Body.Host);
   Expiry.remove(Body.Host);
+  Coordinator.hostRemoved(Body.Host);
   updateHostCounts();
 }
 
 void Sidecar::updateHostCounts() {
+  Quota.setHostCount(Directory.all().size());
   Router.setRegionHosts(Directory.countHosts(Settings.Region));
   Gate.setServerCount(LastNow, Directory.countServers(Settings.Service));
 }
