--- a/src/sidecar/QuotaCoordinator.cpp
+++ b/src/sidecar/QuotaCoordinator.cpp
@@ -322,8 +322,10 @@
   auto Hosts = static_cast<double>(
       std::max<std::size_t>(1, Step.Directory.all().size()));
   double Equal = EqualPart / Hosts;
+  // The first reports after a start show a small part of the demand.
+  double Whole = std::max(AllDemand, Current.Of->RatePerSecond);
   double Weight =
-      Equal + (1 - EqualPart) * std::max(Held.Demand, MinDemand) / AllDemand;
+      Equal + (1 - EqualPart) * std::max(Held.Demand, MinDemand) / Whole;
   double Left = std::max(0.0, Current.Balance);
   if (!Current.Limited)
     return std::max(MinExtra,
--- a/tests/QuotaTest.cpp
+++ b/tests/QuotaTest.cpp
@@ -1,6 +1,7 @@
 // QuotaTest.cpp - Quotas of workspaces over all hosts: load, delays, failures.
 
 #include "QuotaCluster.h"
+#include "SidecarFixture.h"
 
 #include <gtest/gtest.h>
 
@@ -52,6 +53,18 @@
     }
 }
 
+// Guards against a hot workspace that exceeds its bound when all hosts have
+// just started: the first reports show a small part of its demand.
+TEST(QuotaTest, AHotWorkspaceIsLimitedRightAfterTheStart) {
+  for (double Factor : {4.0, 10.0}) {
+    QuotaCluster Cluster(86);
+    Cluster.limit("w", 264, 264);
+    Cluster.load("w", 264 * Factor, 0, 86);
+    Cluster.run(10s);
+    EXPECT_LE(Cluster.excess("w"), 0) << Factor;
+  }
+}
+
 // Guards against refusals below the limit: 20 small workspaces that send each
 // request to another host.
 TEST(QuotaTest, SmallWorkspacesAreNotRefused) {
@@ -194,4 +207,52 @@
   }
 }
 
+/// A daemon whose configuration has a workspace "w" with the key "k", limited
+/// to two requests a second.
+struct QuotaSidecarTest : SidecarTest {
+  QuotaSidecarTest() {
+    loadTopics();
+    auto Limited = std::make_shared<ServiceConfig>(*config(6));
+    Workspace Added;
+    Added.Name = "w";
+    Added.RatePerSecond = 2;
+    Added.Burst = 1;
+    EXPECT_TRUE(Limited->add(Added, {digestOfKey("k").value()}));
+    operatorRecord("config", 2, ConfigPtr(Limited));
+  }
+  SidecarEffects send() {
+    ClientRequest Arrived;
+    Arrived.Caller = ++LastCaller;
+    Arrived.Host = "desk.example";
+    Arrived.ClientTimeout = 900ms;
+    Arrived.Credential = "k";
+    Arrived.Request.Method = "GET";
+    Arrived.Request.Target = "/book/1";
+    return apply(std::move(Arrived));
+  }
+  CallerId LastCaller = 0;
+};
+
+// Guards against requests above the quota that are passed on, a Retry-After
+// that the client will not wait for, and a charge for what did not run.
+TEST_F(QuotaSidecarTest, AboveTheQuotaRequestsAreRefusedAndOthersRefunded) {
+  std::pair<HostId, Execute> Last;
+  for (int I = 0; I < 4; ++I)
+    Last = sent(send());
+  SidecarEffects Out = send();
+  EXPECT_TRUE(messages<Execute>(Out).empty());
+  std::optional<HttpResponse> Refusal = answer(Out);
+  ASSERT_TRUE(Refusal);
+  EXPECT_EQ(Refusal->Status, 429U);
+  EXPECT_EQ(findHeader(Refusal->Headers, "Figsail-Run"), "no");
+  double RetryAfter =
+      std::stod(std::string(findHeader(Refusal->Headers, "Retry-After")));
+  EXPECT_GT(RetryAfter, 0);
+  EXPECT_LE(RetryAfter, 0.3);
+  reply(Last.first,
+        Refused{Last.second.Call, ErrorKind::Quarantined, LoadReport()});
+  EXPECT_EQ(messages<Execute>(send()).size(), 1U);
+  EXPECT_EQ(messages<QuotaReport>(tick(1ms)).size(), 1U);
+}
+
 } // namespace
