--- a/include/figsail/ErrorKind.h
+++ b/include/figsail/ErrorKind.h
@@ -49,7 +49,6 @@
   ConfigurationBehind,
   Unauthorized,
   KeyUnconfirmed,
-  RolloutClosed,
   QuotaExceeded,
   CalledServiceRefuses,
 };
--- a/src/sidecar/CallRouter.cpp
+++ b/src/sidecar/CallRouter.cpp
@@ -110,6 +110,26 @@
       Arrived.Caller, refusalResponse(Step, Kind, Deadline, Delay)});
 }
 
+/// Counts a request against the quota of its workspace. If that is used up,
+/// refuses the request and returns true. Such refusals are not logged one by
+/// one: a workspace may send ten times its limit.
+bool CallRouter::isOverQuota(RouterStep &Step, const ClientRequest &Arrived,
+                             const Workspace *Client,
+                             TimePoint Deadline) const {
+  if (!Client)
+    return false;
+  std::optional<Duration> Wait = Step.Quota.admit(Step.Now, *Client);
+  if (!Wait)
+    return false;
+  Step.Out.emplace_back(Count{Counter::CallsRefused});
+  Step.Out.emplace_back(
+      CountRefusal{RefusedBy::Ingress, ErrorKind::QuotaExceeded});
+  Step.Out.emplace_back(ReplyCaller{
+      Arrived.Caller,
+      refusalResponse(Step, ErrorKind::QuotaExceeded, Deadline, *Wait)});
+  return true;
+}
+
 /// Returns the same hash whenever a request is resent, whichever client and
 /// daemon it comes from. Callers are distinguished by the service on their
 /// host.
@@ -167,6 +187,9 @@
   if (BufferedBytes + Bytes > MaxBufferedBytes)
     return refuseRequest(Step, Arrived, ErrorKind::Overloaded,
                          Step.Now + Limit);
+  TimePoint Deadline = Step.Now + std::min(Limit, Route->Timeout);
+  if (isOverQuota(Step, Arrived, Checked.Client.get(), Deadline))
+    return;
   BufferedBytes += Bytes;
   std::uint64_t Number = NextNumber++;
   Call &New = Calls[Number];
@@ -184,7 +207,7 @@
   // A client that has already waited elsewhere sets a shorter time limit.
   Duration Spent = std::max(Duration(0), Route->Timeout - Limit);
   New.Target = Step.Now + Route->TargetLatency - Spent;
-  New.Deadline = Step.Now + std::min(Limit, Route->Timeout);
+  New.Deadline = Deadline;
   New.Route = std::move(Route);
   ByCaller[New.Caller] = Number;
   // Runs make their calls without a key.
@@ -522,6 +545,8 @@
   if (mayHaveRun(Current) && errorEntry(Kind).Run == RunState::No)
     Kind = ErrorKind::BackendFailed;
   bool NotRun = errorEntry(Kind).Run == RunState::No;
+  if (NotRun && Current.Client)
+    Step.Quota.refund(Step.Now, Current.Client->Name);
   if (NotRun && Current.Nested)
     RefusedByServices.add(Step.Now);
   Step.Out.emplace_back(
@@ -562,6 +587,10 @@
                            std::max(0.0, Left) * MaxRetryAfterFraction);
   double Seconds =
       Latest * (1 + uniformFraction(Step.Seed * 0x9e3779b97f4a7c15ULL)) / 2;
+  // An earlier return would be refused again.
+  if (Kind == ErrorKind::QuotaExceeded)
+    Seconds = std::min(std::chrono::duration<double>(BacklogTime).count(),
+                       std::max(0.0, Left) * MaxRetryAfterFraction);
   std::array<char, 32> Text{};
   std::snprintf(Text.data(), Text.size(), "%.3f", Seconds);
   Response.Headers.emplace_back("Retry-After", Text.data());
--- a/src/sidecar/CallRouter.h
+++ b/src/sidecar/CallRouter.h
@@ -18,6 +18,7 @@
 #include "SidecarEvents.h"
 #include "SidecarSettings.h"
 #include "StopTime.h"
+#include "WorkspaceQuota.h"
 
 #include "RegionLink.h"
 #include "RequestIdentity.h"
@@ -45,6 +46,7 @@
   /// Fraction of the runs at this host's server that are retries. A request
   /// that arrives now may be a call made by one of them.
   float RetryFraction;
+  WorkspaceQuota &Quota;
   SidecarEffects &Out;
   /// Most urgent priority of the runs at this host's server, if there are any.
   std::optional<std::uint32_t> RunningPriority{};
@@ -174,6 +176,8 @@
 
   void refuseRequest(RouterStep &Step, const ClientRequest &Arrived,
                      ErrorKind Kind, TimePoint Deadline);
+  bool isOverQuota(RouterStep &Step, const ClientRequest &Arrived,
+                   const Workspace *Client, TimePoint Deadline) const;
   Call *find(const CallId &Id, const PeerRef &From);
   Duration timeAtUsualSpeed(const Call &Current, TimePoint Now,
                             const LoadReport &Load) const;
--- a/src/sidecar/QuotaCoordinator.h
+++ b/src/sidecar/QuotaCoordinator.h
@@ -93,6 +93,8 @@
   void updateState(TimePoint Now, Pool &Current) const;
   void divide(const QuotaStep &Step, Pool &Current) const;
 
+  double extra(const QuotaStep &Step, const Pool &Current, const HostId &To,
+               const Share &Held, double AllDemand) const;
   QuotaGrant grant(QuotaStep &Step, Pool &Current, const HostId &To);
   void limitAll(QuotaStep &Step, Pool &Current, const HostId &But);
   static void noticeOthers(QuotaStep &Step, Pool &Current);
--- a/src/sidecar/Sidecar.cpp
+++ b/src/sidecar/Sidecar.cpp
@@ -31,8 +31,10 @@
 
 Sidecar::Sidecar(SidecarSettings InitialSettings, const RecordDecoder &Decoder)
     : Settings(std::move(InitialSettings)), Router(Settings), Gate(Settings),
-      Versions(Settings), Decoder(Decoder), Topics{{{Topic::Operator, Decoder},
-                                                    {Topic::Members, Decoder}}},
+      Versions(Settings), Quota(Settings.Host, Settings.Bounds),
+      Coordinator(Settings.Host, Settings.Bounds),
+      Decoder(Decoder), Topics{{{Topic::Operator, Decoder},
+                                {Topic::Members, Decoder}}},
       Relay(Settings.Host, Settings.FailureDomain) {
   Order.Inc = Settings.Inc;
 }
@@ -63,6 +65,7 @@
   Due = std::min(Due, Gate.nextWake(LastNow));
   Due = std::min(Due, Peers.nextWake());
   Due = std::min(Due, Versions.nextWake());
+  Due = std::min({Due, Quota.nextWake(), Coordinator.nextWake()});
   if (topicsComplete() && Relay.readsStore(LastNow))
     Due = std::min(Due, Expiry.nextWake());
   if (AnnounceNeeded && !AppendInFlight && topicsComplete())
@@ -110,7 +113,8 @@
 
 RouterStep Sidecar::routerStep(Step &S) {
   return {S.Now,     S.Seed, Config.get(), isConfigBehind(S.Now), Directory,
-          Evacuated, Peers,  Versions,     Gate.retryFraction(),  S.Out};
+          Evacuated, Peers,  Versions,     Gate.retryFraction(),  Quota,
+          S.Out};
 }
 
 RolloutStep Sidecar::rolloutStep(Step &S) {
@@ -119,12 +123,21 @@
           Gate.rollout(), Gate.isOpen(), UpToDate, S.Out};
 }
 
+QuotaStep Sidecar::quotaStep(Step &S) {
+  auto Find = [this](const std::string &Name) {
+    return Config ? Config->findWorkspaceNamed(Name).get() : nullptr;
+  };
+  return {S.Now, Find, Directory, Peers, S.Out};
+}
+
 // Clients and peers.
 
 void Sidecar::on(Step &, BoundsChanged &Body) {
   Settings.Bounds = Body.Bounds;
   Gate.configure(Body.Bounds);
   Versions.configure(Body.Bounds);
+  Quota.configure(Body.Bounds);
+  Coordinator.configure(Body.Bounds);
   if (Stopping)
     setStopEnd();
 }
@@ -206,6 +219,10 @@
     handleRollout(S, From, *Body);
   else if (const auto *Body = std::get_if<RolloutVerdict>(&Message))
     handleRollout(S, From, *Body);
+  else if (const auto *Body = std::get_if<QuotaReport>(&Message))
+    handleReport(S, From, *Body);
+  else if (const auto *Body = std::get_if<QuotaReply>(&Message))
+    Quota.received(S.Now, From.Host, *Body, S.Out);
   else if (auto *Body = std::get_if<Probe>(&Message))
     S.Out.emplace_back(SendPeer{From.Host, ProbeReply{Body->Target, true}});
   else if (!std::holds_alternative<ProbeReply>(Message))
@@ -230,6 +247,12 @@
     S.Out.emplace_back(SendPeer{Host, Report});
 }
 
+void Sidecar::handleReport(Step &S, const PeerRef &From,
+                           const QuotaReport &Message) {
+  QuotaStep Step = quotaStep(S);
+  Coordinator.received(Step, From, Message);
+}
+
 /// Passes a call to the gate. What its ingress knows of the server may change
 /// the server's state.
 void Sidecar::handleExecute(Step &S, const PeerRef &From, Execute Message) {
@@ -444,6 +467,9 @@
   if (Gate.server().state() != Before)
     announce(S);
   Peers.timer(S.Now, S.Out);
+  Quota.timer(S.Now, Directory, Peers, S.Out);
+  QuotaStep AtCoordinator = quotaStep(S);
+  Coordinator.timer(AtCoordinator);
   followTopics(S);
 }
 
--- a/src/sidecar/Sidecar.h
+++ b/src/sidecar/Sidecar.h
@@ -9,6 +9,7 @@
 #include "ContentOrder.h"
 #include "HostExpiry.h"
 #include "Instance.h"
+#include "QuotaCoordinator.h"
 #include "RecordSource.h"
 #include "Rollouts.h"
 #include "ServerGate.h"
@@ -20,6 +21,7 @@
 #include "TopicPublisher.h"
 #include "TopicReceiver.h"
 #include "TopicRelay.h"
+#include "WorkspaceQuota.h"
 
 #include <array>
 #include <optional>
@@ -90,6 +92,7 @@
   void on(Step &S, RolloutStatusWritten &Body);
 
   void handleExecute(Step &S, const PeerRef &From, Execute Message);
+  void handleReport(Step &S, const PeerRef &From, const QuotaReport &Message);
   bool isCallRefused(const ServerRunResult &Ended);
   void handleSuspicion(Step &S, const PeerRef &From,
                        const SuspectReport &Message);
@@ -148,6 +151,7 @@
                      const RolloutReport &Message);
   void handleRollout(Step &S, const PeerRef &From,
                      const RolloutVerdict &Message);
+  QuotaStep quotaStep(Step &S);
   void acknowledgeReport(Step &S, ReportId Report, ReportVerdict Verdict,
                          const std::string &Instance);
   void announce(Step &S);
@@ -173,6 +177,8 @@
   CallRouter Router;
   ServerGate Gate;
   Rollouts Versions;
+  WorkspaceQuota Quota;
+  QuotaCoordinator Coordinator;
   const RecordDecoder &Decoder;
   std::array<TopicState, TopicCount> Topics;
   StoreHistory History = 0; ///< The history that the images belong to.
--- a/src/sidecar/SidecarTopics.cpp
+++ b/src/sidecar/SidecarTopics.cpp
@@ -430,6 +430,7 @@
   Directory.erase(Body.Host);
   Peers.remove(Body.Host);
   Expiry.remove(Body.Host);
+  Coordinator.hostRemoved(Body.Host);
   updateHostCounts();
 }
 
@@ -445,6 +446,7 @@
 }
 
 void Sidecar::updateHostCounts() {
+  Quota.setHostCount(Directory.all().size());
   Router.setRegionHosts(Directory.countHosts(Settings.Region));
   Gate.setServerCount(LastNow, Directory.countServers(Settings.Service));
 }
