Add: large answers are sent in pieces that take turns

What callers saw: small calls and the replies to status queries waited behind a download of 540 KB, 0.43 s on a link of 10 Mbit/s, and downloads for each other.

An answer to another host with a body above 16 KB is now sent as AnswerPiece messages in the bulk class. The pieces of each answer are a flow of their own on the link, and flows take turns. The ingress assembles them in at most 16 MiB; an answer reaches the client only with all of its pieces. If pieces stop, the ingress queries the daemon, which sends the answer again from its cache; pieces that are still queued on the link are not queued again. A receipt goes ahead of the pieces, since these may wait for longer than a query. Small answers are sent as before.

--- a/include/figsail/Events.h
+++ b/include/figsail/Events.h
@@ -212,6 +212,7 @@
   StoreHistories,
   ResponsesRejected,
   RecordsUnusable,
+  AnswerPiecesDropped, ///< For lack of memory at the ingress.
 };
 
 /// Increment a counter.
@@ -289,7 +290,7 @@
 std::string_view counterName(Counter Which);
 
 inline constexpr std::size_t CounterCount =
-    static_cast<std::size_t>(Counter::RecordsUnusable) + 1;
+    static_cast<std::size_t>(Counter::AnswerPiecesDropped) + 1;
 
 } // namespace figsail
 
--- a/include/figsail/PeerMessages.h
+++ b/include/figsail/PeerMessages.h
@@ -407,13 +407,27 @@
   }
 };
 
+/// Executor to ingress: a piece of an answer with a large body. Pieces of
+/// several answers take turns on a link, and other messages overtake them.
+struct AnswerPiece {
+  CallId Call;
+  std::uint64_t Size = 0;       ///< Of the whole body, in bytes.
+  std::uint32_t Index = 0;      ///< Of the piece, from 0 on.
+  std::string Bytes;            ///< Part of the body.
+  std::optional<Answer> Head{}; ///< The answer without its body; set in the
+                                ///< last piece only.
+  template <class Archive> void serialize(Archive &Ar) {
+    Ar(Call, Size, Index, Bytes, Head);
+  }
+};
+
 /// The order is the wire encoding: append only.
 using PeerMessage =
     std::variant<Execute, Received, Answer, Refused, Failed, Cancel, Await,
                  Claim, Granted, ClaimHeld, ClaimDone, ClaimRefused, Completed,
                  Fence, FenceAck, Heartbeat, Probe, ProbeReply, Subscribe,
                  Records, Snapshot, SuspectReport, TopicSubscribe, TopicUpdate,
-                 TopicPiece>;
+                 TopicPiece, AnswerPiece>;
 
 /// Returns whether the message is control traffic, which is sent ahead of
 /// queued calls.
--- a/src/core/Names.cpp
+++ b/src/core/Names.cpp
@@ -7,13 +7,14 @@
 namespace figsail {
 
 static constexpr std::array<std::string_view, std::variant_size_v<PeerMessage>>
-    MessageNames{"Execute",   "Received",      "Answer",         "Refused",
-                 "Failed",    "Cancel",        "Await",          "Claim",
-                 "Granted",   "ClaimHeld",     "ClaimDone",      "ClaimRefused",
-                 "Completed", "Fence",         "FenceAck",       "Heartbeat",
-                 "Probe",     "ProbeReply",    "Subscribe",      "Records",
-                 "Snapshot",  "SuspectReport", "TopicSubscribe", "TopicUpdate",
-                 "TopicPiece"};
+    MessageNames{
+        "Execute",    "Received",      "Answer",         "Refused",
+        "Failed",     "Cancel",        "Await",          "Claim",
+        "Granted",    "ClaimHeld",     "ClaimDone",      "ClaimRefused",
+        "Completed",  "Fence",         "FenceAck",       "Heartbeat",
+        "Probe",      "ProbeReply",    "Subscribe",      "Records",
+        "Snapshot",   "SuspectReport", "TopicSubscribe", "TopicUpdate",
+        "TopicPiece", "AnswerPiece"};
 
 bool isControl(const PeerMessage &Message) {
   return !std::holds_alternative<Execute>(Message) &&
@@ -23,6 +24,7 @@
 bool isBulk(const PeerMessage &Message) {
   return std::holds_alternative<TopicUpdate>(Message) ||
          std::holds_alternative<TopicPiece>(Message) ||
+         std::holds_alternative<AnswerPiece>(Message) ||
          std::holds_alternative<Records>(Message) ||
          std::holds_alternative<Snapshot>(Message);
 }
@@ -45,15 +47,32 @@
 }
 
 static constexpr std::array<std::string_view, CounterCount> CounterNames{
-    "calls",           "calls_answered",  "calls_refused",
-    "calls_unknown",   "retries",         "retries_denied",
-    "cross_domain",    "cross_region",    "cross_region_bytes",
-    "runs_started",    "runs_refused",    "runs_failed",
-    "claims",          "claims_replayed", "fences",
-    "probes",          "heartbeats",      "records_forwarded",
-    "suspects",        "quarantined",     "wrong_region",
-    "stale_messages",  "store_histories", "responses_rejected",
-    "records_unusable"};
+    "calls",
+    "calls_answered",
+    "calls_refused",
+    "calls_unknown",
+    "retries",
+    "retries_denied",
+    "cross_domain",
+    "cross_region",
+    "cross_region_bytes",
+    "runs_started",
+    "runs_refused",
+    "runs_failed",
+    "claims",
+    "claims_replayed",
+    "fences",
+    "probes",
+    "heartbeats",
+    "records_forwarded",
+    "suspects",
+    "quarantined",
+    "wrong_region",
+    "stale_messages",
+    "store_histories",
+    "responses_rejected",
+    "records_unusable",
+    "answer_pieces_dropped"};
 
 std::string_view counterName(Counter Which) {
   return CounterNames[static_cast<std::size_t>(Which)];
--- a/src/core/Node.cpp
+++ b/src/core/Node.cpp
@@ -77,6 +77,7 @@
   void message(const PeerRef &From, TopicSubscribe &Message);
   void message(const PeerRef &From, TopicUpdate &Message);
   void message(const PeerRef &From, TopicPiece &Message);
+  void message(const PeerRef &From, AnswerPiece &Message);
 
   bool detectPause();
   void afterEvent();
@@ -389,6 +390,10 @@
   Out.emplace_back(Count{Counter::StaleMessages});
 }
 
+void Node::State::message(const PeerRef &, AnswerPiece &) {
+  Out.emplace_back(Count{Counter::StaleMessages});
+}
+
 /// Reports requests that may crash backend servers to the members of the
 /// service.
 void Node::State::sendReports() {
--- a/src/shell/PeerCodec.cpp
+++ b/src/shell/PeerCodec.cpp
@@ -180,6 +180,11 @@
   return Message.Bytes.size();
 }
 
+static std::size_t estimateVariableSize(const AnswerPiece &Message) {
+  return Message.Bytes.size() +
+         (Message.Head ? estimateHttpSize(Message.Head->Response) : 0);
+}
+
 static std::size_t estimateVariableSize(const Snapshot &Message) {
   return Message.State.size();
 }
--- a/src/shell/PeerSendQueue.cpp
+++ b/src/shell/PeerSendQueue.cpp
@@ -15,15 +15,15 @@
 /// Larger writes would delay control messages that are queued meanwhile.
 static constexpr std::size_t WriteTarget = std::size_t(64) * 1024;
 
-PeerSendQueue::Queue &PeerSendQueue::queueOf(const PeerMessage &Message) {
-  if (isBulk(Message))
-    return Bulk;
-  return isControl(Message) ? Control : Calls;
-}
-
 void PeerSendQueue::push(PeerMessage Message) {
-  QueuedBytes += estimateSize(Message);
-  Queue &Target = queueOf(Message);
+  std::size_t Bytes = estimateSize(Message);
+  if (isBulk(Message)) {
+    if (Bulk.push(std::move(Message)))
+      QueuedBytes += Bytes;
+    return;
+  }
+  QueuedBytes += Bytes;
+  Queue &Target = isControl(Message) ? Control : Calls;
   Target.push_back(std::move(Message));
 }
 
@@ -35,10 +35,16 @@
     return takeFirst(Control);
   if (!Full && !Calls.empty())
     return takeFirst(Calls);
-  if (Bulk.empty())
-    return std::nullopt;
-  BulkInWrite = true;
-  return takeFirst(Bulk);
+  std::optional<PeerMessage> Taken = Bulk.take(AnswersAllowed);
+  BulkInWrite = Taken.has_value();
+  if (Taken)
+    QueuedBytes -= estimateSize(*Taken);
+  return Taken;
+}
+
+void PeerSendQueue::dropAnswer(const CallId &Call) {
+  for (const PeerMessage &Dropped : Bulk.takeAnswer(Call))
+    QueuedBytes -= estimateSize(Dropped);
 }
 
 PeerMessage PeerSendQueue::takeFirst(Queue &From) {
@@ -50,10 +56,11 @@
 
 std::vector<PeerMessage> PeerSendQueue::takeAll() {
   std::vector<PeerMessage> All;
-  for (Queue *From : {&Control, &Calls, &Bulk}) {
+  for (Queue *From : {&Control, &Calls}) {
     std::ranges::move(*From, std::back_inserter(All));
     From->clear();
   }
+  std::ranges::move(Bulk.takeAll(), std::back_inserter(All));
   QueuedBytes = 0;
   return All;
 }
--- a/src/sidecar/CallRouter.cpp
+++ b/src/sidecar/CallRouter.cpp
@@ -77,6 +77,7 @@
 void CallRouter::removeCall(Call &Current) {
   std::uint64_t Number = Current.Number;
   BufferedBytes -= Current.Bytes;
+  Assembly.remove(Current.Id);
   WakeOrder.erase({Current.WakeAt, Number});
   ByAttempt.erase(Current.Id.Sequence);
   ByCaller.erase(Current.Caller);
@@ -253,6 +254,7 @@
 
 void CallRouter::sendExecute(RouterStep &Step, Call &Current, const Member &To,
                              bool HasAlternative) {
+  Assembly.remove(Current.Id);
   ByAttempt.erase(Current.Id.Sequence);
   Current.Id = {Self.Inc, NextSequence++};
   ByAttempt[Current.Id.Sequence] = Current.Number;
--- a/src/sidecar/CallRouter.h
+++ b/src/sidecar/CallRouter.h
@@ -3,6 +3,7 @@
 #ifndef FIGSAIL_SIDECAR_CALLROUTER_H
 #define FIGSAIL_SIDECAR_CALLROUTER_H
 
+#include "AnswerAssembly.h"
 #include "HostActivity.h"
 #include "Instance.h"
 #include "NestedCallEstimator.h"
@@ -56,6 +57,7 @@
 
   void received(RouterStep &Step, const PeerRef &From, const CallId &Id);
   void answered(RouterStep &Step, const PeerRef &From, Answer Message);
+  void pieceReceived(RouterStep &Step, const PeerRef &From, AnswerPiece Piece);
   void refused(RouterStep &Step, const PeerRef &From, const Refused &Message);
   void failed(RouterStep &Step, const PeerRef &From, const Failed &Message);
   void peerLost(RouterStep &Step, const PeerLost &Lost);
@@ -199,6 +201,7 @@
   StopTime Stop;
   RegionLink Link;
   HostActivity Activity;
+  AnswerAssembly Assembly; ///< Of the answers to the present attempts.
   NestedCallEstimator Origins;
   SplitSchedule Splits;
   std::set<std::string> UsedServices;
--- a/src/sidecar/CallRouterReplies.cpp
+++ b/src/sidecar/CallRouterReplies.cpp
@@ -28,6 +28,23 @@
   scheduleWake(*Current, Step.Now + RunningQueryInterval);
 }
 
+/// A piece shows that the call has run and that its answer arrives. If the
+/// pieces stop before the answer is complete, the daemon is queried, and sends
+/// the answer again.
+void CallRouter::pieceReceived(RouterStep &Step, const PeerRef &From,
+                               AnswerPiece Piece) {
+  Activity.add(Step.Now, From.Host);
+  if (!find(Piece.Call, From)) {
+    Step.Out.emplace_back(Count{Counter::StaleMessages});
+    return;
+  }
+  received(Step, From, Piece.Call);
+  if (!Assembly.hasRoom(Piece))
+    Step.Out.emplace_back(Count{Counter::AnswerPiecesDropped});
+  if (std::optional<Answer> Whole = Assembly.add(From, std::move(Piece)))
+    answered(Step, From, std::move(*Whole));
+}
+
 void CallRouter::answered(RouterStep &Step, const PeerRef &From,
                           Answer Message) {
   Notices.received(Step.Now, From.Host, Message.Load.Notice, true);
--- a/src/sidecar/Sidecar.cpp
+++ b/src/sidecar/Sidecar.cpp
@@ -2,6 +2,8 @@
 
 #include "Sidecar.h"
 
+#include "AnswerPieces.h"
+
 #include <algorithm>
 #include <array>
 #include <iterator>
@@ -51,6 +53,7 @@
   sendAnnouncement(S);
   updateReadiness(S);
   continueStop(S);
+  splitLargeAnswers(Settings.Host, Out);
   return Out;
 }
 
@@ -173,6 +176,8 @@
     Router.received(AtRouter, From, Body->Call);
   else if (auto *Body = std::get_if<Answer>(&Message))
     Router.answered(AtRouter, From, std::move(*Body));
+  else if (auto *Body = std::get_if<AnswerPiece>(&Message))
+    Router.pieceReceived(AtRouter, From, std::move(*Body));
   else if (auto *Body = std::get_if<Refused>(&Message))
     Router.refused(AtRouter, From, *Body);
   else if (auto *Body = std::get_if<Failed>(&Message))
--- a/tests/PeerCodecTest.cpp
+++ b/tests/PeerCodecTest.cpp
@@ -161,6 +161,10 @@
         any<std::uint64_t>(), any<std::uint64_t>(), any<std::uint32_t>(),
         any<std::uint32_t>(), any<std::uint64_t>(), any<std::uint64_t>(),
         any<std::uint64_t>(), any<std::int64_t>(),  anyText()};
+  case 25:
+    return AnswerPiece{anyCallId(), any<std::uint64_t>(), any<std::uint32_t>(),
+                       anyText(),
+                       Answer{anyCallId(), anyResponse(), anyLoadReport()}};
   default: {
     KeyedRecord Present{anyText(), anyText(), any<std::int64_t>()};
     KeyedRecord Removed{anyText(), std::nullopt, any<std::int64_t>()};
--- a/tests/PeerSendQueueTest.cpp
+++ b/tests/PeerSendQueueTest.cpp
@@ -27,6 +27,24 @@
   return Message;
 }
 
+/// A piece of an answer to the call of this number.
+PeerMessage piece(std::uint64_t Call, std::uint32_t Index) {
+  AnswerPiece Message;
+  Message.Call.Sequence = Call;
+  Message.Index = Index;
+  Message.Bytes = std::string(16384, 'x');
+  return Message;
+}
+
+/// Returns the call and the index of the only piece in a write, or zeros.
+std::pair<std::uint64_t, std::uint32_t>
+pieceOf(const std::vector<PeerMessage> &Messages) {
+  const auto *Body =
+      Messages.empty() ? nullptr : std::get_if<AnswerPiece>(&Messages.back());
+  return Body ? std::pair{Body->Call.Sequence, Body->Index}
+              : std::pair{0UL, 0U};
+}
+
 std::uint64_t updateOf(const std::optional<PeerMessage> &Message) {
   const auto *Body = Message ? std::get_if<TopicUpdate>(&*Message) : nullptr;
   return Body ? Body->History : 0;
@@ -180,3 +198,60 @@
   EXPECT_EQ(Queue.queuedBytes(), 0U);
   EXPECT_TRUE(Queue.empty());
 }
+
+// An answer of 90 KB would wait for one of 540 KB, and calls for both.
+TEST(PeerSendQueue, PiecesOfSeveralAnswersAndUpdatesTakeTurns) {
+  PeerSendQueue Queue;
+  for (std::uint32_t I = 0; I < 3; ++I)
+    Queue.push(piece(1, I));
+  Queue.push(piece(2, 0));
+  Queue.push(update(9));
+  Queue.push(call(7));
+  std::vector<std::pair<std::uint64_t, std::uint32_t>> Order;
+  for (int I = 0; I < 5; ++I) {
+    Write Next = takeWrite(Queue);
+    EXPECT_EQ(Next.calls(), I == 0 ? 1U : 0U);
+    Order.push_back(pieceOf(Next.Messages));
+  }
+  using Turn = std::pair<std::uint64_t, std::uint32_t>;
+  EXPECT_EQ(Order, (std::vector<Turn>{{1, 0}, {2, 0}, {0, 0}, {1, 1}, {1, 2}}));
+  EXPECT_TRUE(Queue.empty());
+  EXPECT_EQ(Queue.queuedBytes(), 0U);
+}
+
+// A query during a transfer would put the whole answer into the queue again and
+// again; after the transfer it must, since pieces may be lost.
+TEST(PeerSendQueue, AnAnswerInProgressIsNotQueuedAgain) {
+  PeerSendQueue Queue;
+  auto SendAll = [&] {
+    for (std::uint32_t I = 0; I < 3; ++I)
+      Queue.push(piece(1, I));
+  };
+  SendAll();
+  EXPECT_EQ(pieceOf(takeWrite(Queue).Messages).second, 0U);
+  std::size_t Before = Queue.queuedBytes();
+  SendAll();
+  EXPECT_EQ(Queue.queuedBytes(), Before);
+  EXPECT_EQ(pieceOf(takeWrite(Queue).Messages).second, 1U);
+  EXPECT_EQ(pieceOf(takeWrite(Queue).Messages).second, 2U);
+  EXPECT_TRUE(Queue.empty());
+  SendAll();
+  EXPECT_EQ(Queue.takeAll().size(), 3U);
+}
+
+// Answers that must wait for the pacer would hold up a configuration, and an
+// answer that nobody wants would take its time on the link.
+TEST(PeerSendQueue, AnswersMayBeHeldBackOrDropped) {
+  PeerSendQueue Queue;
+  Queue.push(piece(1, 0));
+  Queue.push(piece(2, 0));
+  Queue.push(update(9));
+  Queue.startWrite(false);
+  EXPECT_EQ(updateOf(Queue.next(0)), 9U);
+  Queue.startWrite(false);
+  EXPECT_FALSE(Queue.next(0));
+  EXPECT_TRUE(Queue.hasAnswers());
+  Queue.dropAnswer({0, 1});
+  EXPECT_EQ(pieceOf(takeWrite(Queue).Messages).first, 2U);
+  EXPECT_EQ(Queue.queuedBytes(), 0U);
+}
