Add: pacing of large answers over all links of a host

The kernel takes 64 KB of each link, and what is sent later on any link of the host waits behind it: with 30 links, 1.6 s at 10 Mbit/s.

SelfNode / Limits / LinkMbps names the rate of the host's link. A link whose write is unfinished loses its turn, so a peer that does not read delays no other. A Cancel drops what is queued of its answer.

--- a/src/shell/PeerLink.cpp
+++ b/src/shell/PeerLink.cpp
@@ -33,6 +33,11 @@
 /// ones.
 static constexpr std::size_t MinReportedFrameBytes = std::size_t(8) * 1024;
 
+static TimePoint steadyNow() {
+  return std::chrono::time_point_cast<Duration>(
+      std::chrono::steady_clock::now());
+}
+
 static void clearBuffer(std::string &Buffer) {
   if (Buffer.capacity() > MaxRetainedBufferBytes)
     Buffer = std::string();
@@ -195,11 +200,23 @@
 void PeerLink::fillWriteBuffer() {
   // A message that is too large is dropped. If that leaves the write empty, no
   // end of a write starts the next one.
-  do {
-    Queue.startWrite();
-    while (std::optional<PeerMessage> Message = Queue.next(WriteBuffer.size()))
+  bool Taken = true;
+  while (WriteBuffer.empty() && Taken) {
+    Taken = false;
+    Queue.startWrite(mayWriteAnswers());
+    while (std::optional<PeerMessage> Message =
+               Queue.next(WriteBuffer.size())) {
+      Taken = true;
       encode(std::move(*Message));
-  } while (WriteBuffer.empty() && !Queue.empty());
+    }
+  }
+}
+
+/// Returns whether the next write may contain a piece of an answer. If not, the
+/// pacer starts a write later.
+bool PeerLink::mayWriteAnswers() {
+  return !Queue.hasAnswers() ||
+         Context->Pacer.request(steadyNow(), shared_from_this());
 }
 
 void PeerLink::encode(PeerMessage Message) {
@@ -209,6 +226,8 @@
   std::size_t Payload = FrameBuffer.size() - FrameHeaderBytes;
   if (Payload <= Context->Settings.MaxFrameBytes) {
     appendEncoded(WriteBuffer, FrameBuffer);
+    if (std::holds_alternative<AnswerPiece>(Message))
+      Context->Pacer.spend(steadyNow(), WriteBuffer.size() - Start);
     if (Compressor) {
       CrossRegionTraffic &Counters = Context->Traffic[Message.index()];
       Counters.MessageType = messageName(Message);
--- a/src/shell/PeerLink.h
+++ b/src/shell/PeerLink.h
@@ -3,6 +3,7 @@
 #ifndef FIGSAIL_PEERLINK_H
 #define FIGSAIL_PEERLINK_H
 
+#include "BulkPacer.h"
 #include "LinkCompression.h"
 #include "PeerSendQueue.h"
 #include "PeerTransport.h"
@@ -61,10 +62,12 @@
   std::uint64_t BytesReceived = 0;
   std::vector<CrossRegionTraffic> Traffic = std::vector<CrossRegionTraffic>(
       std::variant_size_v<PeerMessage>); ///< By the message type's index.
+  BulkPacer Pacer{Settings.LinkBytes};
 };
 
 /// One link to a peer. Each side sends a Hello first; messages follow.
-class PeerLink : public std::enable_shared_from_this<PeerLink> {
+class PeerLink : public BulkSender,
+                 public std::enable_shared_from_this<PeerLink> {
 public:
   enum class Phase : std::uint8_t {
     Connecting,    ///< The TCP connection is not open yet.
@@ -86,6 +89,9 @@
   /// Queues a message; PeerSendQueue decides the order. The link breaks when
   /// the queued bytes exceed PeerSettings::MaxQueuedBytes.
   void send(PeerMessage Message);
+  /// Drops what is queued of an answer that the peer no longer wants.
+  void dropAnswer(const CallId &Call) { Queue.dropAnswer(Call); }
+  void resumeBulk() override { flush(); }
   /// Announces an orderly close, if the link is open and has nothing left to
   /// send.
   void close();
@@ -108,6 +114,7 @@
   void scheduleFlush();
   void flush();
   void fillWriteBuffer();
+  bool mayWriteAnswers();
   void encode(PeerMessage Message);
   void handleWritten(const boost::system::error_code &Error, std::size_t Bytes);
   void reportClosed();
--- a/src/shell/PeerTransport.cpp
+++ b/src/shell/PeerTransport.cpp
@@ -49,7 +49,10 @@
                  LamportClock &Clock, PeerSettings Settings)
       : Context(std::make_shared<LinkContext>(LinkContext{
             Loop, std::move(Self), Clock, std::move(Settings), this})),
-        Handler(Handler), Acceptor(Loop), AcceptTimer(Loop), IdleTimer(Loop) {}
+        Handler(Handler), Acceptor(Loop), AcceptTimer(Loop), IdleTimer(Loop),
+        PacerTimer(Loop) {
+    Context->Pacer.setTimer([this](TimePoint Due) { armPacerTimer(Due); });
+  }
 
   void linkOpened(const LinkPtr &Link) override;
   void linkReceived(const LinkPtr &Link, PeerMessage Message) override;
@@ -64,6 +67,7 @@
   void scheduleAccept();
   void startIdleTimer();
   void closeIdleLinks();
+  void armPacerTimer(TimePoint Due);
   void send(const HostId &Host, PeerMessage Message);
   void deliverLocally(PeerMessage Message);
   void reportInvalidAddress(const HostId &Host, PeerMessage Message);
@@ -79,6 +83,7 @@
   tcp::acceptor Acceptor;
   asio::steady_timer AcceptTimer;
   asio::steady_timer IdleTimer;
+  asio::steady_timer PacerTimer;
   std::set<LinkPtr> Links; ///< All links that have not reported their close.
   std::unordered_map<HostId, HostLinks> Hosts;
   std::uint64_t ResetCount = 0; ///< Number of calls of resetAll().
@@ -111,7 +116,11 @@
 
 void PeerTransport::Implementation::linkReceived(const LinkPtr &Link,
                                                  PeerMessage Message) {
-  Hosts[Link->peer().Host].LastReceivedOn = Link;
+  HostLinks &Entry = Hosts[Link->peer().Host];
+  Entry.LastReceivedOn = Link;
+  if (const auto *Cancelled = std::get_if<Cancel>(&Message))
+    for (const LinkPtr &Each : Entry.Links)
+      Each->dropAnswer(Cancelled->Call);
   Handler.peerReceived({Link->peer(), std::move(Message)});
 }
 
@@ -223,6 +232,17 @@
   }
 }
 
+/// Lets the links that wait for the pacer write. A later call replaces the
+/// time, since the pacer has only one.
+void PeerTransport::Implementation::armPacerTimer(TimePoint Due) {
+  PacerTimer.expires_at(Due);
+  PacerTimer.async_wait([Self = shared_from_this()](const error_code &Error) {
+    if (!Error && Self->Context->Owner)
+      Self->Context->Pacer.resume(std::chrono::time_point_cast<Duration>(
+          std::chrono::steady_clock::now()));
+  });
+}
+
 // Sending.
 
 void PeerTransport::Implementation::send(const HostId &Host,
@@ -311,6 +331,8 @@
   Acceptor.close(Ignored);
   AcceptTimer.cancel();
   IdleTimer.cancel();
+  PacerTimer.cancel();
+  Context->Pacer.setTimer(nullptr);
   for (const LinkPtr &Link : Links)
     Link->closeNow(LinkCloseReason::Reset);
   Links.clear();
--- a/src/shell/PeerTransport.h
+++ b/src/shell/PeerTransport.h
@@ -47,6 +47,8 @@
 struct PeerSettings {
   std::string Region{}; ///< Region of this daemon. Links to another region
                         ///< are compressed.
+  double LinkBytes = 0; ///< Rate of this host's link in bytes a second. 0: the
+                        ///< pieces of answers are not paced.
   std::size_t MaxFrameBytes =
       std::size_t(16) * 1024 * 1024; ///< Payload limit; a longer frame received
                                      ///< breaks the link.
--- a/src/shell/SidecarDaemon.cpp
+++ b/src/shell/SidecarDaemon.cpp
@@ -43,9 +43,10 @@
       std::chrono::steady_clock::now());
 }
 
-static PeerSettings peerSettings(const std::string &Region) {
+static PeerSettings peerSettings(const SidecarSettings &Own) {
   PeerSettings Settings;
-  Settings.Region = Region;
+  Settings.Region = Own.Region;
+  Settings.LinkBytes = Own.LinkBytes;
   Settings.UnacknowledgedLimit = UnacknowledgedTimeout;
   Settings.IdleTimeout = PeerIdleTimeout;
   return Settings;
@@ -82,7 +83,7 @@
       Reducer(Configuration.Settings, *Platform.Records),
       Peers(Context, *this,
             PeerRef{Configuration.Settings.Host, Configuration.Settings.Inc},
-            Clock, peerSettings(Configuration.Settings.Region)),
+            Clock, peerSettings(Configuration.Settings)),
       ClientSettings(frontendSettings(Configuration)),
       Frontend(Context, *this, ClientSettings),
       Backend(Context, static_cast<BackendHandler &>(*this),
--- a/src/sidecar/SidecarSettings.h
+++ b/src/sidecar/SidecarSettings.h
@@ -32,6 +32,7 @@
   std::string Service; ///< Service of the backend server beside it.
   std::map<std::string, std::string> RegionOfDomain;
   double RegionLinkBytes = 30e6 / 8; ///< Bytes a second between two regions.
+  double LinkBytes = 0; ///< Bytes a second of this host's link; 0: unknown.
   SidecarBounds Bounds;
 };
 
--- a/tests/PacedCluster.h
+++ b/tests/PacedCluster.h
@@ -4,6 +4,7 @@
 #ifndef FIGSAIL_TESTS_PACEDCLUSTER_H
 #define FIGSAIL_TESTS_PACEDCLUSTER_H
 
+#include "BulkPacer.h"
 #include "JsonRecordDecoder.h"
 #include "PeerCodec.h"
 #include "PeerSendQueue.h"
@@ -127,11 +128,12 @@
 
 /// Takes the messages of the next write, as PeerLink does. Nothing overtakes a
 /// message that has been taken.
-inline std::vector<WrittenPtr> takeWrite(PeerSendQueue &Queue) {
+inline std::vector<WrittenPtr> takeWrite(PeerSendQueue &Queue,
+                                         bool AnswersAllowed = true) {
   std::vector<WrittenPtr> Write;
   std::size_t Total = 0;
   std::string Frame;
-  Queue.startWrite();
+  Queue.startWrite(AnswersAllowed);
   while (std::optional<PeerMessage> Next = Queue.next(Total)) {
     Frame.clear();
     appendFrame(Frame, 1, *Next);
@@ -154,8 +156,10 @@
 struct PacedRequest {
   TimePoint SentAt;
   HostId Host;
-  std::string Prefix;  ///< Of its path.
-  unsigned Status = 0; ///< Of the answer; 0: none yet.
+  std::string Prefix;        ///< Of its path.
+  unsigned Status = 0;       ///< Of the answer; 0: none yet.
+  std::size_t BodyBytes = 0; ///< Of the answer.
+  TimePoint AnsweredAt{};
 };
 
 /// A version of the configuration that the store has accepted.
@@ -170,17 +174,28 @@
 /// compressed here.
 class PacedCluster {
 public:
+  /// LinkBytes: rate of each host's link as in its settings; 0: not known, and
+  /// pieces of answers are not paced.
   PacedCluster(const std::vector<PacedHost> &List, std::string StoreRegion,
-               std::uint64_t Seed)
-      : StoreRegion(std::move(StoreRegion)), Random(Seed) {
+               std::uint64_t Seed, double LinkBytes = 0)
+      : LinkBytes(LinkBytes), StoreRegion(std::move(StoreRegion)),
+        Random(Seed) {
     for (const PacedHost &Described : List)
       RegionOfDomain[Described.FailureDomain] = Described.Region;
     for (const PacedHost &Described : List) {
       IndexOf[Described.Name] = Hosts.size();
-      Hosts.push_back(std::make_unique<Host>(Time, Described));
+      Hosts.push_back(std::make_unique<Host>(Time, Described, LinkBytes));
     }
     for (std::size_t Self = 0; Self < Hosts.size(); ++Self)
       start(Self);
+    for (auto &Self : Hosts)
+      Self->Pacer.setTimer([this, Owner = Self.get()](TimePoint Due) {
+        Owner->PacerDue = Due;
+        Time.schedule(Due - Time.now(), [this, Owner, Due] {
+          if (Owner->PacerDue == Due)
+            Owner->Pacer.resume(Time.now());
+        });
+      });
   }
   PacedCluster(const PacedCluster &) = delete;
   PacedCluster &operator=(const PacedCluster &) = delete;
@@ -199,6 +214,10 @@
       RegionPorts.try_emplace(
           Region, std::make_unique<PacedPort>(Time, BytesPerSecond));
   }
+  /// Sets the size of the answers' bodies by the target of the request.
+  void setAnswerSize(std::function<std::size_t(const std::string &)> Size) {
+    AnswerSize = std::move(Size);
+  }
   /// Lets the store refuse all reads of a topic, or serve them again.
   void refuseReads(Topic Which, bool Refused) {
     ReadsRefused[static_cast<std::size_t>(Which)] = Refused;
@@ -232,7 +251,7 @@
     Arrived.Caller = Requests.size();
     Arrived.Id = std::to_string(Arrived.Caller);
     Arrived.Host = "desk.example";
-    Arrived.ClientTimeout = 1500ms;
+    Arrived.ClientTimeout = ClientTimeout;
     Arrived.Request.Method = "GET";
     Arrived.Request.Target = Prefix + Arrived.Id;
     Requests.push_back({Time.now(), hostName(Self), Prefix});
@@ -272,19 +291,22 @@
     return First;
   }
 
+  Duration ClientTimeout = 1500ms; ///< Of the next requests.
   std::vector<PacedRequest> Requests;
   std::vector<SentVersion> Versions;
   std::map<std::string, unsigned> Decisions; ///< Number by kind.
 
 private:
   struct Host {
-    Host(VirtualTime &Time, PacedHost Described)
+    Host(VirtualTime &Time, PacedHost Described, double LinkBytes)
         : Described(std::move(Described)), Sending(Time, HostLinkBytes),
-          Receiving(Time, HostLinkBytes) {}
+          Receiving(Time, HostLinkBytes), Pacer(LinkBytes) {}
     PacedHost Described;
     std::unique_ptr<Sidecar> Reducer;
     PacedPort Sending;
     PacedPort Receiving;
+    BulkPacer Pacer;
+    TimePoint PacerDue; ///< Time of its only timer.
     TimePoint WakeAt = TimePoint::max();
     std::set<RunId> Runs;                       ///< In progress.
     std::map<std::uint64_t, TimePoint> InForce; ///< By version.
@@ -306,8 +328,15 @@
   };
   using StoreReadPtr = std::shared_ptr<StoreRead>;
 
+  /// Writes what a link has queued when the pacer allows it.
+  struct PacedSender : BulkSender {
+    std::function<void()> Write;
+    void resumeBulk() override { Write(); }
+  };
+
   /// What one side of a link writes.
   struct LinkSide {
+    std::shared_ptr<PacedSender> Sender = std::make_shared<PacedSender>();
     PeerSendQueue Queue;
     std::vector<WrittenPtr> Write; ///< Messages of the current write.
   };
@@ -332,6 +361,7 @@
     Settings.Service = Started.Described.Service;
     Settings.RegionOfDomain = RegionOfDomain;
     Settings.Inc = peer(Self).Inc;
+    Settings.LinkBytes = LinkBytes;
     Started.Reducer = std::make_unique<Sidecar>(Settings, Decoder);
     Time.schedule(randomTime(500ms), [this, Self] {
       apply(Self, TimerFired{});
@@ -380,11 +410,11 @@
     else if (auto *Reset = std::get_if<ResetPeer>(&Effect))
       resetLink(Self, IndexOf.at(Reset->Host));
     else if (auto *Run = std::get_if<StartRun>(&Effect))
-      startRun(Self, Run->Run);
+      startRun(Self, Run->Run, Run->Request.Target);
     else if (auto *Cancelled = std::get_if<CancelRun>(&Effect))
       endRun(Self, Cancelled->Run, BackendError::Cancelled, 0us);
     else if (auto *Reply = std::get_if<ReplyCaller>(&Effect))
-      Requests[Reply->Caller].Status = Reply->Response.Status;
+      noteReply(Requests[Reply->Caller], Reply->Response);
     else if (std::holds_alternative<ProbeServer>(Effect))
       answerProbe(Self);
     else if (auto *Logged = std::get_if<Decision>(&Effect))
@@ -402,11 +432,18 @@
         Hosts[Self]->InForce.emplace(std::stoull(Value), Time.now());
   }
 
-  void startRun(std::size_t Self, RunId Run) {
+  void noteReply(PacedRequest &Answered, const HttpResponse &Response) {
+    Answered.Status = Response.Status;
+    Answered.BodyBytes = Response.Body.size();
+    Answered.AnsweredAt = Time.now();
+  }
+
+  void startRun(std::size_t Self, RunId Run, const std::string &Target) {
     Hosts[Self]->Runs.insert(Run);
     HttpResponse Response;
     Response.Status = 200;
-    Response.Body.assign(AnswerBodyBytes, 'a');
+    Response.Body.assign(AnswerSize ? AnswerSize(Target) : AnswerBodyBytes,
+                         'a');
     endRun(Self, Run, Response, ServerRunTime);
   }
   void endRun(std::size_t Self, RunId Run,
@@ -492,7 +529,14 @@
     LinkSide &Side = Used.Sides[From];
     if (Used.Phase != Link::State::Open || !Side.Write.empty())
       return;
-    Side.Write = takeWrite(Side.Queue);
+    Side.Sender->Write = [this, From, To] { write(From, To); };
+    BulkPacer &Pacer = Hosts[From]->Pacer;
+    bool Allowed =
+        !Side.Queue.hasAnswers() || Pacer.request(Time.now(), Side.Sender);
+    Side.Write = takeWrite(Side.Queue, Allowed);
+    for (const WrittenPtr &Written : Side.Write)
+      if (std::holds_alternative<AnswerPiece>(Written->Message))
+        Pacer.spend(Time.now(), Written->Bytes);
     for (const WrittenPtr &Written : Side.Write)
       transmit(From, To, Used.Number, Written);
   }
@@ -792,6 +836,8 @@
   }
 
   VirtualTime Time;
+  double LinkBytes; ///< In the settings of each host.
+  std::function<std::size_t(const std::string &)> AnswerSize;
   std::string StoreRegion;
   std::mt19937_64 Random;
   platform::JsonRecordDecoder Decoder;
--- a/tests/PeerTransportTest.cpp
+++ b/tests/PeerTransportTest.cpp
@@ -292,6 +292,47 @@
     EXPECT_EQ(bulkNumberOf(Remote.Received[1 + I].Message), I);
 }
 
+// Answers on one link were in the kernel ahead of a call on another link of the
+// host. Without pacing, the loopback passes them all at once.
+TEST_F(PeerTransportTest, PacedAnswersArriveWholeAndBehindCallsOnOtherLinks) {
+  PeerSettings Paced;
+  Paced.LinkBytes = 2e6;
+  Peer Local(Loop, LocalAddress, 11, Paced);
+  Peer Remote(Loop, RemoteAddress, 22);
+  Peer Other(Loop, loopbackAddress(3), 33);
+  Remote.listen();
+  Other.listen();
+  constexpr std::uint32_t Pieces = 20;
+  for (std::uint32_t I = 0; I < Pieces; ++I)
+    Local.Transport.send(RemoteAddress,
+                         AnswerPiece{{22, 1}, 1, I, std::string(16384, 'x')});
+  runUntil([&] { return !Remote.Received.empty(); });
+  Local.Transport.send(Other.Self.Host, callMessage(1));
+  Local.Transport.send(RemoteAddress, callMessage(2));
+  runUntil([&] { return Other.Received.size() == 1; });
+  EXPECT_LT(Remote.Received.size(), Pieces);
+  runUntil([&] { return Remote.Received.size() == Pieces + 1; });
+  EXPECT_NE(sequenceOf(Remote.Received.back().Message), 2U);
+}
+
+// The rest of an answer that nobody waits for would take 0.4 s of a slow link.
+TEST_F(PeerTransportTest, ACancelledAnswerIsNotSentOn) {
+  PeerSettings Paced;
+  Paced.LinkBytes = 1e5;
+  Peer Local(Loop, LocalAddress, 11, Paced);
+  Peer Remote(Loop, RemoteAddress, 22);
+  Remote.listen();
+  for (std::uint32_t I = 0; I < 100; ++I)
+    Local.Transport.send(RemoteAddress,
+                         AnswerPiece{{22, 1}, 1, I, std::string(16384, 'x')});
+  runUntil([&] { return !Remote.Received.empty(); });
+  Remote.Transport.send(LocalAddress, Cancel{{22, 1}});
+  runUntil([&] { return !Local.Received.empty(); });
+  Local.Transport.close();
+  runUntil([&] { return Local.Transport.linkCount() == 0; });
+  EXPECT_LT(Remote.Received.size(), 100U);
+}
+
 // A bulk message above the frame limit is dropped. If the write ended with it,
 // those behind it would wait until something else is sent.
 TEST_F(PeerTransportTest, ADroppedBulkMessageDoesNotDelayTheNext) {
--- a/tests/PlatformTest.cpp
+++ b/tests/PlatformTest.cpp
@@ -492,6 +492,21 @@
   EXPECT_EQ(Parsed.Addresses.Clients, "10.1.0.8:8304");
 }
 
+// A wrong unit would pace answers to an eighth of the link, or not at all.
+TEST(PlatformSettings, TheLinkRateIsOptional) {
+  auto Read = platform::parseSettings(ValidSettings);
+  EXPECT_EQ(std::get<SidecarConfiguration>(Read).Settings.LinkBytes, 0);
+  std::string Text = ValidSettings;
+  std::string Known = "FileDescriptors: 4100";
+  Text.replace(Text.find(Known), Known.size(), Known + ", LinkMbps: 10");
+  Read = platform::parseSettings(Text);
+  ASSERT_TRUE(std::holds_alternative<SidecarConfiguration>(Read));
+  EXPECT_EQ(std::get<SidecarConfiguration>(Read).Settings.LinkBytes, 1.25e6);
+  Text.replace(Text.find("LinkMbps: 10"), 12, "LinkMbps: -1");
+  Read = platform::parseSettings(Text);
+  EXPECT_TRUE(std::holds_alternative<platform::SettingsError>(Read));
+}
+
 TEST(PlatformSettings, AnErrorNamesTheField) {
   for (auto [From, To, Name] :
        std::vector<std::tuple<std::string, std::string, std::string>>{
