Add: the gate takes into account what its link still has to send

Slots were free while answers waited for the link for seconds, so calls were admitted whose answers came after their target or their deadline.

With a known link rate the gate learns the size of each route's answers and estimates the bytes that the link has not sent. A call that would miss its target for that reason alone is refused as server-slow while its ingress has another server, and else only if it would miss its deadline. Routes of small answers are not affected.

--- a/src/sidecar/ServerGate.cpp
+++ b/src/sidecar/ServerGate.cpp
@@ -61,7 +61,8 @@
 
 ServerGate::ServerGate(const SidecarSettings &Settings)
     : Self{Settings.Host, Settings.Inc}, Region(Settings.Region),
-      Bounds(Settings.Bounds), ColdTokens(1, 1), Retries(Settings.Bounds) {}
+      Bounds(Settings.Bounds), ColdTokens(1, 1), Retries(Settings.Bounds),
+      Outgoing(Settings.LinkBytes) {}
 
 void ServerGate::configure(const ServiceSettings &Service) {
   Configured = true;
@@ -302,6 +303,28 @@
   return Now + Left - Usual;
 }
 
+/// Checks whether a call with a large answer would be late because of what the
+/// link still has to send: the answers that are queued, and those of the calls
+/// that are here. A call that would miss its target for that reason alone goes
+/// to another server if there is one.
+std::optional<ErrorKind> ServerGate::checkLink(TimePoint Now,
+                                               const AdmittedCall &Call,
+                                               Duration UntilRunEnds) const {
+  std::size_t Bytes = Outgoing.expectedBytes(Call.Message.Policy.Route);
+  if (Bytes == 0 || Call.From.Host == Self.Host)
+    return std::nullopt;
+  TimePoint WithFreeLink = Now + UntilRunEnds + Outgoing.timeAlone(Bytes);
+  for (const auto &[Id, Other] : Calls)
+    Bytes += Outgoing.expectedBytes(Other.Message.Policy.Route);
+  TimePoint End = std::max(WithFreeLink, Now + Outgoing.timeQueued(Now, Bytes));
+  if (Call.Message.HasAlternative && End > Call.Target &&
+      WithFreeLink <= Call.Target)
+    return ErrorKind::ServerSlow;
+  if (End > Call.Deadline)
+    return ErrorKind::Overloaded;
+  return std::nullopt;
+}
+
 /// Checks whether a call can be served in time. A call that the server's rate
 /// limit would delay is refused at once if another server can take it. With a
 /// free slot every call that can meet its deadline is admitted, even after its
@@ -319,6 +342,8 @@
   if (delayUntil(Now, Call))
     return std::nullopt;
   Duration Wait = expectedWait(Now, Call, Slowdown.factor());
+  if (auto Reason = checkLink(Now, Call, Wait + Run))
+    return Reason;
   if (Wait == Duration(0))
     return Now >= Call.Deadline ? std::optional(ErrorKind::Overloaded)
                                 : std::nullopt;
--- a/src/sidecar/ServerGate.h
+++ b/src/sidecar/ServerGate.h
@@ -5,6 +5,7 @@
 
 #include "CrashDetector.h"
 #include "LocalServer.h"
+#include "OutgoingAnswers.h"
 #include "ReplyCache.h"
 #include "RunTimes.h"
 #include "ServerRateLimit.h"
@@ -149,6 +150,8 @@
   std::optional<ErrorKind> checkAvailability(const Execute &Message) const;
   std::optional<ErrorKind> checkCapacity(TimePoint Now,
                                          const AdmittedCall &Call) const;
+  std::optional<ErrorKind> checkLink(TimePoint Now, const AdmittedCall &Call,
+                                     Duration UntilRunEnds) const;
   bool isOtherSuspectRunning(std::uint64_t Fingerprint) const;
   std::optional<ErrorKind> checkSuspicion(TimePoint Now,
                                           const Execute &Message) const;
@@ -218,6 +221,7 @@
   TimePoint LastCallAt;     ///< Time of the last arrival of a call.
   std::map<HostId, TimePoint> Ingresses; ///< Time of the last call of each.
   RunTimes Times;
+  OutgoingAnswers Outgoing;
   CallMap Calls;                                ///< Waiting or running.
   std::multimap<TimePoint, CallId> ReceiptsDue; ///< By due time.
   std::size_t Waiting = 0;
--- a/src/sidecar/ServerGateRuns.cpp
+++ b/src/sidecar/ServerGateRuns.cpp
@@ -201,6 +201,10 @@
   }
   Crashes.succeeded(Step.Now, Call.Message.Fingerprint);
   recordRunTime(Call, Step.Now, Response.Status < 500);
+  // Bodies of failures would lower the expected size.
+  if (Response.Status < 500)
+    Outgoing.add(Step.Now, Call.Message.Policy.Route, Response.Body.size(),
+                 Call.From.Host != Self.Host);
   reply(Step, Call.From, Id,
         Answer{Id, std::move(Response), load(Step.Now), CallRefused});
 }
--- a/tests/BulkTransferTest.cpp
+++ b/tests/BulkTransferTest.cpp
@@ -3,6 +3,7 @@
 
 #include "AnswerAssembly.h"
 #include "AnswerPieces.h"
+#include "ServerGateFixture.h"
 #include "SidecarFixture.h"
 
 using namespace figsail;
@@ -202,3 +203,52 @@
     }
   }
 }
+
+/// A gate on a host whose link passes 875 KB/s of answers, and that has sent
+/// one of them.
+struct LinkedGateTest : ServerGateTest {
+  LinkedGateTest() {
+    SidecarSettings Settings = testSettings();
+    Settings.LinkBytes = 10e6 / 8;
+    Gate = ServerGate(Settings);
+    ServiceSettings Service;
+    Service.MaxConnections = 200;
+    Gate.configure(Service);
+    sendHeartbeat(1);
+  }
+  SidecarEffects executeLarge(bool HasAlternative) {
+    Execute Message = call();
+    Message.Policy.Route = "download";
+    Message.TargetMicros = Duration(1s).count();
+    Message.BudgetMicros = Duration(2s).count();
+    Message.HasAlternative = HasAlternative;
+    return execute(std::move(Message));
+  }
+  static std::optional<ErrorKind> refusal(const SidecarEffects &Out) {
+    auto Found = messages<Refused>(Out);
+    return Found.empty() ? std::nullopt : std::optional(Found[0].second.Kind);
+  }
+  /// Runs a call to its end, with an answer of this size.
+  void answerLarge(std::size_t Bytes) {
+    auto Runs = effects<StartRun>(executeLarge(false));
+    ASSERT_EQ(Runs.size(), 1U);
+    Now += 10ms;
+    endRun(Runs[0].Run, {0, HttpResponse{200, {}, largeBody(Bytes)}, {}});
+  }
+};
+
+// Slots were free while answers of seconds waited for the link: calls were
+// admitted whose answers came after their target and their deadline.
+TEST_F(LinkedGateTest, ACallWhoseAnswerWouldWaitForTheLinkGoesElsewhere) {
+  answerLarge(270'000);
+  EXPECT_FALSE(refusal(executeLarge(true))) << "0.31 s and 0.31 s";
+  answerLarge(270'000);
+  EXPECT_EQ(refusal(executeLarge(true)), ErrorKind::ServerSlow);
+  EXPECT_FALSE(refusal(executeLarge(false))) << "late is better than never";
+  EXPECT_FALSE(refusal(execute(call()))) << "a small answer";
+  answerLarge(270'000);
+  answerLarge(270'000);
+  EXPECT_EQ(refusal(executeLarge(false)), ErrorKind::Overloaded);
+  Now += 2s;
+  EXPECT_FALSE(refusal(executeLarge(true))) << "the link has sent them";
+}
