--- a/include/figsail/ErrorKind.h
+++ b/include/figsail/ErrorKind.h
@@ -49,6 +49,7 @@
   ConfigurationBehind,
   Unauthorized,
   KeyUnconfirmed,
+  RolloutClosed,
   QuotaExceeded,
   CalledServiceRefuses,
 };
--- a/include/figsail/Events.h
+++ b/include/figsail/Events.h
@@ -218,6 +218,7 @@
   RunsDisplaced,
   RefusedAtDoor,
   DoorTrials,
+  AnswerPiecesDropped, ///< For lack of memory at the ingress.
 };
 
 /// Increment a counter.
@@ -295,7 +296,7 @@
 std::string_view counterName(Counter Which);
 
 inline constexpr std::size_t CounterCount =
-    static_cast<std::size_t>(Counter::DoorTrials) + 1;
+    static_cast<std::size_t>(Counter::AnswerPiecesDropped) + 1;
 
 } // namespace figsail
 
--- a/src/core/Names.cpp
+++ b/src/core/Names.cpp
@@ -15,7 +15,7 @@
         "Probe",      "ProbeReply",    "Subscribe",      "Records",
         "Snapshot",   "SuspectReport", "TopicSubscribe", "TopicUpdate",
         "TopicPiece", "RolloutReport", "RolloutVerdict", "QuotaReport",
-        "QuotaReply"};
+        "QuotaReply", "AnswerPiece"};
 
 bool isControl(const PeerMessage &Message) {
   return !std::holds_alternative<Execute>(Message) &&
@@ -25,6 +25,7 @@
 bool isBulk(const PeerMessage &Message) {
   return std::holds_alternative<TopicUpdate>(Message) ||
          std::holds_alternative<TopicPiece>(Message) ||
+         std::holds_alternative<AnswerPiece>(Message) ||
          std::holds_alternative<Records>(Message) ||
          std::holds_alternative<Snapshot>(Message);
 }
@@ -77,7 +78,8 @@
     "rollout_steps",
     "runs_displaced",
     "refused_at_door",
-    "door_trials"};
+    "door_trials",
+    "answer_pieces_dropped"};
 
 std::string_view counterName(Counter Which) {
   return CounterNames[static_cast<std::size_t>(Which)];
--- a/src/core/Node.cpp
+++ b/src/core/Node.cpp
@@ -81,6 +81,7 @@
   void message(const PeerRef &From, RolloutVerdict &Message);
   void message(const PeerRef &From, QuotaReport &Message);
   void message(const PeerRef &From, QuotaReply &Message);
+  void message(const PeerRef &From, AnswerPiece &Message);
 
   bool detectPause();
   void afterEvent();
@@ -410,6 +411,10 @@
   Out.emplace_back(Count{Counter::StaleMessages});
 }
 
+void Node::State::message(const PeerRef &, AnswerPiece &) {
+  Out.emplace_back(Count{Counter::StaleMessages});
+}
+
 /// Reports requests that may crash backend servers to the members of the
 /// service.
 void Node::State::sendReports() {
--- a/src/sidecar/CallRouter.h
+++ b/src/sidecar/CallRouter.h
@@ -3,6 +3,7 @@
 #ifndef FIGSAIL_SIDECAR_CALLROUTER_H
 #define FIGSAIL_SIDECAR_CALLROUTER_H
 
+#include "AnswerAssembly.h"
 #include "Authentication.h"
 #include "CallDependencies.h"
 #include "HostActivity.h"
@@ -65,6 +66,7 @@
 
   void received(RouterStep &Step, const PeerRef &From, const CallId &Id);
   void answered(RouterStep &Step, const PeerRef &From, Answer Message);
+  void pieceReceived(RouterStep &Step, const PeerRef &From, AnswerPiece Piece);
   void refused(RouterStep &Step, const PeerRef &From, const Refused &Message);
   void failed(RouterStep &Step, const PeerRef &From, const Failed &Message);
   void peerLost(RouterStep &Step, const PeerLost &Lost);
@@ -236,6 +238,7 @@
   StopTime Stop;
   RegionLink Link;
   HostActivity Activity;
+  AnswerAssembly Assembly; ///< Of the answers to the present attempts.
   NestedCallEstimator Origins;
   SplitSchedule Splits;
   std::set<std::string> UsedServices;
--- a/src/sidecar/Sidecar.cpp
+++ b/src/sidecar/Sidecar.cpp
@@ -2,6 +2,8 @@
 
 #include "Sidecar.h"
 
+#include "AnswerPieces.h"
+
 #include <algorithm>
 #include <array>
 #include <iterator>
@@ -55,6 +57,7 @@
   sendAnnouncement(S);
   updateReadiness(S);
   continueStop(S);
+  splitLargeAnswers(Settings.Host, Out);
   return Out;
 }
 
@@ -197,6 +200,8 @@
     Router.received(AtRouter, From, Body->Call);
   else if (auto *Body = std::get_if<Answer>(&Message))
     Router.answered(AtRouter, From, std::move(*Body));
+  else if (auto *Body = std::get_if<AnswerPiece>(&Message))
+    Router.pieceReceived(AtRouter, From, std::move(*Body));
   else if (auto *Body = std::get_if<Refused>(&Message))
     Router.refused(AtRouter, From, *Body);
   else if (auto *Body = std::get_if<Failed>(&Message))
