Change: versions are announced only where rollouts are in use

Backend servers of every deployment state a version in their heartbeats. Announcements of deployments without rollouts stay as they were. PeerCodec tests cover the two new messages. RolloutTest, PlatformTest, PeerCodecTest, SidecarTest and SidecarLifeTest pass.

--- a/src/sidecar/RolloutJudge.h
+++ b/src/sidecar/RolloutJudge.h
@@ -46,8 +46,8 @@
 /// Result of a comparison.
 struct RolloutJudgement {
   RolloutHealth Health = RolloutHealth::Healthy;
-  std::string Route;            ///< Empty: all routes together.
-  std::string_view Reason = ""; ///< "failures" or "slow".
+  std::string Route;       ///< Empty: all routes together.
+  std::string_view Reason; ///< "failures" or "slow".
 };
 
 /// Compares the answers of the new version with those of the old one, by route
--- a/src/sidecar/Rollouts.h
+++ b/src/sidecar/Rollouts.h
@@ -53,6 +53,9 @@
   void statusRead(RolloutStep &Step, const RolloutStatusRead &Read);
   void statusWritten(RolloutStep &Step, const RolloutStatusWritten &Ended);
 
+  /// Returns whether versions matter here: the settings or an order say so.
+  bool inUse() const { return Bounds.UsesRollouts || !Orders.empty(); }
+
   /// Ends each event: sets the role of the own gate, reports and decides.
   void update(RolloutStep &Step);
   TimePoint nextWake() const;
--- a/src/sidecar/Sidecar.cpp
+++ b/src/sidecar/Sidecar.cpp
@@ -121,10 +121,12 @@
 
 // Clients and peers.
 
-void Sidecar::on(Step &, BoundsChanged &Body) {
+void Sidecar::on(Step &S, BoundsChanged &Body) {
   Settings.Bounds = Body.Bounds;
   Gate.configure(Body.Bounds);
+  bool VersionsBefore = Versions.inUse();
   Versions.configure(Body.Bounds);
+  announceVersion(S, VersionsBefore);
   if (Stopping)
     setStopEnd();
 }
@@ -216,6 +218,12 @@
 
 // Rollouts.
 
+/// Announces the version of the own server when versions begin to matter.
+void Sidecar::announceVersion(Step &S, bool InUseBefore) {
+  if (!InUseBefore && Versions.inUse() && !Gate.server().version().empty())
+    announce(S);
+}
+
 void Sidecar::handleRollout(Step &S, const PeerRef &From,
                             const RolloutReport &Message) {
   RolloutStep AtRollouts = rolloutStep(S);
@@ -332,7 +340,9 @@
     Own.State = InstanceState::Paused;
   Own.Service = Gate.server().service();
   Own.Slots = Gate.server().slots();
-  Own.Version = Gate.server().version();
+  // Without rollouts, announcements stay as they were before there were any.
+  if (Versions.inUse())
+    Own.Version = Gate.server().version();
   Own.Left = Gate.server().leaving();
   ServerIncarnation Described = Gate.server().incarnation();
   // The next daemon must know of the leave too, however often they restart.
--- a/src/sidecar/Sidecar.h
+++ b/src/sidecar/Sidecar.h
@@ -140,6 +140,7 @@
   void reportSuspects(Step &S);
   RouterStep routerStep(Step &S);
   RolloutStep rolloutStep(Step &S);
+  void announceVersion(Step &S, bool InUseBefore);
   void handleRollout(Step &S, const PeerRef &From,
                      const RolloutReport &Message);
   void handleRollout(Step &S, const PeerRef &From,
--- a/src/sidecar/SidecarTopics.cpp
+++ b/src/sidecar/SidecarTopics.cpp
@@ -429,7 +429,9 @@
 void Sidecar::applyRecord(Step &S, const RecordOrigin &Origin,
                           RolloutOrder &Body) {
   RolloutStep AtRollouts = rolloutStep(S);
+  bool VersionsBefore = Versions.inUse();
   Versions.apply(AtRollouts, Body, Origin.At);
+  announceVersion(S, VersionsBefore);
 }
 
 void Sidecar::applyRecord(Step &S, const RecordOrigin &, RolloutShare &Body) {
--- a/tests/PeerCodecTest.cpp
+++ b/tests/PeerCodecTest.cpp
@@ -161,6 +161,23 @@
         any<std::uint64_t>(), any<std::uint64_t>(), any<std::uint32_t>(),
         any<std::uint32_t>(), any<std::uint64_t>(), any<std::uint64_t>(),
         any<std::uint64_t>(), any<std::int64_t>(),  anyText()};
+  case 25:
+    return RolloutReport{
+        anyText(),
+        any<std::int64_t>(),
+        any<std::int64_t>(),
+        any<std::uint64_t>(),
+        any<bool>(),
+        any<bool>(),
+        any<std::uint32_t>(),
+        any<std::uint32_t>(),
+        any<std::uint32_t>(),
+        {{anyText(), any<std::uint32_t>(), any<std::uint32_t>(),
+          any<std::vector<std::uint32_t>>()}}};
+  case 26:
+    return RolloutVerdict{anyText(),           any<std::int64_t>(),
+                          any<std::int64_t>(), any<std::uint64_t>(),
+                          any<std::uint8_t>(), any<std::uint32_t>()};
   default: {
     KeyedRecord Present{anyText(), anyText(), any<std::int64_t>()};
     KeyedRecord Removed{anyText(), std::nullopt, any<std::int64_t>()};
--- a/tests/PlatformTest.cpp
+++ b/tests/PlatformTest.cpp
@@ -187,7 +187,8 @@
 TEST(PlatformReports, ReadsTheVersionOfAServer) {
   auto Version = [](const std::string &Field) {
     std::string Text = ValidHeartbeat;
-    Text.insert(Text.find('{') + 1, Field);
+    const std::string Present = R"("Version":"v1",)";
+    Text.replace(Text.find(Present), Present.size(), Field);
     return std::get<ServerHeartbeat>(platform::JsonReportCodec().decode(
                                          "PUT", "/v1/instances/i-1", Text))
         .Version;
