Change: a version that a recovered server states first is no change to announce

A restarted daemon would otherwise announce its server once more in every deployment. RolloutTest, LocalServerTest and SidecarLifeTest pass.

--- a/src/sidecar/LocalServer.cpp
+++ b/src/sidecar/LocalServer.cpp
@@ -55,9 +55,10 @@
   // Draining is final within one incarnation.
   if (SameIncarnation && (Leaving || State == InstanceState::Draining))
     Next = InstanceState::Draining;
-  bool Changed = !SameIncarnation || Next != State ||
-                 Report.Service != Service || Report.Slots != Slots ||
-                 Report.Version != Version;
+  // A recovered server may have been announced without its version.
+  bool OtherVersion = !Version.empty() && Report.Version != Version;
+  bool Changed = !SameIncarnation || Next != State || OtherVersion ||
+                 Report.Service != Service || Report.Slots != Slots;
   Instance = Report.Instance;
   Service = Report.Service;
   Slots = Report.Slots;
