Fix: a host without a share admits its part of a large workspace's burst

A workspace of 264 a second got 4 requests at a host before the first reply, so others were refused below the limit (WorkspacesTest). Settings test of the quota bounds.

--- a/src/sidecar/QuotaCoordinator.h
+++ b/src/sidecar/QuotaCoordinator.h
@@ -36,8 +36,7 @@
 /// hosts have reported, or 5 s have passed and no host is unreachable.
 class QuotaCoordinator {
 public:
-  QuotaCoordinator(HostId Self, const SidecarBounds &Bounds)
-      : Self(std::move(Self)), Bounds(Bounds) {}
+  explicit QuotaCoordinator(const SidecarBounds &Bounds) : Bounds(Bounds) {}
 
   void configure(const SidecarBounds &Changed) { Bounds = Changed; }
   void received(QuotaStep &Step, const PeerRef &From,
@@ -102,7 +101,6 @@
                            const Pool &Current);
   static bool isSilent(TimePoint Now, const Share &Held);
 
-  HostId Self;
   SidecarBounds Bounds;
   std::map<std::string, Pool> Pools; ///< By workspace.
   TimePoint WakeAt = TimePoint::max();
--- a/src/sidecar/WorkspaceQuota.cpp
+++ b/src/sidecar/WorkspaceQuota.cpp
@@ -30,9 +30,10 @@
 /// The same for a limited workspace: without a share, each first request would
 /// be admitted beyond it.
 static constexpr Duration LimitedIdleTime = 10s;
-/// Requests that an ingress without a share admits before the first reply. A
-/// client often sends several together.
+/// Requests that an ingress without a share admits before the first reply, at
+/// least. A client often sends several together.
 static constexpr double FirstExtra = 4;
+static constexpr double FirstExtraFraction = 0.5;
 /// Lowest rate from which a Retry-After is derived.
 static constexpr double MinTokenRate = 1e-3;
 /// Time for which a notice counts that a workspace is limited. Coordinators
@@ -68,6 +69,15 @@
   return Best;
 }
 
+/// Returns the requests that a host without a share admits before the first
+/// reply: its part of half of what may be admitted at once.
+double WorkspaceQuota::firstExtra(const Workspace &Of) const {
+  double Quota = Of.RatePerSecond * seconds(Bounds.QuotaWindow) + Of.Burst;
+  double AtOnce = Of.Burst + Quota * Bounds.QuotaOverage + Bounds.QuotaSlack;
+  return std::max(FirstExtra,
+                  FirstExtraFraction * AtOnce / static_cast<double>(HostCount));
+}
+
 /// Returns this host's part of the slack, in requests a second.
 double WorkspaceQuota::slackRate() const {
   return Bounds.QuotaSlack / static_cast<double>(HostCount) /
@@ -85,7 +95,7 @@
     Current.Limited = Limit != LimitedUntil.end() && Limit->second > Now;
     if (Limit != LimitedUntil.end())
       LimitedUntil.erase(Limit);
-    Current.Extra = Current.Limited ? 0 : FirstExtra;
+    Current.Extra = Current.Limited ? 0 : firstExtra(Of);
     // The buckets of all hosts begin with different fractions of a token, so
     // that together they admit the slack in one window.
     Current.Tokens.available(Now);
--- a/src/sidecar/WorkspaceQuota.h
+++ b/src/sidecar/WorkspaceQuota.h
@@ -95,6 +95,7 @@
 
   Entry &find(TimePoint Now, const Workspace &Of);
   static bool isHeard(TimePoint Now, const Entry &Current);
+  double firstExtra(const Workspace &Of) const;
   double slackRate() const;
   double currentRate(TimePoint Now, const Entry &Current) const;
   void noticed(TimePoint Now, const QuotaGrant &Notice);
--- a/tests/PlatformTest.cpp
+++ b/tests/PlatformTest.cpp
@@ -492,6 +492,23 @@
   EXPECT_EQ(Parsed.Addresses.Clients, "10.1.0.8:8304");
 }
 
+// Guards against quota bounds that are required or ignored.
+TEST(PlatformSettings, QuotaBoundsAreOptional) {
+  auto Bounds = [](const std::string &Fields) {
+    std::string Text = ValidSettings;
+    Text.replace(Text.find("Unknown: 7"), 10, Fields);
+    return std::get<SidecarConfiguration>(platform::parseSettings(Text))
+        .Settings.Bounds;
+  };
+  EXPECT_EQ(Bounds("Unknown: 7"), Bounds("QuotaWindowS: 5, QuotaOverage: 0.1, "
+                                         "QuotaSlack: 20"));
+  SidecarBounds Given =
+      Bounds("QuotaWindowS: 2, QuotaOverage: 0.2, QuotaSlack: 7");
+  EXPECT_EQ(Given.QuotaWindow, Duration(2s));
+  EXPECT_EQ(Given.QuotaOverage, 0.2);
+  EXPECT_EQ(Given.QuotaSlack, 7);
+}
+
 TEST(PlatformSettings, AnErrorNamesTheField) {
   for (auto [From, To, Name] :
        std::vector<std::tuple<std::string, std::string, std::string>>{
