--- a/tests/QuotaCluster.h
+++ b/tests/QuotaCluster.h
@@ -104,7 +104,7 @@
   std::vector<bool> Frozen = std::vector<bool>(10000);
 
   struct Host {
-    Host(HostId Own, const SidecarBounds &Bounds)
+    Host(const HostId &Own, const SidecarBounds &Bounds)
         : Name(Own), Quota(Own, Bounds), Coordinator(Bounds) {}
     HostId Name;
     Incarnation Inc = 1;
