--- a/src/shell/PeerTransport.h
+++ b/src/shell/PeerTransport.h
@@ -23,7 +23,7 @@
   virtual void peerReceived(PeerReceived Message) = 0;
   /// Bytes of a large message that is not complete yet have arrived. Called at
   /// most once in 50 ms for each host.
-  virtual void peerReceiving(PeerReceiving) {}
+  virtual void peerReceiving(const PeerReceiving &) {}
   /// A link to the peer is open.
   virtual void peerConnected(PeerConnected Peer) = 0;
   /// A link has failed, or was reset with messages unsent.
--- a/src/shell/SidecarDaemon.cpp
+++ b/src/shell/SidecarDaemon.cpp
@@ -196,9 +196,7 @@
 void SidecarDaemon::peerReceived(PeerReceived Message) {
   submit(std::move(Message));
 }
-void SidecarDaemon::peerReceiving(PeerReceiving Peer) {
-  submit(std::move(Peer));
-}
+void SidecarDaemon::peerReceiving(const PeerReceiving &Peer) { submit(Peer); }
 void SidecarDaemon::peerConnected(PeerConnected Peer) {
   submit(std::move(Peer));
 }
--- a/src/shell/SidecarDaemon.h
+++ b/src/shell/SidecarDaemon.h
@@ -58,7 +58,7 @@
   void requestReceived(CallerId Caller, HttpRequest Request) override;
   void clientDisconnected(CallerId Caller) override;
   void peerReceived(PeerReceived Message) override;
-  void peerReceiving(PeerReceiving Peer) override;
+  void peerReceiving(const PeerReceiving &Peer) override;
   void peerConnected(PeerConnected Peer) override;
   void peerLost(PeerLost Lost) override;
   void storeEvent(SidecarEventBody Body) override;
--- a/tests/PeerTransportTest.cpp
+++ b/tests/PeerTransportTest.cpp
@@ -48,8 +48,8 @@
   void peerReceived(PeerReceived Message) override {
     Received.push_back(std::move(Message));
   }
-  void peerReceiving(PeerReceiving Peer) override {
-    Receiving.push_back(std::move(Peer));
+  void peerReceiving(const PeerReceiving &Peer) override {
+    Receiving.push_back(Peer);
   }
   void peerConnected(PeerConnected Peer) override {
     Connected.push_back(std::move(Peer));
