Fix: a call that was just sent is not withdrawn (REFUSED)

The query that withdraws a call goes ahead of queued requests on a link, so a call sent within 0.1 s of its deadline, or of the last half second of a stop, could be refused by its own query.

--- a/src/sidecar/CallRouter.h
+++ b/src/sidecar/CallRouter.h
@@ -194,6 +194,8 @@
   void settleUnsent(const HostId &Host, const CallId &Attempt);
   bool settleRefused(const PeerRef &From, const CallId &Attempt);
   void attemptSettled(std::optional<std::uint64_t> Number);
+  TimePoint mayWithdrawFrom(const Call &Current) const;
+  Duration withdrawTime(const Call &Current) const;
   TimePoint withdrawAt(const Call &Current) const;
   void withdraw(RouterStep &Step, Call &Current);
   void deadlinePassed(RouterStep &Step, Call &Current);
--- a/src/sidecar/CallRouterCertainty.cpp
+++ b/src/sidecar/CallRouterCertainty.cpp
@@ -3,6 +3,8 @@
 
 #include "CallRouter.h"
 
+#include <algorithm>
+
 namespace figsail {
 
 using namespace std::chrono_literals;
@@ -28,15 +30,24 @@
     --Calls.at(*Number).ServersReached;
 }
 
+/// Returns the earliest time at which a call may be withdrawn. A query that is
+/// sent at once would overtake the request.
+TimePoint CallRouter::mayWithdrawFrom(const Call &Current) const {
+  if (!Current.Outstanding || Current.Withdrawn || Current.Route->Idempotent)
+    return TimePoint::max();
+  return Current.SentAt + withdrawTime(Current);
+}
+
+Duration CallRouter::withdrawTime(const Call &Current) const {
+  return Current.Remote ? WithdrawTime + OwnLocality.RegionRoundTrip
+                        : WithdrawTime;
+}
+
 /// Returns when a call that may still be waiting is withdrawn. It has missed
 /// its target by then, and could hardly end before its deadline.
 TimePoint CallRouter::withdrawAt(const Call &Current) const {
-  if (!Current.Outstanding || Current.Withdrawn || Current.Route->Idempotent)
-    return TimePoint::max();
-  Duration Before = WithdrawTime;
-  if (Current.Remote)
-    Before += OwnLocality.RegionRoundTrip;
-  return std::max(Current.Target, Current.Deadline - Before);
+  return std::max({Current.Target, Current.Deadline - withdrawTime(Current),
+                   mayWithdrawFrom(Current)});
 }
 
 /// Asks the daemon not to start a call that is not idempotent. A query refuses
--- a/src/sidecar/CallRouterStop.cpp
+++ b/src/sidecar/CallRouterStop.cpp
@@ -25,7 +25,7 @@
 
 void CallRouter::withdrawAll(RouterStep &Step) {
   for (auto &[Number, Current] : Calls)
-    if (Current.Outstanding && !Current.Route->Idempotent)
+    if (mayWithdrawFrom(Current) <= Step.Now)
       withdraw(Step, Current);
 }
 
--- a/tests/CallCertaintyTest.cpp
+++ b/tests/CallCertaintyTest.cpp
@@ -88,6 +88,16 @@
   expectRefusal(Out);
 }
 
+// Guards against a query that overtakes its request: a call that was just sent
+// is not withdrawn.
+TEST_F(CallCertaintyTest, ACallSentShortlyBeforeItsDeadlineIsNotWithdrawn) {
+  loadTopics(false);
+  auto [Host, Call] = sent(request(1, "/book/1", 400ms));
+  Now += 340ms;
+  sent(reply(Host, Refused{Call.Call, ErrorKind::Overloaded, {}}));
+  EXPECT_TRUE(messages<Cancel>(tick(20ms)).empty());
+}
+
 // Guards against the withdrawal of a run: its outcome is still unknown.
 TEST_F(CallCertaintyTest, ARunPastItsDeadlineStaysUnknown) {
   loadTopics(false);
