--- a/tests/CallDependenciesTest.cpp
+++ b/tests/CallDependenciesTest.cpp
@@ -117,7 +117,7 @@
 // An ingress also learns from the runs at the server on its host. Guards
 // against a host that learns nothing since it gets few requests itself.
 TEST_F(CallDependenciesTest, TheDoorLearnsFromTheOwnGate) {
-  for (int I = 0; I < 10; ++I) {
+  for (CallerId I = 1; I <= 10; ++I) {
     Execute Message;
     Message.Call = {88, ++LastCall};
     Message.Policy.Route = "book";
@@ -125,7 +125,7 @@
     Message.BudgetMicros = Message.TargetMicros = 1000000;
     RunId Run = effects<StartRun>(reply("b", Message)).at(0).Run;
     Now += 10ms;
-    auto Sent = messages<Execute>(request(static_cast<CallerId>(I + 1)));
+    auto Sent = messages<Execute>(request(I));
     while (!Sent.empty())
       Sent = messages<Execute>(
           reply(Sent[0].first,
