--- a/include/figsail/Events.h
+++ b/include/figsail/Events.h
@@ -41,6 +41,12 @@
   PeerRef Peer;
 };
 
+/// Bytes of a large message that is not complete yet have arrived on a peer
+/// link.
+struct PeerReceiving {
+  PeerRef From;
+};
+
 /// A peer link broke or could not be opened.
 struct PeerLost {
   HostId Host;
@@ -206,8 +212,13 @@
   StoreHistories,
   ResponsesRejected,
   RecordsUnusable,
-  KeysMissing, ///< Requests refused without a key where one is required.
-  KeysUnknown, ///< Requests refused with a key of no workspace.
+  KeysMissing,  ///< Requests refused without a key where one is required.
+  KeysUnknown,  ///< Requests refused with a key of no workspace.
+  RolloutSteps, ///< Steps of rollouts that this daemon has decided.
+  RunsDisplaced,
+  RefusedAtDoor,
+  DoorTrials,
+  AnswerPiecesDropped, ///< For lack of memory at the ingress.
 };
 
 /// Increment a counter.
@@ -285,7 +296,7 @@
 std::string_view counterName(Counter Which);
 
 inline constexpr std::size_t CounterCount =
-    static_cast<std::size_t>(Counter::KeysUnknown) + 1;
+    static_cast<std::size_t>(Counter::AnswerPiecesDropped) + 1;
 
 } // namespace figsail
 
--- a/include/figsail/PeerMessages.h
+++ b/include/figsail/PeerMessages.h
@@ -80,12 +80,13 @@
   std::uint32_t ReceiptDelayMicros = 0; ///< Received is sent if the call has
                                         ///< not ended this long after receipt.
   std::optional<ServerNotice>
-      Notice{}; ///< What the ingress knows of the server.
+      Notice{};        ///< What the ingress knows of the server.
+  bool Nested = false; ///< A run of the server beside the ingress makes it.
 
   template <class Archive> void serialize(Archive &Ar) {
     Ar(Call, Target, Policy, BudgetMicros, Fingerprint, Grant, Request,
        Instance, TargetMicros, HasAlternative, RetryFraction,
-       ReceiptDelayMicros, Notice);
+       ReceiptDelayMicros, Notice, Nested);
   }
 };
 
@@ -408,13 +409,124 @@
   }
 };
 
+/// Runs of one route at a server's gate since the start of a rollout order.
+struct RolloutRouteCounts {
+  std::string Route;
+  std::uint32_t Runs = 0;     ///< That ended with a response.
+  std::uint32_t Failures = 0; ///< Of them, by the server's own fault.
+  /// Number of runs by duration at the usual speed, in steps of the square root
+  /// of 2. Runs of a cold server are left out.
+  std::vector<std::uint32_t> Times;
+  template <class Archive> void serialize(Archive &Ar) {
+    Ar(Route, Runs, Failures, Times);
+  }
+};
+
+/// Gate to controller: what has run here since the start of a rollout order.
+struct RolloutReport {
+  std::string Service;
+  Offset Order = NoOffset;        ///< Of the order.
+  std::int64_t ElapsedMicros = 0; ///< Of the order's time, at the sender.
+  std::uint64_t Epoch = 0;        ///< All counts begin at zero with each.
+  bool IsTarget = false;          ///< The server has the target version.
+  bool Ready = false;             ///< The server accepts requests.
+  std::uint32_t Started = 0;      ///< Runs.
+  std::uint32_t Refused = 0;      ///< Calls refused for lack of capacity.
+  std::uint32_t Late = 0;         ///< Runs that ended after their target.
+  std::vector<RolloutRouteCounts> Routes;
+  template <class Archive> void serialize(Archive &Ar) {
+    Ar(Service, Order, ElapsedMicros, Epoch, IsTarget, Ready, Started, Refused,
+       Late, Routes);
+  }
+};
+
+/// Controller to gate: reply to RolloutReport.
+struct RolloutVerdict {
+  std::string Service;
+  Offset Order = NoOffset;        ///< Of the order.
+  std::int64_t ElapsedMicros = 0; ///< Of the order's time, at the sender.
+  std::uint64_t Epoch = 0;        ///< Of the report.
+  std::uint8_t Progress = 0;      ///< A RolloutState.
+  std::uint32_t Grant = 0; ///< Runs that the gate may start in this epoch.
+  template <class Archive> void serialize(Archive &Ar) {
+    Ar(Service, Order, ElapsedMicros, Epoch, Progress, Grant);
+  }
+};
+
+/// Use of one workspace's quota at one ingress.
+struct QuotaUsage {
+  std::string Workspace;
+  /// Requests admitted and not refunded since the ingress keeps the workspace.
+  std::int64_t Admitted = 0;
+  std::int64_t Acknowledged = 0; ///< Value of Admitted in the newest grant.
+  std::uint32_t Requested = 0;   ///< Requests since the last report.
+  float Share = 0;               ///< Held share, in requests a second.
+  std::uint32_t Sequence = 0;    ///< Newest grant of the recipient; 0: none.
+  bool Limited = false;
+  bool Released = false; ///< The ingress gives up its share.
+  bool operator==(const QuotaUsage &) const = default;
+  template <class Archive> void serialize(Archive &Ar) {
+    Ar(Workspace, Admitted, Acknowledged, Requested, Share, Sequence, Limited,
+       Released);
+  }
+};
+
+/// Ingress to quota coordinator.
+struct QuotaReport {
+  std::vector<QuotaUsage> Usage;
+  template <class Archive> void serialize(Archive &Ar) { Ar(Usage); }
+};
+
+/// Share of one workspace's quota for one ingress.
+struct QuotaGrant {
+  std::string Workspace;
+  std::int64_t Admitted = 0; ///< Value that the coordinator has counted.
+  /// Of the coordinator, for this ingress; 0: there is no grant, only a notice
+  /// whether the workspace is limited.
+  std::uint32_t Sequence = 0;
+  float Rate = 0;  ///< Requests a second, while a coordinator is heard.
+  float Share = 0; ///< The same without a coordinator.
+  float Burst = 0; ///< Requests beyond the rate.
+  float Extra = 0; ///< Requests beyond the share that may be uncounted.
+  bool Limited = false;
+  bool Query = false;               ///< A report is to be sent.
+  std::uint32_t IntervalMillis = 0; ///< Between reports while Limited.
+  bool operator==(const QuotaGrant &) const = default;
+  template <class Archive> void serialize(Archive &Ar) {
+    Ar(Workspace, Admitted, Sequence, Rate, Share, Burst, Extra, Limited, Query,
+       IntervalMillis);
+  }
+};
+
+/// Quota coordinator to ingress: reply to QuotaReport, or sent unrequested when
+/// a workspace becomes limited or an ingress has been silent.
+struct QuotaReply {
+  std::vector<QuotaGrant> Grants;
+  template <class Archive> void serialize(Archive &Ar) { Ar(Grants); }
+};
+
+/// Executor to ingress: a piece of an answer with a large body. Pieces of
+/// several answers take turns on a link, and other messages overtake them.
+struct AnswerPiece {
+  CallId Call;
+  std::uint64_t Size = 0;       ///< Of the whole body, in bytes.
+  std::uint32_t Index = 0;      ///< Of the piece, from 0 on.
+  std::string Bytes;            ///< Part of the body.
+  std::optional<Answer> Head{}; ///< The answer without its body; set in the
+                                ///< last piece only.
+  template <class Archive> void serialize(Archive &Ar) {
+    Ar(Call, Size, Index, Bytes, Head);
+  }
+};
+
 /// The order is the wire encoding: append only.
 using PeerMessage =
     std::variant<Execute, Received, Answer, Refused, Failed, Cancel, Await,
                  Claim, Granted, ClaimHeld, ClaimDone, ClaimRefused, Completed,
                  Fence, FenceAck, Heartbeat, Probe, ProbeReply, Subscribe,
                  Records, Snapshot, SuspectReport, TopicSubscribe, TopicUpdate,
-                 TopicPiece>;
+                 TopicPiece, RolloutReport, RolloutVerdict, QuotaReport,
+                 QuotaReply, AnswerPiece>;
 
 /// Returns whether the message is control traffic, which is sent ahead of
 /// queued calls.
--- a/src/core/Names.cpp
+++ b/src/core/Names.cpp
@@ -7,13 +7,15 @@
 namespace figsail {
 
 static constexpr std::array<std::string_view, std::variant_size_v<PeerMessage>>
-    MessageNames{"Execute",   "Received",      "Answer",         "Refused",
-                 "Failed",    "Cancel",        "Await",          "Claim",
-                 "Granted",   "ClaimHeld",     "ClaimDone",      "ClaimRefused",
-                 "Completed", "Fence",         "FenceAck",       "Heartbeat",
-                 "Probe",     "ProbeReply",    "Subscribe",      "Records",
-                 "Snapshot",  "SuspectReport", "TopicSubscribe", "TopicUpdate",
-                 "TopicPiece"};
+    MessageNames{
+        "Execute",    "Received",      "Answer",         "Refused",
+        "Failed",     "Cancel",        "Await",          "Claim",
+        "Granted",    "ClaimHeld",     "ClaimDone",      "ClaimRefused",
+        "Completed",  "Fence",         "FenceAck",       "Heartbeat",
+        "Probe",      "ProbeReply",    "Subscribe",      "Records",
+        "Snapshot",   "SuspectReport", "TopicSubscribe", "TopicUpdate",
+        "TopicPiece", "RolloutReport", "RolloutVerdict", "QuotaReport",
+        "QuotaReply", "AnswerPiece"};
 
 bool isControl(const PeerMessage &Message) {
   return !std::holds_alternative<Execute>(Message) &&
@@ -23,6 +25,7 @@
 bool isBulk(const PeerMessage &Message) {
   return std::holds_alternative<TopicUpdate>(Message) ||
          std::holds_alternative<TopicPiece>(Message) ||
+         std::holds_alternative<AnswerPiece>(Message) ||
          std::holds_alternative<Records>(Message) ||
          std::holds_alternative<Snapshot>(Message);
 }
@@ -71,7 +74,12 @@
     "responses_rejected",
     "records_unusable",
     "keys_missing",
-    "keys_unknown"};
+    "keys_unknown",
+    "rollout_steps",
+    "runs_displaced",
+    "refused_at_door",
+    "door_trials",
+    "answer_pieces_dropped"};
 
 std::string_view counterName(Counter Which) {
   return CounterNames[static_cast<std::size_t>(Which)];
--- a/src/shell/PeerLink.h
+++ b/src/shell/PeerLink.h
@@ -3,6 +3,7 @@
 #ifndef FIGSAIL_PEERLINK_H
 #define FIGSAIL_PEERLINK_H
 
+#include "BulkPacer.h"
 #include "LinkCompression.h"
 #include "PeerSendQueue.h"
 #include "PeerTransport.h"
@@ -36,6 +37,8 @@
   /// A message has arrived.
   virtual void linkReceived(const std::shared_ptr<PeerLink> &Link,
                             PeerMessage Message) = 0;
+  /// Bytes of a large message that is not complete yet have arrived.
+  virtual void linkReceiving(const std::shared_ptr<PeerLink> &Link) = 0;
   /// The peer has announced a close while a write is unfinished. Queued:
   /// messages that are not encoded yet, to be sent over another link.
   virtual void linkClosingByPeer(const std::shared_ptr<PeerLink> &Link,
@@ -59,10 +62,12 @@
   std::uint64_t BytesReceived = 0;
   std::vector<CrossRegionTraffic> Traffic = std::vector<CrossRegionTraffic>(
       std::variant_size_v<PeerMessage>); ///< By the message type's index.
+  BulkPacer Pacer{Settings.LinkBytes};
 };
 
 /// One link to a peer. Each side sends a Hello first; messages follow.
-class PeerLink : public std::enable_shared_from_this<PeerLink> {
+class PeerLink : public BulkSender,
+                 public std::enable_shared_from_this<PeerLink> {
 public:
   enum class Phase : std::uint8_t {
     Connecting,    ///< The TCP connection is not open yet.
@@ -84,6 +89,9 @@
   /// Queues a message; PeerSendQueue decides the order. The link breaks when
   /// the queued bytes exceed PeerSettings::MaxQueuedBytes.
   void send(PeerMessage Message);
+  /// Drops what is queued of an answer that the peer no longer wants.
+  void dropAnswer(const CallId &Call) { Queue.dropAnswer(Call); }
+  void resumeBulk() override { flush(); }
   /// Announces an orderly close, if the link is open and has nothing left to
   /// send.
   void close();
@@ -106,6 +114,7 @@
   void scheduleFlush();
   void flush();
   void fillWriteBuffer();
+  bool mayWriteAnswers();
   void encode(PeerMessage Message);
   void handleWritten(const boost::system::error_code &Error, std::size_t Bytes);
   void reportClosed();
@@ -118,6 +127,7 @@
   void decompress(std::string_view Data);
   void processFrames(std::string_view Data);
   std::size_t handleCompleteFrames(std::string_view Data);
+  void reportUnfinishedFrame();
   void handleFrame(std::uint64_t Lamport, std::string_view Payload);
   void handleHello(std::string_view Payload);
   bool acceptsHello(const Hello &PeerHello);
--- a/src/shell/PeerTransport.cpp
+++ b/src/shell/PeerTransport.cpp
@@ -24,6 +24,10 @@
 /// would spin while the process has no free file descriptor.
 static constexpr std::chrono::milliseconds AcceptRetryDelay{100};
 
+/// Time between two notifications of a host that unfinished messages arrive
+/// from. A fraction of the time after which a silent host is suspected.
+static constexpr std::chrono::milliseconds ReceivingInterval{50};
+
 namespace {
 
 /// All links to one host.
@@ -31,6 +35,7 @@
   std::vector<LinkPtr> Links;
   LinkPtr LastReceivedOn; ///< Delivered the last Hello or message; null once
                           ///< it is closed.
+  std::chrono::steady_clock::time_point LastReceivingAt{}; ///< Notified.
 };
 
 } // namespace
@@ -44,10 +49,14 @@
                  LamportClock &Clock, PeerSettings Settings)
       : Context(std::make_shared<LinkContext>(LinkContext{
             Loop, std::move(Self), Clock, std::move(Settings), this})),
-        Handler(Handler), Acceptor(Loop), AcceptTimer(Loop), IdleTimer(Loop) {}
+        Handler(Handler), Acceptor(Loop), AcceptTimer(Loop), IdleTimer(Loop),
+        PacerTimer(Loop) {
+    Context->Pacer.setTimer([this](TimePoint Due) { armPacerTimer(Due); });
+  }
 
   void linkOpened(const LinkPtr &Link) override;
   void linkReceived(const LinkPtr &Link, PeerMessage Message) override;
+  void linkReceiving(const LinkPtr &Link) override;
   void linkClosingByPeer(const LinkPtr &Link,
                          std::vector<PeerMessage> Queued) override;
   void linkClosed(const LinkPtr &Link, LinkCloseReason Reason,
@@ -58,6 +67,7 @@
   void scheduleAccept();
   void startIdleTimer();
   void closeIdleLinks();
+  void armPacerTimer(TimePoint Due);
   void send(const HostId &Host, PeerMessage Message);
   void deliverLocally(PeerMessage Message);
   void reportInvalidAddress(const HostId &Host, PeerMessage Message);
@@ -73,6 +83,7 @@
   tcp::acceptor Acceptor;
   asio::steady_timer AcceptTimer;
   asio::steady_timer IdleTimer;
+  asio::steady_timer PacerTimer;
   std::set<LinkPtr> Links; ///< All links that have not reported their close.
   std::unordered_map<HostId, HostLinks> Hosts;
   std::uint64_t ResetCount = 0; ///< Number of calls of resetAll().
@@ -105,10 +116,23 @@
 
 void PeerTransport::Implementation::linkReceived(const LinkPtr &Link,
                                                  PeerMessage Message) {
-  Hosts[Link->peer().Host].LastReceivedOn = Link;
+  HostLinks &Entry = Hosts[Link->peer().Host];
+  Entry.LastReceivedOn = Link;
+  if (const auto *Cancelled = std::get_if<Cancel>(&Message))
+    for (const LinkPtr &Each : Entry.Links)
+      Each->dropAnswer(Cancelled->Call);
   Handler.peerReceived({Link->peer(), std::move(Message)});
 }
 
+void PeerTransport::Implementation::linkReceiving(const LinkPtr &Link) {
+  HostLinks &Entry = Hosts[Link->peer().Host];
+  auto Now = std::chrono::steady_clock::now();
+  if (Now < Entry.LastReceivingAt + ReceivingInterval)
+    return;
+  Entry.LastReceivingAt = Now;
+  Handler.peerReceiving({Link->peer()});
+}
+
 void PeerTransport::Implementation::linkClosingByPeer(
     const LinkPtr &Link, std::vector<PeerMessage> Queued) {
   for (PeerMessage &Message : Queued)
@@ -208,6 +232,17 @@
   }
 }
 
+/// Lets the links that wait for the pacer write. A later call replaces the
+/// time, since the pacer has only one.
+void PeerTransport::Implementation::armPacerTimer(TimePoint Due) {
+  PacerTimer.expires_at(Due);
+  PacerTimer.async_wait([Self = shared_from_this()](const error_code &Error) {
+    if (!Error && Self->Context->Owner)
+      Self->Context->Pacer.resume(std::chrono::time_point_cast<Duration>(
+          std::chrono::steady_clock::now()));
+  });
+}
+
 // Sending.
 
 void PeerTransport::Implementation::send(const HostId &Host,
@@ -296,6 +331,8 @@
   Acceptor.close(Ignored);
   AcceptTimer.cancel();
   IdleTimer.cancel();
+  PacerTimer.cancel();
+  Context->Pacer.setTimer(nullptr);
   for (const LinkPtr &Link : Links)
     Link->closeNow(LinkCloseReason::Reset);
   Links.clear();
--- a/src/shell/PeerTransport.h
+++ b/src/shell/PeerTransport.h
@@ -21,6 +21,9 @@
   virtual ~PeerHandler() = default;
   /// A message has arrived.
   virtual void peerReceived(PeerReceived Message) = 0;
+  /// Bytes of a large message that is not complete yet have arrived. Called at
+  /// most once in 50 ms for each host.
+  virtual void peerReceiving(const PeerReceiving &) {}
   /// A link to the peer is open.
   virtual void peerConnected(PeerConnected Peer) = 0;
   /// A link has failed, or was reset with messages unsent.
@@ -44,6 +47,8 @@
 struct PeerSettings {
   std::string Region{}; ///< Region of this daemon. Links to another region
                         ///< are compressed.
+  double LinkBytes = 0; ///< Rate of this host's link in bytes a second. 0: the
+                        ///< pieces of answers are not paced.
   std::size_t MaxFrameBytes =
       std::size_t(16) * 1024 * 1024; ///< Payload limit; a longer frame received
                                      ///< breaks the link.
--- a/src/shell/SidecarDaemon.cpp
+++ b/src/shell/SidecarDaemon.cpp
@@ -17,6 +17,9 @@
 /// Largest request body that is accepted from a client. Each body is buffered
 /// completely, and a host has a few hundred megabytes for all of them.
 static constexpr std::size_t MaxBufferedBody = std::size_t{8} * 1024 * 1024;
+/// Requests of one client connection that are handled together. Bounds the
+/// responses that wait for an earlier one.
+static constexpr std::size_t MaxPipelinedRequests = 16;
 /// Largest number of connections to the backend server. The gate admits at most
 /// 512 runs, and fewer when the service's limit is lower, so this bound only
 /// guards against leaked connections.
@@ -43,9 +46,10 @@
       std::chrono::steady_clock::now());
 }
 
-static PeerSettings peerSettings(const std::string &Region) {
+static PeerSettings peerSettings(const SidecarSettings &Own) {
   PeerSettings Settings;
-  Settings.Region = Region;
+  Settings.Region = Own.Region;
+  Settings.LinkBytes = Own.LinkBytes;
   Settings.UnacknowledgedLimit = UnacknowledgedTimeout;
   Settings.IdleTimeout = PeerIdleTimeout;
   return Settings;
@@ -58,6 +62,7 @@
   // These clients close a connection only when they no longer wait for a
   // response.
   Settings.ServeHalfClosed = false;
+  Settings.MaxPipelined = MaxPipelinedRequests;
   return Settings;
 }
 
@@ -82,7 +87,7 @@
       Reducer(Configuration.Settings, *Platform.Records),
       Peers(Context, *this,
             PeerRef{Configuration.Settings.Host, Configuration.Settings.Inc},
-            Clock, peerSettings(Configuration.Settings.Region)),
+            Clock, peerSettings(Configuration.Settings)),
       ClientSettings(frontendSettings(Configuration)),
       Frontend(Context, *this, ClientSettings),
       Backend(Context, static_cast<BackendHandler &>(*this),
@@ -195,6 +200,7 @@
 void SidecarDaemon::peerReceived(PeerReceived Message) {
   submit(std::move(Message));
 }
+void SidecarDaemon::peerReceiving(const PeerReceiving &Peer) { submit(Peer); }
 void SidecarDaemon::peerConnected(PeerConnected Peer) {
   submit(std::move(Peer));
 }
@@ -400,6 +406,21 @@
   Platform.Store->removeHost(Action.Host);
 }
 
+void SidecarDaemon::perform(AppendRolloutShare &Action) {
+  ProcessMetrics.countStoreCall(StoreCall::Append);
+  Platform.Store->appendShare(Action.Content);
+}
+
+void SidecarDaemon::perform(ReadRolloutStatus &) {
+  ProcessMetrics.countStoreCall(StoreCall::Snapshot);
+  Platform.Store->readRolloutStatus();
+}
+
+void SidecarDaemon::perform(WriteRolloutStatus &Action) {
+  ProcessMetrics.countStoreCall(StoreCall::Append);
+  Platform.Store->writeRolloutStatus(Action.Content, Action.End);
+}
+
 void SidecarDaemon::perform(SetClientLimits &Action) {
   ClientSettings.MaxHead = Action.Limits.HeadBytes;
   ClientSettings.HeadTimeout = Action.Limits.HeadTimeout;
--- a/src/shell/SidecarDaemon.h
+++ b/src/shell/SidecarDaemon.h
@@ -58,6 +58,7 @@
   void requestReceived(CallerId Caller, HttpRequest Request) override;
   void clientDisconnected(CallerId Caller) override;
   void peerReceived(PeerReceived Message) override;
+  void peerReceiving(const PeerReceiving &Peer) override;
   void peerConnected(PeerConnected Peer) override;
   void peerLost(PeerLost Lost) override;
   void storeEvent(SidecarEventBody Body) override;
@@ -97,6 +98,9 @@
   void perform(CountRefusal &Action);
   void perform(CountTopicRecords &Action);
   void perform(ExitProcess &Action);
+  void perform(AppendRolloutShare &Action);
+  void perform(ReadRolloutStatus &Action);
+  void perform(WriteRolloutStatus &Action);
   void waitForClients();
   void finishOutput(TimePoint Deadline);
 
--- a/src/sidecar/CallRouter.cpp
+++ b/src/sidecar/CallRouter.cpp
@@ -29,6 +29,9 @@
 /// Refusals by rate limits before the call fails. They cost little and are
 /// exact, so more of them are worth a try.
 static constexpr std::uint32_t MaxLimitRefusals = 6;
+/// Refusals by servers of a new version before the call fails. After the first
+/// one, the call goes to the old version.
+static constexpr std::uint32_t MaxRolloutRefusals = 4;
 /// Bound on the requests that are buffered for retries. The smallest host has
 /// 160 MB and also needs memory for as many requests at the gate.
 static constexpr std::size_t MaxBufferedBytes = std::size_t{32} * 1024 * 1024;
@@ -41,6 +44,9 @@
 /// The same for a request whose route this daemon does not know yet. A newer
 /// configuration takes about as long to arrive.
 static constexpr Duration ConfigurationDelay = 500ms;
+/// The same for a request that a called service keeps from being served. About
+/// the time in which recent failures lose their weight.
+static constexpr Duration DependencyDelay = 500ms;
 /// Retry-After is at most this fraction of the client's remaining time. Clients
 /// give up when it is later.
 static constexpr double MaxRetryAfterFraction = 1.0 / 3;
@@ -70,16 +76,18 @@
 
 void CallRouter::scheduleWake(Call &Current, TimePoint At) {
   WakeOrder.erase({Current.WakeAt, Current.Number});
-  Current.WakeAt = std::min(At, Current.Deadline);
+  Current.WakeAt = std::min({At, withdrawAt(Current), Current.Deadline});
   WakeOrder.insert({Current.WakeAt, Current.Number});
 }
 
 void CallRouter::removeCall(Call &Current) {
   std::uint64_t Number = Current.Number;
   BufferedBytes -= Current.Bytes;
+  Assembly.remove(Current.Id);
   WakeOrder.erase({Current.WakeAt, Number});
   ByAttempt.erase(Current.Id.Sequence);
   ByCaller.erase(Current.Caller);
+  Lost.removeCall(Number);
   Calls.erase(Number);
 }
 
@@ -103,6 +111,26 @@
       Arrived.Caller, refusalResponse(Step, Kind, Deadline, Delay)});
 }
 
+/// Counts a request against the quota of its workspace. If that is used up,
+/// refuses the request and returns true. Such refusals are not logged one by
+/// one: a workspace may send ten times its limit.
+bool CallRouter::isOverQuota(RouterStep &Step, const ClientRequest &Arrived,
+                             const Workspace *Client,
+                             TimePoint Deadline) const {
+  if (!Client)
+    return false;
+  std::optional<Duration> Wait = Step.Quota.admit(Step.Now, *Client);
+  if (!Wait)
+    return false;
+  Step.Out.emplace_back(Count{Counter::CallsRefused});
+  Step.Out.emplace_back(
+      CountRefusal{RefusedBy::Ingress, ErrorKind::QuotaExceeded});
+  Step.Out.emplace_back(ReplyCaller{
+      Arrived.Caller,
+      refusalResponse(Step, ErrorKind::QuotaExceeded, Deadline, *Wait)});
+  return true;
+}
+
 /// Returns the same hash whenever a request is resent, whichever client and
 /// daemon it comes from. Callers are distinguished by the service on their
 /// host.
@@ -125,6 +153,13 @@
                            : ErrorKind::NoRoute;
 }
 
+/// Returns the priority of a call that a run of this host's server makes. Which
+/// run makes it is not known, and the most urgent one must not wait for it.
+static std::uint32_t
+nestedPriority(std::uint32_t Own, const std::optional<std::uint32_t> &Running) {
+  return std::min(Own, Running.value_or(Own));
+}
+
 void CallRouter::request(RouterStep &Step, ClientRequest Arrived) {
   Step.Out.emplace_back(Count{Counter::Calls});
   RoutePtr Route;
@@ -144,7 +179,7 @@
     return refuseRequest(Step, Arrived, *Checked.Refusal, Step.Now + Limit);
   std::optional<CallTerms> Terms = callTerms(*Route, Checked.Client.get());
   if (!Terms)
-    return refuseRequest(Step, Arrived, ErrorKind::WrongRegion,
+    return refuseRequest(Step, Arrived, ErrorKind::NoBackendServer,
                          Step.Now + Limit);
   if (Step.Config->hasWorkspaces())
     removeHeader(Arrived.Request.Headers, "Authorization");
@@ -153,6 +188,9 @@
   if (BufferedBytes + Bytes > MaxBufferedBytes)
     return refuseRequest(Step, Arrived, ErrorKind::Overloaded,
                          Step.Now + Limit);
+  TimePoint Deadline = Step.Now + std::min(Limit, Route->Timeout);
+  if (isOverQuota(Step, Arrived, Checked.Client.get(), Deadline))
+    return;
   BufferedBytes += Bytes;
   std::uint64_t Number = NextNumber++;
   Call &New = Calls[Number];
@@ -170,13 +208,21 @@
   // A client that has already waited elsewhere sets a shorter time limit.
   Duration Spent = std::max(Duration(0), Route->Timeout - Limit);
   New.Target = Step.Now + Route->TargetLatency - Spent;
-  New.Deadline = Step.Now + std::min(Limit, Route->Timeout);
+  New.Deadline = Deadline;
   New.Route = std::move(Route);
   ByCaller[New.Caller] = Number;
-  double Nested = Origins.addRequest(Step.Now, New.Route->Name);
+  // Runs make their calls without a key.
+  double Nested =
+      New.Client ? 0 : Origins.addRequest(Step.Now, New.Route->Name);
   New.Nested = Nested >= NestedThreshold;
+  if (New.Nested)
+    New.Terms.Priority =
+        nestedPriority(New.Terms.Priority, Step.RunningPriority);
   New.RetryFraction = static_cast<float>(Step.RetryFraction * Nested);
-  tryNextServer(Step, New);
+  if (!Dependencies.refusesRequest(Step.Now, New.Route->Name, Step.Out))
+    return tryNextServer(Step, New);
+  New.BacklogTime = DependencyDelay;
+  fail(Step, New, ErrorKind::CalledServiceRefuses);
 }
 
 void CallRouter::clientDisconnected(RouterStep &Step, CallerId Caller) {
@@ -220,6 +266,9 @@
       continue;
     Eligible.push_back(&Server);
   }
+  Step.Versions.restrictServers(Step.Now, Current.Service, Step.Seed,
+                                Current.RolloutRefusals > 0, Step.Directory,
+                                Eligible);
   if (Eligible.empty())
     return nullptr;
   if (Current.LimitRefusals > 0)
@@ -234,9 +283,13 @@
 void CallRouter::tryNextServer(RouterStep &Step, Call &Current) {
   if (Step.Now >= Current.Deadline)
     return deadlinePassed(Step, Current);
+  if (Current.Withdrawn)
+    return fail(Step, Current,
+                Stop.isSet() ? ErrorKind::Draining : ErrorKind::Overloaded);
   bool EndsInTime = endsBeforeStop(Step, Current);
   bool MaySend = EndsInTime && Current.Refusals < MaxRefusals &&
-                 Current.LimitRefusals < MaxLimitRefusals;
+                 Current.LimitRefusals < MaxLimitRefusals &&
+                 Current.RolloutRefusals < MaxRolloutRefusals;
   const Member *To = MaySend ? chooseServer(Step, Current) : nullptr;
   if (To)
     return sendExecute(Step, Current, *To, true);
@@ -268,6 +321,7 @@
 
 void CallRouter::sendExecute(RouterStep &Step, Call &Current, const Member &To,
                              bool HasAlternative) {
+  Assembly.remove(Current.Id);
   ByAttempt.erase(Current.Id.Sequence);
   Current.Id = {Self.Inc, NextSequence++};
   ByAttempt[Current.Id.Sequence] = Current.Number;
@@ -278,6 +332,7 @@
   Current.UnansweredQueries = 0;
   Current.Outstanding = true;
   Current.SentAt = Step.Now;
+  Current.CheckedAt = Step.Now;
   Selector.callSent(Step.Now, To.Host);
   if (To.FailureDomain != OwnLocality.FailureDomain)
     Step.Out.emplace_back(Count{Counter::CrossDomain});
@@ -298,6 +353,7 @@
   Message.Policy.HomeRegions = Current.Terms.HomeRegions;
   Message.Policy.Idempotent = Current.Route->Idempotent;
   Message.Policy.Priority = Current.Terms.Priority;
+  Message.Nested = Current.Nested;
   Message.BudgetMicros = (Current.Deadline - Step.Now).count();
   Message.Fingerprint = Current.Fingerprint;
   Message.TargetMicros = (Current.Target - Step.Now).count();
@@ -340,16 +396,18 @@
 
 // Lost daemons.
 
-void CallRouter::peerLost(RouterStep &Step, const PeerLost &Lost) {
-  Step.Peers.markUnreachable(Step.Now, Lost.Host, Step.Out);
-  Selector.linkLost(Step.Now, Lost.Host);
+void CallRouter::peerLost(RouterStep &Step, const PeerLost &Link) {
+  Step.Peers.markUnreachable(Step.Now, Link.Host, Step.Out);
+  Selector.linkLost(Step.Now, Link.Host);
   std::vector<CallId> Unsent;
-  for (const PeerMessage &Message : Lost.Unsent)
+  for (const PeerMessage &Message : Link.Unsent)
     if (const auto *Sent = std::get_if<Execute>(&Message))
       Unsent.push_back(Sent->Call);
+  for (const CallId &Attempt : Unsent)
+    settleUnsent(Link.Host, Attempt);
   std::vector<std::uint64_t> Affected;
   for (const auto &[Number, Current] : Calls)
-    if (Current.Executor.Host == Lost.Host)
+    if (Current.Executor.Host == Link.Host)
       Affected.push_back(Number);
   for (std::uint64_t Number : Affected) {
     auto Found = Calls.find(Number);
@@ -368,12 +426,22 @@
 /// of other calls reset links that are still being opened. The query is sent
 /// again when the reply is overdue.
 bool CallRouter::isQueryPending(const Call &Current) {
-  return Current.QueryInFlight && !Current.Route->Idempotent;
+  return Current.QueryInFlight && isQueryUseful(Current);
+}
+
+/// Returns whether the reply of an unreachable daemon is awaited: the call may
+/// not be sent to another server, and it may turn out not to have arrived.
+bool CallRouter::isQueryUseful(const Call &Current) {
+  if (!Current.Route->Idempotent)
+    return true;
+  bool LastServer = Current.ServersReached + 1 >= Current.Route->MaxServers;
+  return LastServer && !Current.Confirmed;
 }
 
 /// Handles a call whose daemon is unreachable. A call that was never sent, or
 /// is idempotent, goes to another server. For any other call, which may have
-/// run, the daemon is queried over a new link.
+/// run, the daemon is queried over a new link. That includes an idempotent call
+/// that may reach no further server and was never confirmed.
 void CallRouter::executorLost(RouterStep &Step, Call &Current, bool Unsent) {
   if (Unsent) {
     endAttempt(Step, Current, false, nullptr);
@@ -382,16 +450,17 @@
     ++Current.Refusals;
     return tryNextServer(Step, Current);
   }
+  if (isQueryUseful(Current) &&
+      Current.UnansweredQueries < MaxUnansweredQueries)
+    return queryExecutor(Step, Current);
   if (Current.Route->Idempotent) {
     // The request may still arrive there, or run without a receiver.
     Step.Out.emplace_back(SendPeer{Current.Executor.Host, Cancel{Current.Id}});
     endAttempt(Step, Current, false, nullptr);
     ++Current.ServersReached;
-    Current.MayHaveRun = true;
+    Lost.add(Current.Number, Current.Id, Current.Executor);
     return retryAfterRun(Step, Current, ErrorKind::BackendFailed);
   }
-  if (Current.UnansweredQueries < MaxUnansweredQueries)
-    return queryExecutor(Step, Current);
   endAttempt(Step, Current, false, nullptr);
   fail(Step, Current, ErrorKind::OutcomeUnknown);
 }
@@ -399,6 +468,7 @@
 void CallRouter::queryExecutor(RouterStep &Step, Call &Current) {
   Current.QueryInFlight = true;
   ++Current.UnansweredQueries;
+  Current.CheckedAt = Step.Now;
   Step.Out.emplace_back(
       SendPeer{Current.Executor.Host,
                Await{Current.Id, std::nullopt, Current.Executor.Inc}});
@@ -406,10 +476,16 @@
 }
 
 /// Queries the daemon of a confirmed call. An unconfirmed call, or a query
-/// without a reply, means that the link is silent.
+/// without a reply, means that the link is silent. A link on which bytes of a
+/// large message have arrived since is not silent: the reply is queued behind
+/// that message.
 void CallRouter::checkExecutor(RouterStep &Step, Call &Current) {
   if (Current.Confirmed && !Current.QueryInFlight)
     return queryExecutor(Step, Current);
+  if (Activity.isActiveSince(Current.Executor.Host, Current.CheckedAt)) {
+    Current.CheckedAt = Step.Now;
+    return scheduleWake(Current, Step.Now + confirmTimeout(Current));
+  }
   Decision Line{LogLevel::Warning, "peer-silent", {}};
   Line.Fields = {{"id", Current.ClientId},
                  {"peer", Current.Executor.Host},
@@ -426,6 +502,8 @@
     Call &Current = Calls.at(WakeOrder.begin()->second);
     if (Step.Now >= Current.Deadline)
       deadlinePassed(Step, Current);
+    else if (Step.Now >= withdrawAt(Current))
+      withdraw(Step, Current);
     else
       checkExecutor(Step, Current);
   }
@@ -443,7 +521,8 @@
   Current.MayHaveRun = Current.MayHaveRun || Current.Outstanding;
   endAttempt(Step, Current, false, nullptr);
   fail(Step, Current,
-       Current.MayHaveRun ? ErrorKind::DeadlineUnknown : ErrorKind::Overloaded);
+       mayHaveRun(Current) ? ErrorKind::DeadlineUnknown
+                           : ErrorKind::Overloaded);
 }
 
 void CallRouter::endAttempt(RouterStep &Step, Call &Current, bool Success,
@@ -465,9 +544,11 @@
 /// Ends a call with an error response of the router. A call that may have run
 /// is never reported as "not run".
 void CallRouter::fail(RouterStep &Step, Call &Current, ErrorKind Kind) {
-  if (Current.MayHaveRun && errorEntry(Kind).Run == RunState::No)
+  if (mayHaveRun(Current) && errorEntry(Kind).Run == RunState::No)
     Kind = ErrorKind::BackendFailed;
   bool NotRun = errorEntry(Kind).Run == RunState::No;
+  if (NotRun && Current.Client)
+    Step.Quota.refund(Step.Now, Current.Client->Name);
   if (NotRun && Current.Nested)
     RefusedByServices.add(Step.Now);
   Step.Out.emplace_back(
@@ -508,6 +589,10 @@
                            std::max(0.0, Left) * MaxRetryAfterFraction);
   double Seconds =
       Latest * (1 + uniformFraction(Step.Seed * 0x9e3779b97f4a7c15ULL)) / 2;
+  // An earlier return would be refused again.
+  if (Kind == ErrorKind::QuotaExceeded)
+    Seconds = std::min(std::chrono::duration<double>(BacklogTime).count(),
+                       std::max(0.0, Left) * MaxRetryAfterFraction);
   std::array<char, 32> Text{};
   std::snprintf(Text.data(), Text.size(), "%.3f", Seconds);
   Response.Headers.emplace_back("Retry-After", Text.data());
--- a/src/sidecar/CallRouter.h
+++ b/src/sidecar/CallRouter.h
@@ -3,17 +3,23 @@
 #ifndef FIGSAIL_SIDECAR_CALLROUTER_H
 #define FIGSAIL_SIDECAR_CALLROUTER_H
 
+#include "AnswerAssembly.h"
 #include "Authentication.h"
+#include "CallDependencies.h"
+#include "HostActivity.h"
 #include "Instance.h"
+#include "LostAttempts.h"
 #include "NestedCallEstimator.h"
 #include "PeerHealth.h"
 #include "RefusedCalls.h"
+#include "Rollouts.h"
 #include "RunTimes.h"
 #include "ServerNotices.h"
 #include "ServiceConfig.h"
 #include "SidecarEvents.h"
 #include "SidecarSettings.h"
 #include "StopTime.h"
+#include "WorkspaceQuota.h"
 
 #include "RegionLink.h"
 #include "RequestIdentity.h"
@@ -37,10 +43,14 @@
   const InstanceDirectory &Directory;
   const std::set<std::string> &Evacuated; ///< Failure domains.
   PeerHealth &Peers;
+  const Rollouts &Versions; ///< Which versions of a service get calls.
   /// Fraction of the runs at this host's server that are retries. A request
   /// that arrives now may be a call made by one of them.
   float RetryFraction;
+  WorkspaceQuota &Quota;
   SidecarEffects &Out;
+  /// Most urgent priority of the runs at this host's server, if there are any.
+  std::optional<std::uint32_t> RunningPriority{};
 };
 
 /// Router of client calls. It finds the route, chooses a backend server and
@@ -56,9 +66,14 @@
 
   void received(RouterStep &Step, const PeerRef &From, const CallId &Id);
   void answered(RouterStep &Step, const PeerRef &From, Answer Message);
+  void pieceReceived(RouterStep &Step, const PeerRef &From, AnswerPiece Piece);
   void refused(RouterStep &Step, const PeerRef &From, const Refused &Message);
   void failed(RouterStep &Step, const PeerRef &From, const Failed &Message);
   void peerLost(RouterStep &Step, const PeerLost &Lost);
+  /// Bytes of a large message that is not complete yet have arrived.
+  void bytesReceived(TimePoint Now, const HostId &Host) {
+    Activity.add(Now, Host);
+  }
   /// A daemon has reported the load of its server outside a reply.
   void loadReported(TimePoint Now, const HostId &Host, const LoadReport &Load) {
     Notices.received(Now, Host, Load.Notice, false);
@@ -71,6 +86,12 @@
     return RefusedByServices.explain(RunStart);
   }
 
+  /// A run of this host's server for another ingress has ended.
+  void remoteRunEnded(TimePoint Now, const std::string &Route,
+                      bool CallRefused) {
+    Dependencies.runEnded(Now, Route, CallRefused);
+  }
+
   /// Sets the number of hosts that share the link between regions.
   void setRegionHosts(std::size_t Count) { Link.setHostCount(Count); }
   /// A host has another backend server or daemon. Discards its load reports.
@@ -96,6 +117,9 @@
   /// Ends all calls, since the process ends. Every client gets an answer that
   /// says whether its request may have run.
   void endAll(RouterStep &Step);
+  /// Withdraws the calls that are not idempotent and have not started yet: the
+  /// process ends soon. The others continue.
+  void withdrawAll(RouterStep &Step);
 
 private:
   /// A server that refused a call because another one would serve it earlier.
@@ -121,17 +145,23 @@
     TimePoint Target; ///< When the target latency of the route ends.
     TimePoint SentAt; ///< Of the current attempt.
     TimePoint WakeAt;
+    /// When the request, the last query or the last check was made.
+    TimePoint CheckedAt;
     PeerRef Executor;
     std::string Instance;
     std::vector<HostId> TriedHosts;
     /// Backend servers that may have received it.
     std::uint32_t ServersReached = 0;
     bool Nested = false; ///< A run of this host's server has probably made it.
-    float RetryFraction = 0;    ///< Probability that a retried run made it.
-    bool MayHaveRun = false;    ///< A backend server may have run it.
+    float RetryFraction = 0; ///< Probability that a retried run made it.
+    bool MayHaveRun = false; ///< A backend server may have run it, apart
+                             ///< from its attempts in LostAttempts.
+    bool Withdrawn = false;  ///< Its daemon was asked not to start it any more.
     std::uint32_t Refusals = 0; ///< By daemons, before any server received it.
     /// Refused only by a rate limit, not counted in Refusals.
     std::uint32_t LimitRefusals = 0;
+    /// Refused since a new version takes no more calls, not counted above.
+    std::uint32_t RolloutRefusals = 0;
     std::vector<FallbackServer> Fallbacks;
     bool HasAlternative = false; ///< As sent with the current attempt.
     std::uint32_t UnansweredQueries = 0;
@@ -148,6 +178,8 @@
 
   void refuseRequest(RouterStep &Step, const ClientRequest &Arrived,
                      ErrorKind Kind, TimePoint Deadline);
+  bool isOverQuota(RouterStep &Step, const ClientRequest &Arrived,
+                   const Workspace *Client, TimePoint Deadline) const;
   Call *find(const CallId &Id, const PeerRef &From);
   Duration timeAtUsualSpeed(const Call &Current, TimePoint Now,
                             const LoadReport &Load) const;
@@ -171,9 +203,20 @@
   void queryExecutor(RouterStep &Step, Call &Current);
   void checkExecutor(RouterStep &Step, Call &Current);
   static bool isQueryPending(const Call &Current);
+  static bool isQueryUseful(const Call &Current);
   void executorLost(RouterStep &Step, Call &Current, bool Unsent);
   void retryAfterRun(RouterStep &Step, Call &Current, ErrorKind Why);
   static bool mayRetry(const Call &Current);
+  bool mayHaveRun(const Call &Current) const {
+    return Current.MayHaveRun || Lost.mayHaveRun(Current.Number);
+  }
+  void settleUnsent(const HostId &Host, const CallId &Attempt);
+  bool settleRefused(const PeerRef &From, const CallId &Attempt);
+  void attemptSettled(std::optional<std::uint64_t> Number);
+  TimePoint mayWithdrawFrom(const Call &Current) const;
+  Duration withdrawTime(const Call &Current) const;
+  TimePoint withdrawAt(const Call &Current) const;
+  void withdraw(RouterStep &Step, Call &Current);
   void deadlinePassed(RouterStep &Step, Call &Current);
   void endCall(RouterStep &Step, Call &Current);
   bool endsBeforeStop(const RouterStep &Step, Call &Current) const;
@@ -192,8 +235,12 @@
   Balancer Selector;
   ServerNotices Notices;
   RefusedCalls RefusedByServices;
+  LostAttempts Lost;
+  CallDependencies Dependencies;
   StopTime Stop;
   RegionLink Link;
+  HostActivity Activity;
+  AnswerAssembly Assembly; ///< Of the answers to the present attempts.
   NestedCallEstimator Origins;
   SplitSchedule Splits;
   std::set<std::string> UsedServices;
--- a/src/sidecar/CallRouterReplies.cpp
+++ b/src/sidecar/CallRouterReplies.cpp
@@ -28,6 +28,23 @@
   scheduleWake(*Current, Step.Now + RunningQueryInterval);
 }
 
+/// A piece shows that the call has run and that its answer arrives. If the
+/// pieces stop before the answer is complete, the daemon is queried, and sends
+/// the answer again.
+void CallRouter::pieceReceived(RouterStep &Step, const PeerRef &From,
+                               AnswerPiece Piece) {
+  Activity.add(Step.Now, From.Host);
+  if (!find(Piece.Call, From)) {
+    Step.Out.emplace_back(Count{Counter::StaleMessages});
+    return;
+  }
+  received(Step, From, Piece.Call);
+  if (!Assembly.hasRoom(Piece))
+    Step.Out.emplace_back(Count{Counter::AnswerPiecesDropped});
+  if (std::optional<Answer> Whole = Assembly.add(From, std::move(Piece)))
+    answered(Step, From, std::move(*Whole));
+}
+
 void CallRouter::answered(RouterStep &Step, const PeerRef &From,
                           Answer Message) {
   Notices.received(Step.Now, From.Host, Message.Load.Notice, true);
@@ -48,6 +65,7 @@
   endAttempt(Step, *Current, Success, &Message.Load);
   ++Current->ServersReached;
   Current->MayHaveRun = true;
+  Dependencies.runEnded(Step.Now, Current->Route->Name, Message.CallRefused);
   if (Message.CallRefused && Current->Nested)
     RefusedByServices.add(Step.Now);
   // A retry would make the run's calls again, and a service refuses these.
@@ -100,7 +118,8 @@
   Notices.received(Step.Now, From.Host, Message.Load.Notice, false);
   Call *Current = find(Message.Call, From);
   if (!Current) {
-    Step.Out.emplace_back(Count{Counter::StaleMessages});
+    if (!settleRefused(From, Message.Call))
+      Step.Out.emplace_back(Count{Counter::StaleMessages});
     return;
   }
   // A new incarnation cannot answer a query about the previous one.
@@ -151,6 +170,10 @@
     Current.Fallbacks.push_back(
         {Current.Executor.Host, Now + Load.TimeToStart,
          Now + Load.TimeToStart + expectedRun(Current, Load)});
+  if (Message.Kind == ErrorKind::RolloutClosed) {
+    ++Current.RolloutRefusals;
+    return;
+  }
   if (Limited) {
     bool First = Current.LimitRefusals++ == 0;
     Current.BacklogTime = First
--- a/src/sidecar/LocalServer.cpp
+++ b/src/sidecar/LocalServer.cpp
@@ -55,11 +55,14 @@
   // Draining is final within one incarnation.
   if (SameIncarnation && (Leaving || State == InstanceState::Draining))
     Next = InstanceState::Draining;
-  bool Changed = !SameIncarnation || Next != State ||
+  // A recovered server may have been announced without its version.
+  bool OtherVersion = !Version.empty() && Report.Version != Version;
+  bool Changed = !SameIncarnation || Next != State || OtherVersion ||
                  Report.Service != Service || Report.Slots != Slots;
   Instance = Report.Instance;
   Service = Report.Service;
   Slots = Report.Slots;
+  Version = Report.Version;
   StartMillis = Report.StartMillis;
   Sequence = Report.Sequence;
   LeftForGood = false;
@@ -99,6 +102,7 @@
   StartMillis = Announced.StartMillis;
   Service = Announced.Service;
   Slots = Announced.Slots;
+  Version = Announced.Version;
   State = InstanceState::Ready;
   LastReportAt = Now;
 }
--- a/src/sidecar/ServerGate.cpp
+++ b/src/sidecar/ServerGate.cpp
@@ -66,7 +66,8 @@
 
 ServerGate::ServerGate(const SidecarSettings &Settings)
     : Self{Settings.Host, Settings.Inc}, Region(Settings.Region),
-      Bounds(Settings.Bounds), ColdTokens(1, 1), Retries(Settings.Bounds) {}
+      Bounds(Settings.Bounds), ColdTokens(1, 1), Retries(Settings.Bounds),
+      Outgoing(Settings.LinkBytes) {}
 
 void ServerGate::configure(const ServiceSettings &Service) {
   Configured = true;
@@ -133,11 +134,23 @@
   return Sum / static_cast<float>(Runs.size());
 }
 
+std::optional<std::uint32_t> ServerGate::mostUrgentRun() const {
+  std::optional<std::uint32_t> Most;
+  for (const auto &[Run, Id] : Runs) {
+    std::uint32_t Priority = Calls.at(Id).Message.Policy.Priority;
+    Most = std::min(Most.value_or(Priority), Priority);
+  }
+  return Most;
+}
+
+bool ServerGate::isOpen() const {
+  return Server.state() == InstanceState::Ready && !Evacuated && !Stopping &&
+         !Unreachable;
+}
+
 LoadReport ServerGate::load(TimePoint Now) const {
   LoadReport Report;
-  bool Open = Server.state() == InstanceState::Ready && !Evacuated &&
-              !Stopping && !Unreachable;
-  Report.Draining = !Open;
+  Report.Draining = !isOpen();
   Report.Limit = usableSlots();
   if (Server.cold(Now)) {
     double Busy =
@@ -252,17 +265,10 @@
   return std::nullopt;
 }
 
-/// Returns whether One is served before Other: first calls that can still meet
-/// their target, then by priority, then by the earlier target.
 bool ServerGate::precedes(TimePoint Now, const AdmittedCall &One,
                           const AdmittedCall &Other) const {
-  bool OneLate = One.Target <= Now;
-  bool OtherLate = Other.Target <= Now;
-  if (OneLate != OtherLate)
-    return OtherLate;
-  if (One.Message.Policy.Priority != Other.Message.Policy.Priority)
-    return One.Message.Policy.Priority < Other.Message.Policy.Priority;
-  return One.Target < Other.Target;
+  return figsail::precedes(Now, {&One.Message, One.Target},
+                           {&Other.Message, Other.Target});
 }
 
 /// Returns how long a call waits behind the calls that it does not precede, at
@@ -272,7 +278,10 @@
                                   double Factor) const {
   Duration Ahead{0};
   std::size_t CallsAhead = 0;
+  std::size_t LessUrgent = 0;
   for (const auto &[Id, Other] : Calls) {
+    if (Other.Run == 0 && isLessUrgent(Other.Message, Call.Message))
+      ++LessUrgent;
     if (Other.Run != 0 || Id == Call.Message.Call || precedes(Now, Call, Other))
       continue;
     ++CallsAhead;
@@ -281,6 +290,13 @@
       continue;
     Ahead += expectedRun(Other.Message.Policy.Route, Factor);
   }
+  if (Turns.inUse()) {
+    QueueAhead InTurns = aheadInTurns(Now, describe(Call), waitingCalls(Now));
+    CallsAhead = InTurns.Calls;
+    Ahead = Duration(
+        static_cast<Duration::rep>(static_cast<double>(InTurns.Work.count()) *
+                                   Factor / Slowdown.factor()));
+  }
   std::uint32_t Slots = usableSlots();
   Duration LimitWait = RateLimit.timeToStart(Now, CallsAhead);
   // With all slots taken, the next one is freed after about the duration of a
@@ -290,7 +306,8 @@
   Duration Wait = std::max<Duration>(Ahead / Slots, LimitWait);
   if (!Server.cold(Now))
     return Wait;
-  double Missing = static_cast<double>(Waiting) + 1 - ColdTokens.available(Now);
+  double Missing =
+      static_cast<double>(Waiting - LessUrgent) + 1 - ColdTokens.available(Now);
   // The operator may allow a cold server no requests at all.
   Duration TokenWait = boundedDuration(
       std::chrono::duration<double>(std::max(0.0, Missing) / ColdPerSecond));
@@ -327,13 +344,35 @@
   return Now + Left - Usual;
 }
 
+/// Checks whether a call with a large answer would be late because of what the
+/// link still has to send: the answers that are queued, and those of the calls
+/// that are here. A call that would miss its target for that reason alone goes
+/// to another server if there is one.
+std::optional<ErrorKind> ServerGate::checkLink(TimePoint Now,
+                                               const AdmittedCall &Call,
+                                               Duration UntilRunEnds) const {
+  std::size_t Bytes = Outgoing.expectedBytes(Call.Message.Policy.Route);
+  if (Bytes == 0 || Call.From.Host == Self.Host)
+    return std::nullopt;
+  TimePoint WithFreeLink = Now + UntilRunEnds + Outgoing.timeAlone(Bytes);
+  for (const auto &[Id, Other] : Calls)
+    Bytes += Outgoing.expectedBytes(Other.Message.Policy.Route);
+  TimePoint End = std::max(WithFreeLink, Now + Outgoing.timeQueued(Now, Bytes));
+  if (Call.Message.HasAlternative && End > Call.Target &&
+      WithFreeLink <= Call.Target)
+    return ErrorKind::ServerSlow;
+  if (End > Call.Deadline)
+    return ErrorKind::Overloaded;
+  return std::nullopt;
+}
+
 /// Checks whether a call can be served in time. A call that the server's rate
 /// limit would delay is refused at once if another server can take it. With a
 /// free slot every call that can meet its deadline is admitted, even after its
 /// target.
 std::optional<ErrorKind>
 ServerGate::checkCapacity(TimePoint Now, const AdmittedCall &Call) const {
-  if (Calls.size() >= MaxCalls || BufferedBytes + Call.Bytes > MaxBufferedBytes)
+  if (isFull(Call) && callsToMakeRoom(Call).empty())
     return ErrorKind::Overloaded;
   if (isFasterElsewhere(Now, Call))
     return ErrorKind::ServerSlow;
@@ -344,6 +383,8 @@
   if (delayUntil(Now, Call))
     return std::nullopt;
   Duration Wait = expectedWait(Now, Call, Slowdown.factor());
+  if (auto Reason = checkLink(Now, Call, Wait + Run))
+    return Reason;
   if (Wait == Duration(0))
     return Now >= Call.Deadline ? std::optional(ErrorKind::Overloaded)
                                 : std::nullopt;
@@ -352,6 +393,29 @@
   return std::nullopt;
 }
 
+bool ServerGate::isFull(const AdmittedCall &Call) const {
+  return Calls.size() >= MaxCalls ||
+         BufferedBytes + Call.Bytes > MaxBufferedBytes;
+}
+
+/// Returns the waiting calls to refuse so that New can be admitted to a full
+/// gate; none if that is not possible.
+std::vector<CallId> ServerGate::callsToMakeRoom(const AdmittedCall &New) const {
+  WaitingCalls Candidates = waitingCalls(New.Arrived);
+  std::vector<CallId> Displaced;
+  std::size_t Bytes = BufferedBytes + New.Bytes;
+  while (Calls.size() - Displaced.size() >= MaxCalls ||
+         Bytes > MaxBufferedBytes) {
+    const WaitingCall *Victim = leastValuable(New.Message, Candidates);
+    if (Victim == nullptr)
+      return {};
+    Displaced.push_back(Victim->Message->Call);
+    Bytes -= Calls.at(Displaced.back()).Bytes;
+    Candidates.erase(Candidates.begin() + (Victim - Candidates.data()));
+  }
+  return Displaced;
+}
+
 bool ServerGate::isOtherSuspectRunning(std::uint64_t Fingerprint) const {
   return SuspectRuns.size() > (SuspectRuns.contains(Fingerprint) ? 1U : 0U);
 }
@@ -394,6 +458,8 @@
   Call.Bytes = messageSize(Message.Request.Headers, Message.Request.Body);
   Call.Message = std::move(Message);
   std::optional<ErrorKind> Reason = checkAvailability(Call.Message);
+  if (!Reason && !Rollout.admits(Step.Now, Waiting))
+    Reason = ErrorKind::RolloutClosed;
   if (!Reason)
     Reason = checkSuspicion(Step.Now, Call.Message);
   if (!Reason)
@@ -404,11 +470,15 @@
     Reason = ErrorKind::RetryBudgetSpent;
   if (Reason)
     return refuse(Step, Call, *Reason);
+  if (isFull(Call))
+    displace(Step, callsToMakeRoom(Call), Id);
   BufferedBytes += Call.Bytes;
   Call.DelayedUntil = delayUntil(Step.Now, Call).value_or(TimePoint{});
+  Turns.add(Call.Message, Call.Deadline);
   Calls.emplace(Id, std::move(Call));
   ++Waiting;
   startWaiting(Step);
+  displaceOvertaken(Step, Id);
   // For a call that has already ended, the final reply confirms the arrival.
   if (Calls.contains(Id))
     ReceiptsDue.emplace(Step.Now + Receipt, Id);
--- a/src/sidecar/ServerGate.h
+++ b/src/sidecar/ServerGate.h
@@ -3,9 +3,12 @@
 #ifndef FIGSAIL_SIDECAR_SERVERGATE_H
 #define FIGSAIL_SIDECAR_SERVERGATE_H
 
+#include "AdmissionPolicy.h"
 #include "CrashDetector.h"
 #include "LocalServer.h"
+#include "OutgoingAnswers.h"
 #include "ReplyCache.h"
+#include "RolloutGate.h"
 #include "RunTimes.h"
 #include "ServerRateLimit.h"
 #include "ServerRetryBudget.h"
@@ -13,6 +16,7 @@
 #include "SidecarSettings.h"
 #include "SlowdownTracker.h"
 #include "StopTime.h"
+#include "WorkspaceTurns.h"
 
 #include "figsail/TokenBucket.h"
 
@@ -56,6 +60,8 @@
   void runEnded(GateStep &Step, ServerRunResult Done, bool CallRefused = false);
   /// Returns when a run started, or nothing if it has ended.
   std::optional<TimePoint> runStart(RunId Run) const;
+  /// Returns the route of a run for another host's ingress, or nothing.
+  std::optional<std::string> remoteRoute(RunId Run) const;
   void probeEnded(GateStep &Step, const ServerProbeResult &Probe);
 
   /// Applies a heartbeat. The verdict says whether to announce a change.
@@ -97,6 +103,8 @@
   TimePoint nextWake(TimePoint Now) const;
 
   const LocalServer &server() const { return Server; }
+  /// Returns the limit on the runs of a new version.
+  RolloutGate &rollout() { return Rollout; }
   /// Returns the requests a second that the server takes, if it names a limit.
   const std::optional<double> &rateLimit() const {
     return RateLimit.perSecond();
@@ -106,8 +114,13 @@
   /// these runs; which run makes a call is not known.
   float retryFraction() const;
   std::size_t runs() const { return Runs.size(); }
+  /// Returns the most urgent priority of the present runs, if there are any.
+  std::optional<std::uint32_t> mostUrgentRun() const;
   /// Returns whether no call is waiting or running.
   bool idle() const { return Calls.empty(); }
+  /// Returns whether the server accepts calls: it is ready, reachable and in
+  /// service.
+  bool isOpen() const;
   LoadReport load(TimePoint Now) const;
   /// Returns the ingresses to notify of the load if the server's speed has
   /// changed since the last notification; otherwise none.
@@ -142,7 +155,8 @@
     TimePoint Started;
     TimePoint
         DelayedUntil; ///< Until then it may wait for the slow period to end.
-    double StartFactor = 1; ///< Slowdown factor when the run started.
+    double StartFactor = 1;   ///< Slowdown factor when the run started.
+    bool StartedCold = false; ///< The server was cold when the run started.
     bool Cancelled = false;
     bool Suspect = false; ///< Its content is suspected of crashing servers.
     bool BesideSuspect =
@@ -158,6 +172,8 @@
   std::optional<ErrorKind> checkAvailability(const Execute &Message) const;
   std::optional<ErrorKind> checkCapacity(TimePoint Now,
                                          const AdmittedCall &Call) const;
+  std::optional<ErrorKind> checkLink(TimePoint Now, const AdmittedCall &Call,
+                                     Duration UntilRunEnds) const;
   bool isOtherSuspectRunning(std::uint64_t Fingerprint) const;
   std::optional<ErrorKind> checkSuspicion(TimePoint Now,
                                           const Execute &Message) const;
@@ -177,6 +193,14 @@
   }
   bool precedes(TimePoint Now, const AdmittedCall &One,
                 const AdmittedCall &Other) const;
+  bool isFull(const AdmittedCall &Call) const;
+  WaitingCall describe(const AdmittedCall &Call) const;
+  WaitingCalls waitingCalls(TimePoint Now) const;
+  std::vector<CallId> callsToMakeRoom(const AdmittedCall &New) const;
+  void displace(GateStep &Step, const std::vector<CallId> &Displaced,
+                const CallId &By);
+  AdmittedCall &callInTurn(TimePoint Now, AdmittedCall &Best);
+  void displaceOvertaken(GateStep &Step, const CallId &New);
   bool acquireStartPermit(TimePoint Now);
   void startWaiting(GateStep &Step);
   void start(GateStep &Step, AdmittedCall &Call);
@@ -199,6 +223,7 @@
     return Call.Message.RetryFraction >= 1;
   }
   void recordRunTime(const AdmittedCall &Call, TimePoint Now, bool Success);
+  void countForRollout(const AdmittedCall &Call, TimePoint Now, bool Failed);
   void updateLoad(TimePoint Now, const ServerLoad &Load);
   std::optional<ServerNotice> notice(TimePoint Now) const;
   void applyNotice(GateStep &Step, const ServerNotice &Notice);
@@ -224,15 +249,18 @@
   /// holds.
   mutable ServerRateLimit RateLimit;
   ServerRetryBudget Retries;
+  RolloutGate Rollout;
   SlowdownTracker Slowdown; ///< From the server's load reports.
   double SentSlowdown = 1;  ///< Factor last sent to the ingresses.
   TimePoint LastLoadAt;     ///< Time of the last load report.
   TimePoint LastCallAt;     ///< Time of the last arrival of a call.
   std::map<HostId, TimePoint> Ingresses; ///< Time of the last call of each.
   RunTimes Times;
+  OutgoingAnswers Outgoing;
   CallMap Calls;                                ///< Waiting or running.
   std::multimap<TimePoint, CallId> ReceiptsDue; ///< By due time.
   std::size_t Waiting = 0;
+  WorkspaceTurns Turns;          ///< Of the waiting calls.
   std::size_t BufferedBytes = 0; ///< Requests of all calls.
   std::unordered_map<RunId, CallId> Runs;
   RunId LastRun = 0;
--- a/src/sidecar/ServiceConfig.cpp
+++ b/src/sidecar/ServiceConfig.cpp
@@ -45,6 +45,11 @@
   });
 }
 
+WorkspacePtr ServiceConfig::findWorkspaceNamed(const std::string &Name) const {
+  auto Found = Workspaces.find(Name);
+  return Found == Workspaces.end() ? nullptr : Found->second;
+}
+
 WorkspacePtr ServiceConfig::findWorkspace(const KeyDigest &Key) const {
   auto Found = ByKey.find(Key);
   return Found == ByKey.end() ? nullptr : Found->second;
--- a/src/sidecar/ServiceConfig.h
+++ b/src/sidecar/ServiceConfig.h
@@ -86,6 +86,8 @@
   const ServiceSettings *findService(const std::string &Name) const;
   /// Returns the workspace that a key belongs to, or null.
   WorkspacePtr findWorkspace(const KeyDigest &Key) const;
+  /// Returns the workspace with that name, or null.
+  WorkspacePtr findWorkspaceNamed(const std::string &Name) const;
   /// Returns whether requests identify their workspaces by keys.
   bool hasWorkspaces() const { return !Workspaces.empty(); }
   std::size_t workspaceCount() const { return Workspaces.size(); }
--- a/src/sidecar/Sidecar.cpp
+++ b/src/sidecar/Sidecar.cpp
@@ -2,6 +2,8 @@
 
 #include "Sidecar.h"
 
+#include "AnswerPieces.h"
+
 #include <algorithm>
 #include <array>
 #include <iterator>
@@ -31,6 +33,8 @@
 
 Sidecar::Sidecar(SidecarSettings InitialSettings, const RecordDecoder &Decoder)
     : Settings(std::move(InitialSettings)), Router(Settings), Gate(Settings),
+      Versions(Settings), Quota(Settings.Host, Settings.Bounds),
+      Coordinator(Settings.Bounds),
       Decoder(Decoder), Topics{{{Topic::Operator, Decoder},
                                 {Topic::Members, Decoder}}},
       Relay(Settings.Host, Settings.FailureDomain) {
@@ -48,9 +52,12 @@
   reportLoad(S);
   reportSuspects(S);
   Router.setServerRuns(S.Now, Gate.runs());
+  RolloutStep AtRollouts = rolloutStep(S);
+  Versions.update(AtRollouts);
   sendAnnouncement(S);
   updateReadiness(S);
   continueStop(S);
+  splitLargeAnswers(Settings.Host, Out);
   return Out;
 }
 
@@ -60,6 +67,8 @@
     Due = std::min(Due, State.Follower.nextWake());
   Due = std::min(Due, Gate.nextWake(LastNow));
   Due = std::min(Due, Peers.nextWake());
+  Due = std::min(Due, Versions.nextWake());
+  Due = std::min({Due, Quota.nextWake(), Coordinator.nextWake()});
   if (topicsComplete() && Relay.readsStore(LastNow))
     Due = std::min(Due, Expiry.nextWake());
   if (AnnounceNeeded && !AppendInFlight && topicsComplete())
@@ -106,22 +115,41 @@
 }
 
 RouterStep Sidecar::routerStep(Step &S) {
-  return {S.Now,     S.Seed,    Config.get(), isConfigBehind(S.Now),
-          Directory, Evacuated, Peers,        Gate.retryFraction(),
+  return {S.Now,     S.Seed, Config.get(), isConfigBehind(S.Now), Directory,
+          Evacuated, Peers,  Versions,     Gate.retryFraction(),  Quota,
           S.Out};
 }
 
+RolloutStep Sidecar::rolloutStep(Step &S) {
+  bool UpToDate = topicsComplete() && !isConfigBehind(S.Now);
+  return {S.Now,          Directory,     Peers,    Gate.server(),
+          Gate.rollout(), Gate.isOpen(), UpToDate, S.Out};
+}
+
+QuotaStep Sidecar::quotaStep(Step &S) {
+  auto Find = [this](const std::string &Name) {
+    return Config ? Config->findWorkspaceNamed(Name).get() : nullptr;
+  };
+  return {S.Now, Find, Directory, Peers, S.Out};
+}
+
 // Clients and peers.
 
-void Sidecar::on(Step &, BoundsChanged &Body) {
+void Sidecar::on(Step &S, BoundsChanged &Body) {
   Settings.Bounds = Body.Bounds;
   Gate.configure(Body.Bounds);
+  bool VersionsBefore = Versions.inUse();
+  Versions.configure(Body.Bounds);
+  Quota.configure(Body.Bounds);
+  Coordinator.configure(Body.Bounds);
+  announceVersion(S, VersionsBefore);
   if (Stopping)
     setStopEnd();
 }
 
 void Sidecar::on(Step &S, ClientRequest &Body) {
   RouterStep Step = routerStep(S);
+  Step.RunningPriority = Gate.mostUrgentRun();
   Router.request(Step, std::move(Body));
 }
 
@@ -158,6 +186,12 @@
   Router.peerLost(Step, Body);
 }
 
+void Sidecar::on(Step &S, PeerReceiving &Body) {
+  Peers.markReachable(Body.From.Host, S.Out);
+  Expiry.markReachable(S.Now, Body.From.Host);
+  Router.bytesReceived(S.Now, Body.From.Host);
+}
+
 void Sidecar::handleMessage(Step &S, const PeerRef &From,
                             PeerMessage &Message) {
   GateStep AtGate{S.Now, S.Out};
@@ -168,6 +202,8 @@
     Router.received(AtRouter, From, Body->Call);
   else if (auto *Body = std::get_if<Answer>(&Message))
     Router.answered(AtRouter, From, std::move(*Body));
+  else if (auto *Body = std::get_if<AnswerPiece>(&Message))
+    Router.pieceReceived(AtRouter, From, std::move(*Body));
   else if (auto *Body = std::get_if<Refused>(&Message))
     Router.refused(AtRouter, From, *Body);
   else if (auto *Body = std::get_if<Failed>(&Message))
@@ -186,6 +222,14 @@
     handleUpdate(S, From, *Body);
   else if (const auto *Body = std::get_if<TopicPiece>(&Message))
     handlePiece(S, From, *Body);
+  else if (const auto *Body = std::get_if<RolloutReport>(&Message))
+    handleRollout(S, From, *Body);
+  else if (const auto *Body = std::get_if<RolloutVerdict>(&Message))
+    handleRollout(S, From, *Body);
+  else if (const auto *Body = std::get_if<QuotaReport>(&Message))
+    handleReport(S, From, *Body);
+  else if (const auto *Body = std::get_if<QuotaReply>(&Message))
+    Quota.received(S.Now, From.Host, *Body, S.Out);
   else if (auto *Body = std::get_if<Probe>(&Message))
     S.Out.emplace_back(SendPeer{From.Host, ProbeReply{Body->Target, true}});
   else if (!std::holds_alternative<ProbeReply>(Message))
@@ -210,6 +254,12 @@
     S.Out.emplace_back(SendPeer{Host, Report});
 }
 
+void Sidecar::handleReport(Step &S, const PeerRef &From,
+                           const QuotaReport &Message) {
+  QuotaStep Step = quotaStep(S);
+  Coordinator.received(Step, From, Message);
+}
+
 /// Passes a call to the gate. What its ingress knows of the server may change
 /// the server's state.
 void Sidecar::handleExecute(Step &S, const PeerRef &From, Execute Message) {
@@ -220,6 +270,36 @@
     announce(S);
 }
 
+// Rollouts.
+
+/// Announces the version of the own server when versions begin to matter.
+void Sidecar::announceVersion(Step &S, bool InUseBefore) {
+  if (!InUseBefore && Versions.inUse() && !Gate.server().version().empty())
+    announce(S);
+}
+
+void Sidecar::handleRollout(Step &S, const PeerRef &From,
+                            const RolloutReport &Message) {
+  RolloutStep AtRollouts = rolloutStep(S);
+  Versions.report(AtRollouts, From.Host, Message);
+}
+
+void Sidecar::handleRollout(Step &S, const PeerRef &From,
+                            const RolloutVerdict &Message) {
+  RolloutStep AtRollouts = rolloutStep(S);
+  Versions.verdict(AtRollouts, From.Host, Message);
+}
+
+void Sidecar::on(Step &S, RolloutStatusRead &Body) {
+  RolloutStep AtRollouts = rolloutStep(S);
+  Versions.statusRead(AtRollouts, Body);
+}
+
+void Sidecar::on(Step &S, RolloutStatusWritten &Body) {
+  RolloutStep AtRollouts = rolloutStep(S);
+  Versions.statusWritten(AtRollouts, Body);
+}
+
 // The backend server.
 
 /// Returns whether a run failed since a service refused one of its calls.
@@ -235,6 +315,9 @@
   GateStep Step{S.Now, S.Out};
   InstanceState Before = Gate.server().state();
   bool CallRefused = isCallRefused(Body);
+  std::optional<std::string> Route = Gate.remoteRoute(Body.Run);
+  if (Route && std::holds_alternative<HttpResponse>(Body.Result))
+    Router.remoteRunEnded(S.Now, *Route, CallRefused);
   Gate.runEnded(Step, std::move(Body), CallRefused);
   if (Gate.server().state() != Before)
     announce(S);
@@ -314,6 +397,9 @@
     Own.State = InstanceState::Paused;
   Own.Service = Gate.server().service();
   Own.Slots = Gate.server().slots();
+  // Without rollouts, announcements stay as they were before there were any.
+  if (Versions.inUse())
+    Own.Version = Gate.server().version();
   Own.Left = Gate.server().leaving();
   ServerIncarnation Described = Gate.server().incarnation();
   // The next daemon must know of the leave too, however often they restart.
@@ -339,6 +425,15 @@
 /// the topics are complete. If nothing needs to be announced, removes an
 /// expired host.
 void Sidecar::sendAnnouncement(Step &S) {
+  if (auto Share = Versions.takeShare())
+    ShareToAppend = std::move(Share);
+  if (ShareToAppend && !AppendInFlight) {
+    AppendInFlight = true;
+    ShareInFlight = true;
+    S.Out.emplace_back(AppendRolloutShare{std::move(*ShareToAppend)});
+    ShareToAppend.reset();
+    return;
+  }
   if (HostToDrop && !AnnounceNeeded && !AppendInFlight) {
     AppendInFlight = true;
     S.Out.emplace_back(RemoveHost{*HostToDrop});
@@ -356,6 +451,11 @@
 
 void Sidecar::on(Step &S, AnnouncementResult &Body) {
   AppendInFlight = false;
+  // The controller writes a share record again that it does not see.
+  if (std::exchange(ShareInFlight, false)) {
+    isFromEndedHistory(S, Body.History);
+    return;
+  }
   // An announcement that was appended to an ended history may be lost.
   if (Body.Appended && !isFromEndedHistory(S, Body.History)) {
     AnnounceFailures = 0;
@@ -382,6 +482,9 @@
   if (Gate.server().state() != Before)
     announce(S);
   Peers.timer(S.Now, S.Out);
+  Quota.timer(S.Now, Directory, Peers, S.Out);
+  QuotaStep AtCoordinator = quotaStep(S);
+  Coordinator.timer(AtCoordinator);
   followTopics(S);
 }
 
@@ -428,6 +531,8 @@
     RunsReturned = true;
     GateStep AtGate{S.Now, S.Out};
     Gate.returnIdempotentRuns(AtGate);
+    RouterStep AtRouter = routerStep(S);
+    Router.withdrawAll(AtRouter);
   }
   bool Idle = ClientsDisconnected && Router.inFlight() == 0 && Gate.idle();
   bool OutOfTime = S.Now >= stopEnd();
@@ -455,8 +560,25 @@
   S.Out.emplace_back(std::move(Line));
   GateStep AtGate{S.Now, S.Out};
   Gate.endAll(AtGate);
+  applyOwnRefusals(S);
   RouterStep AtRouter = routerStep(S);
   Router.endAll(AtRouter);
 }
 
+/// Applies the refusals that the gate sends in this event to this host's own
+/// ingress. The process ends before they arrive.
+void Sidecar::applyOwnRefusals(Step &S) {
+  std::vector<Refused> Own;
+  for (const SidecarEffect &Action : S.Out) {
+    const auto *Sent = std::get_if<SendPeer>(&Action);
+    if (!Sent || Sent->Host != Settings.Host)
+      continue;
+    if (const auto *Message = std::get_if<Refused>(&Sent->Message))
+      Own.push_back(*Message);
+  }
+  RouterStep AtRouter = routerStep(S);
+  for (const Refused &Message : Own)
+    Router.refused(AtRouter, {Settings.Host, Settings.Inc}, Message);
+}
+
 } // namespace figsail
--- a/src/sidecar/Sidecar.h
+++ b/src/sidecar/Sidecar.h
@@ -9,7 +9,9 @@
 #include "ContentOrder.h"
 #include "HostExpiry.h"
 #include "Instance.h"
+#include "QuotaCoordinator.h"
 #include "RecordSource.h"
+#include "Rollouts.h"
 #include "ServerGate.h"
 #include "SidecarEvents.h"
 #include "SidecarSettings.h"
@@ -19,6 +21,7 @@
 #include "TopicPublisher.h"
 #include "TopicReceiver.h"
 #include "TopicRelay.h"
+#include "WorkspaceQuota.h"
 
 #include <array>
 #include <optional>
@@ -73,6 +76,7 @@
   void on(Step &S, PeerReceived &Body);
   void on(Step &S, PeerConnected &Body);
   void on(Step &S, PeerLost &Body);
+  void on(Step &S, PeerReceiving &Body);
   void on(Step &S, ServerRunResult &Body);
   void on(Step &S, ServerProbeResult &Body);
   void on(Step &S, ServerHeartbeat &Body);
@@ -84,8 +88,11 @@
   void on(Step &S, AnnouncementResult &Body);
   void on(Step &S, TimerFired &Body);
   void on(Step &S, StopRequested &Body);
+  void on(Step &S, RolloutStatusRead &Body);
+  void on(Step &S, RolloutStatusWritten &Body);
 
   void handleExecute(Step &S, const PeerRef &From, Execute Message);
+  void handleReport(Step &S, const PeerRef &From, const QuotaReport &Message);
   bool isCallRefused(const ServerRunResult &Ended);
   void handleSuspicion(Step &S, const PeerRef &From,
                        const SuspectReport &Message);
@@ -96,6 +103,8 @@
   void applyRecord(Step &S, const RecordOrigin &Origin, Evacuation &Body);
   void applyRecord(Step &S, const RecordOrigin &Origin, Announcement &Body);
   void applyRecord(Step &S, const RecordOrigin &Origin, HostRemoved &Body);
+  void applyRecord(Step &S, const RecordOrigin &Origin, RolloutOrder &Body);
+  void applyRecord(Step &S, const RecordOrigin &Origin, RolloutShare &Body);
   void rememberLeftServer(Step &S, const Announcement &Own);
   /// The state of one topic.
   struct TopicState {
@@ -137,6 +146,13 @@
   void reportLoad(Step &S);
   void reportSuspects(Step &S);
   RouterStep routerStep(Step &S);
+  RolloutStep rolloutStep(Step &S);
+  void announceVersion(Step &S, bool InUseBefore);
+  void handleRollout(Step &S, const PeerRef &From,
+                     const RolloutReport &Message);
+  void handleRollout(Step &S, const PeerRef &From,
+                     const RolloutVerdict &Message);
+  QuotaStep quotaStep(Step &S);
   void acknowledgeReport(Step &S, ReportId Report, ReportVerdict Verdict,
                          const std::string &Instance);
   void announce(Step &S);
@@ -150,6 +166,7 @@
   void setStopEnd();
   TimePoint stopEnd() const;
   void endOpenCalls(Step &S);
+  void applyOwnRefusals(Step &S);
 
   SidecarSettings Settings;
   ConfigPtr Config;                ///< Null until one has been read.
@@ -160,6 +177,9 @@
   HostExpiry Expiry;
   CallRouter Router;
   ServerGate Gate;
+  Rollouts Versions;
+  WorkspaceQuota Quota;
+  QuotaCoordinator Coordinator;
   const RecordDecoder &Decoder;
   std::array<TopicState, TopicCount> Topics;
   StoreHistory History = 0; ///< The history that the images belong to.
@@ -175,6 +195,9 @@
   AnnouncementOrder Order;     ///< Of the next announcement.
   bool AnnounceNeeded = false; ///< The newest announcement is not in the store.
   bool AppendInFlight = false; ///< An append or a removal is in flight.
+  /// Waits for an append of another kind to end.
+  std::optional<RolloutShare> ShareToAppend;
+  bool ShareInFlight = false;       ///< The append is that of a share record.
   std::optional<HostId> HostToDrop; ///< Expired; still in the store.
   TimePoint PeerQueryAt{};       ///< Earliest time of the next query to a peer.
   unsigned AnnounceFailures = 0; ///< In a row.
--- a/src/sidecar/SidecarTopics.cpp
+++ b/src/sidecar/SidecarTopics.cpp
@@ -347,6 +347,9 @@
       {"bytes", std::to_string(Origin.ValueBytes)},
       {"from", Origin.From},
       {"previous", Config ? std::to_string(Config->Version) : "none"}};
+  if (Body->hasWorkspaces())
+    Line.Fields.emplace_back("workspaces",
+                             std::to_string(Body->workspaceCount()));
   S.Out.emplace_back(std::move(Line));
   if (!Newer)
     return;
@@ -398,8 +401,8 @@
     bool Served = Body.State == InstanceState::Ready ||
                   Body.State == InstanceState::Paused;
     if (Served && Body.Service == Settings.Service)
-      Gate.expectServer(
-          S.Now, {Body.Instance, Body.StartMillis, Body.Service, Body.Slots});
+      Gate.expectServer(S.Now, {Body.Instance, Body.StartMillis, Body.Service,
+                                Body.Slots, Body.Version});
     if (Body.Left)
       rememberLeftServer(S, Body);
     return announce(S);
@@ -411,6 +414,7 @@
   if (OtherDaemon)
     sendKnownSuspects(S, Body.Host);
   Router.hostChanged(Body);
+  Versions.announced(S.Now, Body);
   updateHostCounts();
   // A probe opens a link before the first request needs it.
   bool Wanted = Directory.all().size() <= MaxEagerHosts ||
@@ -426,10 +430,25 @@
   Directory.erase(Body.Host);
   Peers.remove(Body.Host);
   Expiry.remove(Body.Host);
+  Coordinator.hostRemoved(Body.Host);
   updateHostCounts();
 }
 
+void Sidecar::applyRecord(Step &S, const RecordOrigin &Origin,
+                          RolloutOrder &Body) {
+  RolloutStep AtRollouts = rolloutStep(S);
+  bool VersionsBefore = Versions.inUse();
+  Versions.apply(AtRollouts, Body, Origin.At);
+  announceVersion(S, VersionsBefore);
+}
+
+void Sidecar::applyRecord(Step &S, const RecordOrigin &, RolloutShare &Body) {
+  RolloutStep AtRollouts = rolloutStep(S);
+  Versions.apply(AtRollouts, Body);
+}
+
 void Sidecar::updateHostCounts() {
+  Quota.setHostCount(Directory.all().size());
   Router.setRegionHosts(Directory.countHosts(Settings.Region));
   Gate.setServerCount(LastNow, Directory.countServers(Settings.Service));
 }
--- a/tests/PeerCodecTest.cpp
+++ b/tests/PeerCodecTest.cpp
@@ -161,6 +161,37 @@
         any<std::uint64_t>(), any<std::uint64_t>(), any<std::uint32_t>(),
         any<std::uint32_t>(), any<std::uint64_t>(), any<std::uint64_t>(),
         any<std::uint64_t>(), any<std::int64_t>(),  anyText()};
+  case 25:
+    return RolloutReport{
+        anyText(),
+        any<std::int64_t>(),
+        any<std::int64_t>(),
+        any<std::uint64_t>(),
+        any<bool>(),
+        any<bool>(),
+        any<std::uint32_t>(),
+        any<std::uint32_t>(),
+        any<std::uint32_t>(),
+        {RolloutRouteCounts{anyText(), any<std::uint32_t>(),
+                            any<std::uint32_t>(),
+                            any<std::vector<std::uint32_t>>()}}};
+  case 26:
+    return RolloutVerdict{anyText(),           any<std::int64_t>(),
+                          any<std::int64_t>(), any<std::uint64_t>(),
+                          any<std::uint8_t>(), any<std::uint32_t>()};
+  case 27:
+    return QuotaReport{
+        {QuotaUsage{anyText(), any<std::int64_t>(), any<std::int64_t>(),
+                    any<std::uint32_t>(), 0.5F, any<std::uint32_t>(),
+                    any<bool>(), any<bool>()}}};
+  case 28:
+    return QuotaReply{{QuotaGrant{
+        anyText(), any<std::int64_t>(), any<std::uint32_t>(), 0.5F, 0.25F, 1.5F,
+        2.5F, any<bool>(), any<bool>(), any<std::uint32_t>()}}};
+  case 29:
+    return AnswerPiece{anyCallId(), any<std::uint64_t>(), any<std::uint32_t>(),
+                       anyText(),
+                       Answer{anyCallId(), anyResponse(), anyLoadReport()}};
   default: {
     KeyedRecord Present{anyText(), anyText(), any<std::int64_t>()};
     KeyedRecord Removed{anyText(), std::nullopt, any<std::int64_t>()};
--- a/tests/PeerTransportTest.cpp
+++ b/tests/PeerTransportTest.cpp
@@ -48,6 +48,9 @@
   void peerReceived(PeerReceived Message) override {
     Received.push_back(std::move(Message));
   }
+  void peerReceiving(const PeerReceiving &Peer) override {
+    Receiving.push_back(Peer);
+  }
   void peerConnected(PeerConnected Peer) override {
     Connected.push_back(std::move(Peer));
   }
@@ -58,6 +61,7 @@
   PeerRef Self;
   LamportClock Clock;
   std::vector<PeerReceived> Received;
+  std::vector<PeerReceiving> Receiving;
   std::vector<PeerConnected> Connected;
   std::vector<PeerLost> Lost;
   PeerTransport Transport;
@@ -232,6 +236,29 @@
   EXPECT_EQ(sequenceOf(Remote.Received[1].Message), 2U);
 }
 
+// A host whose large answer arrives over seconds would count as silent. Small
+// frames must not cost an event each.
+TEST_F(PeerTransportTest, BytesOfALargeUnfinishedFrameAreReported) {
+  Peer Local(Loop, LocalAddress, 11);
+  Local.listen();
+  RawPeer Remote(Loop);
+  Remote.connect(LocalAddress);
+  Remote.sendHello(RemoteAddress, 22);
+  std::string Small;
+  appendFrame(Small, 1, callMessage(1, 4'000));
+  Remote.send(Small.substr(0, 3'000));
+  runUntil([&] { return Local.Connected.size() == 1; });
+  runReadyHandlers();
+  EXPECT_TRUE(Local.Receiving.empty());
+  std::string Large;
+  appendFrame(Large, 1, callMessage(2, 500'000));
+  Remote.send(Small.substr(3'000) + Large.substr(0, 10'000));
+  runUntil([&] { return Local.Receiving.size() == 1; });
+  EXPECT_EQ(Local.Receiving[0].From, (PeerRef{RemoteAddress, 22}));
+  Remote.send(Large.substr(10'000));
+  runUntil([&] { return Local.Received.size() == 2; });
+}
+
 // A heartbeat that waits behind queued calls would make a busy member look
 // unreachable.
 TEST_F(PeerTransportTest, ControlMessagesOvertakeQueuedCalls) {
@@ -265,6 +292,47 @@
     EXPECT_EQ(bulkNumberOf(Remote.Received[1 + I].Message), I);
 }
 
+// Answers on one link were in the kernel ahead of a call on another link of the
+// host. Without pacing, the loopback passes them all at once.
+TEST_F(PeerTransportTest, PacedAnswersArriveWholeAndBehindCallsOnOtherLinks) {
+  PeerSettings Paced;
+  Paced.LinkBytes = 2e6;
+  Peer Local(Loop, LocalAddress, 11, Paced);
+  Peer Remote(Loop, RemoteAddress, 22);
+  Peer Other(Loop, loopbackAddress(3), 33);
+  Remote.listen();
+  Other.listen();
+  constexpr std::uint32_t Pieces = 20;
+  for (std::uint32_t I = 0; I < Pieces; ++I)
+    Local.Transport.send(RemoteAddress,
+                         AnswerPiece{{22, 1}, 1, I, std::string(16384, 'x')});
+  runUntil([&] { return !Remote.Received.empty(); });
+  Local.Transport.send(Other.Self.Host, callMessage(1));
+  Local.Transport.send(RemoteAddress, callMessage(2));
+  runUntil([&] { return Other.Received.size() == 1; });
+  EXPECT_LT(Remote.Received.size(), Pieces);
+  runUntil([&] { return Remote.Received.size() == Pieces + 1; });
+  EXPECT_NE(sequenceOf(Remote.Received.back().Message), 2U);
+}
+
+// The rest of an answer that nobody waits for would take 0.4 s of a slow link.
+TEST_F(PeerTransportTest, ACancelledAnswerIsNotSentOn) {
+  PeerSettings Paced;
+  Paced.LinkBytes = 1e5;
+  Peer Local(Loop, LocalAddress, 11, Paced);
+  Peer Remote(Loop, RemoteAddress, 22);
+  Remote.listen();
+  for (std::uint32_t I = 0; I < 100; ++I)
+    Local.Transport.send(RemoteAddress,
+                         AnswerPiece{{22, 1}, 1, I, std::string(16384, 'x')});
+  runUntil([&] { return !Remote.Received.empty(); });
+  Remote.Transport.send(LocalAddress, Cancel{{22, 1}});
+  runUntil([&] { return !Local.Received.empty(); });
+  Local.Transport.close();
+  runUntil([&] { return Local.Transport.linkCount() == 0; });
+  EXPECT_LT(Remote.Received.size(), 100U);
+}
+
 // A bulk message above the frame limit is dropped. If the write ended with it,
 // those behind it would wait until something else is sent.
 TEST_F(PeerTransportTest, ADroppedBulkMessageDoesNotDelayTheNext) {
