--- a/include/figsail/Events.h
+++ b/include/figsail/Events.h
@@ -216,8 +216,8 @@
   KeysUnknown,  ///< Requests refused with a key of no workspace.
   RolloutSteps, ///< Steps of rollouts that this daemon has decided.
   RunsDisplaced,
-  RefusedAtDoor,
-  DoorTrials,
+  DependencyRefusals,
+  DependencyTrials,
   AnswerPiecesDropped, ///< For lack of memory at the ingress.
 };
 
--- a/src/core/Names.cpp
+++ b/src/core/Names.cpp
@@ -77,8 +77,8 @@
     "keys_unknown",
     "rollout_steps",
     "runs_displaced",
-    "refused_at_door",
-    "door_trials",
+    "dependency_refusals",
+    "dependency_trials",
     "answer_pieces_dropped"};
 
 std::string_view counterName(Counter Which) {
--- a/src/sidecar/CallDependencies.cpp
+++ b/src/sidecar/CallDependencies.cpp
@@ -58,8 +58,8 @@
   bool Refuse = Runs.Credit >= 1 && !Trial;
   if (Runs.Credit >= 1) {
     Runs.Credit -= 1;
-    Out.emplace_back(
-        Count{Refuse ? Counter::RefusedAtDoor : Counter::DoorTrials});
+    Out.emplace_back(Count{Refuse ? Counter::DependencyRefusals
+                                  : Counter::DependencyTrials});
   }
   if (!Refuse)
     Runs.LastAdmitted = Now;
--- a/src/sidecar/LocalServer.h
+++ b/src/sidecar/LocalServer.h
@@ -25,7 +25,7 @@
   std::int64_t StartMillis = 0; ///< 0: not known.
   std::string Service;
   std::uint32_t Slots = 0;
-  std::string Version; ///< Empty: it stated none.
+  std::string Version{}; ///< Empty: it stated none.
 };
 
 /// State of the local backend server, updated by its heartbeats and leave
--- a/tests/CallDependenciesTest.cpp
+++ b/tests/CallDependenciesTest.cpp
@@ -65,8 +65,8 @@
 }
 
 /// Adds runs of the route that end with or without a refused call.
-struct RefusedAtDoorTest : SidecarTest {
-  RefusedAtDoorTest() { loadTopics(true); }
+struct DependencyRefusalsTest : SidecarTest {
+  DependencyRefusalsTest() { loadTopics(true); }
 
   /// Sends one request in 20 ms. Of the runs, Failed of ten fail since a
   /// service refuses a call. Returns the number of refused requests.
@@ -96,7 +96,7 @@
 // Load pattern: the service of the downloads sheds everything, and every run of
 // a release fails. Guards against runs that take slots in vain, and against a
 // route that stays closed.
-TEST_F(RefusedAtDoorTest, RequestsAreRefusedWhileTheirCallsAreRefused) {
+TEST_F(DependencyRefusalsTest, RequestsAreRefusedWhileTheirCallsAreRefused) {
   refusedOf(10, 10);
   int Refused = refusedOf(100, 10);
   EXPECT_GE(Refused, 90);
@@ -106,7 +106,7 @@
 }
 
 // Guards against the refusal of runs that would succeed.
-TEST_F(RefusedAtDoorTest, TheFractionRefusedFollowsTheFractionThatFails) {
+TEST_F(DependencyRefusalsTest, TheFractionRefusedFollowsTheFractionThatFails) {
   EXPECT_EQ(refusedOf(200, 2), 0) << "a fifth of the runs fails";
   refusedOf(200, 6);
   int Refused = refusedOf(200, 6);
