Change: requests are refused for a dependency only while nearly all runs fail

A refused request might have been one of the runs that succeed, and the slots that the others take were free.

--- a/src/sidecar/CallDependencies.cpp
+++ b/src/sidecar/CallDependencies.cpp
@@ -15,11 +15,13 @@
 static constexpr double DecaySeconds = 2;
 /// Recent runs from which on their failures say something.
 static constexpr double MinRuns = 4;
-/// Fraction of failed runs from which on requests are refused.
-static constexpr double MinFailedFraction = 1.0 / 3;
+/// Fraction of failed runs from which on requests are refused. Below it, a
+/// refused request loses more than the slots that the failing runs take: its
+/// run may succeed.
+static constexpr double MinFailedFraction = 0.9;
 /// Fraction below which the end of the refusals is logged. Below the former
 /// one, so that a fraction around it does not fill the log.
-static constexpr double LoggedEndFraction = 1.0 / 4;
+static constexpr double LoggedEndFraction = 0.75;
 /// Longest time without an admitted request, while requests arrive.
 static constexpr Duration TrialInterval = 300ms;
 static constexpr std::size_t MaxRoutes = 4096;
--- a/src/sidecar/CallDependencies.h
+++ b/src/sidecar/CallDependencies.h
@@ -16,8 +16,8 @@
 /// Load pattern: a service sheds most of its calls, or none of its servers is
 /// reachable. The runs of the routes that call it take slots for their whole
 /// time and then fail. Their requests are refused on arrival instead, as large
-/// a fraction of them as recent runs failed for this reason, and none below a
-/// third. Requests that still get through show when it ends.
+/// a fraction of them as recent runs failed for this reason, and none unless
+/// nearly all did. Requests that still get through show when it ends.
 class CallDependencies {
 public:
   /// A run of the route has ended with a response. CallRefused: it failed since
