Fix: faults and names that a newcomer's reading of the change found

- A share record of a rollout may hold no more hosts and rejected versions than its decoder accepts; else no record of the service would be read any more.
- A gate checks its grant for each call that it starts, not once for all that wait.
- Routes beyond the limit of a report share one entry without a name, so that the judge does not compare different routes.
- A coordinator does not credit the requests of an ingress that has dropped its state of the workspace.
Coordinators that are not reported to are forgotten.
- A call whose answer is arriving is not withdrawn: a cancel drops its pieces.
- A share record that waits for an append is not replaced by that of another service.

--- a/src/shell/FrontendConnection.cpp
+++ b/src/shell/FrontendConnection.cpp
@@ -3,6 +3,7 @@
 #include "FrontendConnection.h"
 #include "HttpFieldFunctions.h"
 
+#include <algorithm>
 #include <boost/beast/http/empty_body.hpp>
 #include <limits>
 
@@ -338,9 +339,9 @@
 void FrontendConnection::reply(CallerId Replied, HttpResponse Response) {
   if (Replied == Caller && CurrentPhase == Phase::Handling)
     return write(std::move(Response));
-  for (PipelinedRequest &Later : Ahead)
-    if (Later.Caller == Replied)
-      Later.Response = std::move(Response);
+  auto Later = std::ranges::find(Ahead, Replied, &PipelinedRequest::Caller);
+  if (Later != Ahead.end())
+    Later->Response = std::move(Response);
 }
 
 template <class Body>
--- a/src/sidecar/AnswerAssembly.h
+++ b/src/sidecar/AnswerAssembly.h
@@ -23,6 +23,8 @@
   /// Returns whether the piece belongs to a known answer, or there is memory
   /// for another one.
   bool hasRoom(const AnswerPiece &Piece) const;
+  /// Returns whether a piece of the call's answer has arrived.
+  bool contains(const CallId &Call) const { return Answers.contains(Call); }
   /// The call has ended or was sent elsewhere. Drops its pieces.
   void remove(const CallId &Call);
   /// Returns the size of all unfinished bodies, in bytes.
--- a/src/sidecar/CallRouterCertainty.cpp
+++ b/src/sidecar/CallRouterCertainty.cpp
@@ -55,6 +55,9 @@
 /// The query goes first: a cancel would replace the record of an old call.
 void CallRouter::withdraw(RouterStep &Step, Call &Current) {
   Current.Withdrawn = true;
+  // A cancel would drop the rest of an answer that is arriving.
+  if (Assembly.contains(Current.Id))
+    return scheduleWake(Current, Current.Deadline);
   Step.Out.emplace_back(
       SendPeer{Current.Executor.Host,
                Await{Current.Id, std::nullopt, Current.Executor.Inc}});
--- a/src/sidecar/QuotaCoordinator.cpp
+++ b/src/sidecar/QuotaCoordinator.cpp
@@ -220,6 +220,11 @@
   // A counter that went back: the ingress has dropped its state meanwhile.
   if (!Inserted && Usage.Acknowledged == 0 && Usage.Sequence == 0)
     Known = 0;
+  // The ingress answers a grant for a workspace that it has dropped.
+  bool Dropped =
+      Usage.Released && Usage.Acknowledged == 0 && Usage.Admitted == 0;
+  if (Dropped)
+    Known = 0;
   auto News = static_cast<double>(Usage.Admitted - Known);
   Current.Balance -= News - Held.ChargedSilent;
   Held.ChargedSilent = 0;
--- a/src/sidecar/Rollout.cpp
+++ b/src/sidecar/Rollout.cpp
@@ -23,6 +23,12 @@
   return StateNames[static_cast<std::size_t>(State)];
 }
 
+/// Returns at most as many entries as a decoder accepts.
+static json::value listOf(std::vector<std::string> Entries) {
+  Entries.resize(std::min(Entries.size(), MaxEntries));
+  return json::value_from(Entries);
+}
+
 std::string encodeRolloutShare(const RolloutShare &Share) {
   json::object Record;
   Record["service"] = Share.Service;
@@ -32,10 +38,10 @@
   Record["step"] = Share.Step;
   Record["share"] = Share.Share;
   if (!Share.Hosts.empty())
-    Record["hosts"] = json::value_from(Share.Hosts);
+    Record["hosts"] = listOf(Share.Hosts);
   Record["elapsed_us"] = Share.Elapsed.count();
   if (!Share.Rejected.empty())
-    Record["rejected"] = json::value_from(Share.Rejected);
+    Record["rejected"] = listOf(Share.Rejected);
   return json::serialize(Record);
 }
 
--- a/src/sidecar/RolloutController.cpp
+++ b/src/sidecar/RolloutController.cpp
@@ -73,8 +73,8 @@
 /// Requests of the service in the trial below which fewer answers suffice.
 static constexpr std::uint64_t FewRequests = 100;
 /// Part of refused and late calls that may be added by the new servers.
-static constexpr double TroubleAllowance = 0.05;
-static constexpr double TroubleSlack = 2;
+static constexpr double RefusedOrLateAllowance = 0.05;
+static constexpr double RefusedOrLateSlack = 2;
 /// Part of the calls that old servers may still get at the completion.
 static constexpr double OldPart = 0.01;
 static constexpr double OldPartLater = 0.05;
@@ -310,18 +310,19 @@
   if (Step > TrialStep + 1)
     return;
   auto Calls = static_cast<double>(Old.Started + Old.Refused);
-  UsualTrouble =
+  UsualRefusedOrLate =
       Calls > 0 ? static_cast<double>(Old.Refused + Old.Late) / Calls : 0;
 }
 
 /// Returns whether the new servers refuse more calls, or answer more of them
 /// late, than the old ones did.
 bool RolloutController::isOverloaded() const {
-  auto Trouble = static_cast<double>(New.Refused + New.Late -
-                                     AtStep.New.Refused - AtStep.New.Late);
+  auto RefusedOrLate = static_cast<double>(
+      New.Refused + New.Late - AtStep.New.Refused - AtStep.New.Late);
   auto Calls = static_cast<double>(New.Started + New.Refused -
                                    AtStep.New.Started - AtStep.New.Refused);
-  return Trouble > (UsualTrouble + TroubleAllowance) * Calls + TroubleSlack;
+  return RefusedOrLate > (UsualRefusedOrLate + RefusedOrLateAllowance) * Calls +
+                             RefusedOrLateSlack;
 }
 
 bool RolloutController::mayStartTrial(const RolloutControllerStep &Now) const {
--- a/src/sidecar/RolloutController.h
+++ b/src/sidecar/RolloutController.h
@@ -142,10 +142,11 @@
   std::optional<RolloutState> Adopted; ///< Final status that was read.
   bool RunningSeen = false; ///< The status of this order was seen in the store.
 
-  unsigned Step = 0;       ///< Of the share record, as seen last.
-  TimePoint StepSeenAt;    ///< When this controller saw it first.
-  Sample AtStep;           ///< Sums at that time.
-  double UsualTrouble = 0; ///< Part of refused and late calls before the steps.
+  unsigned Step = 0;    ///< Of the share record, as seen last.
+  TimePoint StepSeenAt; ///< When this controller saw it first.
+  Sample AtStep;        ///< Sums at that time.
+  double UsualRefusedOrLate =
+      0; ///< Part of refused and late calls before the steps.
 
   std::optional<RolloutShare> ShareWanted;
   Wanted ShareTiming;
--- a/src/sidecar/RolloutGate.cpp
+++ b/src/sidecar/RolloutGate.cpp
@@ -67,10 +67,11 @@
       std::ranges::find(Counts.Routes, Name, &RolloutRouteCounts::Route);
   if (Found != Counts.Routes.end())
     return *Found;
-  // Further routes are counted together.
+  // Routes beyond the limit share the last entry, which has no name.
   if (Counts.Routes.size() >= MaxRoutes)
     return Counts.Routes.back();
-  Counts.Routes.push_back({Name, 0, 0, {}});
+  bool Last = Counts.Routes.size() + 1 == MaxRoutes;
+  Counts.Routes.push_back({Last ? std::string() : Name, 0, 0, {}});
   return Counts.Routes.back();
 }
 
--- a/src/sidecar/ServerGateRuns.cpp
+++ b/src/sidecar/ServerGateRuns.cpp
@@ -101,10 +101,11 @@
 }
 
 void ServerGate::startWaiting(GateStep &Step) {
-  // Calls that were admitted before their version was judged bad.
-  if (Waiting > 0 && !Rollout.admits(Step.Now, 0))
-    return refuseWaiting(Step, ErrorKind::RolloutClosed);
   while (Waiting > 0) {
+    // Since these calls were admitted, the version may have been judged bad,
+    // or the grant has been lowered or has expired.
+    if (!Rollout.admits(Step.Now, 0))
+      return refuseWaiting(Step, ErrorKind::RolloutClosed);
     AdmittedCall *Next = nullptr;
     for (auto &[Id, Call] : Calls) {
       if (Call.Run != 0 || isDelayed(Step.Now, Call))
--- a/src/sidecar/Sidecar.cpp
+++ b/src/sidecar/Sidecar.cpp
@@ -425,8 +425,8 @@
 /// the topics are complete. If nothing needs to be announced, removes an
 /// expired host.
 void Sidecar::sendAnnouncement(Step &S) {
-  if (auto Share = Versions.takeShare())
-    ShareToAppend = std::move(Share);
+  if (!ShareToAppend)
+    ShareToAppend = Versions.takeShare();
   if (ShareToAppend && !AppendInFlight) {
     AppendInFlight = true;
     ShareInFlight = true;
--- a/src/sidecar/TopicRelay.cpp
+++ b/src/sidecar/TopicRelay.cpp
@@ -56,7 +56,7 @@
                                             bool Failing) {
   std::erase_if(SetAside,
                 [&](const auto &Entry) { return Now >= Entry.second.Until; });
-  bool ReadsInVain = Failing && readsStore(Now);
+  bool OwnReadsFail = Failing && readsStore(Now);
   std::uint64_t OwnHash = hashText(Self);
   std::vector<std::pair<std::uint64_t, HostId>> Lower;
   std::pair<std::uint64_t, HostId> Next{UINT64_MAX, HostId()};
@@ -70,10 +70,10 @@
       Lower.emplace_back(Hash, Host);
   }
   Reader = Lower.empty();
-  const Announcement *Neighbour = Directory.find(Next.second);
-  if (ReadsInVain && Reader && Neighbour && isEligible(*Neighbour, Peers))
-    return {Neighbour->Host};
-  if (ReadsInVain)
+  const Announcement *NextHost = Directory.find(Next.second);
+  if (OwnReadsFail && Reader && NextHost && isEligible(*NextHost, Peers))
+    return {NextHost->Host};
+  if (OwnReadsFail)
     ForeignUntil = Now + ForeignTime;
   else if (Reader)
     ForeignUntil = TimePoint{};
@@ -117,7 +117,7 @@
     return;
   if (isSourceBehind(Now))
     setAside(Now, Source, "behind");
-  else if (isSubstituteSilent(Now))
+  else if (isReplacementSilent(Now))
     setAside(Now, Source, "silent");
   std::string_view Reason = changeReason(Now, Peers);
   Choice Chosen = chooseSource(Now, Directory, Peers, Failing);
@@ -177,9 +177,9 @@
 }
 
 /// Returns whether the source of a daemon whose own reads fail does not answer.
-bool TopicRelay::isSubstituteSilent(TimePoint Now) const {
-  bool Substitute = SourceIsForeign || (Reader && Source != Self);
-  return Substitute && Now >= SilentAt;
+bool TopicRelay::isReplacementSilent(TimePoint Now) const {
+  bool Replacement = SourceIsForeign || (Reader && Source != Self);
+  return Replacement && Now >= SilentAt;
 }
 
 /// Logs that this daemon starts or stops to read the store. Since it is called
--- a/src/sidecar/TopicRelay.h
+++ b/src/sidecar/TopicRelay.h
@@ -100,7 +100,7 @@
   std::string_view changeReason(TimePoint Now, const PeerHealth &Peers) const;
   void setAside(TimePoint Now, const HostId &Host, std::string_view Reason);
   bool isSourceBehind(TimePoint Now) const;
-  bool isSubstituteSilent(TimePoint Now) const;
+  bool isReplacementSilent(TimePoint Now) const;
   void logReading(TimePoint Now, SidecarEffects &Out);
   std::string_view readingReason(bool Reads) const;
 
--- a/src/sidecar/WorkspaceQuota.cpp
+++ b/src/sidecar/WorkspaceQuota.cpp
@@ -21,6 +21,8 @@
 static constexpr double ReportFraction = 0.5;
 /// A coordinator without a reply for so long is not heard.
 static constexpr Duration HeardTimeout = 500ms;
+/// How long a coordinator is kept after the last report to it.
+static constexpr Duration LinkLifetime = 10s;
 /// After so long, the next host in the order is the coordinator.
 static constexpr Duration SilentTimeout = 600ms;
 /// Time until a silent coordinator is used again.
@@ -301,6 +303,10 @@
     Silent[Host] = Now + SilentPause;
     Current.UnansweredSince = TimePoint::max();
   }
+  std::erase_if(Links, [&](const auto &Item) {
+    return Item.second.UnansweredSince == TimePoint::max() &&
+           Item.second.SentAt + LinkLifetime < Now;
+  });
 }
 
 void WorkspaceQuota::timer(TimePoint Now, const InstanceDirectory &Directory,
