--- a/tests/LargeConfigurationTest.cpp
+++ b/tests/LargeConfigurationTest.cpp
@@ -376,8 +376,9 @@
   std::size_t FirstReaders = 6;
 };
 
-void PrintTo(const CutCase &Case, std::ostream *Out) {
-  *Out << Case.Fraction << (Case.Peers ? " of all links" : " from the store");
+std::ostream &operator<<(std::ostream &Out, const CutCase &Case) {
+  return Out << Case.Fraction
+             << (Case.Peers ? " of all links" : " from the store");
 }
 
 /// 100 hosts in two regions, a part of which is cut off 100 ms before the
