--- a/src/sidecar/LocalServer.cpp
+++ b/src/sidecar/LocalServer.cpp
@@ -32,29 +32,41 @@
   return Late->Heartbeats >= MinContenderHeartbeats;
 }
 
+static bool isUsable(const ServerHeartbeat &Report) {
+  return !Report.Instance.empty() && !Report.Service.empty() &&
+         Report.Slots > 0;
+}
+
+/// Returns whether the server of a heartbeat has left without having been the
+/// present one.
+bool LocalServer::hasLeft(const ServerHeartbeat &Report) const {
+  return Report.Instance == LeftInstance &&
+         (LeftStartMillis == 0 || Report.StartMillis <= LeftStartMillis);
+}
+
+bool LocalServer::mustConfirm(TimePoint Now, const ServerHeartbeat &Report) {
+  bool OnlyCloses = Report.Draining || hasLeft(Report) || !isUsable(Report);
+  if (!Instance.empty() || OnlyCloses)
+    return false;
+  return !keepsReporting(Now, Report);
+}
+
 ReportVerdict LocalServer::heartbeat(TimePoint Now,
                                      const ServerHeartbeat &Report) {
-  if (Report.Instance.empty() || Report.Service.empty() || Report.Slots == 0)
+  if (!isUsable(Report))
     return ReportVerdict::Invalid;
   bool SameStart = Report.StartMillis == StartMillis || StartMillis == 0;
   bool SameIncarnation = SameStart && Report.Instance == Instance;
-  bool LeftBeforeHeartbeat =
-      Instance.empty() && Report.Instance == LeftInstance &&
-      (LeftStartMillis == 0 || Report.StartMillis <= LeftStartMillis);
-  if ((SameIncarnation && LeftForGood) || LeftBeforeHeartbeat)
+  if ((SameIncarnation && LeftForGood) || hasLeft(Report))
     return ReportVerdict::Stale;
   bool LooksLate = Report.StartMillis < StartMillis ||
                    (SameIncarnation && Report.Sequence <= Sequence);
   if (LooksLate && !keepsReporting(Now, Report))
     return ReportVerdict::Stale;
   Late.reset();
-  InstanceState Next =
-      Report.Draining ? InstanceState::Draining : InstanceState::Ready;
-  if (!SameIncarnation)
-    Leaving = false;
-  // Draining is final within one incarnation.
-  if (SameIncarnation && (Leaving || State == InstanceState::Draining))
-    Next = InstanceState::Draining;
+  // Draining is final within one incarnation, also after a silence.
+  Leaving = Report.Draining || (SameIncarnation && Leaving);
+  InstanceState Next = Leaving ? InstanceState::Draining : InstanceState::Ready;
   // A recovered server may have been announced without its version.
   bool OtherVersion = !Version.empty() && Report.Version != Version;
   bool Changed = !SameIncarnation || Next != State || OtherVersion ||
@@ -75,8 +87,11 @@
 ReportVerdict LocalServer::leave(const ServerLeave &Report) {
   if (Instance.empty())
     return leaveBeforeHeartbeat(Report);
-  if (Report.Instance != Instance)
+  if (Report.Instance != Instance) {
+    // Its first heartbeat may arrive after its leave.
+    leaveBeforeHeartbeat(Report);
     return ReportVerdict::Stale;
+  }
   if (Report.StartMillis != 0 && Report.StartMillis < StartMillis)
     return ReportVerdict::Stale;
   bool Changed = State != InstanceState::Absent || !LeftForGood;
@@ -85,8 +100,8 @@
   return Changed ? ReportVerdict::Changed : ReportVerdict::Unchanged;
 }
 
-/// The first that this daemon hears of its server is that it leaves. That has
-/// to be announced, since the next daemon may get a late heartbeat.
+/// The first that this daemon hears of a server is that it leaves. That has to
+/// be announced, since the next daemon may get a late heartbeat.
 ReportVerdict LocalServer::leaveBeforeHeartbeat(const ServerLeave &Report) {
   bool Known = Report.Instance == LeftInstance &&
                (Report.StartMillis == LeftStartMillis || LeftStartMillis == 0);
--- a/src/sidecar/LocalServer.h
+++ b/src/sidecar/LocalServer.h
@@ -17,6 +17,9 @@
   Changed,   ///< Another instance, state, service, version or slots.
   Stale,     ///< Older than the present state; ignored.
   Invalid,   ///< Lacks an instance, a service or slots.
+  /// The first one after the daemon's start; it counts once the server's
+  /// health path agrees.
+  Unconfirmed,
 };
 
 /// Backend server that a predecessor of this daemon announced.
@@ -33,6 +36,11 @@
 /// incarnation by their sequence number.
 class LocalServer {
 public:
+  /// Returns whether the server must be asked before this heartbeat counts. A
+  /// predecessor of this daemon may have acknowledged a leave that the store
+  /// never got, and a heartbeat from before it may arrive late. A server that
+  /// reports on and on has not left, whatever its health path says.
+  bool mustConfirm(TimePoint Now, const ServerHeartbeat &Report);
   ReportVerdict heartbeat(TimePoint Now, const ServerHeartbeat &Report);
   ReportVerdict leave(const ServerLeave &Report);
   /// Restores the server that a predecessor of this daemon announced and a
@@ -55,8 +63,8 @@
   /// Returns the start of the present incarnation in Unix milliseconds.
   std::int64_t startMillis() const { return StartMillis; }
   ServerIncarnation incarnation() const { return {Instance, StartMillis}; }
-  /// Returns the incarnation that had left before this daemon had a report of
-  /// the server; without an instance, none is known.
+  /// Returns the newest incarnation that has left without having been the
+  /// present one; without an instance, none is known.
   ServerIncarnation leftBefore() const {
     return {LeftInstance, LeftStartMillis};
   }
@@ -81,6 +89,7 @@
     unsigned Heartbeats = 0;
   };
   ReportVerdict leaveBeforeHeartbeat(const ServerLeave &Report);
+  bool hasLeft(const ServerHeartbeat &Report) const;
   bool keepsReporting(TimePoint Now, const ServerHeartbeat &Report);
 
   InstanceState State = InstanceState::Absent;
@@ -91,8 +100,8 @@
   std::int64_t StartMillis = 0; ///< 0: not known yet.
   std::uint64_t Sequence = 0;
   bool LeftForGood = false; ///< The present incarnation has left for good.
-  bool Leaving = false;     ///< It has said in a response that it leaves.
-  std::string LeftInstance; ///< Left before its first heartbeat here.
+  bool Leaving = false;     ///< It has said that it leaves; final.
+  std::string LeftInstance; ///< Left without having been the present one.
   std::int64_t LeftStartMillis = 0; ///< Start of LeftInstance; 0: not known.
   TimePoint ColdUntil;
   TimePoint LastReportAt;
--- a/src/sidecar/ServerGate.cpp
+++ b/src/sidecar/ServerGate.cpp
@@ -501,13 +501,35 @@
 
 // Reports of the server.
 
+/// The first heartbeat after the start may have been sent before a leave that a
+/// predecessor of this daemon has acknowledged. The store need not know of that
+/// leave, but the server does.
 ReportVerdict ServerGate::heartbeat(GateStep &Step,
                                     const ServerHeartbeat &Report) {
+  if (Server.mustConfirm(Step.Now, Report))
+    return awaitConfirmation(Step.Now, Report);
+  return acceptHeartbeat(Step, Report);
+}
+
+ReportVerdict ServerGate::awaitConfirmation(TimePoint Now,
+                                            const ServerHeartbeat &Report) {
+  bool Older = FirstReport && Report.StartMillis < FirstReport->StartMillis;
+  if (!Older)
+    FirstReport = Report;
+  ExpectedUntil = Now + ExpectDuration;
+  if (!Probing)
+    LastProbeAt = TimePoint{};
+  return ReportVerdict::Unconfirmed;
+}
+
+ReportVerdict ServerGate::acceptHeartbeat(GateStep &Step,
+                                          const ServerHeartbeat &Report) {
   std::string PreviousInstance = Server.instance();
   std::int64_t PreviousStart = Server.startMillis();
   bool WasCold = Server.cold(Step.Now);
   ReportVerdict Verdict = Server.heartbeat(Step.Now, Report);
   ExpectedServer.reset();
+  FirstReport.reset();
   bool OtherInstance = Server.instance() != PreviousInstance;
   bool OtherStart = PreviousStart != 0 && Server.startMillis() != PreviousStart;
   if (OtherInstance || OtherStart) {
@@ -557,21 +579,39 @@
     refuseWaiting(Step, ErrorKind::Draining);
 }
 
-/// Restores the announced server if the probe found it healthy. A server that
-/// is leaving does not report itself as healthy.
-void ServerGate::recoverExpectedServer(TimePoint Now,
-                                       const ServerProbeResult &Probe) {
-  if (!ExpectedServer || Probe.Instance.empty())
+/// Uses the server of the first heartbeat, or else of the predecessor's
+/// announcement, if the probe found it healthy. A server that is leaving does
+/// not report itself as healthy.
+void ServerGate::confirmServer(GateStep &Step, const ServerProbeResult &Probe) {
+  if (!expectsServer() || Probe.Instance.empty())
     return;
-  bool Leaving = Probe.Terms.Leaving;
-  if (Probe.Healthy && !Leaving && Probe.Instance == ExpectedServer->Instance)
-    Server.recover(Now, *ExpectedServer);
-  ExpectedServer.reset();
+  auto Announced = std::exchange(ExpectedServer, std::nullopt);
+  auto Reported = std::exchange(FirstReport, std::nullopt);
+  bool MeansReported = Reported && Reported->Instance == Probe.Instance;
+  bool MeansAnnounced = Announced && Announced->Instance == Probe.Instance;
+  std::int64_t Start = MeansReported    ? Reported->StartMillis
+                       : MeansAnnounced ? Announced->StartMillis
+                                        : 0;
+  if (Probe.Terms.Leaving)
+    Server.rememberLeft({Probe.Instance, Start});
+  else if (Probe.Healthy && MeansReported)
+    acceptHeartbeat(Step, *Reported);
+  else if (Probe.Healthy && MeansAnnounced)
+    Server.recover(Step.Now, *Announced);
+  if (Server.state() != InstanceState::Absent)
+    return;
+  Decision Line{LogLevel::Warning, "server-unconfirmed", {}};
+  Line.Fields = {{"reported", Reported ? Reported->Instance : ""},
+                 {"announced", Announced ? Announced->Instance : ""},
+                 {"instance", Probe.Instance},
+                 {"healthy", Probe.Healthy ? "yes" : "no"},
+                 {"leaving", Probe.Terms.Leaving ? "yes" : "no"}};
+  Step.Out.emplace_back(std::move(Line));
 }
 
 void ServerGate::probeEnded(GateStep &Step, const ServerProbeResult &Probe) {
   Probing = false;
-  recoverExpectedServer(Step.Now, Probe);
+  confirmServer(Step, Probe);
   if (Probe.Load)
     updateLoad(Step.Now, *Probe.Load);
   bool SameInstance =
@@ -603,10 +643,12 @@
   refuseLate(Step);
   refuseBeyondStop(Step);
   startWaiting(Step);
-  if (ExpectedServer && Step.Now >= ExpectedUntil)
+  if (Step.Now >= ExpectedUntil) {
     ExpectedServer.reset();
+    FirstReport.reset();
+  }
   bool ShouldProbe =
-      Server.state() == InstanceState::Ready || (ExpectedServer && Configured);
+      Server.state() == InstanceState::Ready || (expectsServer() && Configured);
   if (!ShouldProbe || Step.Now < nextProbe())
     return;
   Probing = true;
@@ -627,7 +669,7 @@
   if (Waiting > 0)
     return Now + WaitingCheckInterval;
   if (Server.state() == InstanceState::Absent)
-    return ExpectedServer && Configured ? nextProbe() : TimePoint::max();
+    return expectsServer() && Configured ? nextProbe() : TimePoint::max();
   if (Server.state() == InstanceState::Draining)
     return Server.lastReportAt() + Bounds.HeartbeatInterval * MissedHeartbeats;
   return nextProbe();
--- a/src/sidecar/ServerGate.h
+++ b/src/sidecar/ServerGate.h
@@ -64,7 +64,8 @@
   std::optional<std::string> remoteRoute(RunId Run) const;
   void probeEnded(GateStep &Step, const ServerProbeResult &Probe);
 
-  /// Applies a heartbeat. The verdict says whether to announce a change.
+  /// Applies a heartbeat. The verdict says whether to announce a change. The
+  /// first one after the start counts once a probe agrees: see probeEnded().
   ReportVerdict heartbeat(GateStep &Step, const ServerHeartbeat &Report);
   ReportVerdict leave(GateStep &Step, const ServerLeave &Report);
 
@@ -168,7 +169,11 @@
   void configureColdRate();
   std::size_t maxStartsBetweenProbes() const;
   void chargeStartsWhileCold(TimePoint Now, bool WasCold);
-  void recoverExpectedServer(TimePoint Now, const ServerProbeResult &Probe);
+  ReportVerdict acceptHeartbeat(GateStep &Step, const ServerHeartbeat &Report);
+  ReportVerdict awaitConfirmation(TimePoint Now, const ServerHeartbeat &Report);
+  void confirmServer(GateStep &Step, const ServerProbeResult &Probe);
+  /// Returns whether a probe is to show which server runs.
+  bool expectsServer() const { return ExpectedServer || FirstReport; }
   std::optional<ErrorKind> checkAvailability(const Execute &Message) const;
   std::optional<ErrorKind> checkCapacity(TimePoint Now,
                                          const AdmittedCall &Call) const;
@@ -237,7 +242,8 @@
   LocalServer Server;
   std::string HealthTarget = "/health";
   bool Configured = false; ///< The settings of the service are known.
-  std::optional<AnnouncedServer> ExpectedServer;
+  std::optional<AnnouncedServer> ExpectedServer; ///< Of the predecessor.
+  std::optional<ServerHeartbeat> FirstReport;    ///< Not confirmed yet.
   TimePoint ExpectedUntil;
   double ColdPerSecond = 1;
   std::size_t MaxConnections = 1; ///< Accepted by the server.
--- a/src/sidecar/Sidecar.cpp
+++ b/src/sidecar/Sidecar.cpp
@@ -360,8 +360,8 @@
   S.Out.emplace_back(AnswerReport{Report, Verdict != ReportVerdict::Invalid});
   if (Verdict == ReportVerdict::Unchanged)
     return;
-  static constexpr std::array<std::string_view, 4> Verdicts{
-      "unchanged", "changed", "stale", "invalid"};
+  static constexpr std::array<std::string_view, 5> Verdicts{
+      "unchanged", "changed", "stale", "invalid", "unconfirmed"};
   static constexpr std::array<std::string_view, 4> States{"absent", "ready",
                                                           "draining", "paused"};
   Decision Line{LogLevel::Info, "server-report", {}};
--- a/tests/BulkTransferTest.cpp
+++ b/tests/BulkTransferTest.cpp
@@ -184,7 +184,7 @@
 // query finds the pieces still queued would hear nothing.
 TEST_F(BulkTransferTest, TheGateSendsOnlyLargeAnswersInPiecesAndAgainOnAwait) {
   loadTopics(true);
-  apply(heartbeat());
+  reportServer(heartbeat());
   for (std::size_t Bytes : {AnswerPieceBytes, LargeBytes}) {
     bool Large = Bytes > AnswerPieceBytes;
     Execute Message;
@@ -214,7 +214,7 @@
     ServiceSettings Service;
     Service.MaxConnections = 200;
     Gate.configure(Service);
-    sendHeartbeat(1);
+    reportServer();
   }
   SidecarEffects executeLarge(bool HasAlternative) {
     Execute Message = call();
--- a/tests/CallCertaintyTest.cpp
+++ b/tests/CallCertaintyTest.cpp
@@ -113,7 +113,7 @@
 TEST_F(CallCertaintyTest, AnOwnWaitingCallIsRefusedAtTheEndOfTheProcess) {
   RouteTimeout = 15s;
   loadTopics(false);
-  apply(heartbeat());
+  reportServer(heartbeat());
   auto Own = announcement("10.0.0.1:7000");
   for (const char *Host : {"a", "b", "c"}) {
     auto Gone = announcement(Host);
--- a/tests/CallDependenciesTest.cpp
+++ b/tests/CallDependenciesTest.cpp
@@ -36,7 +36,7 @@
     Route.Priority = 3;
     Ranked->add(Route);
     operatorRecord("config", 2, ConfigPtr(Ranked));
-    apply(heartbeat());
+    reportServer(heartbeat());
   }
   void startRun(std::uint32_t Priority) {
     Execute Message;
--- a/tests/OddRecordsTest.cpp
+++ b/tests/OddRecordsTest.cpp
@@ -128,7 +128,7 @@
 struct OwnKeyTest : SidecarTest {
   OwnKeyTest() {
     loadTopics();
-    apply(heartbeat());
+    reportServer(heartbeat());
     finishAppends();
   }
   /// Acknowledges appends until none is due. Returns the last announcement.
--- a/tests/RefusedCallsTest.cpp
+++ b/tests/RefusedCallsTest.cpp
@@ -24,7 +24,7 @@
 struct RefusedCallsTest : SidecarTest {
   RefusedCallsTest() {
     loadTopics(true);
-    apply(heartbeat());
+    reportServer(heartbeat());
   }
   /// Starts a run of another ingress. Returns its call and its number.
   std::pair<CallId, RunId> startRun() {
--- a/tests/ServerGateFixture.h
+++ b/tests/ServerGateFixture.h
@@ -19,7 +19,7 @@
     Service.ColdPerSecond = 40;
     Service.MaxConnections = 200;
     Gate.configure(Service);
-    sendHeartbeat(1);
+    reportServer();
   }
 
   template <class Action> SidecarEffects step(Action Do) {
@@ -34,6 +34,14 @@
     Report.Cold = Cold;
     return step([&](GateStep &Step) { Gate.heartbeat(Step, Report); });
   }
+  /// The first heartbeat of a server whose health path says the same.
+  void reportServer() {
+    sendHeartbeat(1);
+    ServerProbeResult Well;
+    Well.Healthy = true;
+    Well.Instance = "i-1";
+    step([&](GateStep &Step) { Gate.probeEnded(Step, Well); });
+  }
   Execute call(bool Idempotent = true, std::uint32_t Priority = 0) {
     Execute Message;
     Message.Call = {9, ++LastCall};
--- a/tests/ServerLeavingTest.cpp
+++ b/tests/ServerLeavingTest.cpp
@@ -145,9 +145,9 @@
     Reducer.~Sidecar();
     new (&Reducer) Sidecar(testSettings(), Decoder);
     start(State);
-    apply(heartbeat(7));
+    reportServer(heartbeat(7));
     EXPECT_FALSE(runs("i-1"));
-    apply(heartbeat(1, "i-1", 2000));
+    reportServer(heartbeat(1, "i-1", 2000));
     EXPECT_TRUE(runs("i-1")) << "started again under its id";
   }
 }
@@ -166,13 +166,13 @@
   apply(AnnouncementResult{true, ""});
   expectLeaveAnnounced(apply(ServerLeave{1, "i-1", 1000}));
   EXPECT_TRUE(effects<Announce>(apply(ServerLeave{2, "i-1", 1000})).empty());
-  apply(heartbeat(7));
+  reportServer(heartbeat(7));
   EXPECT_FALSE(runs("i-1"));
 }
 
 // The same when the heartbeat is there before the topics are.
 TEST_F(LeftServerTest, AHeartbeatBeforeTheTopicsBringsNoLeftServerBack) {
-  apply(heartbeat(7));
+  reportServer(heartbeat(7));
   EXPECT_TRUE(runs("i-1"));
   start(InstanceState::Absent);
   EXPECT_FALSE(runs("i-1"));
@@ -180,6 +180,144 @@
   EXPECT_FALSE(runs("i-1"));
 }
 
+/// A daemon that starts after its predecessor was killed. The predecessor had
+/// acknowledged the leave of its server while the store was away, so that no
+/// record says so.
+struct ForgottenLeaveTest : LeftServerTest {
+  ForgottenLeaveTest() {
+    loadTopics();
+    auto Config = std::make_shared<ServiceConfig>(*config(6));
+    ServiceSettings Service;
+    Service.Name = "booking";
+    Service.MaxConnections = 200;
+    Config->add(Service);
+    operatorRecord("config", 2, ConfigPtr(Config));
+    for (int I = 0; I < 5; ++I)
+      tick(100ms);
+    apply(AnnouncementResult{true, ""});
+  }
+  ServerProbeResult healthOf(const std::string &Instance, bool Healthy) {
+    ServerProbeResult Result;
+    Result.Healthy = Healthy;
+    Result.Instance = Instance;
+    return Result;
+  }
+};
+
+// Guards against DRAIN (review/7): a leave that was acknowledged while the
+// store was away was forgotten when the daemon was killed, and a late heartbeat
+// brought the server back into service.
+TEST_F(ForgottenLeaveTest, ALateHeartbeatDoesNotBringTheServerBack) {
+  auto Out = apply(heartbeat(7));
+  EXPECT_EQ(effects<AnswerReport>(Out).size(), 1U);
+  EXPECT_FALSE(runs("i-1"));
+  EXPECT_EQ(effects<ProbeServer>(tick()).size(), 1U) << "the server is asked";
+  Out = apply(healthOf("i-1", false));
+  EXPECT_TRUE(logged(Out, "server-unconfirmed"));
+  EXPECT_TRUE(effects<Announce>(Out).empty());
+  EXPECT_FALSE(runs("i-1"));
+  tick(10s);
+  EXPECT_FALSE(runs("i-1"));
+}
+
+TEST_F(ForgottenLeaveTest, AServerThatIsWellServesAtOnce) {
+  apply(heartbeat(7));
+  auto Out = apply(healthOf("i-1", true));
+  ASSERT_EQ(effects<Announce>(Out).size(), 1U);
+  EXPECT_EQ(effects<Announce>(Out)[0].Content.State, InstanceState::Ready);
+  EXPECT_TRUE(runs("i-1"));
+}
+
+// The heartbeat is that of a server whose address another one has.
+TEST_F(ForgottenLeaveTest, TheHealthOfAnotherServerConfirmsNothing) {
+  apply(heartbeat(7));
+  apply(healthOf("i-2", true));
+  EXPECT_FALSE(runs("i-1"));
+  EXPECT_FALSE(runs("i-2"));
+}
+
+// A health path may be wrong about a server that is well. Such a server reports
+// on and on, which one that has left does not.
+TEST_F(ForgottenLeaveTest, AServerThatReportsOnServesAgainstItsHealthPath) {
+  for (std::uint64_t I = 7; I < 9; ++I) {
+    apply(heartbeat(I));
+    apply(healthOf("i-1", false));
+    EXPECT_FALSE(runs("i-1"));
+    tick(1500ms);
+  }
+  apply(heartbeat(9));
+  EXPECT_TRUE(runs("i-1"));
+}
+
+// Several late heartbeats arrive together.
+TEST_F(ForgottenLeaveTest, ABurstOfLateHeartbeatsDoesNotBringTheServerBack) {
+  for (std::uint64_t I = 1; I < 20; ++I)
+    apply(heartbeat(I));
+  apply(healthOf("i-1", false));
+  EXPECT_FALSE(runs("i-1"));
+}
+
+TEST_F(ForgottenLeaveTest, AnUnansweredQuestionIsAskedAgain) {
+  apply(heartbeat(7));
+  std::size_t Questions = 0;
+  for (int I = 0; I < 25; ++I) {
+    if (effects<ProbeServer>(tick(100ms)).empty())
+      continue;
+    ++Questions;
+    apply(ServerProbeResult{});
+  }
+  EXPECT_GE(Questions, 2U);
+  EXPECT_FALSE(runs("i-1"));
+}
+
+// The leave of the probed server is acknowledged before its probe is answered.
+TEST_F(ForgottenLeaveTest, ALeaveAfterTheQuestionIsKept) {
+  apply(heartbeat(7));
+  apply(ServerLeave{1, "i-1", 1000});
+  apply(healthOf("i-1", true));
+  EXPECT_FALSE(runs("i-1"));
+}
+
+// Guards against a leave that is acknowledged while another server is known:
+// the first heartbeat of the server that has left may arrive after it.
+TEST_F(ForgottenLeaveTest, ALeaveBesideAnotherServerIsKept) {
+  reportServer(heartbeat(7));
+  apply(ServerLeave{1, "i-2", 2000});
+  apply(heartbeat(1, "i-2", 2000));
+  EXPECT_EQ(Reducer.server().instance(), "i-1");
+  apply(heartbeat(1, "i-2", 3000));
+  EXPECT_EQ(Reducer.server().instance(), "i-2") << "started again under its id";
+}
+
+// Guards against a server that drains in silence and is forgotten as one that
+// drains: the next daemon would take a late heartbeat for news.
+TEST_F(ForgottenLeaveTest, ADrainingServerThatFallsSilentStaysOneThatLeaves) {
+  reportServer(heartbeat(7));
+  apply(AnnouncementResult{true, ""});
+  ServerHeartbeat Draining = heartbeat(8);
+  Draining.Draining = true;
+  apply(Draining);
+  apply(AnnouncementResult{true, ""});
+  auto Announced = effects<Announce>(tick(10s));
+  ASSERT_EQ(Announced.size(), 1U);
+  EXPECT_TRUE(Announced[0].Content.Left);
+  apply(heartbeat(9));
+  EXPECT_FALSE(runs("i-1"));
+}
+
+// Guards against a restarted daemon that uses a server of which its health path
+// says that it leaves, though its heartbeats do not.
+TEST_F(ForgottenLeaveTest, ALeavingThatTheHealthPathNamesIsFinal) {
+  for (std::uint64_t I = 7; I < 12; ++I) {
+    apply(heartbeat(I));
+    ServerProbeResult Leaving = healthOf("i-1", true);
+    Leaving.Terms.Leaving = true;
+    apply(Leaving);
+    tick(1500ms);
+    EXPECT_FALSE(runs("i-1"));
+  }
+}
+
 TEST(Announcements, KeepStartAndLeaving) {
   Announcement Sent;
   Sent.Host = "a";
--- a/tests/SidecarFixture.h
+++ b/tests/SidecarFixture.h
@@ -6,8 +6,10 @@
 #include "Sidecar.h"
 #include "SidecarTestSupport.h"
 
+#include <algorithm>
 #include <cstdlib>
 #include <gtest/gtest.h>
+#include <iterator>
 
 namespace figsail::test {
 
@@ -50,6 +52,15 @@
     Built->add(Route);
     return Built;
   }
+  /// A heartbeat of a server whose health path says the same.
+  SidecarEffects reportServer(const ServerHeartbeat &Report) {
+    SidecarEffects Out = apply(Report);
+    ServerProbeResult Well;
+    Well.Healthy = true;
+    Well.Instance = Report.Instance;
+    std::ranges::move(apply(Well), std::back_inserter(Out));
+    return Out;
+  }
   SidecarEffects operatorRecord(const std::string &Key, Offset At,
                                 TopicContent Content) {
     Decoder.Contents[Key + "@" + std::to_string(At)] = std::move(Content);
@@ -95,7 +106,8 @@
     return Found[0].Response;
   }
   template <class T> SidecarEffects reply(const HostId &From, T Message) {
-    return apply(PeerReceived{{From, 77}, std::move(Message)});
+    Incarnation Inc = From == testSettings().Host ? testSettings().Inc : 77;
+    return apply(PeerReceived{{From, Inc}, std::move(Message)});
   }
   static double retryAfter(const HttpResponse &Response) {
     std::string Text(findHeader(Response.Headers, "Retry-After"));
--- a/tests/SidecarLifeTest.cpp
+++ b/tests/SidecarLifeTest.cpp
@@ -10,7 +10,7 @@
 
 TEST_F(SidecarTest, ALeaveIsAcknowledgedAtOnceAndAnnounced) {
   loadTopics();
-  apply(heartbeat(1));
+  reportServer(heartbeat(1));
   apply(AnnouncementResult{true, ""});
   ServerHeartbeat Leaving = heartbeat(2);
   Leaving.Draining = true;
@@ -22,7 +22,7 @@
 
 TEST_F(SidecarTest, UnchangedHeartbeatsCauseNoAppend) {
   loadTopics();
-  apply(heartbeat(1));
+  reportServer(heartbeat(1));
   apply(AnnouncementResult{true, ""});
   for (std::uint64_t I = 2; I < 30; ++I)
     EXPECT_TRUE(effects<Announce>(apply(heartbeat(I))).empty());
@@ -30,7 +30,7 @@
 
 TEST_F(SidecarTest, AFailedAnnouncementIsRetried) {
   loadTopics();
-  ASSERT_EQ(effects<Announce>(apply(heartbeat(1))).size(), 1U);
+  ASSERT_EQ(effects<Announce>(reportServer(heartbeat(1))).size(), 1U);
   apply(AnnouncementResult{false, "no answer"});
   std::size_t Retries = 0;
   for (int I = 0; I < 20; ++I)
@@ -41,7 +41,7 @@
 // An append of the previous incarnation may take effect after the daemon's own.
 TEST_F(SidecarTest, ARecordOfThePredecessorIsReplaced) {
   loadTopics();
-  apply(heartbeat(1));
+  reportServer(heartbeat(1));
   apply(AnnouncementResult{true, ""});
   Announcement Late = announcement("10.0.0.1:7000");
   Late.Order = {40, 55, 1};
@@ -169,7 +169,7 @@
 
 TEST_F(SidecarTest, AStopIsGraceful) {
   loadTopics();
-  apply(heartbeat(1));
+  reportServer(heartbeat(1));
   apply(AnnouncementResult{true, ""});
   auto [Host, Call] = sent(request(1));
   auto Out = apply(StopRequested{});
@@ -199,7 +199,7 @@
 // when the first bytes of a request had arrived.
 TEST_F(SidecarTest, AStopWaitsForRequestsThatAreBeingRead) {
   loadTopics();
-  apply(heartbeat(1));
+  reportServer(heartbeat(1));
   apply(AnnouncementResult{true, ""});
   apply(StopRequested{});
   tick(1600ms);
@@ -220,7 +220,7 @@
 
   void start(bool Idempotent = false) {
     loadTopics(Idempotent);
-    apply(heartbeat(1));
+    reportServer(heartbeat(1));
     apply(AnnouncementResult{true, ""});
   }
   /// Ends calls of the route so often that their usual time is known.
@@ -443,7 +443,7 @@
 // A daemon that was removed while it was partitioned announces itself again.
 TEST_F(SidecarTest, ARemovedHostThatLivesAnnouncesItself) {
   loadTopics();
-  apply(heartbeat(1));
+  reportServer(heartbeat(1));
   apply(AnnouncementResult{true, ""});
   Decoder.Contents["10.0.0.1:7000@90"] = HostRemoved{"10.0.0.1:7000"};
   auto Out = apply(
@@ -471,7 +471,7 @@
 TEST_F(SidecarTest, SuspectsAreReportedToTheServersOfTheService) {
   loadTopics();
   memberRecord(announcement("other", "payment"));
-  apply(heartbeat(1));
+  reportServer(heartbeat(1));
   Execute Crashing;
   Crashing.Call = {77, 1};
   Crashing.Policy.Service = "booking";
@@ -492,7 +492,7 @@
 // server again.
 TEST_F(SidecarTest, ARestartedDaemonLearnsOfSuspects) {
   loadTopics();
-  apply(heartbeat(1));
+  reportServer(heartbeat(1));
   reply("a", SuspectReport{7, 3, true});
   PeerRef Restarted{"b", 99};
   auto Told = messages<SuspectReport>(apply(PeerConnected{Restarted}));
--- a/tests/SidecarProcessTest.cpp
+++ b/tests/SidecarProcessTest.cpp
@@ -197,6 +197,15 @@
     return send(ControlPort, "PUT", "/v1/instances/i-1", Body).result_int();
   }
 
+  /// Sends the first heartbeat to a sidecar, which asks the server before it
+  /// sends calls to it.
+  void reportServer() {
+    std::size_t Before = countLogLines("server-recovered");
+    EXPECT_EQ(sendHeartbeat(), 200U);
+    EXPECT_TRUE(becomesTrue(
+        [&] { return countLogLines("server-recovered") > Before; }));
+  }
+
   void serve(const HttpService::Request &Incoming,
              const HttpService::Reply &Reply) {
     auto Answer = makeResponse(http::status::ok, "ran", "text/plain");
@@ -253,7 +262,7 @@
 TEST_F(SidecarProcessTest, ServesCallsAndStopsGracefully) {
   ASSERT_TRUE(becomesTrue([&] { return isReady(); }));
   EXPECT_EQ(call().result_int(), 503U) << "no server has sent a heartbeat";
-  EXPECT_EQ(sendHeartbeat(), 200U);
+  reportServer();
   Response Reply = call();
   EXPECT_EQ(Reply.result_int(), 200U);
   EXPECT_EQ(Reply.body(), "ran");
@@ -270,7 +279,7 @@
 // and against a workspace that the backend server is not told.
 TEST_F(SidecarProcessTest, OnlyTheNameOfTheWorkspaceLeavesTheDaemon) {
   ASSERT_TRUE(becomesTrue([&] { return isReady(); }));
-  EXPECT_EQ(sendHeartbeat(), 200U);
+  reportServer();
   std::string Changed = Config;
   Changed.replace(Changed.find("00000001"), 8, "00000002");
   Changed.insert(1, R"("Tenants":[{"Name":"press","ApiKeys":["k-9f3a"]}],)");
@@ -407,7 +416,7 @@
 // until its next heartbeat.
 TEST_F(SidecarProcessTest, RestartedSidecarServesBeforeTheNextHeartbeat) {
   ASSERT_TRUE(becomesTrue([&] { return isReady(); }));
-  EXPECT_EQ(sendHeartbeat(), 200U);
+  reportServer();
   EXPECT_EQ(call().result_int(), 200U);
   ASSERT_TRUE(becomesTrue([&] {
     return Loop.on(
@@ -514,7 +523,7 @@
   constexpr auto Window = 4s;
   constexpr std::size_t Allowed = 17; // 1.5 x 2 a second x 4 s + 5.
   ASSERT_TRUE(becomesTrue([&] { return isReady(); }));
-  EXPECT_EQ(sendHeartbeat(), 200U);
+  reportServer();
   setServerFields({{"Server-Limit", "2.0"}});
   EXPECT_EQ(call().result_int(), 200U);
   std::atomic<bool> Stopped = false;
@@ -551,7 +560,7 @@
 // late heartbeat of the server reaches.
 TEST_F(SidecarProcessTest, SendsNothingToAServerThatNamesItsLeaving) {
   ASSERT_TRUE(becomesTrue([&] { return isReady(); }));
-  EXPECT_EQ(sendHeartbeat(), 200U);
+  reportServer();
   // Else a probe may hear of the leaving before the call is sent.
   ProbesNameFields = false;
   setServerFields({{"Server-Leaving", "1"}});
--- a/tests/StoreHistoryTest.cpp
+++ b/tests/StoreHistoryTest.cpp
@@ -254,6 +254,10 @@
     apply(TopicSnapshot{Topic::Operator, {config(7, 105)}, 106, 1});
     apply(TopicSnapshot{Topic::Members, {memberRecord("a", 50, 3)}, 51, 1});
     apply(heartbeat(1));
+    ServerProbeResult Well;
+    Well.Healthy = true;
+    Well.Instance = "i-1";
+    apply(Well);
     apply(AnnouncementResult{true, "", 1});
     // The store delays the reads of both topics.
     Now += 1s;
