Fix: a request that crashes servers stays blocked when daemons end (BUDGET)

Cause, found by a property test: what blocks such a request was in memory only. With all daemons gone at once it was forgotten. A daemon that had just started, and announced itself before it knew its server, was told nothing by those whose link to it opened later. A later report or crash beside another suspect took a block back.

Quarantine.NoLaterCrashOrReportUnblocks failed before.

Change: a request blocked by two crashes gets a record in the members' topic, written at once by the daemon that counted them, by the others in turn if it is missing, and removed 10 minutes after the last crash. Suspects are sent whenever an announcement first names a server of the service. A block is final until it expires.

--- a/src/core/Quarantine.cpp
+++ b/src/core/Quarantine.cpp
@@ -13,7 +13,7 @@
   const Entry &Known = Found->second;
   if (Known.LastCrash + Lifetime <= Now)
     return Suspicion::None;
-  if (Known.Crashes >= BlockingCrashes && Known.Alone)
+  if (blocks(Known.Crashes, Known.Alone))
     return Suspicion::Blocked;
   return Suspicion::Suspect;
 }
@@ -29,8 +29,8 @@
   if (Found != Entries.end() && Started <= Found->second.LastCrash)
     return std::nullopt;
   Entry &Known = recordCrash(Now, Fingerprint);
+  Known.Alone = Alone || blocks(Known.Crashes, Known.Alone);
   ++Known.Crashes;
-  Known.Alone = Alone;
   return reportOf(Now, Fingerprint, Known);
 }
 
@@ -79,15 +79,19 @@
   if (CrashedAt + Lifetime <= Now)
     return std::nullopt;
   auto Found = Entries.find(Report.Fingerprint);
-  if (Found != Entries.end() && Found->second.Crashes > Report.Crashes)
+  bool Blocks = blocks(Report.Crashes, Report.Alone);
+  if (Found != Entries.end() && Found->second.Crashes > Report.Crashes) {
+    Found->second.Alone = Found->second.Alone || Blocks;
     return reportOf(Now, Report.Fingerprint, Found->second);
+  }
   if (Found != Entries.end())
     CrashedAt = std::max(CrashedAt, Found->second.LastCrash);
   Entry &Known = recordCrash(CrashedAt, Report.Fingerprint);
   // With equal counts, a crash without another suspect counts, since it
   // identifies the request.
-  Known.Alone =
-      Report.Alone || (Known.Crashes == Report.Crashes && Known.Alone);
+  bool Blocked = blocks(Known.Crashes, Known.Alone);
+  Known.Alone = Blocked || Report.Alone ||
+                (Known.Crashes == Report.Crashes && Known.Alone);
   Known.Crashes = Report.Crashes;
   return std::nullopt;
 }
--- a/src/core/Quarantine.h
+++ b/src/core/Quarantine.h
@@ -58,10 +58,15 @@
 private:
   struct Entry {
     std::uint32_t Crashes = 0;
-    bool Alone = false;  ///< No other suspect ran at the last crash.
+    /// No other suspect ran at the last crash, or at an earlier one that
+    /// blocked the request.
+    bool Alone = false;
     TimePoint LastCrash; ///< Or the arrival of another member's report.
     std::uint64_t Order = 0;
   };
+  static bool blocks(std::uint32_t Crashes, bool Alone) {
+    return Crashes >= BlockingCrashes && Alone;
+  }
   Entry &recordCrash(TimePoint Now, std::uint64_t Fingerprint);
   static SuspectReport reportOf(TimePoint Now, std::uint64_t Fingerprint,
                                 const Entry &Known);
--- a/src/shell/SidecarDaemon.cpp
+++ b/src/shell/SidecarDaemon.cpp
@@ -256,6 +256,7 @@
     Text.crossRegionTraffic(Traffic);
   Text.gauge("log_lines_left_out", Log.suppressed() + droppedLogLines());
   Text.gauge("known_hosts", Reducer.directory().all().size());
+  Text.gauge("blocked_requests", Reducer.blockedRequests());
   Text.gauge("server_leaving", Reducer.server().leaving() ? 1 : 0);
   if (std::optional<double> Limit = Reducer.serverRateLimit())
     Text.gauge("server_limit_per_minute",
@@ -411,6 +412,12 @@
   Platform.Store->appendShare(Action.Content);
 }
 
+void SidecarDaemon::perform(AppendBlockedRequest &Action) {
+  ProcessMetrics.countStoreCall(Action.Content.Active ? StoreCall::Append
+                                                      : StoreCall::Remove);
+  Platform.Store->appendBlocked(Action.Content);
+}
+
 void SidecarDaemon::perform(ReadRolloutStatus &) {
   ProcessMetrics.countStoreCall(StoreCall::Snapshot);
   Platform.Store->readRolloutStatus();
--- a/src/shell/SidecarDaemon.h
+++ b/src/shell/SidecarDaemon.h
@@ -99,6 +99,7 @@
   void perform(CountTopicRecords &Action);
   void perform(ExitProcess &Action);
   void perform(AppendRolloutShare &Action);
+  void perform(AppendBlockedRequest &Action);
   void perform(ReadRolloutStatus &Action);
   void perform(WriteRolloutStatus &Action);
   void waitForClients();
--- a/src/shell/SidecarPlatform.h
+++ b/src/shell/SidecarPlatform.h
@@ -79,6 +79,8 @@
   virtual void removeHost(const HostId &Host) = 0;
   /// Appends the share record of a rollout. Counts as an append.
   virtual void appendShare(const RolloutShare &Share) = 0;
+  /// Appends or removes the record of a blocked request. Counts as an append.
+  virtual void appendBlocked(const BlockedRequest &Record) = 0;
   /// Reads the rollout status of all services. At most one read or write of the
   /// status is in flight at any time.
   virtual void readRolloutStatus() = 0;
--- a/src/sidecar/Instance.cpp
+++ b/src/sidecar/Instance.cpp
@@ -139,6 +139,16 @@
   return static_cast<std::size_t>(Count);
 }
 
+std::size_t InstanceDirectory::rank(const HostId &Host,
+                                    const std::string &Service) const {
+  auto Count = std::count_if(
+      Hosts.begin(), Hosts.lower_bound(Host), [&](const auto &Entry) {
+        return Service.empty() || (Entry.second.Service == Service &&
+                                   Entry.second.State != InstanceState::Absent);
+      });
+  return static_cast<std::size_t>(Count);
+}
+
 std::size_t InstanceDirectory::countHosts(const std::string &Region) const {
   auto Count = std::ranges::count_if(
       Hosts, [&](const auto &Entry) { return Entry.second.Region == Region; });
--- a/src/sidecar/Instance.h
+++ b/src/sidecar/Instance.h
@@ -90,6 +90,9 @@
   /// Returns the number of hosts with a server of the service in any state but
   /// Absent.
   std::size_t countServers(const std::string &Service) const;
+  /// Returns the number of hosts before this one, in the order of their names,
+  /// with a server of the service or, if it is empty, of all hosts.
+  std::size_t rank(const HostId &Host, const std::string &Service) const;
   /// Returns the number of hosts in a region, but at least 1.
   std::size_t countHosts(const std::string &Region) const;
 
--- a/src/sidecar/ServerGate.cpp
+++ b/src/sidecar/ServerGate.cpp
@@ -425,7 +425,8 @@
 std::optional<ErrorKind>
 ServerGate::checkSuspicion(TimePoint Now, const Execute &Message) const {
   Suspicion Level = Crashes.check(Now, Message.Fingerprint);
-  if (Level == Suspicion::Blocked)
+  if (Level == Suspicion::Blocked ||
+      Blocked.contains(Now, Server.service(), Message.Fingerprint))
     return ErrorKind::Quarantined;
   if (Level == Suspicion::Suspect && isOtherSuspectRunning(Message.Fingerprint))
     return ErrorKind::Overloaded;
--- a/src/sidecar/ServerGate.h
+++ b/src/sidecar/ServerGate.h
@@ -4,6 +4,7 @@
 #define FIGSAIL_SIDECAR_SERVERGATE_H
 
 #include "AdmissionPolicy.h"
+#include "BlockedRequests.h"
 #include "CrashDetector.h"
 #include "LocalServer.h"
 #include "OutgoingAnswers.h"
@@ -138,6 +139,13 @@
   std::vector<SuspectReport> knownSuspicions(TimePoint Now) const {
     return Crashes.knownReports(Now);
   }
+  /// Returns whether the crashes that this daemon knows of block a request.
+  bool isBlockedByCrashes(TimePoint Now, std::uint64_t Fingerprint) const {
+    return Crashes.check(Now, Fingerprint) == Suspicion::Blocked;
+  }
+  /// Returns the blocked requests that the members topic names.
+  BlockedRequests &blockedRequests() { return Blocked; }
+  const BlockedRequests &blockedRequests() const { return Blocked; }
   /// Returns the reports to send to the daemons of the service's other servers,
   /// each one once.
   std::vector<SuspectReport> takeSuspicionReports() {
@@ -280,6 +288,7 @@
 
   ReplyCache Replies; ///< Final replies, resent on Await.
   CrashDetector Crashes;
+  BlockedRequests Blocked; ///< Also by daemons that have ended.
   std::map<std::uint64_t, std::size_t>
       SuspectRuns; ///< Running suspects, by fingerprint.
 };
--- a/src/sidecar/Sidecar.cpp
+++ b/src/sidecar/Sidecar.cpp
@@ -73,6 +73,8 @@
     Due = std::min(Due, Expiry.nextWake());
   if (AnnounceNeeded && !AppendInFlight && topicsComplete())
     Due = std::min(Due, AnnounceAt);
+  if (!AppendInFlight && topicsComplete())
+    Due = std::min(Due, Gate.blockedRequests().nextWake());
   if (Stopping && !PauseAnnounced)
     Due = std::min(Due, StopStartedAt + PauseDelay);
   if (Stopping && !ClientsClosing)
@@ -106,6 +108,7 @@
                    {"instance", Gate.server().instance()}};
     S.Out.emplace_back(std::move(Line));
     S.Out.emplace_back(Count{Counter::Suspects});
+    blockIfCrashing(S, Report, true);
     for (const auto &[Host, Announced] : Directory.all())
       if (Host != Settings.Host &&
           Announced.Service == Gate.server().service() &&
@@ -241,14 +244,35 @@
                               const SuspectReport &Message) {
   if (auto Known = Gate.mergeSuspicion(S.Now, Message))
     S.Out.emplace_back(SendPeer{From.Host, *Known});
+  blockIfCrashing(S, Message, false);
+}
+
+/// Blocks a request for good if the crashes that this daemon knows of suffice.
+void Sidecar::blockIfCrashing(Step &S, const SuspectReport &Report,
+                              bool Counted) {
+  const std::string &Service = Gate.server().service();
+  if (Report.Crashes == 0 ||
+      !Gate.isBlockedByCrashes(S.Now, Report.Fingerprint))
+    return;
+  BlockedRequests &Blocked = Gate.blockedRequests();
+  if (!Blocked.contains(S.Now, Service, Report.Fingerprint)) {
+    Decision Line{LogLevel::Warning, "request-blocked", {}};
+    Line.Fields = {{"fingerprint", std::to_string(Report.Fingerprint)},
+                   {"service", Service},
+                   {"from", Counted ? "crashes" : "report"}};
+    S.Out.emplace_back(std::move(Line));
+  }
+  Blocked.block(S.Now, Report.Fingerprint, Duration(Report.AgeMicros), Counted);
 }
 
 /// Sends what is known of requests that crash servers to a daemon that may have
 /// started since it was reported.
 void Sidecar::sendKnownSuspects(Step &S, const HostId &Host) {
   const Announcement *Peer = Directory.find(Host);
-  if (!Peer || Host == Settings.Host ||
-      Peer->Service != Gate.server().service())
+  // A daemon that has just started does not know its server yet.
+  bool MayServe = Peer && (Peer->Service.empty() ||
+                           Peer->Service == Gate.server().service());
+  if (!MayServe || Host == Settings.Host)
     return;
   for (const SuspectReport &Report : Gate.knownSuspicions(S.Now))
     S.Out.emplace_back(SendPeer{Host, Report});
@@ -434,6 +458,13 @@
     ShareToAppend.reset();
     return;
   }
+  if (!AppendInFlight && topicsComplete())
+    BlockedInFlight = Gate.blockedRequests().takeDue(S.Now);
+  if (BlockedInFlight && !AppendInFlight) {
+    AppendInFlight = true;
+    S.Out.emplace_back(AppendBlockedRequest{*BlockedInFlight});
+    return;
+  }
   if (HostToDrop && !AnnounceNeeded && !AppendInFlight) {
     AppendInFlight = true;
     S.Out.emplace_back(RemoveHost{*HostToDrop});
@@ -456,6 +487,11 @@
     isFromEndedHistory(S, Body.History);
     return;
   }
+  if (auto Record = std::exchange(BlockedInFlight, std::nullopt)) {
+    if (!isFromEndedHistory(S, Body.History) && Body.Appended)
+      Gate.blockedRequests().appended(*Record);
+    return;
+  }
   // An announcement that was appended to an ended history may be lost.
   if (Body.Appended && !isFromEndedHistory(S, Body.History)) {
     AnnounceFailures = 0;
--- a/src/sidecar/Sidecar.h
+++ b/src/sidecar/Sidecar.h
@@ -60,6 +60,8 @@
   }
   /// Returns the size of the configuration in force as it was received, or 0.
   std::size_t configBytes() const { return ConfigBytes; }
+  /// Returns the number of requests that are blocked since they crash servers.
+  std::size_t blockedRequests() const { return Gate.blockedRequests().size(); }
 
 private:
   /// The inputs of one event and the list for its effects.
@@ -97,6 +99,9 @@
   void handleSuspicion(Step &S, const PeerRef &From,
                        const SuspectReport &Message);
   void sendKnownSuspects(Step &S, const HostId &Host);
+  void blockIfCrashing(Step &S, const SuspectReport &Report, bool Counted);
+  bool joinsOwnService(const Announcement *Before,
+                       const Announcement &Body) const;
   void handleMessage(Step &S, const PeerRef &From, PeerMessage &Message);
   void applyRecord(Step &S, const RecordOrigin &Origin, UnusableRecord &Body);
   void applyRecord(Step &S, const RecordOrigin &Origin, ConfigPtr &Body);
@@ -105,6 +110,7 @@
   void applyRecord(Step &S, const RecordOrigin &Origin, HostRemoved &Body);
   void applyRecord(Step &S, const RecordOrigin &Origin, RolloutOrder &Body);
   void applyRecord(Step &S, const RecordOrigin &Origin, RolloutShare &Body);
+  void applyRecord(Step &S, const RecordOrigin &Origin, BlockedRequest &Body);
   void rememberLeftServer(Step &S, const Announcement &Own);
   /// The state of one topic.
   struct TopicState {
@@ -197,7 +203,8 @@
   bool AppendInFlight = false; ///< An append or a removal is in flight.
   /// Waits for an append of another kind to end.
   std::optional<RolloutShare> ShareToAppend;
-  bool ShareInFlight = false;       ///< The append is that of a share record.
+  bool ShareInFlight = false; ///< The append is that of a share record.
+  std::optional<BlockedRequest> BlockedInFlight; ///< The append is that of it.
   std::optional<HostId> HostToDrop; ///< Expired; still in the store.
   TimePoint PeerQueryAt{};       ///< Earliest time of the next query to a peer.
   unsigned AnnounceFailures = 0; ///< In a row.
--- a/src/sidecar/SidecarEvents.h
+++ b/src/sidecar/SidecarEvents.h
@@ -3,6 +3,7 @@
 #ifndef FIGSAIL_SIDECAR_SIDECAREVENTS_H
 #define FIGSAIL_SIDECAR_SIDECAREVENTS_H
 
+#include "BlockedRequests.h"
 #include "Instance.h"
 #include "Rollout.h"
 #include "ServiceConfig.h"
@@ -119,7 +120,7 @@
 /// Decoded record of a topic.
 using TopicContent =
     std::variant<UnusableRecord, ConfigPtr, Evacuation, Announcement,
-                 HostRemoved, RolloutOrder, RolloutShare>;
+                 HostRemoved, RolloutOrder, RolloutShare, BlockedRequest>;
 
 /// Decoder of the topics' records. A record without a value marks its key as
 /// removed.
@@ -262,6 +263,12 @@
   RolloutShare Content;
 };
 
+/// Append or, if it is inactive, remove the record of a blocked request. Ends
+/// in AnnouncementResult, like Announce.
+struct AppendBlockedRequest {
+  BlockedRequest Content;
+};
+
 /// Read the rollout status of all services. Ends in RolloutStatusRead.
 struct ReadRolloutStatus {};
 
@@ -304,7 +311,7 @@
                  Announce, RemoveHost, SetClientLimits, SetReadiness,
                  CloseClients, Decision, Count, CountRefusal, CountTopicRecords,
                  ExitProcess, AppendRolloutShare, ReadRolloutStatus,
-                 WriteRolloutStatus>;
+                 WriteRolloutStatus, AppendBlockedRequest>;
 using SidecarEffects = std::vector<SidecarEffect>;
 
 } // namespace figsail
--- a/src/sidecar/SidecarTopics.cpp
+++ b/src/sidecar/SidecarTopics.cpp
@@ -42,6 +42,7 @@
   }
   Receiver.keepOnly({});
   Backlog.restart();
+  Gate.blockedRequests().storeRestored(S.Now);
   announce(S);
 }
 
@@ -407,11 +408,10 @@
       rememberLeftServer(S, Body);
     return announce(S);
   }
-  const Announcement *Before = Directory.find(Body.Host);
-  bool OtherDaemon = Before && Before->Order.Inc != Body.Order.Inc;
+  bool Joins = joinsOwnService(Directory.find(Body.Host), Body);
   if (!Directory.merge(Body))
     return;
-  if (OtherDaemon)
+  if (Joins)
     sendKnownSuspects(S, Body.Host);
   Router.hostChanged(Body);
   Versions.announced(S.Now, Body);
@@ -424,6 +424,19 @@
         SendPeer{Body.Host, Probe{PeerRef{Body.Host, Body.Order.Inc}}});
 }
 
+/// Returns whether an announcement is the first one that names a server of the
+/// own service: the daemon has started, or its server has come back. Reports
+/// that were sent before did not go there.
+bool Sidecar::joinsOwnService(const Announcement *Before,
+                              const Announcement &Body) const {
+  bool Serves = Body.State != InstanceState::Absent &&
+                Body.Service == Gate.server().service();
+  bool Served = Before && Before->State != InstanceState::Absent &&
+                Before->Service == Body.Service &&
+                Before->Order.Inc == Body.Order.Inc;
+  return Serves && !Served;
+}
+
 void Sidecar::applyRecord(Step &S, const RecordOrigin &, HostRemoved &Body) {
   if (Body.Host == Settings.Host)
     return announce(S);
@@ -447,7 +460,24 @@
   Versions.apply(AtRollouts, Body);
 }
 
+void Sidecar::applyRecord(Step &S, const RecordOrigin &Origin,
+                          BlockedRequest &Body) {
+  Decision Line{LogLevel::Info,
+                Body.Active ? "request-blocked" : "request-unblocked",
+                {}};
+  Line.Fields = {{"fingerprint", std::to_string(Body.Fingerprint)},
+                 {"service", Body.Service},
+                 {"key", Body.Key},
+                 {"from", Origin.From}};
+  S.Out.emplace_back(std::move(Line));
+  Gate.blockedRequests().apply(S.Now, Body);
+}
+
 void Sidecar::updateHostCounts() {
+  const std::string &Service = Gate.server().service();
+  Gate.blockedRequests().setTurn(Service,
+                                 Directory.rank(Settings.Host, Service),
+                                 Directory.rank(Settings.Host, {}));
   Quota.setHostCount(Directory.all().size());
   Router.setRegionHosts(Directory.countHosts(Settings.Region));
   Gate.setServerCount(LastNow, Directory.countServers(Settings.Service));
--- a/tests/QuarantineTest.cpp
+++ b/tests/QuarantineTest.cpp
@@ -45,6 +45,25 @@
   EXPECT_EQ(Suspects.check(Start + 2s, 7), Suspicion::Suspect);
 }
 
+// Guards against BUDGET: a blocked request was no longer blocked once a run of
+// it that had started before crashed its server beside another suspect, or
+// another member reported more crashes, none of them alone.
+TEST(Quarantine, NoLaterCrashOrReportUnblocks) {
+  Quarantine Own;
+  Own.crashed(Start, 7, Start - 1s, true);
+  Own.crashed(Start + 2s, 7, Start + 1s, true);
+  Own.crashed(Start + 4s, 7, Start + 3s, false);
+  EXPECT_EQ(Own.check(Start + 4s, 7), Suspicion::Blocked);
+  Quarantine Told;
+  Told.merge(Start, SuspectReport{7, 2, true});
+  Told.merge(Start, SuspectReport{7, 3, false});
+  EXPECT_EQ(Told.check(Start, 7), Suspicion::Blocked);
+  Quarantine Counting;
+  Counting.merge(Start, SuspectReport{7, 3, false});
+  Counting.merge(Start, SuspectReport{7, 2, true});
+  EXPECT_EQ(Counting.check(Start, 7), Suspicion::Blocked);
+}
+
 // A response clears a suspect here and at other members, but not a blocked
 // fingerprint.
 TEST(Quarantine, SuccessClearsSuspectsOnly) {
