Fix: a reset during an upload ends no answer without a length (MIXED)

What callers saw: a server answered a long upload at once with a 200 without a length, sent a part and reset the connection while the upload was still being written. The client got the part as a complete answer.

Cause: a socket reports an error once. The pending write takes it, and the read then sees an end in order, which completes an answer without a length. BackendExchange ignored the error of a write that had sent some bytes.

Ruled out: the parser (a reset after the request was written ends as malformed), peer link and frontend (the exchange alone shows it).

Change: after a failed write, an answer that only the end of the connection completes is malformed. EPIPE as the first error means that the server ended its side before, so that answer is whole. The same for the last bytes of a request that is written slowly.

--- a/src/shell/BackendExchange.cpp
+++ b/src/shell/BackendExchange.cpp
@@ -144,9 +144,7 @@
   asio::async_write(
       *Socket, asio::buffer(Last, LateBytes),
       [Self = shared_from_this(), Whole](beast::error_code Error, std::size_t) {
-        // An error shows in the read, too.
-        if (!Error)
-          Self->writeDone(Error, Whole->size());
+        Self->writeDone(Error, Whole->size());
       });
 }
 
@@ -157,10 +155,15 @@
     RequestWritten = true;
     return;
   }
-  // Once bytes were written, the result of the read counts: the backend server
-  // may have responded early and closed the connection.
-  if (Bytes == 0)
+  if (Bytes == 0) {
     end(BackendError::NotSent, false);
+    return;
+  }
+  // Once bytes were written, the result of the read counts: the backend server
+  // may have responded early and closed the connection. A socket reports an
+  // error only once, and this write has taken it, so that the read will see an
+  // end in order. It is one only if the server had ended its side before.
+  EndIsError = Error != asio::error::broken_pipe;
 }
 
 /// Skips an interim response or a response to another request, and reads the
@@ -273,6 +276,10 @@
     readBody();
     return;
   }
+  if (EndIsError && Response->need_eof()) {
+    readFailed();
+    return;
+  }
   HttpResponse Whole = buildResponse();
   switch (Fields.match(*Request, Whole)) {
   case ResponseMatch::SameRequest:
--- a/src/shell/BackendExchange.h
+++ b/src/shell/BackendExchange.h
@@ -96,6 +96,8 @@
   std::optional<Parser> Response;
   HeaderList Headers; ///< Fields of the response head, without trailer fields.
   bool RequestWritten = false; ///< The complete request was written.
+  bool EndIsError = false;     ///< The connection broke: its end completes no
+                               ///< response.
 };
 
 /// Builds the HTTP request for the backend server. Host is the value of the
--- a/tests/HttpTestSupport.h
+++ b/tests/HttpTestSupport.h
@@ -6,8 +6,10 @@
 #include <boost/asio.hpp>
 #include <boost/beast.hpp>
 #include <future>
+#include <linux/sockios.h>
 #include <string>
 #include <string_view>
+#include <sys/ioctl.h>
 #include <thread>
 
 namespace figsail::test {
@@ -40,6 +42,15 @@
 
   void finishSending() { Socket.shutdown(tcp::socket::shutdown_send); }
 
+  /// Waits until the peer has acknowledged all that was sent, the end included.
+  /// Closing before discards what was not, if there are unread bytes.
+  void awaitAcknowledgement() {
+    int Unacknowledged = 1;
+    while (Unacknowledged > 0 &&
+           ::ioctl(Socket.native_handle(), SIOCOUTQ, &Unacknowledged) == 0)
+      std::this_thread::yield();
+  }
+
   /// Closes the connection with a TCP reset.
   void reset() {
     Socket.set_option(boost::asio::socket_base::linger(true, 0));
@@ -62,6 +73,15 @@
     return Message;
   }
 
+  /// Reads the head of one request and leaves its body unread, when the test
+  /// acts as the server.
+  http::request<http::string_body> requestHead() {
+    http::request_parser<http::string_body> Parser;
+    Parser.body_limit(boost::none);
+    http::read_header(Socket, Buffer, Parser);
+    return Parser.release();
+  }
+
   /// Returns all bytes until the peer closes the connection.
   std::string untilEnd() {
     std::string Bytes = boost::beast::buffers_to_string(Buffer.data());
--- a/tests/SidecarProcessTest.cpp
+++ b/tests/SidecarProcessTest.cpp
@@ -686,3 +686,93 @@
   Cutting.Size = Whole.size();
   EXPECT_TRUE(becomesTrue([&] { return call().body() == "ran"; }));
 }
+
+namespace {
+
+/// A backend server that answers probes in full. It answers each upload as soon
+/// as it has the head, without a length, sends a part of the body and resets
+/// the connection.
+class ResettingServer {
+public:
+  ResettingServer()
+      : Acceptor(Context, *parseEndpoint(loopbackAddress(ServerPort))),
+        Thread([this] { serve(); }) {}
+  ~ResettingServer() {
+    Stopping = true;
+    tcp::socket Wake(Context);
+    Wake.connect(Acceptor.local_endpoint());
+    Thread.join();
+    for (std::thread &Connection : Connections)
+      Connection.join();
+  }
+  ResettingServer(const ResettingServer &) = delete;
+  ResettingServer &operator=(const ResettingServer &) = delete;
+
+  std::atomic<std::size_t> PartBytes = 0; ///< Of the body.
+  std::atomic<std::size_t> Uploads = 0;
+
+private:
+  void serve() {
+    for (;;) {
+      tcp::socket Socket = Acceptor.accept();
+      if (Stopping)
+        return;
+      Connections.emplace_back([this, Moved = std::move(Socket)]() mutable {
+        RawConnection Peer(std::move(Moved));
+        try {
+          respond(Peer);
+        } catch (const boost::system::system_error &) {
+          // The sidecar has closed the connection.
+        }
+      });
+    }
+  }
+  void respond(RawConnection &Peer) {
+    while (Peer.requestHead().target() == "/well")
+      Peer.send("HTTP/1.1 200 OK\r\nFigsail-Instance-Id: i-1\r\n"
+                "Content-Length: 0\r\n\r\n");
+    ++Uploads;
+    Peer.send("HTTP/1.1 200 OK\r\nFigsail-Attempt-Id: a1\r\n"
+              "Figsail-Server-Seal: seal\r\n\r\n");
+    Peer.send(std::string(PartBytes, 'a'));
+    std::this_thread::sleep_for(std::chrono::milliseconds(2));
+    Peer.reset();
+  }
+
+  boost::asio::io_context Context;
+  tcp::acceptor Acceptor;
+  std::atomic<bool> Stopping = false;
+  std::vector<std::thread> Connections;
+  std::thread Thread;
+};
+
+} // namespace
+
+// Guards against MIXED of issue 48: the client got a part of an answer as a
+// complete one, since the server reset the connection while the upload was
+// still being written.
+TEST_F(SidecarProcessTest, AnAnswerResetDuringAnUploadIsNoSuccess) {
+  stop(SIGKILL);
+  Loop.on([&] { Server.reset(); });
+  ResettingServer Resetting;
+  std::string Large = Config;
+  Large.replace(Large.find("1048576"), 7, "8388608");
+  Loop.on([&] { Store->put("keyed.op", "config", Large); });
+  start();
+  ASSERT_TRUE(becomesTrue([&] { return isReady(); }));
+  reportServer();
+  const std::string Body(std::size_t{7} * 1024 * 1024, 'u');
+  for (std::size_t PartBytes : {1U, 5000U, 300'000U}) {
+    Resetting.PartBytes = PartBytes;
+    for (int I = 0; I < 4; ++I) {
+      std::size_t Before = Resetting.Uploads;
+      unsigned Status = 0;
+      // The sidecar may set a server aside that has failed.
+      ASSERT_TRUE(becomesTrue([&] {
+        Status = send(ClientPort, "POST", "/x/1", Body).result_int();
+        return Resetting.Uploads > Before;
+      }));
+      EXPECT_EQ(Status, 502U) << PartBytes << " bytes of the answer";
+    }
+  }
+}
