Fix: a leave beside another server is kept only if that one started later

One without a start would have refused a server that starts again under the same id for as long as the daemon lives. Heartbeats of earlier servers look late anyway. ALeaveBesideAnotherServerIsKept has both cases now.

--- a/src/sidecar/LocalServer.cpp
+++ b/src/sidecar/LocalServer.cpp
@@ -2,6 +2,8 @@
 
 #include "LocalServer.h"
 
+#include <algorithm>
+
 namespace figsail {
 
 using namespace std::chrono_literals;
@@ -88,8 +90,9 @@
   if (Instance.empty())
     return leaveBeforeHeartbeat(Report);
   if (Report.Instance != Instance) {
-    // Its first heartbeat may arrive after its leave.
-    leaveBeforeHeartbeat(Report);
+    // The first heartbeat of a later server may arrive after its leave.
+    if (Report.StartMillis > std::max(StartMillis, LeftStartMillis))
+      leaveBeforeHeartbeat(Report);
     return ReportVerdict::Stale;
   }
   if (Report.StartMillis != 0 && Report.StartMillis < StartMillis)
--- a/tests/ServerLeavingTest.cpp
+++ b/tests/ServerLeavingTest.cpp
@@ -285,6 +285,10 @@
   apply(ServerLeave{1, "i-2", 2000});
   apply(heartbeat(1, "i-2", 2000));
   EXPECT_EQ(Reducer.server().instance(), "i-1");
+  apply(ServerLeave{2, "i-0", 500});
+  apply(ServerLeave{3, "i-0", 0});
+  apply(heartbeat(2, "i-2", 2000));
+  EXPECT_EQ(Reducer.server().instance(), "i-1");
   apply(heartbeat(1, "i-2", 3000));
   EXPECT_EQ(Reducer.server().instance(), "i-2") << "started again under its id";
 }
