--- a/tests/CrashCluster.h
+++ b/tests/CrashCluster.h
@@ -496,7 +496,7 @@
     });
   }
   void append(std::size_t I, const std::string &Key,
-              std::optional<std::string> Value) {
+              const std::optional<std::string> &Value) {
     if (StoreAway)
       return later(I, StoreTime, AnnouncementResult{false, "away", 0});
     schedule(StoreTime / 2,
