--- a/src/sidecar/Sidecar.cpp
+++ b/src/sidecar/Sidecar.cpp
@@ -46,6 +46,9 @@
   LastNow = Input.Now;
   Step S{Input.Now, Input.Seed, Out};
   std::visit([&](auto &Body) { on(S, Body); }, Input.Body);
+  // Once for all records of a snapshot.
+  if (std::exchange(HostsChanged, false))
+    updateHostCounts();
   forgetResetLinks(Out);
   notifySubscribers(S);
   reportStoreFailing(S);
@@ -442,7 +445,7 @@
   AnnounceNeeded = true;
   AnnounceAt = S.Now;
   Directory.merge(describeSelf());
-  updateHostCounts();
+  HostsChanged = true;
 }
 
 /// Appends the newest announcement if it is due. The generation is known once
--- a/src/sidecar/Sidecar.h
+++ b/src/sidecar/Sidecar.h
@@ -210,7 +210,8 @@
   unsigned AnnounceFailures = 0; ///< In a row.
   TimePoint AnnounceAt{};        ///< Earliest time of the next append.
 
-  TimePoint LastNow; ///< Of the last event.
+  TimePoint LastNow;         ///< Of the last event.
+  bool HostsChanged = false; ///< In this event: the counts are out of date.
   bool Ready = false;
   bool Stopping = false;
   bool ClientsClosing = false;      ///< CloseClients was sent.
--- a/src/sidecar/SidecarTopics.cpp
+++ b/src/sidecar/SidecarTopics.cpp
@@ -415,7 +415,7 @@
     sendKnownSuspects(S, Body.Host);
   Router.hostChanged(Body);
   Versions.announced(S.Now, Body);
-  updateHostCounts();
+  HostsChanged = true;
   // A probe opens a link before the first request needs it.
   bool Wanted = Directory.all().size() <= MaxEagerHosts ||
                 Router.usesService(Body.Service);
@@ -444,7 +444,7 @@
   Peers.remove(Body.Host);
   Expiry.remove(Body.Host);
   Coordinator.hostRemoved(Body.Host);
-  updateHostCounts();
+  HostsChanged = true;
 }
 
 void Sidecar::applyRecord(Step &S, const RecordOrigin &Origin,
