Test: the sidecar ends before the stand-in of the server that it calls

The stand-in waited for the end of a connection that the sidecar keeps for probes, and the sidecar, whose server had fallen silent, sent no more of them (traced with gdb, its log and ss). The sidecar is stopped first now.

--- a/tests/SidecarProcessTest.cpp
+++ b/tests/SidecarProcessTest.cpp
@@ -14,6 +14,7 @@
 #include <fstream>
 #include <gtest/gtest.h>
 #include <map>
+#include <memory>
 #include <spawn.h>
 #include <sstream>
 #include <sys/wait.h>
@@ -755,6 +756,11 @@
   stop(SIGKILL);
   Loop.on([&] { Server.reset(); });
   ResettingServer Resetting;
+  // The server waits for the end of the connections that the sidecar keeps.
+  std::shared_ptr<void> EndsFirst(nullptr, [this](void *) {
+    if (SidecarPid != 0)
+      stop(SIGKILL);
+  });
   std::string Large = Config;
   Large.replace(Large.find("1048576"), 7, "8388608");
   Loop.on([&] { Store->put("keyed.op", "config", Large); });
