--- a/tests/SidecarProcessTest.cpp
+++ b/tests/SidecarProcessTest.cpp
@@ -125,6 +125,15 @@
     return Status;
   }
 
+  /// Returns an object that ends the sidecar when it is destroyed. A stand-in
+  /// of the server waits for the end of the connections that the sidecar keeps.
+  std::shared_ptr<void> stopAtExit() {
+    return {nullptr, [this](void *) {
+              if (SidecarPid != 0)
+                stop(SIGKILL);
+            }};
+  }
+
   template <class Condition> bool becomesTrue(Condition Predicate) {
     auto Limit = std::chrono::steady_clock::now() + TestTimeout;
     while (std::chrono::steady_clock::now() < Limit) {
@@ -658,6 +667,7 @@
   stop(SIGKILL);
   Loop.on([&] { Server.reset(); });
   CuttingServer Cutting;
+  std::shared_ptr<void> EndsFirst = stopAtExit();
   start();
   const std::string Whole = CuttingServer::wholeResponse();
   ASSERT_TRUE(becomesTrue([&] { return isReady(); }));
@@ -756,11 +766,7 @@
   stop(SIGKILL);
   Loop.on([&] { Server.reset(); });
   ResettingServer Resetting;
-  // The server waits for the end of the connections that the sidecar keeps.
-  std::shared_ptr<void> EndsFirst(nullptr, [this](void *) {
-    if (SidecarPid != 0)
-      stop(SIGKILL);
-  });
+  std::shared_ptr<void> EndsFirst = stopAtExit();
   std::string Large = Config;
   Large.replace(Large.find("1048576"), 7, "8388608");
   Loop.on([&] { Store->put("keyed.op", "config", Large); });
