Test: one scripted server for all tests that need one

BackendClientTest, EarlyAnswerTest and SidecarProcessTest had four servers of the same make, two of which waited at their end for connections that their client keeps. ScriptedServer ends its client first. Scripts, bounds and assertions are as they were.

--- a/tests/BackendClientTest.cpp
+++ b/tests/BackendClientTest.cpp
@@ -4,6 +4,7 @@
 #include "../standins/BackendStandin.h"
 #include "HeaderFields.h"
 #include "HttpTestSupport.h"
+#include "ScriptedServer.h"
 
 #include <functional>
 #include <gtest/gtest.h>
@@ -15,65 +16,6 @@
 
 namespace {
 
-/// A backend server that runs a script for each connection, on a separate
-/// thread. The script gets the number of the connection, from 0.
-class ScriptedServer {
-public:
-  using Script = std::function<void(RawConnection &, std::size_t)>;
-
-  ScriptedServer(std::optional<BackendClient> &Client, Script HandleConnection)
-      : Client(Client),
-        Acceptor(Context, {boost::asio::ip::address_v4::loopback(), 0}),
-        HandleConnection(std::move(HandleConnection)),
-        Thread([this] { serve(); }) {}
-  ~ScriptedServer() {
-    // Scripts that wait for another request end when the client closes its
-    // connections.
-    Client.reset();
-    Stopping = true;
-    try {
-      RawConnection Wake(port());
-    } catch (const boost::system::system_error &) {
-      // The acceptor is already closed.
-    }
-    Thread.join();
-    for (std::thread &Worker : Threads)
-      Worker.join();
-  }
-  ScriptedServer(const ScriptedServer &) = delete;
-  ScriptedServer &operator=(const ScriptedServer &) = delete;
-
-  std::uint16_t port() const { return Acceptor.local_endpoint().port(); }
-  std::size_t accepted() const { return Accepted; }
-
-private:
-  void serve() {
-    for (std::size_t Number = 0;; ++Number) {
-      tcp::socket Socket = Acceptor.accept();
-      if (Stopping)
-        return;
-      ++Accepted;
-      Threads.emplace_back([this, Number, Moved = std::move(Socket)]() mutable {
-        RawConnection Connection(std::move(Moved));
-        try {
-          HandleConnection(Connection, Number);
-        } catch (const boost::system::system_error &) {
-          // The client has closed the connection. Most scripts end like this.
-        }
-      });
-    }
-  }
-
-  std::optional<BackendClient> &Client;
-  boost::asio::io_context Context;
-  tcp::acceptor Acceptor;
-  Script HandleConnection;
-  std::atomic<bool> Stopping = false;
-  std::atomic<std::size_t> Accepted = 0;
-  std::vector<std::thread> Threads;
-  std::thread Thread;
-};
-
 /// A client whose event loop runs on the test's thread, so that a test controls
 /// when the client handles an event.
 class BackendClientTest : public testing::Test, public BackendHandler {
@@ -91,6 +33,11 @@
     Context.poll();
   }
 
+  /// Returns how a scripted server ends this client.
+  std::function<void()> endsClient() {
+    return [this] { Client.reset(); };
+  }
+
   void connectTo(std::uint16_t Port, BackendSettings Settings = {}) {
     Settings.Address = "127.0.0.1:" + std::to_string(Port);
     Client.emplace(Context, *this, Settings);
@@ -180,7 +127,7 @@
 
 TEST_F(BackendClientTest, RequestCarriesDeadlineHostAndBody) {
   std::promise<http::request<http::string_body>> ReceivedRequest;
-  ScriptedServer Server(Client, [&](RawConnection &Peer, std::size_t) {
+  ScriptedServer Server(endsClient(), [&](RawConnection &Peer, std::size_t) {
     ReceivedRequest.set_value(Peer.request());
     Peer.send("HTTP/1.1 200 OK\r\nContent-Length: 2\r\nX-A: 1\r\n"
               "Connection: X-Hop\r\nX-Hop: 1\r\n\r\nok");
@@ -218,7 +165,7 @@
   };
   for (const auto &[Bytes, Body] : Cases) {
     Outcomes.clear();
-    ScriptedServer Server(Client, answerOnce(Bytes));
+    ScriptedServer Server(endsClient(), answerOnce(Bytes));
     connectTo(Server.port());
     Result End = run(1);
     EXPECT_EQ(bodyOrError(End), Body);
@@ -253,7 +200,7 @@
   };
   for (const std::string &Bytes : Cases) {
     Outcomes.clear();
-    ScriptedServer Server(Client, answerOnce(Bytes));
+    ScriptedServer Server(endsClient(), answerOnce(Bytes));
     BackendSettings Settings;
     Settings.MaxResponseBody = 100;
     connectTo(Server.port(), Settings);
@@ -270,11 +217,12 @@
          {std::string("Content-Length: 0\r\n\r\n"),
           "Content-Length: 2\r\n\r\nok" + OkResponse, "\r\n" + OkResponse}) {
       Outcomes.clear();
-      ScriptedServer Server(Client, [&](RawConnection &Peer, std::size_t) {
-        Peer.request();
-        Peer.send("HTTP/1.1 " + std::string(Status) + " odd\r\n" + Rest);
-        Peer.isClosedByPeer();
-      });
+      ScriptedServer Server(
+          endsClient(), [&](RawConnection &Peer, std::size_t) {
+            Peer.request();
+            Peer.send("HTTP/1.1 " + std::string(Status) + " odd\r\n" + Rest);
+            Peer.isClosedByPeer();
+          });
       connectTo(Server.port());
       EXPECT_EQ(errorOf(run(1)), BackendError::Malformed)
           << Status << ", then " << Rest;
@@ -286,7 +234,7 @@
 TEST_F(BackendClientTest, ResetDoesNotEndAResponseWithoutLength) {
   std::promise<void> Sent;
   std::promise<void> MayReset;
-  ScriptedServer Server(Client, [&](RawConnection &Peer, std::size_t) {
+  ScriptedServer Server(endsClient(), [&](RawConnection &Peer, std::size_t) {
     Peer.request();
     Peer.send("HTTP/1.0 200 OK\r\n\r\npart");
     Sent.set_value();
@@ -382,7 +330,8 @@
 // client a short response that is framed as complete, wherever it stops.
 TEST_F(BackendClientTest, ResponseCutAnywhereIsNoResponse) {
   for (const WholeResponse &Tested : wholeResponses()) {
-    ScriptedServer Server(Client, cutAtConnectionNumber(Tested.Bytes, false));
+    ScriptedServer Server(endsClient(),
+                          cutAtConnectionNumber(Tested.Bytes, false));
     connectTo(Server.port());
     for (std::size_t Cut = 0; Cut <= Tested.Bytes.size(); ++Cut) {
       start(Cut, seconds(30), {Tested.Method, "/x", {}, {}});
@@ -397,7 +346,8 @@
 // As above, with a reset: a response without a length is then never complete.
 TEST_F(BackendClientTest, ResponseResetAnywhereIsNoResponse) {
   for (const WholeResponse &Tested : wholeResponses()) {
-    ScriptedServer Server(Client, cutAtConnectionNumber(Tested.Bytes, true));
+    ScriptedServer Server(endsClient(),
+                          cutAtConnectionNumber(Tested.Bytes, true));
     connectTo(Server.port());
     for (std::size_t Cut = 0; Cut <= Tested.Bytes.size(); ++Cut) {
       start(Cut, seconds(30), {Tested.Method, "/x", {}, {}});
@@ -422,12 +372,13 @@
       "HTTP/1.1 500 Internal Server Error\r\nContent-Length: 3\r\n\r\nbad",
       "HTTP/1.0 503 \r\n\r\n", "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"};
   for (const std::string &Second : Seconds) {
-    ScriptedServer Server(Client, [&](RawConnection &Peer, std::size_t Number) {
-      Peer.request();
-      Peer.send(Head.substr(0, Number + 1) + Second);
-      Peer.finishSending();
-      Peer.isClosedByPeer();
-    });
+    ScriptedServer Server(endsClient(),
+                          [&](RawConnection &Peer, std::size_t Number) {
+                            Peer.request();
+                            Peer.send(Head.substr(0, Number + 1) + Second);
+                            Peer.finishSending();
+                            Peer.isClosedByPeer();
+                          });
     connectTo(Server.port());
     for (std::size_t Cut = 1; Cut < Head.size(); ++Cut)
       EXPECT_EQ(errorOf(run(Cut)), BackendError::Malformed)
@@ -449,7 +400,7 @@
 }
 
 TEST_F(BackendClientTest, ExpiredBudgetIsReportedAsNotSent) {
-  ScriptedServer Server(Client, answerEveryRequest(OkResponse));
+  ScriptedServer Server(endsClient(), answerEveryRequest(OkResponse));
   connectTo(Server.port());
   EXPECT_EQ(errorOf(run(1, Duration(0))), BackendError::NotSent);
   EXPECT_EQ(Server.accepted(), 0U);
@@ -457,18 +408,19 @@
 
 // Once the request may have arrived, NotSent would allow a second execution.
 TEST_F(BackendClientTest, CloseAfterTheRequestIsReportedAsBroken) {
-  ScriptedServer Server(Client, [](RawConnection &Peer, std::size_t Number) {
-    Peer.request();
-    if (Number == 1)
-      Peer.reset();
-  });
+  ScriptedServer Server(endsClient(),
+                        [](RawConnection &Peer, std::size_t Number) {
+                          Peer.request();
+                          if (Number == 1)
+                            Peer.reset();
+                        });
   connectTo(Server.port());
   EXPECT_EQ(errorOf(run(1)), BackendError::Broken);
   EXPECT_EQ(errorOf(run(2)), BackendError::Broken);
 }
 
 TEST_F(BackendClientTest, ConnectionIsReusedForTheNextRequest) {
-  ScriptedServer Server(Client, answerEveryRequest(OkResponse));
+  ScriptedServer Server(endsClient(), answerEveryRequest(OkResponse));
   connectTo(Server.port());
   for (RunId Run = 1; Run <= 5; ++Run)
     EXPECT_EQ(bodyOrError(run(Run)), "ok");
@@ -480,14 +432,15 @@
 // write can detect it.
 TEST_F(BackendClientTest, StaleConnectionIsReplaced) {
   std::promise<void> Closed;
-  ScriptedServer Server(Client, [&](RawConnection &Peer, std::size_t Number) {
-    Peer.request();
-    Peer.send(OkResponse);
-    if (Number > 0)
-      Peer.request();
-    Peer.close();
-    Closed.set_value();
-  });
+  ScriptedServer Server(endsClient(),
+                        [&](RawConnection &Peer, std::size_t Number) {
+                          Peer.request();
+                          Peer.send(OkResponse);
+                          if (Number > 0)
+                            Peer.request();
+                          Peer.close();
+                          Closed.set_value();
+                        });
   connectTo(Server.port());
   EXPECT_EQ(bodyOrError(run(1)), "ok");
   Closed.get_future().wait();
@@ -501,20 +454,21 @@
 TEST_F(BackendClientTest, ExtraBytesAreNotUsedAsTheNextResponse) {
   std::promise<void> SendStray;
   std::promise<void> StraySent;
-  ScriptedServer Server(Client, [&](RawConnection &Peer, std::size_t Number) {
-    Peer.request();
-    if (Number == 0) {
-      Peer.send(OkResponse + OkResponse);
-      Peer.request();
-    }
-    Peer.send("HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nown");
-    if (Number == 1) {
-      SendStray.get_future().wait();
-      Peer.send(OkResponse);
-      StraySent.set_value();
-    }
-    Peer.request();
-  });
+  ScriptedServer Server(
+      endsClient(), [&](RawConnection &Peer, std::size_t Number) {
+        Peer.request();
+        if (Number == 0) {
+          Peer.send(OkResponse + OkResponse);
+          Peer.request();
+        }
+        Peer.send("HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nown");
+        if (Number == 1) {
+          SendStray.get_future().wait();
+          Peer.send(OkResponse);
+          StraySent.set_value();
+        }
+        Peer.request();
+      });
   connectTo(Server.port());
   EXPECT_EQ(bodyOrError(run(1)), "ok");
   EXPECT_EQ(bodyOrError(run(2)), "own");
@@ -545,7 +499,7 @@
 TEST_F(BackendClientTest, ARepeatedRefusalEndsNoOtherRequest) {
   for (const char *Status : {"400", "421", "429", "503", "599"}) {
     Outcomes.clear();
-    ScriptedServer Server(Client,
+    ScriptedServer Server(endsClient(),
                           repeatRefusal("HTTP/1.1 " + std::string(Status) +
                                         " No\r\nContent-Length: 2\r\n\r\nno"));
     connectTo(Server.port());
@@ -571,7 +525,7 @@
                           "Figsail-Server-Seal: s\r\n\r\nok";
   for (std::size_t Early : {Refusal.size(), Refusal.size() / 2, 0UL}) {
     Outcomes.clear();
-    ScriptedServer Server(Client, [&](RawConnection &Peer, std::size_t) {
+    ScriptedServer Server(endsClient(), [&](RawConnection &Peer, std::size_t) {
       Peer.request();
       Peer.send(Refusal);
       EXPECT_FALSE(Peer.isClosedByPeer()) << "reads one byte";
@@ -614,7 +568,7 @@
 // A second response to an earlier request may arrive before the response to the
 // current one. It must not be returned.
 TEST_F(BackendClientTest, ResponseToAnotherRequestIsSkipped) {
-  ScriptedServer Server(Client, [](RawConnection &Peer, std::size_t) {
+  ScriptedServer Server(endsClient(), [](RawConnection &Peer, std::size_t) {
     Peer.request();
     Peer.send(responseWithId("6", "foreign"));
     Peer.send(responseWithId("7", "own"));
@@ -631,20 +585,21 @@
 TEST_F(BackendClientTest, EveryForeignResponseIsReportedWithAReason) {
   using enum RejectionReason;
   std::promise<void> StraySent;
-  ScriptedServer Server(Client, [&](RawConnection &Peer, std::size_t Number) {
-    Peer.request();
-    if (Number == 0)
-      Peer.send(responseWithId("6", "foreign") + responseWithId("7", "own") +
-                OkResponse);
-    if (Number == 1) {
-      Peer.send(responseWithId("7", "own"));
-      Peer.send(OkResponse);
-      StraySent.set_value();
-    }
-    if (Number == 2)
-      Peer.send(OkResponse);
-    Peer.isClosedByPeer();
-  });
+  ScriptedServer Server(endsClient(),
+                        [&](RawConnection &Peer, std::size_t Number) {
+                          Peer.request();
+                          if (Number == 0)
+                            Peer.send(responseWithId("6", "foreign") +
+                                      responseWithId("7", "own") + OkResponse);
+                          if (Number == 1) {
+                            Peer.send(responseWithId("7", "own"));
+                            Peer.send(OkResponse);
+                            StraySent.set_value();
+                          }
+                          if (Number == 2)
+                            Peer.send(OkResponse);
+                          Peer.isClosedByPeer();
+                        });
   BackendSettings Settings;
   Settings.Fields = std::make_shared<IdMatchingFields>();
   connectTo(Server.port(), Settings);
@@ -660,7 +615,7 @@
 }
 
 TEST_F(BackendClientTest, ResponseWithoutIdIsMalformed) {
-  ScriptedServer Server(Client, answerOnce(OkResponse));
+  ScriptedServer Server(endsClient(), answerOnce(OkResponse));
   BackendSettings Settings;
   Settings.Fields = std::make_shared<IdMatchingFields>();
   connectTo(Server.port(), Settings);
@@ -714,7 +669,7 @@
       {"empty lines", "", "\r\n\r\n"}};
   for (const Case &Tested : Cases) {
     std::atomic<std::size_t> Sent = 0;
-    ScriptedServer Server(Client,
+    ScriptedServer Server(endsClient(),
                           answerWithoutEnd(Tested.Head, Tested.Bytes, Sent));
     connectTo(Server.port());
     EXPECT_EQ(errorOf(run(1)), BackendError::Malformed) << Tested.Description;
@@ -727,7 +682,7 @@
 TEST_F(BackendClientTest, UnboundedResponsesToOtherRequestsAreMalformed) {
   std::atomic<std::size_t> Sent = 0;
   ScriptedServer Server(
-      Client, answerWithoutEnd("", responseWithId("6", "foreign"), Sent));
+      endsClient(), answerWithoutEnd("", responseWithId("6", "foreign"), Sent));
   BackendSettings Settings;
   Settings.Fields = std::make_shared<IdMatchingFields>();
   connectTo(Server.port(), Settings);
@@ -737,7 +692,7 @@
 
 // Ten endless bodies of 8 MiB each would use half of a host's memory.
 TEST_F(BackendClientTest, ResponseBodiesShareOneMemoryLimit) {
-  ScriptedServer Server(Client, [](RawConnection &Peer, std::size_t) {
+  ScriptedServer Server(endsClient(), [](RawConnection &Peer, std::size_t) {
     Peer.request();
     Peer.send("HTTP/1.1 200 OK\r\n\r\n" + std::string(30000, 'x'));
     Peer.isClosedByPeer(); // Keeps the connection open.
@@ -761,13 +716,14 @@
 TEST_F(BackendClientTest, TimeoutAndCancelCloseTheConnection) {
   std::promise<void> Arrived;
   std::promise<void> Ended[2];
-  ScriptedServer Server(Client, [&](RawConnection &Peer, std::size_t Number) {
-    Peer.request();
-    if (Number == 1)
-      Arrived.set_value();
-    if (Peer.isClosedByPeer())
-      Ended[Number].set_value();
-  });
+  ScriptedServer Server(endsClient(),
+                        [&](RawConnection &Peer, std::size_t Number) {
+                          Peer.request();
+                          if (Number == 1)
+                            Arrived.set_value();
+                          if (Peer.isClosedByPeer())
+                            Ended[Number].set_value();
+                        });
   connectTo(Server.port());
   EXPECT_EQ(errorOf(run(1, std::chrono::milliseconds(20))),
             BackendError::TimedOut);
@@ -783,7 +739,7 @@
 }
 
 TEST_F(BackendClientTest, ConnectionCountStaysWithinTheLimit) {
-  ScriptedServer Server(Client, answerEveryRequest(OkResponse));
+  ScriptedServer Server(endsClient(), answerEveryRequest(OkResponse));
   BackendSettings Settings;
   Settings.MaxConnections = 2;
   connectTo(Server.port(), Settings);
@@ -795,7 +751,7 @@
 }
 
 TEST_F(BackendClientTest, TimeoutWhileWaitingForAConnectionIsNotSent) {
-  ScriptedServer Server(Client, [](RawConnection &Peer, std::size_t) {
+  ScriptedServer Server(endsClient(), [](RawConnection &Peer, std::size_t) {
     Peer.request();
     Peer.isClosedByPeer();
   });
@@ -811,7 +767,7 @@
 
 TEST_F(BackendClientTest, HeadResponseKeepsContentLength) {
   ScriptedServer Server(
-      Client,
+      endsClient(),
       answerEveryRequest("HTTP/1.1 200 OK\r\nContent-Length: 12345\r\n\r\n"));
   connectTo(Server.port());
   for (RunId Run = 1; Run <= 2; ++Run) {
@@ -824,7 +780,7 @@
 }
 
 TEST_F(BackendClientTest, ProbeDerivesHealthFromTheStatus) {
-  ScriptedServer Server(Client, [](RawConnection &Peer, std::size_t) {
+  ScriptedServer Server(endsClient(), [](RawConnection &Peer, std::size_t) {
     EXPECT_EQ(Peer.request().target(), "/health");
     Peer.send(OkResponse);
     Peer.request();
--- a/tests/EarlyAnswerTest.cpp
+++ b/tests/EarlyAnswerTest.cpp
@@ -3,8 +3,8 @@
 
 #include "BackendClient.h"
 #include "HttpTestSupport.h"
+#include "ScriptedServer.h"
 
-#include <atomic>
 #include <chrono>
 #include <functional>
 #include <gtest/gtest.h>
@@ -21,44 +21,6 @@
 /// request is not finished when the server answers.
 constexpr std::size_t UploadBytes = std::size_t{8} * 1024 * 1024;
 
-/// A server that reads the head of each request and then runs a script.
-class EarlyServer {
-public:
-  explicit EarlyServer(std::function<void(RawConnection &)> Script)
-      : Acceptor(Context, {boost::asio::ip::address_v4::loopback(), 0}),
-        Script(std::move(Script)), Thread([this] { serve(); }) {}
-  ~EarlyServer() {
-    Stopping = true;
-    RawConnection Wake(port());
-    Thread.join();
-  }
-  EarlyServer(const EarlyServer &) = delete;
-  EarlyServer &operator=(const EarlyServer &) = delete;
-
-  std::uint16_t port() const { return Acceptor.local_endpoint().port(); }
-
-private:
-  void serve() {
-    while (true) {
-      RawConnection Peer(Acceptor.accept());
-      if (Stopping)
-        return;
-      try {
-        Peer.requestHead();
-        Script(Peer);
-      } catch (const boost::system::system_error &) {
-        // The client has closed the connection.
-      }
-    }
-  }
-
-  boost::asio::io_context Context;
-  tcp::acceptor Acceptor;
-  std::function<void(RawConnection &)> Script;
-  std::atomic<bool> Stopping = false;
-  std::thread Thread;
-};
-
 /// A client whose event loop runs on the test's thread.
 struct EarlyAnswerTest : testing::Test, BackendHandler {
   using Result = std::variant<HttpResponse, BackendError>;
@@ -68,6 +30,9 @@
     Context.restart();
     Context.poll();
   }
+  std::function<void()> endsClient() {
+    return [this] { Client.reset(); };
+  }
   /// Sends an upload to the server and returns its outcome.
   Result upload(std::uint16_t Port, Duration LastBytesDelay = Duration(0)) {
     BackendSettings Settings;
@@ -107,7 +72,8 @@
 TEST_F(EarlyAnswerTest, AResetDuringTheUploadEndsNoAnswerWithoutLength) {
   std::size_t Part = 0;
   std::chrono::milliseconds Pause{0};
-  EarlyServer Server([&](RawConnection &Peer) {
+  ScriptedServer Server(endsClient(), [&](RawConnection &Peer, std::size_t) {
+    Peer.requestHead();
     Peer.send(HeadWithoutLength);
     Peer.send(std::string(Part, 'a'));
     std::this_thread::sleep_for(Pause);
@@ -128,7 +94,8 @@
 
 // The same where the last bytes of the request are written later.
 TEST_F(EarlyAnswerTest, AResetBeforeTheLastBytesEndsNoAnswerWithoutLength) {
-  EarlyServer Server([&](RawConnection &Peer) {
+  ScriptedServer Server(endsClient(), [&](RawConnection &Peer, std::size_t) {
+    Peer.requestHead();
     Peer.send(HeadWithoutLength);
     Peer.send("part");
     std::this_thread::sleep_for(5ms);
@@ -142,7 +109,8 @@
 // An answer with a length is complete with its last byte, whatever happens to
 // the rest of the upload.
 TEST_F(EarlyAnswerTest, AnAnswerWithALengthIsCompleteBeforeTheReset) {
-  EarlyServer Server([&](RawConnection &Peer) {
+  ScriptedServer Server(endsClient(), [&](RawConnection &Peer, std::size_t) {
+    Peer.requestHead();
     Peer.send("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwhole");
     std::this_thread::sleep_for(20ms);
     Peer.reset();
@@ -159,7 +127,8 @@
 TEST_F(EarlyAnswerTest, AnAnswerThatEndedInOrderIsWholeThoughTheUploadIsReset) {
   std::size_t Part = 0;
   std::chrono::milliseconds Pause{0};
-  EarlyServer Server([&](RawConnection &Peer) {
+  ScriptedServer Server(endsClient(), [&](RawConnection &Peer, std::size_t) {
+    Peer.requestHead();
     Peer.send(HeadWithoutLength);
     Peer.send(std::string(Part, 'a'));
     Peer.finishSending();
@@ -183,7 +152,8 @@
 
 // The same without waiting: the reset may discard the end of the answer.
 TEST_F(EarlyAnswerTest, AnAnswerCutByTheCloseOfTheServerIsNoPart) {
-  EarlyServer Server([&](RawConnection &Peer) {
+  ScriptedServer Server(endsClient(), [&](RawConnection &Peer, std::size_t) {
+    Peer.requestHead();
     Peer.send(HeadWithoutLength);
     Peer.send(std::string(PartSizes[3], 'a'));
     Peer.finishSending();
--- a/tests/SidecarProcessTest.cpp
+++ b/tests/SidecarProcessTest.cpp
@@ -3,6 +3,7 @@
 #include "Endpoint.h"
 #include "HttpTestSupport.h"
 #include "LoopbackAddress.h"
+#include "ScriptedServer.h"
 #include "StoreStandin.h"
 
 #include <algorithm>
@@ -12,9 +13,9 @@
 #include <fcntl.h>
 #include <filesystem>
 #include <fstream>
+#include <functional>
 #include <gtest/gtest.h>
 #include <map>
-#include <memory>
 #include <spawn.h>
 #include <sstream>
 #include <sys/wait.h>
@@ -125,13 +126,12 @@
     return Status;
   }
 
-  /// Returns an object that ends the sidecar when it is destroyed. A stand-in
-  /// of the server waits for the end of the connections that the sidecar keeps.
-  std::shared_ptr<void> stopAtExit() {
-    return {nullptr, [this](void *) {
-              if (SidecarPid != 0)
-                stop(SIGKILL);
-            }};
+  /// Returns how a scripted server ends the sidecar, its client.
+  std::function<void()> endsSidecar() {
+    return [this] {
+      if (SidecarPid != 0)
+        stop(SIGKILL);
+    };
   }
 
   template <class Condition> bool becomesTrue(Condition Predicate) {
@@ -591,72 +591,22 @@
 
 namespace {
 
-/// A backend server that answers probes in full and stops every other response
-/// after a number of bytes.
-class CuttingServer {
-public:
-  CuttingServer()
-      : Acceptor(Context, *parseEndpoint(loopbackAddress(ServerPort))),
-        Thread([this] { serve(); }) {}
-  ~CuttingServer() {
-    Stopping = true;
-    tcp::socket Wake(Context);
-    Wake.connect(Acceptor.local_endpoint());
-    Thread.join();
-    for (std::thread &Connection : Connections)
-      Connection.join();
-  }
-  CuttingServer(const CuttingServer &) = delete;
-  CuttingServer &operator=(const CuttingServer &) = delete;
-
-  /// The response to a call.
-  static std::string wholeResponse() {
-    return "HTTP/1.1 200 OK\r\nFigsail-Attempt-Id: a1\r\n"
-           "Figsail-Server-Seal: seal\r\nContent-Length: 3\r\n\r\nran";
-  }
-
-  /// Another response, sent behind a part of the first.
-  static std::string errorPage() {
-    return "HTTP/1.1 500 Internal Server Error\r\nFigsail-Attempt-Id: a1\r\n"
-           "Figsail-Server-Seal: seal\r\nContent-Length: 3\r\n\r\nbad";
-  }
-
-  std::atomic<std::size_t> Size = 0; ///< Bytes of a response that are sent.
-  std::atomic<bool> SendsErrorPage = false; ///< After them.
-  std::atomic<std::size_t> Calls = 0;
-
-private:
-  void serve() {
-    for (;;) {
-      tcp::socket Socket = Acceptor.accept();
-      if (Stopping)
-        return;
-      Connections.emplace_back([this, Moved = std::move(Socket)]() mutable {
-        RawConnection Peer(std::move(Moved));
-        try {
-          respond(Peer);
-        } catch (const boost::system::system_error &) {
-          // The sidecar has closed the connection.
-        }
-      });
-    }
-  }
-  void respond(RawConnection &Peer) {
-    while (Peer.request().target() == "/well")
-      Peer.send("HTTP/1.1 200 OK\r\nFigsail-Instance-Id: i-1\r\n"
-                "Content-Length: 0\r\n\r\n");
-    ++Calls;
-    Peer.send(wholeResponse().substr(0, Size));
-    if (SendsErrorPage)
-      Peer.send(errorPage());
-  }
-
-  boost::asio::io_context Context;
-  tcp::acceptor Acceptor;
-  std::atomic<bool> Stopping = false;
-  std::vector<std::thread> Connections;
-  std::thread Thread;
-};
+/// The response of a server that cuts it.
+const std::string WholeResponse =
+    "HTTP/1.1 200 OK\r\nFigsail-Attempt-Id: a1\r\n"
+    "Figsail-Server-Seal: seal\r\nContent-Length: 3\r\n\r\nran";
+/// Another response, sent behind a part of the first.
+constexpr std::string_view ErrorPage =
+    "HTTP/1.1 500 Internal Server Error\r\nFigsail-Attempt-Id: a1\r\n"
+    "Figsail-Server-Seal: seal\r\nContent-Length: 3\r\n\r\nbad";
+
+/// Answers the probes on a connection, until the head of another request has
+/// been read. Its body is left unread.
+void answerProbes(RawConnection &Peer) {
+  while (Peer.requestHead().target() == "/well")
+    Peer.send("HTTP/1.1 200 OK\r\nFigsail-Instance-Id: i-1\r\n"
+              "Content-Length: 0\r\n\r\n");
+}
 
 } // namespace
 
@@ -666,107 +616,68 @@
   // The sidecar has inherited the listening socket of the usual server.
   stop(SIGKILL);
   Loop.on([&] { Server.reset(); });
-  CuttingServer Cutting;
-  std::shared_ptr<void> EndsFirst = stopAtExit();
+  std::atomic<std::size_t> Size = 0; // Bytes of a response that are sent.
+  std::atomic<bool> SendsErrorPage = false; // After them.
+  std::atomic<std::size_t> Calls = 0;
+  ScriptedServer Cutting(
+      endsSidecar(),
+      [&](RawConnection &Peer, std::size_t) {
+        answerProbes(Peer);
+        ++Calls;
+        Peer.send(WholeResponse.substr(0, Size));
+        if (SendsErrorPage)
+          Peer.send(ErrorPage);
+      },
+      *parseEndpoint(loopbackAddress(ServerPort)));
   start();
-  const std::string Whole = CuttingServer::wholeResponse();
   ASSERT_TRUE(becomesTrue([&] { return isReady(); }));
   ASSERT_EQ(sendHeartbeat(), 200U);
   for (std::string_view End :
        {"HTTP/1.1 2", "200 O", "200 OK\r\n", "Attempt-Id: a1\r\n", "seal",
         "seal\r\n", "Content-Len", "Length: 3", "\r\n\r", "\r\n\r\n", "ra"}) {
-    Cutting.Size = Whole.find(End) + End.size();
-    bool HeadIsWhole = Cutting.Size >= Whole.size() - 3;
+    Size = WholeResponse.find(End) + End.size();
+    bool HeadIsWhole = Size >= WholeResponse.size() - 3;
     for (bool Continued : {false, true}) {
       if (HeadIsWhole && Continued)
         continue;
-      Cutting.SendsErrorPage = Continued;
-      std::size_t Before = Cutting.Calls;
+      SendsErrorPage = Continued;
+      std::size_t Before = Calls;
       unsigned Status = 0;
       // The sidecar may set a server aside that has failed.
       ASSERT_TRUE(becomesTrue([&] {
         Status = call().result_int();
-        return Cutting.Calls > Before;
+        return Calls > Before;
       }));
       EXPECT_TRUE(Status < 200 || Status >= 300)
           << "cut after " << End << ", continued: " << Continued << ", status "
           << Status;
     }
   }
-  Cutting.SendsErrorPage = false;
-  Cutting.Size = Whole.size();
+  SendsErrorPage = false;
+  Size = WholeResponse.size();
   EXPECT_TRUE(becomesTrue([&] { return call().body() == "ran"; }));
 }
 
-namespace {
-
-/// A backend server that answers probes in full. It answers each upload as soon
-/// as it has the head, without a length, sends a part of the body and resets
-/// the connection.
-class ResettingServer {
-public:
-  ResettingServer()
-      : Acceptor(Context, *parseEndpoint(loopbackAddress(ServerPort))),
-        Thread([this] { serve(); }) {}
-  ~ResettingServer() {
-    Stopping = true;
-    tcp::socket Wake(Context);
-    Wake.connect(Acceptor.local_endpoint());
-    Thread.join();
-    for (std::thread &Connection : Connections)
-      Connection.join();
-  }
-  ResettingServer(const ResettingServer &) = delete;
-  ResettingServer &operator=(const ResettingServer &) = delete;
-
-  std::atomic<std::size_t> PartBytes = 0; ///< Of the body.
-  std::atomic<std::size_t> Uploads = 0;
-
-private:
-  void serve() {
-    for (;;) {
-      tcp::socket Socket = Acceptor.accept();
-      if (Stopping)
-        return;
-      Connections.emplace_back([this, Moved = std::move(Socket)]() mutable {
-        RawConnection Peer(std::move(Moved));
-        try {
-          respond(Peer);
-        } catch (const boost::system::system_error &) {
-          // The sidecar has closed the connection.
-        }
-      });
-    }
-  }
-  void respond(RawConnection &Peer) {
-    while (Peer.requestHead().target() == "/well")
-      Peer.send("HTTP/1.1 200 OK\r\nFigsail-Instance-Id: i-1\r\n"
-                "Content-Length: 0\r\n\r\n");
-    ++Uploads;
-    Peer.send("HTTP/1.1 200 OK\r\nFigsail-Attempt-Id: a1\r\n"
-              "Figsail-Server-Seal: seal\r\n\r\n");
-    Peer.send(std::string(PartBytes, 'a'));
-    std::this_thread::sleep_for(std::chrono::milliseconds(2));
-    Peer.reset();
-  }
-
-  boost::asio::io_context Context;
-  tcp::acceptor Acceptor;
-  std::atomic<bool> Stopping = false;
-  std::vector<std::thread> Connections;
-  std::thread Thread;
-};
-
-} // namespace
-
 // Guards against MIXED of issue 48: the client got a part of an answer as a
 // complete one, since the server reset the connection while the upload was
 // still being written.
 TEST_F(SidecarProcessTest, AnAnswerResetDuringAnUploadIsNoSuccess) {
   stop(SIGKILL);
   Loop.on([&] { Server.reset(); });
-  ResettingServer Resetting;
-  std::shared_ptr<void> EndsFirst = stopAtExit();
+  std::atomic<std::size_t> PartBytes = 0; // Of the body that are sent.
+  std::atomic<std::size_t> Uploads = 0;
+  ScriptedServer Resetting(
+      endsSidecar(),
+      [&](RawConnection &Peer, std::size_t) {
+        answerProbes(Peer);
+        ++Uploads;
+        Peer.send("HTTP/1.1 200 OK\r\nFigsail-Attempt-Id: a1\r\n"
+                  "Figsail-Server-Seal: seal\r\n\r\n");
+        Peer.send(std::string(PartBytes, 'a'));
+        std::this_thread::sleep_for(2ms);
+        Peer.reset();
+      },
+      *parseEndpoint(loopbackAddress(ServerPort)));
   std::string Large = Config;
   Large.replace(Large.find("1048576"), 7, "8388608");
   Loop.on([&] { Store->put("keyed.op", "config", Large); });
@@ -774,17 +685,17 @@
   ASSERT_TRUE(becomesTrue([&] { return isReady(); }));
   reportServer();
   const std::string Body(std::size_t{7} * 1024 * 1024, 'u');
-  for (std::size_t PartBytes : {1U, 5000U, 300'000U}) {
-    Resetting.PartBytes = PartBytes;
+  for (std::size_t Bytes : {1U, 5000U, 300'000U}) {
+    PartBytes = Bytes;
     for (int I = 0; I < 4; ++I) {
-      std::size_t Before = Resetting.Uploads;
+      std::size_t Before = Uploads;
       unsigned Status = 0;
       // The sidecar may set a server aside that has failed.
       ASSERT_TRUE(becomesTrue([&] {
         Status = send(ClientPort, "POST", "/x/1", Body).result_int();
-        return Resetting.Uploads > Before;
+        return Uploads > Before;
       }));
-      EXPECT_EQ(Status, 502U) << PartBytes << " bytes of the answer";
+      EXPECT_EQ(Status, 502U) << Bytes << " bytes of the answer";
     }
   }
 }
