--- a/tests/CrashCluster.h
+++ b/tests/CrashCluster.h
@@ -7,6 +7,7 @@
 #include "JsonRecordDecoder.h"
 #include "Sidecar.h"
 #include "SidecarTestSupport.h"
+#include "TopicLogs.h"
 
 #include <functional>
 #include <map>
@@ -31,7 +32,7 @@
       : Hosts(HostCount), Random(Seed) {
     StoreTime = between(5ms, 150ms);
     OpenTime = between(1ms, 300ms);
-    put(Topic::Operator, "config", ConfigText);
+    Topics.put(Topic::Operator, "config", ConfigText);
     for (std::size_t I = 0; I < HostCount; ++I) {
       start(I);
       startServer(I);
@@ -156,17 +157,7 @@
     std::vector<std::pair<std::size_t, PeerMessage>> Queue; ///< While opening.
     bool Breaking = false; ///< Over a cut path.
   };
-  struct Log {
-    std::vector<KeyedRecord> Records;
-    std::vector<std::function<void()>> Waiting;
-  };
 
-  static HostId name(std::size_t I) {
-    return "10.0.0." + std::to_string(I + 1) + ":7000";
-  }
-  static std::size_t indexOf(const HostId &Host) {
-    return static_cast<std::size_t>(std::stoi(Host.substr(7))) - 1;
-  }
   static bool isPoison(const std::string &Target) {
     return Target.starts_with(Poison);
   }
@@ -196,7 +187,7 @@
 
   void start(std::size_t I) {
     Host &Self = Hosts[I];
-    SidecarSettings Settings = testSettings(name(I));
+    SidecarSettings Settings = testSettings(hostName(I));
     Settings.FailureDomain = "d" + std::to_string(I % 2);
     Settings.Service = "desk";
     Settings.Inc = ++Self.Inc * 1000 + I;
@@ -236,9 +227,9 @@
 
   void perform(std::size_t I, SidecarEffect &Effect) {
     if (auto *Sent = std::get_if<SendPeer>(&Effect))
-      return send(I, indexOf(Sent->Host), std::move(Sent->Message));
+      return send(I, hostIndex(Sent->Host), std::move(Sent->Message));
     if (auto *Reset = std::get_if<ResetPeer>(&Effect))
-      return breakLink(I, indexOf(Reset->Host));
+      return breakLink(I, hostIndex(Reset->Host));
     if (auto *Run = std::get_if<StartRun>(&Effect))
       return arrive(I, *Run);
     if (auto *Cancelled = std::get_if<CancelRun>(&Effect))
@@ -301,7 +292,7 @@
         std::uniform_real_distribution<double>(0, 1)(Random) < LostReports;
     if (Lost && From != To)
       return;
-    PeerRef Sender{name(From), Hosts[From].Inc * 1000 + From};
+    PeerRef Sender{hostName(From), Hosts[From].Inc * 1000 + From};
     schedule(Time, [this, To, Sender, Inc = Hosts[To].Inc,
                     Message = std::move(Message)]() mutable {
       if (Hosts[To].Inc == Inc)
@@ -324,7 +315,7 @@
     Path.State = LinkState::Open;
     auto Queue = std::exchange(Path.Queue, {});
     for (auto [I, J] : {std::pair(From, To), std::pair(To, From)})
-      apply(I, PeerConnected{{name(J), Hosts[J].Inc * 1000 + J}});
+      apply(I, PeerConnected{{hostName(J), Hosts[J].Inc * 1000 + J}});
     for (auto &[Sender, Message] : Queue)
       deliver(Sender, Sender == From ? To : From, 2ms, std::move(Message));
   }
@@ -346,7 +337,7 @@
     Path.Breaking = false;
     ++Path.Number;
     for (auto [Own, Other] : {std::pair(I, J), std::pair(J, I)}) {
-      PeerLost Lost{name(Other), {}};
+      PeerLost Lost{hostName(Other), {}};
       for (auto &[Sender, Message] : Queue)
         if (Sender == Own)
           Lost.Unsent.push_back(Message);
@@ -456,40 +447,16 @@
 
   // The store.
 
-  Log &log(Topic Which) { return Logs[static_cast<std::size_t>(Which)]; }
-  void put(Topic Which, const std::string &Key,
-           std::optional<std::string> Value) {
-    Log &Entries = log(Which);
-    auto End = static_cast<Offset>(Entries.Records.size());
-    Entries.Records.push_back({Key, std::move(Value), End});
-    for (auto &EndRead : std::exchange(Entries.Waiting, {}))
-      EndRead();
-  }
   void snapshot(std::size_t I, Topic Which) {
     if (StoreAway)
       return later(I, StoreTime, TopicReadFailed{Which, "away", 0, 0});
-    std::map<std::string, KeyedRecord> Newest;
-    for (const KeyedRecord &Record : log(Which).Records)
-      Newest[Record.Key] = Record;
-    TopicSnapshot Read{
-        Which, {}, static_cast<Offset>(log(Which).Records.size()), 1};
-    for (auto &[Key, Record] : Newest)
-      if (Record.Value)
-        Read.Records.push_back(Record);
-    later(I, StoreTime, std::move(Read));
+    later(I, StoreTime, Topics.snapshot(Which));
   }
   void read(std::size_t I, const ReadTopic &Wanted, TimePoint Until) {
     if (StoreAway)
       return later(I, StoreTime, TopicReadFailed{Wanted.Which, "away", 0, 0});
-    const std::vector<KeyedRecord> &All = log(Wanted.Which).Records;
-    auto End = static_cast<Offset>(All.size());
-    if (Wanted.From < End || Now >= Until) {
-      auto First = static_cast<std::ptrdiff_t>(std::min(Wanted.From, End));
-      return later(
-          I, StoreTime,
-          TopicRecords{
-              Wanted.Which, {All.begin() + First, All.end()}, End, 1, End});
-    }
+    if (Wanted.From < Topics.end(Wanted.Which) || Now >= Until)
+      return later(I, StoreTime, Topics.records(Wanted.Which, Wanted.From));
     schedule(20ms, [this, I, Wanted, Until, Inc = Hosts[I].Inc] {
       if (Hosts[I].Inc == Inc)
         read(I, Wanted, Until);
@@ -500,14 +467,14 @@
     if (StoreAway)
       return later(I, StoreTime, AnnouncementResult{false, "away", 0});
     schedule(StoreTime / 2,
-             [this, Key, Value] { put(Topic::Members, Key, Value); });
+             [this, Key, Value] { Topics.put(Topic::Members, Key, Value); });
     later(I, StoreTime, AnnouncementResult{true, "", 1});
   }
 
   std::vector<Host> Hosts;
   std::mt19937_64 Random;
   platform::JsonRecordDecoder Decoder;
-  std::array<Log, TopicCount> Logs;
+  TopicLogs Topics;
   std::map<std::pair<std::size_t, std::size_t>, Link> Links;
   std::set<std::size_t> Cut;
   std::multimap<TimePoint, std::function<void()>> Scheduled;
--- a/tests/RolloutCluster.h
+++ b/tests/RolloutCluster.h
@@ -7,6 +7,7 @@
 #include "JsonRecordDecoder.h"
 #include "Sidecar.h"
 #include "SidecarTestSupport.h"
+#include "TopicLogs.h"
 
 #include <array>
 #include <functional>
@@ -36,7 +37,7 @@
   static constexpr std::size_t HostCount = ClientHosts + OldHosts + NewHosts;
 
   explicit RolloutCluster(std::uint64_t Seed) : Random(Seed) {
-    put(Topic::Operator, "config", ConfigText);
+    Topics.put(Topic::Operator, "config", ConfigText);
     for (std::size_t I = 0; I < HostCount; ++I)
       start(I);
     for (std::size_t I = 0; I < ClientHosts + OldHosts; ++I)
@@ -68,9 +69,9 @@
     OrderedAt = Now;
     Answers.clear();
     DecidedAt = TimePoint::max();
-    put(Topic::Operator, "rollout/stock",
-        R"({"Service":"stock","TargetVersion":")" + Version +
-            R"(","DurationS":)" + std::to_string(Seconds) + "}");
+    Topics.put(Topic::Operator, "rollout/stock",
+               R"({"Service":"stock","TargetVersion":")" + Version +
+                   R"(","DurationS":)" + std::to_string(Seconds) + "}");
   }
   void startNewServers(const std::string &Version = "v2") {
     Target = Version;
@@ -134,17 +135,7 @@
     std::uint64_t Sequence = 0;
     std::map<RunId, bool> Runs;
   };
-  struct Log {
-    std::vector<KeyedRecord> Records;
-    std::vector<std::function<void()>> Waiting;
-  };
 
-  static HostId name(std::size_t I) {
-    return "10.0.0." + std::to_string(I + 1) + ":7000";
-  }
-  static std::size_t indexOf(const HostId &Host) {
-    return static_cast<std::size_t>(std::stoi(Host.substr(7))) - 1;
-  }
   static bool isNew(std::size_t I) { return I >= ClientHosts + OldHosts; }
   bool happens(double Probability) {
     return std::uniform_real_distribution<double>(0, 1)(Random) < Probability;
@@ -154,7 +145,7 @@
   }
 
   void start(std::size_t I) {
-    SidecarSettings Settings = testSettings(name(I));
+    SidecarSettings Settings = testSettings(hostName(I));
     Settings.FailureDomain = "d" + std::to_string(I % 4);
     Settings.Service = I < ClientHosts ? "front" : "stock";
     Settings.Inc = ++Hosts[I].Inc;
@@ -170,7 +161,7 @@
   void sendHeartbeat(std::size_t I) {
     if (Dead[I])
       return;
-    ServerHeartbeat Own = heartbeat(++Hosts[I].Sequence, "i-" + name(I));
+    ServerHeartbeat Own = heartbeat(++Hosts[I].Sequence, "i-" + hostName(I));
     Own.Service = I < ClientHosts ? "front" : "stock";
     Own.Version = isNew(I) ? Target : "v1";
     Own.Slots = 100;
@@ -203,7 +194,7 @@
 
   void perform(std::size_t I, SidecarEffect &Effect) {
     if (auto *Sent = std::get_if<SendPeer>(&Effect))
-      return deliver(I, indexOf(Sent->Host), std::move(Sent->Message));
+      return deliver(I, hostIndex(Sent->Host), std::move(Sent->Message));
     if (auto *Run = std::get_if<StartRun>(&Effect))
       return arrive(I, *Run);
     if (auto *Reply = std::get_if<ReplyCaller>(&Effect)) {
@@ -211,7 +202,8 @@
       return;
     }
     if (std::holds_alternative<ProbeServer>(Effect))
-      return later(I, 2ms, ServerProbeResult{true, "i-" + name(I), {}, {}, {}});
+      return later(I, 2ms,
+                   ServerProbeResult{true, "i-" + hostName(I), {}, {}, {}});
     if (auto *Read = std::get_if<ReadTopicSnapshot>(&Effect))
       return snapshot(I, Read->Which);
     if (auto *Read = std::get_if<ReadTopic>(&Effect))
@@ -238,11 +230,12 @@
   void deliver(std::size_t From, std::size_t To, PeerMessage Message) {
     if (To >= HostCount || Group[From] != Group[To])
       return;
-    schedule(From == To ? Duration(0) : Duration(2ms),
-             [this, From, To, Inc = Hosts[From].Inc,
-              Message = std::move(Message)]() mutable {
-               apply(To, PeerReceived{{name(From), Inc}, std::move(Message)});
-             });
+    schedule(
+        From == To ? Duration(0) : Duration(2ms),
+        [this, From, To, Inc = Hosts[From].Inc,
+         Message = std::move(Message)]() mutable {
+          apply(To, PeerReceived{{hostName(From), Inc}, std::move(Message)});
+        });
   }
 
   // Backend servers.
@@ -278,38 +271,16 @@
 
   // The store.
 
-  Log &log(Topic Which) { return Logs[static_cast<std::size_t>(Which)]; }
-  void put(Topic Which, const std::string &Key, const std::string &Value) {
-    Log &Entries = log(Which);
-    auto End = static_cast<Offset>(Entries.Records.size());
-    Entries.Records.push_back({Key, Value, End});
-    for (auto &EndRead : std::exchange(Entries.Waiting, {}))
-      EndRead();
-  }
   void snapshot(std::size_t I, Topic Which) {
     if (StoreAway)
       return later(I, 10ms, TopicReadFailed{Which, "away", 0, 0});
-    std::map<std::string, KeyedRecord> Newest;
-    for (const KeyedRecord &Record : log(Which).Records)
-      Newest[Record.Key] = Record;
-    TopicSnapshot Read{
-        Which, {}, static_cast<Offset>(log(Which).Records.size()), 1};
-    for (auto &[Key, Record] : Newest)
-      Read.Records.push_back(Record);
-    later(I, 10ms, std::move(Read));
+    later(I, 10ms, Topics.snapshot(Which));
   }
   void read(std::size_t I, const ReadTopic &Wanted, TimePoint Until) {
     if (StoreAway)
       return later(I, 10ms, TopicReadFailed{Wanted.Which, "away", 0, 0});
-    const std::vector<KeyedRecord> &All = log(Wanted.Which).Records;
-    auto End = static_cast<Offset>(All.size());
-    if (Wanted.From < End || Now >= Until) {
-      auto First = static_cast<std::ptrdiff_t>(std::min(Wanted.From, End));
-      return later(
-          I, 10ms,
-          TopicRecords{
-              Wanted.Which, {All.begin() + First, All.end()}, End, 1, End});
-    }
+    if (Wanted.From < Topics.end(Wanted.Which) || Now >= Until)
+      return later(I, 10ms, Topics.records(Wanted.Which, Wanted.From));
     schedule(20ms, [this, I, Wanted, Until, Inc = Hosts[I].Inc] {
       if (Hosts[I].Inc == Inc)
         read(I, Wanted, Until);
@@ -318,7 +289,8 @@
   void append(std::size_t I, const std::string &Key, const std::string &Value) {
     if (StoreAway)
       return later(I, 10ms, AnnouncementResult{false, "away", 0});
-    schedule(5ms, [this, Key, Value] { put(Topic::Members, Key, Value); });
+    schedule(5ms,
+             [this, Key, Value] { Topics.put(Topic::Members, Key, Value); });
     later(I, 10ms, AnnouncementResult{true, "", 1});
   }
   void readStatus(std::size_t I) {
@@ -348,7 +320,7 @@
   std::mt19937_64 Random;
   platform::JsonRecordDecoder Decoder;
   std::array<Host, HostCount> Hosts;
-  std::array<Log, TopicCount> Logs;
+  TopicLogs Topics;
   std::multimap<TimePoint, std::function<void()>> Scheduled;
   CallerId LastCaller = 0;
   double Arrivals = 0;
