--- a/src/sidecar/BlockedRequests.h
+++ b/src/sidecar/BlockedRequests.h
@@ -4,6 +4,8 @@
 #ifndef FIGSAIL_SIDECAR_BLOCKEDREQUESTS_H
 #define FIGSAIL_SIDECAR_BLOCKEDREQUESTS_H
 
+#include "Quarantine.h"
+
 #include "figsail/Types.h"
 
 #include <map>
@@ -48,7 +50,7 @@
 class BlockedRequests {
 public:
   /// Of a record, from the last known crash on.
-  static constexpr Duration Lifetime = std::chrono::minutes(10);
+  static constexpr Duration Lifetime = Quarantine::Lifetime;
 
   /// Sets the service of this daemon and its turn among the daemons of that
   /// service, and among all.
--- a/src/sidecar/LocalServer.cpp
+++ b/src/sidecar/LocalServer.cpp
@@ -8,15 +8,15 @@
 
 using namespace std::chrono_literals;
 
-/// Heartbeats that look late, in a row, after which their server counts as the
-/// true one. A server that has crashed sends none.
+/// Heartbeats that look late or are not confirmed, in a row, after which their
+/// server counts as the true one. A server that has crashed or left sends none.
 static constexpr unsigned MinContenderHeartbeats = 3;
 /// Heartbeats closer to each other count as one: a partition or a pause may
 /// hold up several, which then arrive together.
 static constexpr Duration MinContenderInterval = 500ms;
 
-/// Returns whether a server whose heartbeats look late sends one after the
-/// other, while the newer server is silent.
+/// Returns whether a server whose heartbeats look late, or are not confirmed,
+/// sends one after the other, while no other server reports.
 ///
 /// Fault: another writer leaves one heartbeat with the highest start or
 /// sequence number. All heartbeats of the true server look late after it.
--- a/src/sidecar/LocalServer.h
+++ b/src/sidecar/LocalServer.h
@@ -81,8 +81,9 @@
   TimePoint lastReportAt() const { return LastReportAt; }
 
 private:
-  /// A server whose heartbeats look late. It may be the true one, if the newest
-  /// heartbeat came from another writer.
+  /// A server whose heartbeats look late, or are the first ones and not
+  /// confirmed. It may be the true one: the newest heartbeat came from another
+  /// writer, or its health path is wrong.
   struct Contender {
     ServerHeartbeat Last; ///< The last heartbeat that was counted.
     TimePoint At;         ///< Its time.
--- a/src/sidecar/Sidecar.cpp
+++ b/src/sidecar/Sidecar.cpp
@@ -57,7 +57,7 @@
   Router.setServerRuns(S.Now, Gate.runs());
   RolloutStep AtRollouts = rolloutStep(S);
   Versions.update(AtRollouts);
-  sendAnnouncement(S);
+  appendNext(S);
   updateReadiness(S);
   continueStop(S);
   splitLargeAnswers(Settings.Host, Out);
@@ -99,27 +99,6 @@
   }
 }
 
-/// Reports requests that may crash servers to the daemons of the service's
-/// other servers. When such a request is resent, any of them may receive it.
-void Sidecar::reportSuspects(Step &S) {
-  for (const SuspectReport &Report : Gate.takeSuspicionReports()) {
-    Decision Line{LogLevel::Warning,
-                  Report.Crashes > 0 ? "request-suspected" : "request-cleared",
-                  {}};
-    Line.Fields = {{"fingerprint", std::to_string(Report.Fingerprint)},
-                   {"crashes", std::to_string(Report.Crashes)},
-                   {"instance", Gate.server().instance()}};
-    S.Out.emplace_back(std::move(Line));
-    S.Out.emplace_back(Count{Counter::Suspects});
-    blockIfCrashing(S, Report, true);
-    for (const auto &[Host, Announced] : Directory.all())
-      if (Host != Settings.Host &&
-          Announced.Service == Gate.server().service() &&
-          Announced.State != InstanceState::Absent)
-        S.Out.emplace_back(SendPeer{Host, Report});
-  }
-}
-
 RouterStep Sidecar::routerStep(Step &S) {
   return {S.Now,     S.Seed, Config.get(), isConfigBehind(S.Now), Directory,
           Evacuated, Peers,  Versions,     Gate.retryFraction(),  Quota,
@@ -242,45 +221,6 @@
     S.Out.emplace_back(Count{Counter::StaleMessages});
 }
 
-/// A daemon that counts fewer crashes than this one has missed reports.
-void Sidecar::handleSuspicion(Step &S, const PeerRef &From,
-                              const SuspectReport &Message) {
-  if (auto Known = Gate.mergeSuspicion(S.Now, Message))
-    S.Out.emplace_back(SendPeer{From.Host, *Known});
-  blockIfCrashing(S, Message, false);
-}
-
-/// Blocks a request for good if the crashes that this daemon knows of suffice.
-void Sidecar::blockIfCrashing(Step &S, const SuspectReport &Report,
-                              bool Counted) {
-  const std::string &Service = Gate.server().service();
-  if (Report.Crashes == 0 ||
-      !Gate.isBlockedByCrashes(S.Now, Report.Fingerprint))
-    return;
-  BlockedRequests &Blocked = Gate.blockedRequests();
-  if (!Blocked.contains(S.Now, Service, Report.Fingerprint)) {
-    Decision Line{LogLevel::Warning, "request-blocked", {}};
-    Line.Fields = {{"fingerprint", std::to_string(Report.Fingerprint)},
-                   {"service", Service},
-                   {"from", Counted ? "crashes" : "report"}};
-    S.Out.emplace_back(std::move(Line));
-  }
-  Blocked.block(S.Now, Report.Fingerprint, Duration(Report.AgeMicros), Counted);
-}
-
-/// Sends what is known of requests that crash servers to a daemon that may have
-/// started since it was reported.
-void Sidecar::sendKnownSuspects(Step &S, const HostId &Host) {
-  const Announcement *Peer = Directory.find(Host);
-  // A daemon that has just started does not know its server yet.
-  bool MayServe = Peer && (Peer->Service.empty() ||
-                           Peer->Service == Gate.server().service());
-  if (!MayServe || Host == Settings.Host)
-    return;
-  for (const SuspectReport &Report : Gate.knownSuspicions(S.Now))
-    S.Out.emplace_back(SendPeer{Host, Report});
-}
-
 void Sidecar::handleReport(Step &S, const PeerRef &From,
                            const QuotaReport &Message) {
   QuotaStep Step = quotaStep(S);
@@ -448,35 +388,36 @@
   HostsChanged = true;
 }
 
-/// Appends the newest announcement if it is due. The generation is known once
-/// the topics are complete. If nothing needs to be announced, removes an
-/// expired host.
-void Sidecar::sendAnnouncement(Step &S) {
+/// Starts the next append that is due: a share record, the record of a blocked
+/// request, the removal of an expired host if nothing needs to be announced, or
+/// the newest announcement, whose generation is known once the topics are
+/// complete.
+void Sidecar::appendNext(Step &S) {
   if (!ShareToAppend)
     ShareToAppend = Versions.takeShare();
-  if (ShareToAppend && !AppendInFlight) {
+  if (AppendInFlight)
+    return;
+  if (ShareToAppend) {
     AppendInFlight = true;
     ShareInFlight = true;
     S.Out.emplace_back(AppendRolloutShare{std::move(*ShareToAppend)});
     ShareToAppend.reset();
     return;
   }
-  if (!AppendInFlight && topicsComplete())
+  if (topicsComplete())
     BlockedInFlight = Gate.blockedRequests().takeDue(S.Now);
-  if (BlockedInFlight && !AppendInFlight) {
+  if (BlockedInFlight) {
     AppendInFlight = true;
     S.Out.emplace_back(AppendBlockedRequest{*BlockedInFlight});
     return;
   }
-  if (HostToDrop && !AnnounceNeeded && !AppendInFlight) {
+  if (HostToDrop && !AnnounceNeeded) {
     AppendInFlight = true;
     S.Out.emplace_back(RemoveHost{*HostToDrop});
     HostToDrop.reset();
     return;
   }
-  bool Due = AnnounceNeeded && !AppendInFlight && topicsComplete() &&
-             S.Now >= AnnounceAt;
-  if (!Due)
+  if (!AnnounceNeeded || !topicsComplete() || S.Now < AnnounceAt)
     return;
   AppendInFlight = true;
   AnnounceNeeded = false;
@@ -557,7 +498,7 @@
   if (!PauseAnnounced && S.Now - StopStartedAt >= PauseDelay) {
     PauseAnnounced = true;
     announce(S);
-    sendAnnouncement(S);
+    appendNext(S);
   }
   if (!ClientsClosing && S.Now - StopStartedAt >= ClientCloseDelay) {
     ClientsClosing = true;
--- a/src/sidecar/Sidecar.h
+++ b/src/sidecar/Sidecar.h
@@ -162,7 +162,7 @@
   void acknowledgeReport(Step &S, ReportId Report, ReportVerdict Verdict,
                          const std::string &Instance);
   void announce(Step &S);
-  void sendAnnouncement(Step &S);
+  void appendNext(Step &S);
   Announcement describeSelf() const;
   void updateHostCounts();
   void configureGate();
--- a/src/sidecar/SidecarTopics.cpp
+++ b/src/sidecar/SidecarTopics.cpp
@@ -424,19 +424,6 @@
         SendPeer{Body.Host, Probe{PeerRef{Body.Host, Body.Order.Inc}}});
 }
 
-/// Returns whether an announcement is the first one that names a server of the
-/// own service: the daemon has started, or its server has come back. Reports
-/// that were sent before did not go there.
-bool Sidecar::joinsOwnService(const Announcement *Before,
-                              const Announcement &Body) const {
-  bool Serves = Body.State != InstanceState::Absent &&
-                Body.Service == Gate.server().service();
-  bool Served = Before && Before->State != InstanceState::Absent &&
-                Before->Service == Body.Service &&
-                Before->Order.Inc == Body.Order.Inc;
-  return Serves && !Served;
-}
-
 void Sidecar::applyRecord(Step &S, const RecordOrigin &, HostRemoved &Body) {
   if (Body.Host == Settings.Host)
     return announce(S);
@@ -460,19 +447,6 @@
   Versions.apply(AtRollouts, Body);
 }
 
-void Sidecar::applyRecord(Step &S, const RecordOrigin &Origin,
-                          BlockedRequest &Body) {
-  Decision Line{LogLevel::Info,
-                Body.Active ? "request-blocked" : "request-unblocked",
-                {}};
-  Line.Fields = {{"fingerprint", std::to_string(Body.Fingerprint)},
-                 {"service", Body.Service},
-                 {"key", Body.Key},
-                 {"from", Origin.From}};
-  S.Out.emplace_back(std::move(Line));
-  Gate.blockedRequests().apply(S.Now, Body);
-}
-
 void Sidecar::updateHostCounts() {
   const std::string &Service = Gate.server().service();
   Gate.blockedRequests().setTurn(Service,
