--- a/src/sidecar/QuotaCoordinator.cpp
+++ b/src/sidecar/QuotaCoordinator.cpp
@@ -386,15 +386,24 @@
           SendPeer{Host, QuotaReply{{grant(Step, Current, Host)}}});
 }
 
-/// Logs that a workspace has become limited, or no longer is.
-static void logState(QuotaStep &Step, const std::string &Name, bool Limited,
-                     double Balance, std::size_t Hosts) {
-  Decision Line{Limited ? LogLevel::Warning : LogLevel::Info,
-                Limited ? "quota-limited" : "quota-open",
+/// Logs that a workspace has become limited, or no longer is, and how much of
+/// its quota is given out.
+void QuotaCoordinator::logState(QuotaStep &Step, const Pool &Current) {
+  auto Unreachable =
+      std::ranges::count_if(Current.Awaited, [&](const HostId &Host) {
+        return Step.Peers.isSuspected(Host);
+      });
+  Decision Line{Current.Limited ? LogLevel::Warning : LogLevel::Info,
+                Current.Limited ? "quota-limited" : "quota-open",
                 {}};
-  Line.Fields = {{"workspace", Name},
-                 {"balance", std::to_string(Balance)},
-                 {"hosts", std::to_string(Hosts)}};
+  Line.Fields = {{"workspace", Current.Of->Name},
+                 {"balance", std::to_string(Current.Balance)},
+                 {"hosts", std::to_string(Current.Shares.size())},
+                 {"rate", std::to_string(Current.Of->RatePerSecond)},
+                 {"given_out", std::to_string(Current.Budget)},
+                 {"taken_over", Current.Taken ? "yes" : "no"},
+                 {"awaited", std::to_string(Current.Awaited.size())},
+                 {"unreachable", std::to_string(Unreachable)}};
   Step.Out.emplace_back(std::move(Line));
 }
 
@@ -412,8 +421,7 @@
     bool Before = Current.Limited;
     updateState(Step.Now, Current);
     if (Current.Limited != Before)
-      logState(Step, Of->Name, Current.Limited, Current.Balance,
-               Current.Shares.size());
+      logState(Step, Current);
     if (Current.Limited && !Before)
       limitAll(Step, Current, From.Host);
     if (Current.Limited != Before)
--- a/src/sidecar/QuotaCoordinator.h
+++ b/src/sidecar/QuotaCoordinator.h
@@ -96,6 +96,7 @@
                const Share &Held, double AllDemand) const;
   QuotaGrant grant(QuotaStep &Step, Pool &Current, const HostId &To);
   void limitAll(QuotaStep &Step, Pool &Current, const HostId &But);
+  static void logState(QuotaStep &Step, const Pool &Current);
   static void noticeOthers(QuotaStep &Step, Pool &Current);
   static void queryAwaited(QuotaStep &Step, const std::string &Name,
                            const Pool &Current);
--- a/src/sidecar/TopicFollower.cpp
+++ b/src/sidecar/TopicFollower.cpp
@@ -2,6 +2,8 @@
 
 #include "TopicFollower.h"
 
+#include "DecisionText.h"
+
 #include <algorithm>
 #include <utility>
 
@@ -46,6 +48,7 @@
 
 void TopicFollower::read(TimePoint Now, Offset Next, SidecarEffects &Out) {
   Reading = true;
+  StartedAt = Now;
   ReadAt = TimePoint::max();
   OverdueAt = Now + AnswerTime;
   if (NeedsSnapshot) {
@@ -69,12 +72,14 @@
   OverdueAt = TimePoint::max();
 }
 
-void TopicFollower::noteSuccess(Offset Next, SidecarEffects &Out) {
+void TopicFollower::noteSuccess(TimePoint Now, Offset Next,
+                                SidecarEffects &Out) {
   endRead();
   if (!StoreReached) {
     Decision Line{LogLevel::Info, "store-reached", {}};
     Line.Fields = {{"topic", std::string(topicName(Which))},
                    {"failures", std::to_string(Failures)},
+                   {"answer_ms", millisText(Now - StartedAt)},
                    {"next", std::to_string(Next)}};
     Out.emplace_back(std::move(Line));
   }
@@ -85,7 +90,7 @@
 }
 
 void TopicFollower::pageDone(TimePoint Now, Offset Next, SidecarEffects &Out) {
-  noteSuccess(Next, Out);
+  noteSuccess(Now, Next, Out);
   NeedsSnapshot = Which == Topic::Operator;
   if (!Active)
     return;
@@ -95,7 +100,7 @@
 
 void TopicFollower::readDone(TimePoint Now, Offset Next, bool Records,
                              SidecarEffects &Out) {
-  noteSuccess(Next, Out);
+  noteSuccess(Now, Next, Out);
   bool First = !std::exchange(Complete, true);
   ReadSinceActive = true;
   if (!Active)
@@ -144,6 +149,7 @@
                   {}};
     Line.Fields = {{"topic", std::string(topicName(Which))},
                    {"reason", Failure.Reason},
+                   {"after_ms", millisText(Now - StartedAt)},
                    {"bytes", std::to_string(Failure.Bytes)}};
     Out.emplace_back(std::move(Line));
   }
--- a/src/sidecar/TopicFollower.h
+++ b/src/sidecar/TopicFollower.h
@@ -65,11 +65,12 @@
 private:
   void read(TimePoint Now, Offset Next, SidecarEffects &Out);
   void endRead();
-  void noteSuccess(Offset Next, SidecarEffects &Out);
+  void noteSuccess(TimePoint Now, Offset Next, SidecarEffects &Out);
 
   Topic Which;
   bool Active = true;
   bool Reading = false;
+  TimePoint StartedAt{};    ///< Of the last read.
   bool ReadIsStale = false; ///< The read in flight began in another history.
   bool Complete = false;
   bool NeedsSnapshot = true;
