--- a/tests/QuotaCluster.h
+++ b/tests/QuotaCluster.h
@@ -56,6 +56,12 @@
     Hosts[At]->Quota.setHostCount(Hosts.size());
   }
 
+  /// All messages under way are lost, as when all hosts lose power.
+  void dropMessages() {
+    Packets.clear();
+    Losses.clear();
+  }
+
   /// Sends requests of one workspace for some time, PerSecond in total, to the
   /// hosts from First to First + Count - 1.
   void load(const std::string &Name, double PerSecond, std::size_t First,
@@ -217,13 +223,21 @@
       QuotaStep Step = stepOf(At, Out);
       At.Coordinator.timer(Step);
       send(I, Out);
-      // Probes of unreachable hosts.
-      if (!Cut)
-        for (const auto &Other : Hosts)
-          At.Peers.remove(Other->Name);
     }
+    if (Now.time_since_epoch() % ProbeInterval == Duration(0))
+      probe();
   }
 
+  /// Unreachable hosts are reachable again once their links work.
+  void probe() {
+    for (std::size_t I = 0; I < Hosts.size(); ++I)
+      for (std::size_t Other = 0; Other < Hosts.size(); ++Other)
+        if (!Cut || !Cut(I, Other))
+          Hosts[I]->Peers.remove(Hosts[Other]->Name);
+  }
+
+  static constexpr Duration ProbeInterval{std::chrono::milliseconds(100)};
+
   std::mt19937_64 Random;
   InstanceDirectory Directory;
   std::map<HostId, std::size_t> Index;
