--- a/src/sidecar/PeerHealth.cpp
+++ b/src/sidecar/PeerHealth.cpp
@@ -19,12 +19,18 @@
   auto [Found, Inserted] = Suspects.try_emplace(Host);
   if (!Inserted)
     return;
+  Found->second.Since = Now;
   Found->second.ProbeAt = Now + InitialProbeInterval;
   Decision Line{LogLevel::Warning, "peer-lost", {}};
   Line.Fields = {{"peer", Host}};
   Out.emplace_back(std::move(Line));
 }
 
+Duration PeerHealth::suspectedFor(TimePoint Now, const HostId &Host) const {
+  auto Found = Suspects.find(Host);
+  return Found == Suspects.end() ? Duration(0) : Now - Found->second.Since;
+}
+
 void PeerHealth::markReachable(const HostId &Host, SidecarEffects &Out) {
   auto Found = Suspects.find(Host);
   if (Found == Suspects.end())
--- a/src/sidecar/PeerHealth.h
+++ b/src/sidecar/PeerHealth.h
@@ -23,6 +23,9 @@
   void remove(const HostId &Host) { Suspects.erase(Host); }
 
   bool isSuspected(const HostId &Host) const { return Suspects.contains(Host); }
+  /// Returns how long a host has been suspected without interruption; 0 for one
+  /// that is not.
+  Duration suspectedFor(TimePoint Now, const HostId &Host) const;
 
   /// Sends the probes that are due.
   void timer(TimePoint Now, SidecarEffects &Out);
@@ -30,6 +33,7 @@
 
 private:
   struct Suspect {
+    TimePoint Since;
     TimePoint ProbeAt;
     unsigned Probes = 0;
   };
--- a/src/sidecar/QuotaCoordinator.cpp
+++ b/src/sidecar/QuotaCoordinator.cpp
@@ -2,10 +2,13 @@
 
 #include "QuotaCoordinator.h"
 
+#include "WorkspaceQuota.h"
+
 #include "figsail/Epoch.h"
 
 #include <algorithm>
 #include <cmath>
+#include <optional>
 #include <utility>
 #include <vector>
 
@@ -20,8 +23,17 @@
 static constexpr Duration QueryInterval = 1s;
 /// Time that a new coordinator waits for the reports of all hosts.
 static constexpr Duration LearningTime = 5s;
+/// Time after which an unreachable side of a partition keeps to its equal part:
+/// a coordinator that took over there, and each ingress without one.
+static constexpr Duration EqualPartTime = QuotaShareLifetime;
+/// Time after which this side counts on that. The two sides do not find out at
+/// the same moment.
+static constexpr Duration UnreachableTime = EqualPartTime + 2s;
 /// Time until hosts have replied to the first query.
 static constexpr Duration QueryTime = 300ms;
+/// Time in which a host that the first query cannot reach is found out. One
+/// that is lost later was asked for its share.
+static constexpr Duration QueryFailureTime = 2s;
 /// Hosts of a system in which a coordinator asks all for their shares and tells
 /// all that a workspace is limited. In a larger one it tells those with shares.
 static constexpr std::size_t MaxNoticedHosts = 256;
@@ -93,35 +105,62 @@
   return Quota * Bounds.QuotaOverage + Bounds.QuotaSlack;
 }
 
+/// Returns what hosts that have not reported, or are unreachable, hold in
+/// addition to what is reserved for them, if each holds an equal part.
+double QuotaCoordinator::missing(const QuotaStep &Step, const Pool &Current,
+                                 bool Learning) {
+  double Missing = 0;
+  double Part = Current.Of->RatePerSecond /
+                static_cast<double>(Step.Directory.all().size());
+  for (const auto &[Host, Announced] : Step.Directory.all()) {
+    bool Unheard = Learning && Current.Awaited.contains(Host);
+    if (!Unheard && !Step.Peers.isSuspected(Host))
+      continue;
+    auto Found = Current.Shares.find(Host);
+    double Held = Found == Current.Shares.end() ? 0 : Found->second.Reserved;
+    Missing += std::max(0.0, Part - Held);
+  }
+  return Missing;
+}
+
 /// Returns the rate that this coordinator may give out, with the charges of
 /// silent ingresses. It is less than the quota while other hosts may hold
-/// shares that it does not know. If another coordinator has given out shares,
-/// it is what ingresses have brought along. Otherwise it lacks an equal part
-/// for each host that has not reported or is unreachable, since these may have
-/// a coordinator of their own.
+/// shares that it does not know: it lacks an equal part for each host that has
+/// not reported or is unreachable, since these may have a coordinator of their
+/// own. If another coordinator has given out shares, they may hold more for
+/// some time, and the rate is what ingresses have brought along or hold.
 double QuotaCoordinator::budget(const QuotaStep &Step,
                                 const Pool &Current) const {
   double Rate = Current.Of->RatePerSecond;
   Duration Age = Step.Now - Current.Since;
-  auto IsSuspected = [&](const HostId &Host) {
-    return Step.Peers.isSuspected(Host);
-  };
-  bool Learning = !Current.Awaited.empty() && Age < LearningTime;
-  if (Current.Taken &&
-      (Learning || std::ranges::any_of(Current.Awaited, IsSuspected)))
-    return std::min(Rate, Current.Acquired);
-  if (Learning && Age < QueryTime)
-    return Rate;
-  double Missing = 0;
-  double Part = Rate / static_cast<double>(Step.Directory.all().size());
-  for (const auto &[Host, Announced] : Step.Directory.all()) {
-    if (!IsSuspected(Host) && !(Learning && Current.Awaited.contains(Host)))
+  bool AnyReachable = false;
+  std::optional<Duration> Unreachable; // Shortest time of those never asked.
+  for (const HostId &Host : Current.Awaited) {
+    if (!Step.Peers.isSuspected(Host)) {
+      AnyReachable = true;
       continue;
-    auto Found = Current.Shares.find(Host);
-    double Held = Found == Current.Shares.end() ? 0 : Found->second.Reserved;
-    Missing += std::max(0.0, Part - Held);
+    }
+    Duration Time = Step.Peers.suspectedFor(Step.Now, Host);
+    bool WasAsked = Age > Time + QueryFailureTime;
+    if (WasAsked)
+      continue;
+    Unreachable = std::min(Unreachable.value_or(Time), Time);
   }
-  return std::max(0.0, Rate - Missing);
+  bool Learning = AnyReachable && Age < LearningTime;
+  if (!Current.Taken && Learning && Age < QueryTime)
+    return Rate;
+  double Equal = std::max(0.0, Rate - missing(Step, Current, Learning));
+  if (!Current.Taken)
+    return Equal;
+  double Reserved = 0;
+  for (const auto &[Host, Held] : Current.Shares)
+    Reserved += Held.Reserved;
+  double Brought = std::min(Rate, std::max(Current.Acquired, Reserved));
+  if (Learning || Unreachable.value_or(UnreachableTime) < EqualPartTime)
+    return Brought;
+  return Unreachable.value_or(UnreachableTime) < UnreachableTime
+             ? std::min(Brought, Equal)
+             : Equal;
 }
 
 /// Returns the largest balance.
--- a/src/sidecar/QuotaCoordinator.h
+++ b/src/sidecar/QuotaCoordinator.h
@@ -33,7 +33,13 @@
 ///
 /// What an unheard ingress holds stays reserved. A coordinator that does not
 /// know the workspace gives out only what ingresses report to it, until all
-/// hosts have reported, or 5 s have passed and no host is unreachable.
+/// reachable hosts have reported or 5 s have passed, and no host has become
+/// unreachable within 5 s. A host that has been unreachable for longer counts
+/// as holding an equal part.
+///
+/// Load pattern: all hosts lose power and return, but for some that are gone.
+/// While they find out which ones, they choose another coordinator, which is
+/// told of hardly any shares and never hears of the hosts that are gone.
 class QuotaCoordinator {
 public:
   explicit QuotaCoordinator(const SidecarBounds &Bounds) : Bounds(Bounds) {}
@@ -86,6 +92,8 @@
              const QuotaUsage &Usage);
   void refill(const QuotaStep &Step, Pool &Current) const;
   double budget(const QuotaStep &Step, const Pool &Current) const;
+  static double missing(const QuotaStep &Step, const Pool &Current,
+                        bool Learning);
   double headroom(const Pool &Current) const;
   double capacity(const Pool &Current) const;
   double correction(const Pool &Current) const;
--- a/src/sidecar/WorkspaceQuota.cpp
+++ b/src/sidecar/WorkspaceQuota.cpp
@@ -119,7 +119,12 @@
 double WorkspaceQuota::currentRate(TimePoint Now, const Entry &Current) const {
   if (Current.Sequence == 0)
     return slackRate();
-  return isHeard(Now, Current) ? Current.Rate : Current.Share;
+  if (isHeard(Now, Current))
+    return Current.Rate;
+  if (Now - Current.UnansweredSince < QuotaShareLifetime)
+    return Current.Share;
+  double EqualPart = Current.LimitRate / static_cast<double>(HostCount);
+  return std::min(Current.Share, EqualPart);
 }
 
 void WorkspaceQuota::updateTokens(TimePoint Now, Entry &Current) const {
--- a/src/sidecar/WorkspaceQuota.h
+++ b/src/sidecar/WorkspaceQuota.h
@@ -16,6 +16,10 @@
 
 namespace figsail {
 
+/// Time for which an ingress keeps its share without a coordinator. After it,
+/// it keeps to an equal part, since others may count on that.
+inline constexpr Duration QuotaShareLifetime = std::chrono::seconds(3);
+
 /// Returns the quota coordinator of a workspace: the first host in the order of
 /// the hashes of workspace and host that is neither suspected nor in Silent.
 /// Self is never suspected.
@@ -30,8 +34,9 @@
 /// A request is admitted from the local share, or beyond it up to the granted
 /// number of requests that the coordinator has not counted; that number is 0
 /// once the workspace has used its quota. Without a reply for 0.5 s, requests
-/// are admitted only from the local share. An ingress without a share that
-/// hears no coordinator admits its fraction of the slack.
+/// are admitted only from the local share, and after QuotaShareLifetime from an
+/// equal part of the quota at most. An ingress without a share that hears no
+/// coordinator admits its fraction of the slack.
 ///
 /// Load pattern: a workspace sends up to ten times its limit over all hosts
 /// from one moment to the next, while small workspaces send each request to
--- a/tests/QuotaRecoveryTest.cpp
+++ b/tests/QuotaRecoveryTest.cpp
@@ -106,6 +106,40 @@
   std::vector<bool> Down; ///< Includes those that are gone.
 };
 
+/// Hosts that serve one workspace, with its requests at some of them. Then its
+/// coordinator is lost, and these hosts are cut off from the others.
+class PartitionedFleet : public QuotaCluster {
+public:
+  explicit PartitionedFleet(std::uint64_t Seed)
+      : QuotaCluster(HostCount, Seed) {
+    limit("w", Rate, Rate);
+    load("w", Seed % 2 == 0 ? 200 : 600, 0, SmallSide);
+  }
+  void loseCoordinatorAndCut() {
+    run(5s);
+    std::size_t Lost = coordinator("w");
+    Frozen[Lost] = true;
+    Cut = [=](std::size_t From, std::size_t To) {
+      return From == Lost || To == Lost ||
+             (From < SmallSide) != (To < SmallSide);
+    };
+    run(1s);
+    load("w", 600, 0, HostCount);
+    run(15s);
+  }
+  /// Returns the fraction of the quota that is admitted in the next seconds.
+  double givenOut() {
+    TimePoint From = Now;
+    run(MeasuredTime);
+    return static_cast<double>(admitted("w", From, Now)) /
+           (Rate * std::chrono::duration<double>(MeasuredTime).count());
+  }
+
+private:
+  static constexpr std::size_t SmallSide = 26;
+  static constexpr double Rate = 264;
+};
+
 struct QuotaRecoveryTest : testing::TestWithParam<std::uint64_t> {};
 
 } // namespace
@@ -121,5 +155,25 @@
   EXPECT_LE(Fleet.largestExcess(), 0);
 }
 
+// Guards against a quota that is given out twice once hosts have been
+// unreachable for long: the smaller side of the partition holds almost all
+// shares.
+TEST_P(QuotaRecoveryTest, APartitionWithoutTheCoordinatorStaysWithinTheBound) {
+  PartitionedFleet Fleet(GetParam());
+  Fleet.load("w", 40, 0, HostCount);
+  Fleet.loseCoordinatorAndCut();
+  EXPECT_LE(Fleet.excess("w"), 0);
+  EXPECT_GE(Fleet.givenOut(), 0.9);
+  EXPECT_LE(Fleet.excess("w"), 0);
+}
+
+// Guards against the same where the larger side holds no share: its coordinator
+// does not learn that there was another one.
+TEST_P(QuotaRecoveryTest, APartitionWithAnIdleSideStaysWithinTheBound) {
+  PartitionedFleet Fleet(GetParam());
+  Fleet.loseCoordinatorAndCut();
+  EXPECT_LE(Fleet.excess("w"), 0);
+}
+
 INSTANTIATE_TEST_SUITE_P(Seeds, QuotaRecoveryTest,
                          testing::Range<std::uint64_t>(1, 41));
