--- a/tests/PacedCluster.h
+++ b/tests/PacedCluster.h
@@ -11,6 +11,7 @@
 #include "Sidecar.h"
 #include "SidecarTestSupport.h"
 #include "StoreClient.h"
+#include "VirtualTime.h"
 
 #include <algorithm>
 #include <array>
@@ -43,31 +44,6 @@
 inline constexpr Duration ServerRunTime = 20ms;
 inline constexpr std::size_t AnswerBodyBytes = 400;
 
-/// Agenda of a simulation. Actions of one time run in the order of their
-/// scheduling.
-class VirtualTime {
-public:
-  using Action = std::function<void()>;
-
-  TimePoint now() const { return Now; }
-  void schedule(Duration After, Action What) {
-    Agenda.emplace(Now + After, std::move(What));
-  }
-  void run(Duration Time) {
-    TimePoint End = Now + Time;
-    while (!Agenda.empty() && Agenda.begin()->first <= End) {
-      auto Next = Agenda.extract(Agenda.begin());
-      Now = Next.key();
-      Next.mapped()();
-    }
-    Now = End;
-  }
-
-private:
-  TimePoint Now = TestStart;
-  std::multimap<TimePoint, Action> Agenda;
-};
-
 /// One direction of a host's network interface. Its flows, one for each other
 /// side, take turns; the segments of one flow stay in order.
 class PacedPort {
