Fix: no daemon that started became ready beside a slow store (RECOVER)

Cause: a fixed timeout on the only way to become ready. Each read was given up after 1.5 s, so with slower answers none ever ended, and each new try added to the store's load. The same timeout bound announcements, which were repeated although the store had taken them, and the status of rollouts.

Change: the class, not the constant. A read without an answer in time is tried again as before, for a store that comes back, and a hedged read with a long timeout is sent beside it, for one that is slow; the first answer counts and ends the other. A hedged read may also take longer to connect. An answer that took longer than the usual timeout does not count as a confirmation that there is no newer configuration.

Ruled out: a longer fixed timeout (the store's return would be noticed that much later), and doubling the timeout of each try (1.5 + 3 + 6 s are lost before answers of 10 s can arrive).

A restarted process beside a store of 4 s is ready within the 15 s of the bound.

--- a/src/shell/HttpExchange.cpp
+++ b/src/shell/HttpExchange.cpp
@@ -20,13 +20,14 @@
 /// Limit on interim responses before the response to a request.
 static constexpr unsigned MaxInterimResponses = 16;
 
-/// Time limit for opening a connection. Shorter than that of an exchange, which
-/// may be a long poll: a connection attempt into a partition hangs, and the
-/// kernel resends it only after seconds.
+/// Default time limit for opening a connection. Shorter than that of an
+/// exchange, which may be a long poll: a connection attempt into a partition
+/// hangs, and the kernel resends it only after seconds.
 static constexpr std::chrono::milliseconds ConnectTimeout{1000};
 
 HttpExchange::HttpExchange(asio::io_context &Context, std::string Address)
-    : Address(std::move(Address)), Stream(Context) {}
+    : Address(std::move(Address)), Stream(Context),
+      ConnectTime(ConnectTimeout) {}
 
 void HttpExchange::start(Request Next, Duration RequestTimeout,
                          Callback WhenDone) {
@@ -41,7 +42,7 @@
   if (Stream.socket().is_open() && hasNothingToRead(Stream.socket()))
     return write();
   closeConnection();
-  Stream.expires_after(std::min<Duration>(ConnectTimeout, Timeout));
+  Stream.expires_after(std::min(ConnectTime, Timeout));
   auto Endpoint = parseEndpoint(Address);
   if (!Endpoint) {
     asio::post(Stream.get_executor(),
--- a/src/shell/HttpExchange.h
+++ b/src/shell/HttpExchange.h
@@ -37,6 +37,11 @@
   /// MaxPause. A large response over a full link is then received once, and not
   /// given up and requested again.
   void allowTransfer(Duration MaxPause, Duration MaxTime);
+  /// Lets opening a connection take as long as Time. By default it is short,
+  /// since an attempt into a partition hangs.
+  void allowConnect(Duration Time) { ConnectTime = Time; }
+  /// Returns whether an exchange is in flight.
+  bool inFlight() const { return Done != nullptr; }
   /// Returns the bytes of the response to the present or last request that have
   /// arrived.
   std::uint64_t receivedBytes() const { return Received; }
@@ -69,6 +74,7 @@
   std::uint64_t Received = 0;    ///< Bytes of the response.
   unsigned InterimResponses = 0; ///< Before the response to this request.
   Duration Timeout{0};           ///< Excludes the connection attempt.
+  Duration ConnectTime;          ///< For the connection attempt.
   Duration MaxPause{0}; ///< Within a response; 0: only the timeout applies.
   Duration MaxTransfer{0};
   std::chrono::steady_clock::time_point TransferEnd;
--- a/src/shell/SidecarDaemon.cpp
+++ b/src/shell/SidecarDaemon.cpp
@@ -389,7 +389,7 @@
 
 void SidecarDaemon::perform(ReadTopicSnapshot &Action) {
   ProcessMetrics.countStoreCall(StoreCall::Snapshot);
-  Platform.Store->readSnapshot(Action.Which);
+  Platform.Store->readSnapshot(Action);
 }
 
 void SidecarDaemon::perform(ReadTopic &Action) {
@@ -397,6 +397,14 @@
   Platform.Store->read(Action);
 }
 
+void SidecarDaemon::perform(AbandonReads &Action) {
+  Platform.Store->abandonReads(Action.Which);
+}
+
+void SidecarDaemon::perform(SetStoreTimeout &Action) {
+  Platform.Store->setTimeout(Action.Timeout);
+}
+
 void SidecarDaemon::perform(Announce &Action) {
   ProcessMetrics.countStoreCall(StoreCall::Append);
   Platform.Store->append(Action.Content);
--- a/src/shell/SidecarDaemon.h
+++ b/src/shell/SidecarDaemon.h
@@ -88,6 +88,8 @@
   void perform(AnswerReport &Action);
   void perform(ReadTopicSnapshot &Action);
   void perform(ReadTopic &Action);
+  void perform(AbandonReads &Action);
+  void perform(SetStoreTimeout &Action);
   void perform(Announce &Action);
   void perform(RemoveHost &Action);
   void perform(SetClientLimits &Action);
--- a/src/shell/SidecarPlatform.h
+++ b/src/shell/SidecarPlatform.h
@@ -67,14 +67,19 @@
   virtual void storeEvent(SidecarEventBody Event) = 0;
 };
 
-/// Client of the platform's store. At most one read of a topic and one append
-/// are in flight at any time. Each ends with one event.
+/// Client of the platform's store. At most one read of a topic, one hedged read
+/// of it and one append are in flight at any time. Each ends with one event,
+/// unless it is abandoned.
 class TopicStore {
 public:
   virtual ~TopicStore() = default;
-  virtual void readSnapshot(Topic Which) = 0;
+  virtual void readSnapshot(const ReadTopicSnapshot &Wanted) = 0;
   virtual void read(const ReadTopic &Range) = 0;
   virtual void append(const Announcement &Content) = 0;
+  /// Gives up the reads of a topic that are in flight.
+  virtual void abandonReads(Topic Which) = 0;
+  /// Sets the timeout of the next calls, except hedged reads.
+  virtual void setTimeout(Duration Timeout) = 0;
   /// Removes the announcement of a host. Counts as an append.
   virtual void removeHost(const HostId &Host) = 0;
   /// Appends the share record of a rollout. Counts as an append.
--- a/src/sidecar/Sidecar.cpp
+++ b/src/sidecar/Sidecar.cpp
@@ -52,6 +52,7 @@
   forgetResetLinks(Out);
   notifySubscribers(S);
   reportStoreFailing(S);
+  updateStoreTimeout(S);
   reportLoad(S);
   reportSuspects(S);
   Router.setServerRuns(S.Now, Gate.runs());
--- a/src/sidecar/Sidecar.h
+++ b/src/sidecar/Sidecar.h
@@ -142,6 +142,7 @@
   bool isStoreFailing() const;
   bool isAnyReadFailing() const;
   void reportStoreFailing(Step &S);
+  void updateStoreTimeout(Step &S);
   void linkLost(const HostId &Host);
   void forgetResetLinks(const SidecarEffects &Out);
   bool isFromEndedHistory(Step &S, StoreHistory AnswerHistory);
@@ -194,6 +195,7 @@
   TopicReceiver Receiver;
   ValueBases Bases; ///< Large values of applied and received records.
   bool StoreFailingTold = false; ///< What the subscribers were told last.
+  Duration StoreTimeout = MinStoreTimeout; ///< As the shell was told.
   ConfigBacklog Backlog;
   std::array<std::vector<KeyedRecord>, TopicCount>
       NewRecords; ///< Applied in this event, by topic.
--- a/src/sidecar/SidecarEvents.h
+++ b/src/sidecar/SidecarEvents.h
@@ -136,6 +136,7 @@
   std::vector<KeyedRecord> Records;
   Offset Next = 0; ///< Continue reading here; earlier records are included.
   StoreHistory History = 0;
+  bool Hedged = false; ///< Result of the hedged read.
 };
 
 /// Records of a topic were read; the list may be empty.
@@ -145,6 +146,7 @@
   Offset Next = 0;
   StoreHistory History = 0;
   Offset End = 0; ///< Of the topic. Beyond Next, there are more records.
+  bool Hedged = false;
 };
 
 /// The requested records of a topic do not exist: they are no longer kept, or
@@ -153,6 +155,7 @@
   Topic Which = Topic::Operator;
   Offset First = 0; ///< First record that is kept.
   StoreHistory History = 0;
+  bool Hedged = false;
 };
 
 /// A read of a topic failed.
@@ -161,6 +164,7 @@
   std::string Reason;
   StoreHistory History = 0; ///< 0: the store did not answer.
   std::uint64_t Bytes = 0;  ///< Of the answer that had arrived by then.
+  bool Hedged = false;
 };
 
 /// An append of Announce or RemoveHost ended. After a failure it is not known
@@ -236,6 +240,9 @@
 /// Read the newest record of each key of a topic.
 struct ReadTopicSnapshot {
   Topic Which = Topic::Operator;
+  /// Above 0: a hedged read. It is sent beside the other one, on a connection
+  /// of its own, and each of its calls has this timeout.
+  Duration HedgeTimeout{0};
 };
 
 /// Read records of a topic from an offset on. Without any, the store waits up
@@ -244,6 +251,17 @@
   Topic Which = Topic::Operator;
   Offset From = 0;
   Duration Wait{0};
+  Duration HedgeTimeout{0}; ///< See ReadTopicSnapshot.
+};
+
+/// Give up the reads of a topic that are in flight. No event follows.
+struct AbandonReads {
+  Topic Which = Topic::Operator;
+};
+
+/// Set the timeout of the next calls to the store, except hedged reads.
+struct SetStoreTimeout {
+  Duration Timeout{0};
 };
 
 /// Append the announcement of this host.
@@ -305,13 +323,12 @@
   std::vector<std::pair<std::string_view, std::string>> Fields;
 };
 
-using SidecarEffect =
-    std::variant<ReplyCaller, SendPeer, ResetPeer, StartRun, CancelRun,
-                 ProbeServer, AnswerReport, ReadTopicSnapshot, ReadTopic,
-                 Announce, RemoveHost, SetClientLimits, SetReadiness,
-                 CloseClients, Decision, Count, CountRefusal, CountTopicRecords,
-                 ExitProcess, AppendRolloutShare, ReadRolloutStatus,
-                 WriteRolloutStatus, AppendBlockedRequest>;
+using SidecarEffect = std::variant<
+    ReplyCaller, SendPeer, ResetPeer, StartRun, CancelRun, ProbeServer,
+    AnswerReport, ReadTopicSnapshot, ReadTopic, Announce, RemoveHost,
+    SetClientLimits, SetReadiness, CloseClients, Decision, Count, CountRefusal,
+    CountTopicRecords, ExitProcess, AppendRolloutShare, ReadRolloutStatus,
+    WriteRolloutStatus, AppendBlockedRequest, AbandonReads, SetStoreTimeout>;
 using SidecarEffects = std::vector<SidecarEffect>;
 
 } // namespace figsail
--- a/src/sidecar/SidecarTopics.cpp
+++ b/src/sidecar/SidecarTopics.cpp
@@ -56,6 +56,7 @@
 
 void Sidecar::on(Step &S, TopicSnapshot &Body) {
   TopicState &State = topicState(Body.Which);
+  State.Follower.answered(S.Now, Body.Hedged, S.Out);
   if (isFromEndedHistory(S, Body.History)) {
     State.Follower.restart(S.Now);
     State.Follower.discardStaleRead(S.Now, S.Out);
@@ -69,6 +70,7 @@
 
 void Sidecar::on(Step &S, TopicRecords &Body) {
   TopicState &State = topicState(Body.Which);
+  State.Follower.answered(S.Now, Body.Hedged, S.Out);
   isFromEndedHistory(S, Body.History);
   if (State.Follower.discardStaleRead(S.Now, S.Out))
     return;
@@ -84,6 +86,7 @@
 
 void Sidecar::on(Step &S, TopicTruncated &Body) {
   TopicState &State = topicState(Body.Which);
+  State.Follower.answered(S.Now, Body.Hedged, S.Out);
   isFromEndedHistory(S, Body.History);
   if (State.Follower.discardStaleRead(S.Now, S.Out))
     return;
@@ -102,6 +105,17 @@
   topicState(Body.Which).Follower.readFailed(S.Now, S.Seed, Body, S.Out);
 }
 
+/// Adapts the timeout of the next calls to the time that answers take.
+void Sidecar::updateStoreTimeout(Step &S) {
+  Duration Longest{0};
+  for (const TopicState &State : Topics)
+    Longest = std::max(Longest, State.Follower.answerTime());
+  Duration Next = storeTimeout(Longest);
+  if (std::exchange(StoreTimeout, Next) == Next)
+    return;
+  S.Out.emplace_back(SetStoreTimeout{Next});
+}
+
 /// Counts the records that were received and those of them that changed
 /// nothing. Records are those that the image has applied.
 static void countRecords(const RecordSource &Source,
--- a/src/sidecar/TopicFollower.cpp
+++ b/src/sidecar/TopicFollower.cpp
@@ -19,7 +19,7 @@
 /// Time in which the store answers, also in another region, beyond the time
 /// that it was asked to wait. After it the read is overdue: another daemon
 /// should try, since this one may be cut off.
-static constexpr Duration AnswerTime = 400ms;
+static constexpr Duration OverdueTime = 400ms;
 /// Pause after a read that returned announcements. They come in bursts, and
 /// each read has a cost.
 static constexpr Duration MembersReadPause = 500ms;
@@ -50,7 +50,8 @@
   Reading = true;
   StartedAt = Now;
   ReadAt = TimePoint::max();
-  OverdueAt = Now + AnswerTime;
+  OverdueAt = Now + OverdueTime;
+  Held = Duration(0);
   if (NeedsSnapshot) {
     Out.emplace_back(ReadTopicSnapshot{Which});
     return;
@@ -62,10 +63,43 @@
   bool First = !StoreReached || !ReadSinceActive;
   if (First)
     Wait = Duration(0);
+  Held = Wait;
   OverdueAt += Wait;
   Out.emplace_back(ReadTopic{Which, Next, Wait});
 }
 
+/// Starts a hedged read. It is not held, so that it shows what the store has.
+void TopicFollower::hedge(TimePoint Now, Offset Next, SidecarEffects &Out) {
+  Hedging = true;
+  HedgeAt = TimePoint::max();
+  HedgedAt = Now;
+  if (NeedsSnapshot)
+    Out.emplace_back(ReadTopicSnapshot{Which, HedgeTimeout});
+  else
+    Out.emplace_back(ReadTopic{Which, Next, Duration(0), HedgeTimeout});
+}
+
+void TopicFollower::answered(TimePoint Now, bool Hedged, SidecarEffects &Out) {
+  bool InFlight = Hedged ? Hedging : Reading;
+  bool OtherInFlight = Hedged ? Reading : Hedging;
+  if (Hedged) {
+    StartedAt = HedgedAt;
+    Held = Duration(0);
+  }
+  // The store may have answered a held read at any time before its end.
+  Duration Elapsed = Now - StartedAt;
+  if (InFlight)
+    AnswerTime =
+        std::clamp(AnswerTime, std::max(Elapsed - Held, Duration(0)), Elapsed);
+  Hedging = false;
+  HedgeAt = TimePoint::max();
+  HedgeTimeout = MinHedgeTimeout;
+  if (!OtherInFlight)
+    return;
+  endRead();
+  Out.emplace_back(AbandonReads{Which});
+}
+
 void TopicFollower::endRead() {
   Reading = false;
   Overdue = false;
@@ -123,7 +157,7 @@
 
 void TopicFollower::restart(TimePoint Now) {
   NeedsSnapshot = true;
-  ReadIsStale = Reading;
+  ReadIsStale = Reading || Hedging;
   if (Active && !Reading)
     ReadAt = Now;
 }
@@ -138,11 +172,26 @@
   return true;
 }
 
+/// A store that gave no answer gets more time; one that refused the read
+/// doesn't.
+void TopicFollower::hedgeFailed(TimePoint Now) {
+  Hedging = false;
+  if (Now - HedgedAt >= HedgeTimeout)
+    HedgeTimeout = std::min(2 * HedgeTimeout, MaxHedgeTimeout);
+  // The next read was left to the hedged one.
+  if (Active && !Reading && ReadAt == TimePoint::max())
+    ReadAt = Now;
+}
+
 void TopicFollower::readFailed(TimePoint Now, std::uint64_t Seed,
                                const TopicReadFailed &Failure,
                                SidecarEffects &Out) {
+  if (Failure.Hedged)
+    return hedgeFailed(Now);
+  bool NoAnswer = Reading && Now - StartedAt >= MinStoreTimeout;
   endRead();
-  ReadIsStale = false;
+  if (std::exchange(ReadIsStale, false) && std::exchange(Hedging, false))
+    Out.emplace_back(AbandonReads{Which});
   if (Failures == 0 || Failure.Bytes > 0) {
     Decision Line{LogLevel::Warning,
                   Failures == 0 ? "store-lost" : "store-read-abandoned",
@@ -157,6 +206,13 @@
   if (Active)
     ReadAt = Now + retryBackoff(Failures, Seed);
   ++Failures;
+  if (!Active || !(NoAnswer || Hedging))
+    return;
+  if (!Hedging)
+    HedgeAt = Now;
+  // Two copies of a large answer would fill the link that was too slow for one.
+  if (Failure.Bytes > 0)
+    ReadAt = TimePoint::max();
 }
 
 void TopicFollower::timer(TimePoint Now, Offset Next, SidecarEffects &Out) {
@@ -168,12 +224,15 @@
   }
   if (Active && !Reading && Now >= ReadAt)
     read(Now, Next, Out);
+  if (Now >= HedgeAt)
+    hedge(Now, Next, Out);
 }
 
 void TopicFollower::setActive(TimePoint Now, bool Wanted) {
   if (Wanted == Active)
     return;
   Active = Wanted;
+  HedgeAt = TimePoint::max();
   ReadSinceActive = false;
   if (!Active)
     ReadAt = TimePoint::max();
--- a/src/sidecar/TopicFollower.h
+++ b/src/sidecar/TopicFollower.h
@@ -4,6 +4,7 @@
 #define FIGSAIL_SIDECAR_TOPICFOLLOWER_H
 
 #include "SidecarEvents.h"
+#include "StoreTimeouts.h"
 
 #include <algorithm>
 #include <string>
@@ -13,10 +14,23 @@
 /// Reader of one topic. It first reads the newest record of each key, then the
 /// records that are appended. While it is active, one read is in flight at any
 /// time, except in a pause after a read.
+///
+/// A read that gets no answer before its timeout is tried again, and a hedged
+/// read is sent beside it: the store may be away, then a new read succeeds
+/// first, or slow, then the hedged read does. The first answer counts and ends
+/// the other read. The timeout of the next reads follows from the time that the
+/// answer took.
+///
+/// Load pattern: all daemons start while the store takes longer for an answer
+/// than the timeout. If each of them gave up each read, none would ever become
+/// ready, and the reads that were given up would still load the store.
 class TopicFollower {
 public:
   explicit TopicFollower(Topic Which) : Which(Which) {}
 
+  /// The store has answered a read: measures the time, and gives up the other
+  /// read. The result is to be reported next.
+  void answered(TimePoint Now, bool Hedged, SidecarEffects &Out);
   /// A read has succeeded. The next one starts at offset Next, after a pause
   /// that depends on the topic. Records: the read returned any.
   void readDone(TimePoint Now, Offset Next, bool Records, SidecarEffects &Out);
@@ -33,17 +47,17 @@
   /// Returns whether the read that has just ended began in another history. If
   /// so, starts it again.
   bool discardStaleRead(TimePoint Now, SidecarEffects &Out);
-  /// A read has failed. The next one starts after a backoff. Of several
-  /// failures in a row, the first one is logged and those that broke off an
-  /// answer.
+  /// A read has failed. The next one starts after a backoff, and a hedged read
+  /// at once if there was no answer in time. Of several failures in a row, the
+  /// first one is logged and those that broke off an answer.
   void readFailed(TimePoint Now, std::uint64_t Seed,
                   const TopicReadFailed &Failure, SidecarEffects &Out);
-  /// Starts a read at offset Next if one is due.
+  /// Starts the reads at offset Next that are due.
   void timer(TimePoint Now, Offset Next, SidecarEffects &Out);
   /// Sets whether this daemon reads the store or relies on another one. A read
   /// in flight continues to its end.
   void setActive(TimePoint Now, bool Wanted);
-  TimePoint nextWake() const { return std::min(ReadAt, OverdueAt); }
+  TimePoint nextWake() const { return std::min({ReadAt, OverdueAt, HedgeAt}); }
 
   /// Returns whether the whole topic has been read or received.
   bool complete() const { return Complete; }
@@ -56,21 +70,35 @@
   bool live() const {
     return Active && Complete && !NeedsSnapshot && !failing();
   }
-  /// Returns whether it is live and a read has ended since it began to read.
-  bool confirmed() const { return live() && ReadSinceActive; }
+  /// Returns whether it is live, a read has ended since it began to read, and
+  /// the last answer was not so late that what it says may have changed.
+  bool confirmed() const {
+    return live() && ReadSinceActive && AnswerTime < MinStoreTimeout;
+  }
+  /// Returns the time that the store took for the last answer, without the time
+  /// for which it held the read.
+  Duration answerTime() const { return AnswerTime; }
   /// Returns whether the last read of the store has failed, or the present one
   /// should have ended by now.
   bool failing() const { return Failures > 0 || Overdue; }
 
 private:
   void read(TimePoint Now, Offset Next, SidecarEffects &Out);
+  void hedge(TimePoint Now, Offset Next, SidecarEffects &Out);
+  void hedgeFailed(TimePoint Now);
   void endRead();
   void noteSuccess(TimePoint Now, Offset Next, SidecarEffects &Out);
 
   Topic Which;
   bool Active = true;
   bool Reading = false;
-  TimePoint StartedAt{};    ///< Of the last read.
+  TimePoint StartedAt{};                   ///< Of the last read.
+  Duration Held{0};                        ///< For which the store may hold it.
+  TimePoint HedgeAt = TimePoint::max();    ///< Time of the next hedged read.
+  bool Hedging = false;                    ///< A hedged read is in flight.
+  TimePoint HedgedAt{};                    ///< Start of the last hedged read.
+  Duration HedgeTimeout = MinHedgeTimeout; ///< Of the next hedged read.
+  Duration AnswerTime{0};
   bool ReadIsStale = false; ///< The read in flight began in another history.
   bool Complete = false;
   bool NeedsSnapshot = true;
--- a/tests/PacedCluster.h
+++ b/tests/PacedCluster.h
@@ -273,6 +273,20 @@
   std::map<std::string, unsigned> Decisions; ///< Number by kind.
 
 private:
+  /// An answer of the store to one read.
+  struct StoreRead {
+    std::size_t Left = 0;     ///< Bytes that the store has not sent.
+    std::size_t UnderWay = 0; ///< Sent, not received.
+    std::size_t Received = 0;
+    TimePoint BegunAt;    ///< Of the first byte.
+    TimePoint ReceivedAt; ///< Of the last byte.
+    bool Ended = false;   ///< Whole, or given up.
+    bool Hedged = false;
+    Duration Timeout{0};
+    VirtualTime::Action OnWhole;
+  };
+  using StoreReadPtr = std::shared_ptr<StoreRead>;
+
   struct Host {
     Host(VirtualTime &Time, PacedHost Described, double LinkBytes)
         : Described(std::move(Described)), Sending(Time, HostLinkBytes),
@@ -288,22 +302,11 @@
     std::map<std::uint64_t, TimePoint> InForce; ///< By version.
     std::size_t TopicBytes = 0;
     std::size_t StoreReads = 0;
+    std::array<std::vector<std::weak_ptr<StoreRead>>, TopicCount> Reads;
     bool CutFromStore = false;
     bool CutFromPeers = false;
   };
 
-  /// An answer of the store to one read.
-  struct StoreRead {
-    std::size_t Left = 0;     ///< Bytes that the store has not sent.
-    std::size_t UnderWay = 0; ///< Sent, not received.
-    std::size_t Received = 0;
-    TimePoint BegunAt;    ///< Of the first byte.
-    TimePoint ReceivedAt; ///< Of the last byte.
-    bool Ended = false;   ///< Whole, or given up.
-    VirtualTime::Action OnWhole;
-  };
-  using StoreReadPtr = std::shared_ptr<StoreRead>;
-
   /// Writes what a link has queued when the pacer allows it.
   struct PacedSender : BulkSender {
     std::function<void()> Write;
@@ -612,9 +615,11 @@
 
   void performAtStore(std::size_t Self, SidecarEffect &Effect) {
     if (auto *Wanted = std::get_if<ReadTopicSnapshot>(&Effect))
-      readSnapshot(Self, Wanted->Which);
+      readSnapshot(Self, *Wanted);
     else if (auto *Wanted = std::get_if<ReadTopic>(&Effect))
       readRecords(Self, *Wanted);
+    else if (auto *Abandoned = std::get_if<AbandonReads>(&Effect))
+      abandonReads(Self, Abandoned->Which);
     else if (auto *Own = std::get_if<Announce>(&Effect))
       appendAnnouncement(Self, Own->Content.Host,
                          encodeAnnouncement(Own->Content));
@@ -633,7 +638,7 @@
   void appendAnnouncement(std::size_t Self, const HostId &Key,
                           const std::optional<std::string> &Value) {
     if (Hosts[Self]->CutFromStore)
-      return Time.schedule(platform::CallTimeout, [this, Self] {
+      return Time.schedule(MinStoreTimeout, [this, Self] {
         apply(Self, AnnouncementResult{false, "no answer", 0});
       });
     Time.schedule(storeDelay(Self), [this, Self, Key, Value] {
@@ -666,19 +671,23 @@
   /// Starts a read. Ask runs when the request has arrived, unless the store
   /// refuses it; the read is given up when it takes too long.
   void startRead(std::size_t Self, Topic Which, Duration Wait,
+                 Duration HedgeTimeout,
                  std::function<void(const StoreReadPtr &)> Ask) {
     ++Hosts[Self]->StoreReads;
     auto Read = std::make_shared<StoreRead>();
-    giveUpLater(Self, Which, Read, Wait + platform::CallTimeout);
-    Time.schedule(
-        storeDelay(Self), [this, Self, Which, Read, Ask = std::move(Ask)] {
-          if (!ReadsRefused[static_cast<std::size_t>(Which)])
-            return Ask(Read);
-          Read->OnWhole = [this, Self, Which] {
-            apply(Self, TopicReadFailed{Which, "status 503", History, 0});
-          };
-          sendAnswer(Self, Read, RefusalBytes);
-        });
+    Read->Hedged = HedgeTimeout > 0us;
+    Read->Timeout = Read->Hedged ? HedgeTimeout : MinStoreTimeout;
+    Hosts[Self]->Reads[static_cast<std::size_t>(Which)].push_back(Read);
+    giveUpLater(Self, Which, Read, Wait + Read->Timeout);
+    Time.schedule(storeDelay(Self), [this, Self, Which, Read,
+                                     Ask = std::move(Ask)] {
+      if (!ReadsRefused[static_cast<std::size_t>(Which)])
+        return Ask(Read);
+      Read->OnWhole = [this, Self, Which, Hedged = Read->Hedged] {
+        apply(Self, TopicReadFailed{Which, "status 503", History, 0, Hedged});
+      };
+      sendAnswer(Self, Read, RefusalBytes);
+    });
   }
 
   void giveUpLater(std::size_t Self, Topic Which, const StoreReadPtr &Read,
@@ -686,15 +695,25 @@
     Time.schedule(After, [this, Self, Which, Read] {
       if (Read->Ended)
         return;
-      TimePoint Due = std::min(Read->ReceivedAt + platform::CallTimeout,
+      TimePoint Due = std::min(Read->ReceivedAt + Read->Timeout,
                                Read->BegunAt + platform::MaxTransferTime);
       if (Read->Received > 0 && Time.now() < Due)
         return giveUpLater(Self, Which, Read, Due - Time.now());
       Read->Ended = true;
       AbandonedBytes += Read->Received;
-      apply(Self, TopicReadFailed{Which, "no answer", 0, Read->Received});
+      apply(Self, TopicReadFailed{Which, "no answer", 0, Read->Received,
+                                  Read->Hedged});
     });
   }
+  void abandonReads(std::size_t Self, Topic Which) {
+    auto &Reads = Hosts[Self]->Reads[static_cast<std::size_t>(Which)];
+    for (const auto &Each : std::exchange(Reads, {})) {
+      StoreReadPtr Read = Each.lock();
+      if (!Read || std::exchange(Read->Ended, true))
+        continue;
+      AbandonedBytes += Read->Received;
+    }
+  }
 
   void sendAnswer(std::size_t Self, const StoreReadPtr &Read,
                   std::size_t Bytes) {
@@ -736,29 +755,34 @@
     Read->OnWhole();
   }
 
-  void readSnapshot(std::size_t Self, Topic Which) {
-    startRead(Self, Which, 0us, [this, Self, Which](const StoreReadPtr &Read) {
-      std::map<std::string, KeyedRecord> Newest;
-      for (const KeyedRecord &Record : log(Which))
-        Newest[Record.Key] = Record;
-      std::size_t Bytes = 100;
-      auto Page =
-          std::make_shared<TopicSnapshot>(TopicSnapshot{Which, {}, 0, History});
-      Page->Next = static_cast<Offset>(log(Which).size());
-      for (auto &[Key, Record] : Newest) {
-        if (!Record.Value)
-          continue;
-        // The page holds values in base64.
-        Bytes += 50 + Key.size() + Record.Value->size() * 4 / 3;
-        Page->Records.push_back(Record);
-      }
-      Read->OnWhole = [this, Self, Page] { apply(Self, std::move(*Page)); };
-      sendAnswer(Self, Read, Bytes);
-    });
+  void readSnapshot(std::size_t Self, const ReadTopicSnapshot &Wanted) {
+    Topic Which = Wanted.Which;
+    startRead(Self, Which, 0us, Wanted.HedgeTimeout,
+              [this, Self, Which](const StoreReadPtr &Read) {
+                std::map<std::string, KeyedRecord> Newest;
+                for (const KeyedRecord &Record : log(Which))
+                  Newest[Record.Key] = Record;
+                std::size_t Bytes = 100;
+                auto Page = std::make_shared<TopicSnapshot>(
+                    TopicSnapshot{Which, {}, 0, History});
+                Page->Next = static_cast<Offset>(log(Which).size());
+                Page->Hedged = Read->Hedged;
+                for (auto &[Key, Record] : Newest) {
+                  if (!Record.Value)
+                    continue;
+                  // The page holds values in base64.
+                  Bytes += 50 + Key.size() + Record.Value->size() * 4 / 3;
+                  Page->Records.push_back(Record);
+                }
+                Read->OnWhole = [this, Self, Page] {
+                  apply(Self, std::move(*Page));
+                };
+                sendAnswer(Self, Read, Bytes);
+              });
   }
 
   void readRecords(std::size_t Self, const ReadTopic &Wanted) {
-    startRead(Self, Wanted.Which, Wanted.Wait,
+    startRead(Self, Wanted.Which, Wanted.Wait, Wanted.HedgeTimeout,
               [this, Self, Wanted](const StoreReadPtr &Read) {
                 if (static_cast<std::size_t>(Wanted.From) <
                     log(Wanted.Which).size())
@@ -784,6 +808,7 @@
     auto Page = std::make_shared<TopicRecords>();
     Page->Which = Wanted.Which;
     Page->History = History;
+    Page->Hedged = Read->Hedged;
     std::size_t Bytes = 100;
     auto At = static_cast<std::size_t>(Wanted.From);
     for (; At < Log.size(); ++At) {
--- a/tests/PlatformTest.cpp
+++ b/tests/PlatformTest.cpp
@@ -408,7 +408,7 @@
                    R"("HasMore":true,"EndOffset":9})");
   addResponse(200, R"({"items":[{"Key":"b","Value":"djI=","Offset":12}],)"
                    R"("HasMore":false,"EndOffset":13})");
-  Client->readSnapshot(Topic::Members);
+  Client->readSnapshot({Topic::Members});
   auto Read = wait<TopicSnapshot>();
   ASSERT_EQ(Read.Records.size(), 2U);
   EXPECT_EQ(Read.Records[0], (KeyedRecord{"a/1", "v1", 3}));
@@ -419,7 +419,7 @@
 
 TEST_F(StoreClientTest, AMissingTopicIsEmpty) {
   addResponse(404, "");
-  Client->readSnapshot(Topic::Members);
+  Client->readSnapshot({Topic::Members});
   EXPECT_EQ(wait<TopicSnapshot>().Next, 0);
 }
 
@@ -431,7 +431,7 @@
   Client->read({Topic::Operator, 3, 1s});
   EXPECT_EQ(wait<TopicReadFailed>().Reason, "status 503");
   addResponse(200, "{not json");
-  Client->readSnapshot(Topic::Operator);
+  Client->readSnapshot({Topic::Operator});
   EXPECT_EQ(wait<TopicReadFailed>().Which, Topic::Operator);
 }
 
@@ -454,7 +454,7 @@
   Client->read({Topic::Operator, 3, 1s});
   EXPECT_EQ(wait<TopicRecords>().History, 7U);
   AddResponseWithHistory(404, "");
-  Client->readSnapshot(Topic::Members);
+  Client->readSnapshot({Topic::Members});
   EXPECT_EQ(wait<TopicSnapshot>().History, 7U);
   AddResponseWithHistory(200, R"({"Offset":4,"EndOffset":5})");
   Client->append(Announcement{});
@@ -471,7 +471,7 @@
   Responses.back().set("Store-Era", "1");
   addResponse(200, R"({"items":[],"HasMore":false,"EndOffset":7})");
   Responses.back().set("Store-Era", "2");
-  Client->readSnapshot(Topic::Members);
+  Client->readSnapshot({Topic::Members});
   EXPECT_EQ(wait<TopicReadFailed>().History, 2U);
 }
 
--- a/tests/SidecarProcessTest.cpp
+++ b/tests/SidecarProcessTest.cpp
@@ -37,6 +37,9 @@
 /// Time after which a test fails. Passing tests never wait for it.
 constexpr auto TestTimeout = 60s;
 
+/// Time in which service must be back after the return of all hosts.
+constexpr auto RecoveryTime = 15s;
+
 const std::string Config =
     R"({"Version":"00000001","Routes":[)"
     R"({"Name":"r","Host":"desk.example","PathPrefix":"/x/",)"
@@ -518,6 +521,24 @@
   EXPECT_TRUE(WIFEXITED(Status) && WEXITSTATUS(Status) == 0) << Status;
 }
 
+// Guards against RECOVER (issue 51) over a real connection: a daemon that
+// started beside a store with answers slower than its timeout gave up each read
+// and never became ready.
+TEST_F(SidecarProcessTest, ARestartBesideASlowStoreBecomesReady) {
+  ASSERT_TRUE(becomesTrue([this] { return isReady(); }));
+  stop(SIGKILL);
+  Loop.on([&] { Store->setAnswerTime(4s); });
+  auto Started = std::chrono::steady_clock::now();
+  start();
+  EXPECT_TRUE(becomesTrue([this] { return isReady(); }));
+  EXPECT_LT(std::chrono::steady_clock::now() - Started, RecoveryTime);
+  EXPECT_TRUE(becomesTrue([this] {
+    return countLogLines("store-reached", R"("answer_ms":"4)") > 0;
+  }));
+  reportServer();
+  EXPECT_EQ(call().result_int(), 200U);
+}
+
 TEST_F(SidecarProcessTest, ServesWhileTheStoreIsUnreachable) {
   ASSERT_TRUE(becomesTrue([&] { return isReady(); }));
   EXPECT_EQ(sendHeartbeat(), 200U);
--- a/tests/SlowStoreStartTest.cpp
+++ b/tests/SlowStoreStartTest.cpp
@@ -55,7 +55,7 @@
 TEST_P(SlowStoreStartTest, EachDaemonBecomesReady) {
   DrawnFleet Drawn(GetParam());
   auto Fleet = Drawn.start();
-  Fleet->run(RecoveryTime);
+  Fleet->runUntilReady(RecoveryTime);
   EXPECT_EQ(Fleet->readyCount(), Drawn.Hosts) << Drawn;
 }
 
@@ -66,7 +66,7 @@
   Drawn.Store.LostAnswers = Drawn.drawn(0.01, 0.1);
   Drawn.Store.ReadsPerSecond = static_cast<unsigned>(Drawn.drawn(50, 2000));
   auto Fleet = Drawn.start();
-  Fleet->run(RecoveryTimeWithLosses);
+  Fleet->runUntilReady(RecoveryTimeWithLosses);
   EXPECT_EQ(Fleet->readyCount(), Drawn.Hosts) << Drawn;
 }
 
--- a/tests/StartingFleet.h
+++ b/tests/StartingFleet.h
@@ -6,11 +6,11 @@
 
 #include "JsonRecordDecoder.h"
 #include "Sidecar.h"
-#include "StoreClient.h"
 #include "TopicLogs.h"
 #include "VirtualTime.h"
 
 #include <algorithm>
+#include <array>
 #include <memory>
 #include <random>
 #include <set>
@@ -54,7 +54,12 @@
   StartingFleet &operator=(const StartingFleet &) = delete;
 
   void run(Duration Length) { Time.run(Length); }
-  TimePoint now() const { return Time.now(); }
+  /// Runs until all daemons are ready, Limit at most.
+  void runUntilReady(Duration Limit) {
+    TimePoint End = Time.now() + Limit;
+    while (Time.now() < End && readyCount() < Hosts.size())
+      Time.run(std::min<Duration>(100ms, End - Time.now()));
+  }
   void setStore(const SlowStore &Changed) { Store = Changed; }
 
   /// Returns the time from the first start until the last daemon was ready;
@@ -102,6 +107,9 @@
     TimePoint WakeAt = TimePoint::max();
     bool Ready = false;
     TimePoint ReadyAt;
+    Duration StoreTimeout = MinStoreTimeout;
+    /// Reads in flight; true: ended.
+    std::array<std::vector<std::weak_ptr<bool>>, TopicCount> Reads;
   };
 
   static std::string domain(std::size_t I) {
@@ -188,16 +196,20 @@
 
   void performAtStore(std::size_t I, SidecarEffect &Effect) {
     if (auto *Read = std::get_if<ReadTopicSnapshot>(&Effect))
-      return callStore(I, Read->Which, 0us, [this, Which = Read->Which] {
-        return SidecarEventBody(Topics.snapshot(Which));
-      });
+      return callStore(
+          I, Read->Which, 0us, Read->HedgeTimeout,
+          [this, Which = Read->Which] { return Topics.snapshot(Which); });
     if (auto *Read = std::get_if<ReadTopic>(&Effect)) {
       bool Held = Read->From >= Topics.end(Read->Which);
-      return callStore(
-          I, Read->Which, Held ? Read->Wait : 0us, [this, Wanted = *Read] {
-            return SidecarEventBody(Topics.records(Wanted.Which, Wanted.From));
-          });
+      return callStore(I, Read->Which, Held ? Read->Wait : 0us,
+                       Read->HedgeTimeout, [this, Wanted = *Read] {
+                         return Topics.records(Wanted.Which, Wanted.From);
+                       });
     }
+    if (auto *Abandoned = std::get_if<AbandonReads>(&Effect))
+      return abandon(I, Abandoned->Which);
+    if (auto *Changed = std::get_if<SetStoreTimeout>(&Effect))
+      Hosts[I].StoreTimeout = Changed->Timeout;
     if (auto *Own = std::get_if<Announce>(&Effect))
       append(I, Own->Content);
   }
@@ -210,42 +222,49 @@
     return Store.ReadsPerSecond > 0 && ++ReadsCounted > Store.ReadsPerSecond;
   }
 
-  /// Calls the store, which makes the answer when it is due.
+  void abandon(std::size_t I, Topic Which) {
+    auto &Reads = Hosts[I].Reads[static_cast<std::size_t>(Which)];
+    for (const auto &Read : std::exchange(Reads, {}))
+      if (auto Ended = Read.lock())
+        *Ended = true;
+  }
+
+  /// Calls the store, which makes the answer when it is due. A call ends with
+  /// its first event.
+  template <class Maker>
   void callStore(std::size_t I, Topic Which, Duration Wait,
-                 std::function<SidecarEventBody()> Answer) {
+                 Duration HedgeTimeout, Maker Answer) {
     ++Cost.Reads;
+    bool Hedged = HedgeTimeout > 0us;
     auto Ended = std::make_shared<bool>(false);
+    Hosts[I].Reads[static_cast<std::size_t>(Which)].push_back(Ended);
     auto End = [this, I, Ended](SidecarEventBody Body) {
       if (!std::exchange(*Ended, true))
         apply(I, std::move(Body));
     };
-    Time.schedule(Wait + platform::CallTimeout, [End, Which] {
-      End(TopicReadFailed{Which, "no answer"});
+    Duration Timeout = Hedged ? HedgeTimeout : Wait + Hosts[I].StoreTimeout;
+    Time.schedule(Timeout, [End, Which, Hedged] {
+      End(TopicReadFailed{Which, "no answer", 0, 0, Hedged});
     });
     if (isRefused()) {
       ++Cost.Refused;
-      return Time.schedule(Store.AnswerTime, [End, Which] {
-        End(TopicReadFailed{Which, "status 429", 1});
+      return Time.schedule(Store.AnswerTime, [End, Which, Hedged] {
+        End(TopicReadFailed{Which, "status 429", 1, 0, Hedged});
       });
     }
     if (happens(Store.LostAnswers))
       return;
-    Time.schedule(Wait + Store.AnswerTime, [this, End, Answer] {
-      SidecarEventBody Made = Answer();
-      Cost.Bytes += recordBytes(Made);
+    Time.schedule(Wait + Store.AnswerTime, [this, End, Answer, Hedged] {
+      auto Made = Answer();
+      Made.Hedged = Hedged;
+      Cost.Bytes += recordBytes(Made.Records);
       End(std::move(Made));
     });
   }
-  static std::size_t recordBytes(const SidecarEventBody &Made) {
+  static std::size_t recordBytes(const std::vector<KeyedRecord> &Records) {
     std::size_t Bytes = 0;
-    auto Add = [&](const std::vector<KeyedRecord> &Records) {
-      for (const KeyedRecord &Record : Records)
-        Bytes += Record.Key.size() + (Record.Value ? Record.Value->size() : 0);
-    };
-    if (const auto *Page = std::get_if<TopicSnapshot>(&Made))
-      Add(Page->Records);
-    else if (const auto *Page = std::get_if<TopicRecords>(&Made))
-      Add(Page->Records);
+    for (const KeyedRecord &Record : Records)
+      Bytes += Record.Key.size() + (Record.Value ? Record.Value->size() : 0);
     return Bytes;
   }
 
@@ -258,7 +277,7 @@
         apply(I, AnnouncementResult{Appended, Appended ? "" : "no answer",
                                     Appended ? StoreHistory(1) : 0});
     };
-    Time.schedule(platform::CallTimeout, [End] { End(false); });
+    Time.schedule(Hosts[I].StoreTimeout, [End] { End(false); });
     bool Lost = happens(Store.LostAnswers);
     Time.schedule(Store.AnswerTime, [this, End, Own, Lost] {
       Topics.put(Topic::Members, Own.Host, encodeAnnouncement(Own));
--- a/tests/StoreStandin.h
+++ b/tests/StoreStandin.h
@@ -42,6 +42,9 @@
     Topics[Topic].push_back(platform::encodeKeyedRecord(Key, Value));
   }
 
+  /// Sets the time from a call to its answer, for the next calls.
+  void setAnswerTime(std::chrono::milliseconds Time) { AnswerTime = Time; }
+
   /// Restores the store from an older copy, which lacks the last records of
   /// each topic. Their offsets are assigned again.
   void restoreOlderCopy(std::size_t Lost) {
@@ -86,7 +89,15 @@
       boost::beast::http::status Status = boost::beast::http::status::ok) {
     auto Response = makeResponse(Status, std::move(Body), "application/json");
     Response.set("Store-Era", std::to_string(Era));
-    Reply(std::move(Response));
+    if (AnswerTime == std::chrono::milliseconds(0))
+      return Reply(std::move(Response));
+    auto Timer = std::make_shared<boost::asio::steady_timer>(Context);
+    Timer->expires_after(AnswerTime);
+    Timer->async_wait([Timer, Reply, Response,
+                       Life = std::weak_ptr<char>(Alive)](const auto &) {
+      if (!Life.expired())
+        Reply(Response);
+    });
   }
 
   void handle(const Request &Incoming, const Reply &Reply) {
@@ -163,6 +174,7 @@
   boost::asio::io_context &Context;
   std::map<std::string, std::vector<std::string>> Topics; ///< Encoded records.
   std::uint64_t Era = 1;
+  std::chrono::milliseconds AnswerTime{0};
   std::vector<std::function<void()>> WaitingReads; ///< Functions that end them.
   HttpService Server;
 };
--- a/tests/TopicLogs.h
+++ b/tests/TopicLogs.h
@@ -54,13 +54,19 @@
   std::array<Log, TopicCount> Logs;
 };
 
+/// Hosts whose addresses differ in the last part only.
+inline constexpr std::size_t HostsPerSubnet = 250;
+
 /// Returns the name of a simulated host, by its number from 0 on.
 inline HostId hostName(std::size_t Index) {
-  return "10.0.0." + std::to_string(Index + 1) + ":7000";
+  return "10.0." + std::to_string(Index / HostsPerSubnet) + "." +
+         std::to_string(Index % HostsPerSubnet + 1) + ":7000";
 }
 /// Returns the number of a simulated host.
 inline std::size_t hostIndex(const HostId &Host) {
-  return static_cast<std::size_t>(std::stoi(Host.substr(7))) - 1;
+  std::size_t Subnet = std::stoul(Host.substr(5));
+  std::size_t Number = std::stoul(Host.substr(Host.rfind('.') + 1));
+  return Subnet * HostsPerSubnet + Number - 1;
 }
 
 } // namespace figsail::test
