--- a/src/sidecar/QuotaCoordinator.cpp
+++ b/src/sidecar/QuotaCoordinator.cpp
@@ -8,7 +8,6 @@
 
 #include <algorithm>
 #include <cmath>
-#include <optional>
 #include <utility>
 #include <vector>
 
@@ -123,6 +122,24 @@
   return Missing;
 }
 
+/// Returns what is known of the hosts that have not reported.
+QuotaCoordinator::UnheardHosts
+QuotaCoordinator::unheardHosts(const QuotaStep &Step, const Pool &Current) {
+  UnheardHosts Unheard;
+  Duration Age = Step.Now - Current.Since;
+  for (const HostId &Host : Current.Awaited) {
+    if (!Step.Peers.isSuspected(Host)) {
+      Unheard.AnyReachable = true;
+      continue;
+    }
+    Duration Time = Step.Peers.suspectedFor(Step.Now, Host);
+    bool WasAsked = Age > Time + QueryFailureTime;
+    if (!WasAsked)
+      Unheard.UnreachableFor = std::min(Unheard.UnreachableFor, Time);
+  }
+  return Unheard;
+}
+
 /// Returns the rate that this coordinator may give out, with the charges of
 /// silent ingresses. It is less than the quota while other hosts may hold
 /// shares that it does not know: it lacks an equal part for each host that has
@@ -133,20 +150,8 @@
                                 const Pool &Current) const {
   double Rate = Current.Of->RatePerSecond;
   Duration Age = Step.Now - Current.Since;
-  bool AnyReachable = false;
-  std::optional<Duration> Unreachable; // Shortest time of those never asked.
-  for (const HostId &Host : Current.Awaited) {
-    if (!Step.Peers.isSuspected(Host)) {
-      AnyReachable = true;
-      continue;
-    }
-    Duration Time = Step.Peers.suspectedFor(Step.Now, Host);
-    bool WasAsked = Age > Time + QueryFailureTime;
-    if (WasAsked)
-      continue;
-    Unreachable = std::min(Unreachable.value_or(Time), Time);
-  }
-  bool Learning = AnyReachable && Age < LearningTime;
+  UnheardHosts Unheard = unheardHosts(Step, Current);
+  bool Learning = Unheard.AnyReachable && Age < LearningTime;
   if (!Current.Taken && Learning && Age < QueryTime)
     return Rate;
   double Equal = std::max(0.0, Rate - missing(Step, Current, Learning));
@@ -156,11 +161,10 @@
   for (const auto &[Host, Held] : Current.Shares)
     Reserved += Held.Reserved;
   double Brought = std::min(Rate, std::max(Current.Acquired, Reserved));
-  if (Learning || Unreachable.value_or(UnreachableTime) < EqualPartTime)
+  if (Learning || Unheard.UnreachableFor < EqualPartTime)
     return Brought;
-  return Unreachable.value_or(UnreachableTime) < UnreachableTime
-             ? std::min(Brought, Equal)
-             : Equal;
+  return Unheard.UnreachableFor < UnreachableTime ? std::min(Brought, Equal)
+                                                  : Equal;
 }
 
 /// Returns the largest balance.
--- a/src/sidecar/QuotaCoordinator.h
+++ b/src/sidecar/QuotaCoordinator.h
@@ -87,10 +87,19 @@
     std::map<HostId, Share> Shares;
   };
 
+  /// The hosts that have not reported to this coordinator.
+  struct UnheardHosts {
+    bool AnyReachable = false;
+    /// The shortest time for which one that could never be asked has been
+    /// unreachable; max(): there is none.
+    Duration UnreachableFor = Duration::max();
+  };
+
   Pool &find(QuotaStep &Step, const Workspace &Of, const QuotaUsage &First);
   void count(QuotaStep &Step, Pool &Current, const PeerRef &From,
              const QuotaUsage &Usage);
   void refill(const QuotaStep &Step, Pool &Current) const;
+  static UnheardHosts unheardHosts(const QuotaStep &Step, const Pool &Current);
   double budget(const QuotaStep &Step, const Pool &Current) const;
   static double missing(const QuotaStep &Step, const Pool &Current,
                         bool Learning);
--- a/src/sidecar/TopicFollower.cpp
+++ b/src/sidecar/TopicFollower.cpp
@@ -94,10 +94,9 @@
   Hedging = false;
   HedgeAt = TimePoint::max();
   HedgeTimeout = MinHedgeTimeout;
-  if (!OtherInFlight)
-    return;
-  endRead();
-  Out.emplace_back(AbandonReads{Which});
+  Reading = true; // Until its result is reported: it may turn out to be stale.
+  if (OtherInFlight)
+    Out.emplace_back(AbandonReads{Which});
 }
 
 void TopicFollower::endRead() {
--- a/tests/PlatformTest.cpp
+++ b/tests/PlatformTest.cpp
@@ -525,6 +525,38 @@
   EXPECT_EQ(wait<RolloutStatusWritten>().Result, Outcome::Failed);
 }
 
+// Guards against a hedged read that waits for the connection, or keeps to the
+// timeout, of the read that it is sent beside.
+TEST_F(StoreClientTest, AHedgedReadIsIndependentOfTheOtherOne) {
+  DelayResponses = true;
+  Client->setTimeout(100ms);
+  Client->readSnapshot({Topic::Members});
+  Client->readSnapshot({Topic::Members, 30s});
+  TopicReadFailed Failed = wait<TopicReadFailed>();
+  EXPECT_FALSE(Failed.Hedged);
+  ASSERT_EQ(DelayedReplies.size(), 2U);
+  for (const HttpService::Reply &Reply : DelayedReplies)
+    Reply(makeResponse(http::status::ok,
+                       R"({"items":[],"HasMore":false,"EndOffset":3})",
+                       "application/json"));
+  TopicSnapshot Read = wait<TopicSnapshot>();
+  EXPECT_TRUE(Read.Hedged);
+  EXPECT_EQ(Read.Next, 3);
+}
+
+// Guards against an event of a read that was given up: it would be taken for
+// that of the next one.
+TEST_F(StoreClientTest, AnAbandonedReadHasNoEvent) {
+  DelayResponses = true;
+  Client->setTimeout(100ms);
+  Client->readSnapshot({Topic::Operator});
+  Client->readSnapshot({Topic::Operator, 50ms});
+  Client->abandonReads(Topic::Operator);
+  Client->setTimeout(300ms);
+  Client->readSnapshot({Topic::Members});
+  EXPECT_EQ(wait<TopicReadFailed>().Which, Topic::Members);
+}
+
 // A connection attempt into a network partition gets no reply, and the kernel
 // sends the next SYN only after seconds. When the attempt had the timeout of a
 // long read, a daemon reached the store again 6 s after the partition had
--- a/tests/TopicsTest.cpp
+++ b/tests/TopicsTest.cpp
@@ -390,6 +390,96 @@
   EXPECT_TRUE(Follower.live());
 }
 
+/// A follower whose first read has had no answer for as long as it waits for
+/// one, and the hedged read that follows.
+struct HedgedFollowerTest : testing::Test {
+  HedgedFollowerTest() {
+    Follower.timer(TestStart, 0, Out);
+    Follower.readFailed(Failed, 1, failedRead("no answer"), Out);
+    Out.clear();
+    Follower.timer(Failed, 0, Out);
+  }
+  void hedgeFails(TimePoint At) {
+    TopicReadFailed Failure = failedRead("no answer");
+    Failure.Hedged = true;
+    Follower.readFailed(At, 1, Failure, Out);
+  }
+
+  TopicFollower Follower{Topic::Members};
+  TimePoint Failed = TestStart + MinStoreTimeout;
+  SidecarEffects Out;
+};
+
+// Guards against RECOVER (issue 51): a store that is slow counted as one that
+// is away, and each read of it was given up.
+TEST_F(HedgedFollowerTest, AReadWithoutAnAnswerIsHedgedAndTriedAgain) {
+  auto Hedged = effects<ReadTopicSnapshot>(Out);
+  ASSERT_EQ(Hedged.size(), 1U);
+  EXPECT_GE(Hedged[0].HedgeTimeout, 10s) << "the slowest answers tested";
+  Out.clear();
+  Follower.timer(Failed + 1s, 0, Out);
+  auto Retried = effects<ReadTopicSnapshot>(Out);
+  ASSERT_EQ(Retried.size(), 1U) << "the store may be back";
+  EXPECT_EQ(Retried[0].HedgeTimeout, Duration(0));
+}
+
+TEST_F(HedgedFollowerTest, TheFirstAnswerEndsTheOtherRead) {
+  Follower.timer(Failed + 1s, 0, Out);
+  Out.clear();
+  Follower.answered(Failed + 2500ms, true, Out);
+  EXPECT_EQ(effects<AbandonReads>(Out).size(), 1U);
+  EXPECT_EQ(Follower.answerTime(), 2500ms);
+  Follower.readDone(Failed + 2500ms, 4, false, Out);
+  EXPECT_TRUE(Follower.complete());
+  EXPECT_TRUE(Follower.live());
+  EXPECT_FALSE(Follower.confirmed()) << "it may have changed since";
+}
+
+// Guards against a store that is refused more than once for one answer.
+TEST(TopicFollower, ARefusedReadIsNotHedged) {
+  TopicFollower Follower(Topic::Members);
+  SidecarEffects Out;
+  Follower.timer(TestStart, 0, Out);
+  Follower.readFailed(TestStart + 10ms, 1, failedRead("status 503"), Out);
+  Out.clear();
+  Follower.timer(TestStart + 2s, 0, Out);
+  EXPECT_EQ(effects<ReadTopicSnapshot>(Out).size(), 1U);
+}
+
+TEST_F(HedgedFollowerTest, ALongerSilenceGetsALongerTimeout) {
+  Duration First = effects<ReadTopicSnapshot>(Out).at(0).HedgeTimeout;
+  hedgeFails(Failed + First);
+  Follower.timer(Failed + First, 0, Out);
+  Follower.readFailed(Failed + First + MinStoreTimeout, 1,
+                      failedRead("no answer"), Out);
+  Out.clear();
+  Follower.timer(Failed + First + MinStoreTimeout, 0, Out);
+  auto Second = effects<ReadTopicSnapshot>(Out);
+  ASSERT_EQ(Second.size(), 1U);
+  EXPECT_EQ(Second[0].HedgeTimeout, 2 * First);
+}
+
+// Guards against two copies of a large answer on a link that was too slow for
+// one (issue 38).
+TEST_F(HedgedFollowerTest, ALargeAnswerIsReceivedOnceAtATime) {
+  Follower.timer(Failed + 1s, 0, Out);
+  Follower.readFailed(Failed + 5s, 1, failedRead("no answer", 900000), Out);
+  Out.clear();
+  Follower.timer(Failed + 10s, 0, Out);
+  EXPECT_TRUE(effects<ReadTopicSnapshot>(Out).empty());
+  hedgeFails(Failed + 15s);
+  Follower.timer(Failed + 15s, 0, Out);
+  EXPECT_EQ(effects<ReadTopicSnapshot>(Out).size(), 1U);
+}
+
+// Guards against offsets of an ended history in the answer to a hedged read.
+TEST_F(HedgedFollowerTest, AHedgedReadOfAnEndedHistoryIsDiscarded) {
+  Follower.timer(Failed + 1s, 0, Out);
+  Follower.answered(Failed + 2s, true, Out);
+  Follower.restart(Failed + 2s);
+  EXPECT_TRUE(Follower.discardStaleRead(Failed + 2s, Out));
+}
+
 TEST_F(TopicRelayTest, ASuspectedSourceIsReplaced) {
   TopicRelay Subscriber(Second, "east-a");
   Peers.markUnreachable(TestStart, First, Out);
