Change: the time of an answer of the store is forgotten after 30 s

A daemon that no longer reads the store would keep the long timeout of a slow store for its announcements for good (found by reading): after a lost answer it would repeat one up to 15 s late.

--- a/src/sidecar/SidecarTopics.cpp
+++ b/src/sidecar/SidecarTopics.cpp
@@ -109,7 +109,7 @@
 void Sidecar::updateStoreTimeout(Step &S) {
   Duration Longest{0};
   for (const TopicState &State : Topics)
-    Longest = std::max(Longest, State.Follower.answerTime());
+    Longest = std::max(Longest, State.Follower.answerTime(S.Now));
   Duration Next = storeTimeout(Longest);
   if (std::exchange(StoreTimeout, Next) == Next)
     return;
--- a/src/sidecar/TopicFollower.cpp
+++ b/src/sidecar/TopicFollower.cpp
@@ -20,6 +20,9 @@
 /// that it was asked to wait. After it the read is overdue: another daemon
 /// should try, since this one may be cut off.
 static constexpr Duration OverdueTime = 400ms;
+/// Time for which the time of an answer says how fast the store is. A daemon
+/// that no longer reads the store doesn't see it become faster.
+static constexpr Duration AnswerTimeLifetime = 30s;
 /// Pause after a read that returned announcements. They come in bursts, and
 /// each read has a cost.
 static constexpr Duration MembersReadPause = 500ms;
@@ -79,6 +82,10 @@
     Out.emplace_back(ReadTopic{Which, Next, Duration(0), HedgeTimeout});
 }
 
+Duration TopicFollower::answerTime(TimePoint Now) const {
+  return Now - AnsweredAt < AnswerTimeLifetime ? AnswerTime : Duration(0);
+}
+
 void TopicFollower::answered(TimePoint Now, bool Hedged, SidecarEffects &Out) {
   bool InFlight = Hedged ? Hedging : Reading;
   bool OtherInFlight = Hedged ? Reading : Hedging;
@@ -88,6 +95,7 @@
   }
   // The store may have answered a held read at any time before its end.
   Duration Elapsed = Now - StartedAt;
+  AnsweredAt = Now;
   if (InFlight)
     AnswerTime =
         std::clamp(AnswerTime, std::max(Elapsed - Held, Duration(0)), Elapsed);
--- a/src/sidecar/TopicFollower.h
+++ b/src/sidecar/TopicFollower.h
@@ -76,8 +76,8 @@
     return live() && ReadSinceActive && AnswerTime < MinStoreTimeout;
   }
   /// Returns the time that the store took for the last answer, without the time
-  /// for which it held the read.
-  Duration answerTime() const { return AnswerTime; }
+  /// for which it held the read; 0 without a recent answer.
+  Duration answerTime(TimePoint Now) const;
   /// Returns whether the last read of the store has failed, or the present one
   /// should have ended by now.
   bool failing() const { return Failures > 0 || Overdue; }
@@ -98,7 +98,8 @@
   bool Hedging = false;                    ///< A hedged read is in flight.
   TimePoint HedgedAt{};                    ///< Start of the last hedged read.
   Duration HedgeTimeout = MinHedgeTimeout; ///< Of the next hedged read.
-  Duration AnswerTime{0};
+  Duration AnswerTime{0};                  ///< Of the last answer.
+  TimePoint AnsweredAt{};
   bool ReadIsStale = false; ///< The read in flight began in another history.
   bool Complete = false;
   bool NeedsSnapshot = true;
--- a/tests/TopicsTest.cpp
+++ b/tests/TopicsTest.cpp
@@ -428,7 +428,8 @@
   Out.clear();
   Follower.answered(Failed + 2500ms, true, Out);
   EXPECT_EQ(effects<AbandonReads>(Out).size(), 1U);
-  EXPECT_EQ(Follower.answerTime(), 2500ms);
+  EXPECT_EQ(Follower.answerTime(Failed + 3s), 2500ms);
+  EXPECT_EQ(Follower.answerTime(Failed + 1min), 0s) << "it may be faster now";
   Follower.readDone(Failed + 2500ms, 4, false, Out);
   EXPECT_TRUE(Follower.complete());
   EXPECT_TRUE(Follower.live());
