--- a/tests/CrashCluster.h
+++ b/tests/CrashCluster.h
@@ -32,7 +32,7 @@
       : Hosts(HostCount), Random(Seed) {
     StoreTime = between(5ms, 150ms);
     OpenTime = between(1ms, 300ms);
-    Topics.put(Topic::Operator, "config", ConfigText);
+    Topics.put(Topic::Operator, "config", DeskConfigText);
     for (std::size_t I = 0; I < HostCount; ++I) {
       start(I);
       startServer(I);
@@ -127,14 +127,6 @@
   std::size_t pick(std::size_t Count) { return Random() % Count; }
 
 private:
-  static constexpr const char *ConfigText =
-      R"({"Version":"00000001","Routes":[
-      {"Name":"lookup","Host":"h","PathPrefix":"/x/","Kind":"idempotent",
-       "TimeoutMs":2000,"TargetLatencyMs":500,"Priority":0,"Attempts":2,
-       "Service":"desk"}],
-      "Services":[
-      {"Name":"desk","HealthPath":"/health","ConnectionLimit":200,
-       "ColdPerS":1000}]})";
   static constexpr const char *Poison = "/x/poison";
 
   struct Server {
--- a/tests/SlowStoreStartTest.cpp
+++ b/tests/SlowStoreStartTest.cpp
@@ -70,5 +70,15 @@
   EXPECT_EQ(Fleet->readyCount(), Drawn.Hosts) << Drawn;
 }
 
+// Guards against a hedged read that is itself too short: its timeout doubles up
+// to a minute.
+TEST(LongAnswersTest, EachDaemonBecomesReady) {
+  for (Duration AnswerTime : {14s, 20s, 40s, 55s}) {
+    StartingFleet Fleet(LeastHosts, {AnswerTime}, 1);
+    Fleet.runUntilReady(MaxHedgeTimeout * 3);
+    EXPECT_EQ(Fleet.readyCount(), LeastHosts) << AnswerTime / 1s << " s";
+  }
+}
+
 INSTANTIATE_TEST_SUITE_P(Seeds, SlowStoreStartTest,
                          testing::Range<std::uint64_t>(1, 31));
--- a/tests/StartingFleet.h
+++ b/tests/StartingFleet.h
@@ -42,7 +42,7 @@
   StartingFleet(std::size_t Count, const SlowStore &Behavior,
                 std::uint64_t Seed)
       : Store(Behavior), Random(Seed), Hosts(Count) {
-    Topics.put(Topic::Operator, "config", ConfigText);
+    Topics.put(Topic::Operator, "config", DeskConfigText);
     for (std::size_t I = 0; I < Count; ++I)
       Topics.put(
           Topic::Members, hostName(I),
@@ -93,14 +93,6 @@
   static constexpr Duration PeerDelay = 1ms;
   static constexpr Duration TimerResolution = 1ms;
   static constexpr std::size_t DomainCount = 4;
-  static constexpr const char *ConfigText =
-      R"({"Version":"00000001","Routes":[
-      {"Name":"lookup","Host":"h","PathPrefix":"/x/","Kind":"idempotent",
-       "TimeoutMs":2000,"TargetLatencyMs":500,"Priority":0,"Attempts":2,
-       "Service":"desk"}],
-      "Services":[
-      {"Name":"desk","HealthPath":"/health","ConnectionLimit":200,
-       "ColdPerS":1000}]})";
 
   struct Host {
     std::unique_ptr<Sidecar> Reducer;
--- a/tests/TopicLogs.h
+++ b/tests/TopicLogs.h
@@ -54,6 +54,16 @@
   std::array<Log, TopicCount> Logs;
 };
 
+/// Configuration with one service and one route to it.
+inline constexpr const char *DeskConfigText =
+    R"({"Version":"00000001","Routes":[
+      {"Name":"lookup","Host":"h","PathPrefix":"/x/","Kind":"idempotent",
+       "TimeoutMs":2000,"TargetLatencyMs":500,"Priority":0,"Attempts":2,
+       "Service":"desk"}],
+      "Services":[
+      {"Name":"desk","HealthPath":"/health","ConnectionLimit":200,
+       "ColdPerS":1000}]})";
+
 /// Hosts whose addresses differ in the last part only.
 inline constexpr std::size_t HostsPerSubnet = 250;
 
